--- /dev/null
+++ b/src/bin/crocuswharf-router.rs
@@ -0,0 +1,2 @@
+//! Daemon.
+fn main() {}
--- /dev/null
+++ b/standin/src/main.rs
@@ -0,0 +1,2 @@
+//! Standin.
+fn main() {}
