--- /dev/null
+++ b/src/account/mod.rs
@@ -0,0 +1,63 @@
+//! Client accounts: who may call, with which keys and under which limits.
+//!
+//! A key is kept as its SHA-256 digest only, so that neither the platform nor a router's memory holds a usable key.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{AccountId, ServiceName};
+
+/// The whole state of one client account, as a change ticket carries it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Account {
+    /// The lower-case hexadecimal SHA-256 digests of the keys that are valid now; two during a rotation.
+    pub key_sha256: Vec<Arc<str>>,
+    /// The services that the account may call.
+    pub services: Vec<ServiceName>,
+    /// The limits over the whole deployment.
+    #[serde(default)]
+    pub limits: AccountLimits,
+    /// The priority passed on to engines; a lower number is served earlier.
+    #[serde(default)]
+    pub priority: u8,
+    /// The account's share in fair queueing, relative to the others' weights.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+/// The limits of one client account over the whole deployment, not per router.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AccountLimits {
+    /// Requests admitted per second.
+    pub requests_per_second: f64,
+    /// Prompt and generated tokens per second.
+    pub tokens_per_second: f64,
+    /// Requests in flight at once.
+    pub concurrent_requests: u32,
+}
+
+impl Default for AccountLimits {
+    fn default() -> Self {
+        Self {
+            requests_per_second: 100.0,
+            tokens_per_second: 1_000_000.0,
+            concurrent_requests: 1_000,
+        }
+    }
+}
+
+const fn default_weight() -> u32 {
+    1
+}
+
+/// An account together with its name, as the request path finds it by key digest.
+#[derive(Clone, Debug)]
+pub struct NamedAccount {
+    /// The account's name.
+    pub id: AccountId,
+    /// The account's state.
+    pub account: Arc<Account>,
+}
--- /dev/null
+++ b/src/preference/mod.rs
@@ -0,0 +1,35 @@
+//! Routing preferences: how a service weighs tail time to first token against recomputation.
+
+use serde::{Deserialize, Serialize};
+
+/// The whole state of one routing preference, as a change ticket carries it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Preference {
+    /// The price of a recomputed token, as a multiple of its own prefill time; above one because a recomputation also
+    /// evicts what other requests need.
+    pub recomputation_price: f64,
+    /// The number of rendezvous homes that an opening starts with.
+    pub homes: u32,
+    /// The time to first token beyond which a request is shed rather than queued, in milliseconds.
+    pub ttft_deadline_ms: u64,
+    /// The expected time that a replica in another availability zone must save to be chosen, in microseconds.
+    pub zone_penalty_us: u64,
+    /// Whether a late first token may be hedged on a second replica.
+    pub hedge: bool,
+    /// The time to first token after which a hedge is sent, in milliseconds.
+    pub hedge_after_ms: u64,
+}
+
+impl Default for Preference {
+    fn default() -> Self {
+        Self {
+            recomputation_price: 4.0,
+            homes: 2,
+            ttft_deadline_ms: 30_000,
+            zone_penalty_us: 1_000,
+            hedge: false,
+            hedge_after_ms: 2_000,
+        }
+    }
+}
