Add authenticated frames and connections between routers

Routers need a way to talk. Bodies are a kind and encoded bytes, so that each module plugs in its own messages without a change here. Connections prove a shared key both ways by HMAC-SHA256 (two keys valid at once), each frame carries a truncated code over its place and content, and a connection that goes silent is replaced by a new one.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod error;
 mod id;
+mod peer;
 mod pool;
 mod preference;
 mod prefix;
@@ -18,6 +19,10 @@
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
 };
+pub use crate::peer::{
+    Body, Inbound, Kind, LinkOptions, LinkTimes, Links, MAX_PAYLOAD_BYTES, PeerEvent, PeerIdentity,
+    PeerKeys, ReplyHandle, Traffic, TrafficByKind, wire_bytes,
+};
 pub use crate::pool::{KeptCache, Pool, Replica, ReplicaRole};
 pub use crate::preference::Preference;
 pub use crate::prefix::{
--- /dev/null
+++ b/src/peer/links.rs
@@ -0,0 +1,178 @@
+//! The connections of one router to all its peers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::error::{Error, ErrorKind};
+use crate::peer::accept;
+use crate::peer::frame::{Body, Frame, MAX_PAYLOAD_BYTES};
+use crate::peer::handshake::PeerIdentity;
+use crate::peer::key::PeerKeys;
+use crate::peer::link::{self, LinkTimes, Outgoing};
+use crate::peer::traffic::TrafficByKind;
+
+/// The bodies that may wait for one peer; more are dropped and counted.
+const LINK_QUEUE_BODIES: usize = 256;
+/// The bodies from all peers that may wait for the control thread; more are dropped and counted.
+const INBOUND_QUEUE_BODIES: usize = 4_096;
+
+/// What [`Links`] need to know.
+#[derive(Clone, Debug)]
+pub struct LinkOptions {
+    /// This router; its address becomes the one that was bound.
+    pub identity: PeerIdentity,
+    /// The keys of the deployment.
+    pub keys: PeerKeys,
+    /// The times that connections keep.
+    pub times: LinkTimes,
+    /// The most connections that peers may hold open here.
+    pub max_accepted_connections: usize,
+}
+
+/// A body that a peer sent, with the way back where a reply is expected.
+#[derive(Debug)]
+pub struct PeerEvent {
+    /// Who sent it.
+    pub from: PeerIdentity,
+    /// What was sent.
+    pub body: Body,
+    /// Takes the reply; `None` where none is expected.
+    pub reply: Option<ReplyHandle>,
+}
+
+/// The bodies that peers send, in the order of their arrival.
+pub type Inbound = mpsc::Receiver<PeerEvent>;
+
+/// Takes the reply to one request.
+#[derive(Debug)]
+pub struct ReplyHandle {
+    replies: mpsc::Sender<Frame>,
+    request: u64,
+}
+
+impl ReplyHandle {
+    pub(crate) fn new(replies: mpsc::Sender<Frame>, request: u64) -> Self {
+        Self { replies, request }
+    }
+
+    /// Sends the reply, if its connection still stands and has room; the requester times out otherwise.
+    pub fn send(self, body: Body) {
+        let _ = self.replies.try_send(Frame::new(self.request, true, body));
+    }
+}
+
+/// The connections of one router to all its peers; clones share them.
+///
+/// The tasks run on the runtime on which [`Links::bind`] was called. Sending and requesting work from any thread.
+#[derive(Clone)]
+pub struct Links {
+    shared: Arc<Shared>,
+    runtime: Handle,
+}
+
+pub(crate) struct Shared {
+    pub(crate) options: LinkOptions,
+    pub(crate) traffic: TrafficByKind,
+    queues: Mutex<HashMap<SocketAddr, mpsc::Sender<Outgoing>>>,
+}
+
+impl Links {
+    /// Listens on the address of `options.identity` and returns the links with the stream of what peers send.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`ErrorKind::Io`] where the address can't be bound.
+    pub async fn bind(mut options: LinkOptions) -> Result<(Self, Inbound), Error> {
+        let io_error = |error: std::io::Error| {
+            Error::new(ErrorKind::Io, format!("can't listen for peers: {error}"))
+        };
+        let listener = TcpListener::bind(options.identity.address)
+            .await
+            .map_err(io_error)?;
+        options.identity.address = listener.local_addr().map_err(io_error)?;
+        let shared = Arc::new(Shared {
+            options,
+            traffic: TrafficByKind::default(),
+            queues: Mutex::default(),
+        });
+        let (events, inbound) = mpsc::channel(INBOUND_QUEUE_BODIES);
+        tokio::spawn(accept::run(Arc::clone(&shared), listener, events));
+        let links = Self {
+            shared,
+            runtime: Handle::current(),
+        };
+        Ok((links, inbound))
+    }
+
+    /// Returns this router as its peers see it.
+    #[must_use]
+    pub fn identity(&self) -> &PeerIdentity {
+        &self.shared.options.identity
+    }
+
+    /// Returns the counts of what went over the links.
+    #[must_use]
+    pub fn traffic(&self) -> &TrafficByKind {
+        &self.shared.traffic
+    }
+
+    /// Queues `body` for the router at `to`; tells whether there was room.
+    ///
+    /// A queued body may still be lost with its connection. Nothing is sent twice.
+    pub fn send(&self, to: SocketAddr, body: Body) -> bool {
+        self.enqueue(to, Outgoing { body, reply: None })
+    }
+
+    /// Sends `body` to the router at `to` and waits for the reply.
+    ///
+    /// Returns `None` where none came in `timeout` or the router can't be reached; the request may have arrived.
+    pub async fn request(&self, to: SocketAddr, body: Body, timeout: Duration) -> Option<Body> {
+        let (reply, received) = oneshot::channel();
+        let outgoing = Outgoing {
+            body,
+            reply: Some(reply),
+        };
+        if !self.enqueue(to, outgoing) {
+            return None;
+        }
+        tokio::time::timeout(timeout, received).await.ok()?.ok()
+    }
+
+    fn enqueue(&self, to: SocketAddr, outgoing: Outgoing) -> bool {
+        assert!(
+            outgoing.body.payload.len() <= MAX_PAYLOAD_BYTES,
+            "a body of {} bytes does not fit a frame",
+            outgoing.body.payload.len(),
+        );
+        let kind = outgoing.body.kind;
+        let queued = self.queue_of(to).try_send(outgoing).is_ok();
+        if !queued {
+            self.shared.traffic.add_dropped(kind);
+        }
+        queued
+    }
+
+    /// Returns the queue of the link to `to`, which is made where there is none.
+    fn queue_of(&self, to: SocketAddr) -> mpsc::Sender<Outgoing> {
+        let mut queues = self
+            .shared
+            .queues
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(queue) = queues.get(&to).filter(|queue| !queue.is_closed()) {
+            return queue.clone();
+        }
+        queues.retain(|_, queue| !queue.is_closed());
+        let (queue, queued) = mpsc::channel(LINK_QUEUE_BODIES);
+        queues.insert(to, queue.clone());
+        self.runtime
+            .spawn(link::run(Arc::clone(&self.shared), to, queued));
+        queue
+    }
+}
--- /dev/null
+++ b/src/peer/tests.rs
@@ -0,0 +1,216 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::key::Sealer;
+use super::*;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn body(text: &'static str) -> Body {
+    Body {
+        kind: Kind::Lookup,
+        payload: Bytes::from_static(text.as_bytes()),
+    }
+}
+
+fn options(router: &str, keys: &[&str]) -> LinkOptions {
+    let keys: Vec<Arc<str>> = keys.iter().map(|key| (*key).into()).collect();
+    LinkOptions {
+        identity: PeerIdentity {
+            router: router.into(),
+            incarnation: 7,
+            address: loopback(),
+        },
+        keys: PeerKeys::new(&keys).expect("there is a key"),
+        times: LinkTimes {
+            ping_after: Duration::from_millis(40),
+            silence_limit: Duration::from_millis(120),
+            min_backoff: Duration::from_millis(5),
+            max_backoff: Duration::from_millis(20),
+            ..LinkTimes::default()
+        },
+        max_accepted_connections: 16,
+    }
+}
+
+async fn start(router: &str, keys: &[&str]) -> (Links, Inbound) {
+    Links::bind(options(router, keys))
+        .await
+        .expect("loopback can be bound")
+}
+
+/// Starts a router that answers each request with its own payload.
+async fn start_echo(keys: &[&str]) -> SocketAddr {
+    let (links, mut inbound) = start("echo", keys).await;
+    let address = links.identity().address;
+    tokio::spawn(async move {
+        let _links = links;
+        while let Some(event) = inbound.recv().await {
+            if let Some(reply) = event.reply {
+                reply.send(event.body);
+            }
+        }
+    });
+    address
+}
+
+/// Starts a proxy to `target` that stops forwarding on the connections open when the flag is raised.
+async fn start_proxy(target: SocketAddr) -> (SocketAddr, Arc<AtomicBool>) {
+    let listener = TcpListener::bind(loopback())
+        .await
+        .expect("loopback can be bound");
+    let address = listener.local_addr().expect("the socket is bound");
+    let stall = Arc::new(AtomicBool::new(false));
+    let raised = Arc::clone(&stall);
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            // A new connection works, whatever happened to earlier ones.
+            raised.store(false, Ordering::SeqCst);
+            let far = TcpStream::connect(target)
+                .await
+                .expect("the target listens");
+            let (near_read, near_write) = near.into_split();
+            let (far_read, far_write) = far.into_split();
+            tokio::spawn(forward(near_read, far_write, None));
+            tokio::spawn(forward(far_read, near_write, Some(Arc::clone(&raised))));
+        }
+    });
+    (address, stall)
+}
+
+async fn forward(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    stall: Option<Arc<AtomicBool>>,
+) {
+    let mut stalled = false;
+    let mut buffer = [0; 4_096];
+    while let Ok(count) = from.read(&mut buffer).await {
+        if count == 0 {
+            return;
+        }
+        stalled |= stall
+            .as_ref()
+            .is_some_and(|stall| stall.load(Ordering::SeqCst));
+        if !stalled && to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[yare::parameterized(
+    same_key = { &["0123456789abcdef"], &["0123456789abcdef"], true },
+    rotation_first_step = { &["old-old-old-old-old"], &["old-old-old-old-old", "new-new-new-new-new"], true },
+    rotation_middle = { &["old-old-old-old-old", "new-new-new-new-new"], &["new-new-new-new-new", "old-old-old-old-old"], true },
+    other_key = { &["0123456789abcdef"], &["fedcba9876543210"], false },
+    rotation_skipped = { &["old-old-old-old-old"], &["new-new-new-new-new", "old-old-old-old-old"], false },
+)]
+#[test_macro(tokio::test)]
+async fn request_keys(own: &[&str], theirs: &[&str], answered: bool) {
+    let echo = start_echo(theirs).await;
+    let (links, _inbound) = start("asker", own).await;
+    let reply = links.request(echo, body("hello"), PATIENCE).await;
+    assert_eq!(reply, answered.then(|| body("hello")));
+}
+
+#[tokio::test]
+async fn send_event_names_sender() {
+    let (receiver, mut inbound) = start("receiver", &["0123456789abcdef"]).await;
+    let (sender, _sender_inbound) = start("sender", &["0123456789abcdef"]).await;
+    assert!(sender.send(receiver.identity().address, body("note")));
+    let event = inbound.recv().await.expect("the body arrives");
+    assert_eq!(&event.from, sender.identity());
+    assert_eq!(event.body, body("note"));
+    assert!(event.reply.is_none());
+    let sent = sender.traffic().get(Kind::Lookup);
+    assert_eq!(sent.sent_bytes, wire_bytes(&body("note")) as u64);
+    assert_eq!(
+        receiver.traffic().get(Kind::Lookup).received_bytes,
+        sent.sent_bytes
+    );
+}
+
+#[tokio::test]
+async fn request_silent_connection_is_replaced() {
+    let echo = start_echo(&["0123456789abcdef"]).await;
+    let (proxy, stall) = start_proxy(echo).await;
+    let (links, _inbound) = start("asker", &["0123456789abcdef"]).await;
+    assert!(links.request(proxy, body("one"), PATIENCE).await.is_some());
+    stall.store(true, Ordering::SeqCst);
+    let mut unanswered = 0;
+    let answered = async {
+        while links
+            .request(proxy, body("two"), Duration::from_millis(50))
+            .await
+            .is_none()
+        {
+            unanswered += 1;
+            // A request during the back-off fails at once.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, answered)
+        .await
+        .expect("the silent connection is replaced");
+    assert!(unanswered > 0, "the proxy did not stall");
+}
+
+#[tokio::test]
+async fn send_no_receiver_drops_and_counts() {
+    let (receiver, inbound) = start("receiver", &["0123456789abcdef"]).await;
+    let (sender, _sender_inbound) = start("sender", &["0123456789abcdef"]).await;
+    drop(inbound);
+    assert!(sender.send(receiver.identity().address, body("lost")));
+    while receiver.traffic().get(Kind::Lookup).received_frames == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert_eq!(receiver.traffic().get(Kind::Lookup).dropped_frames, 1);
+}
+
+#[tokio::test]
+async fn send_unreachable_peer_drops_and_counts() {
+    let unused = TcpListener::bind(loopback())
+        .await
+        .expect("loopback can be bound");
+    let address = unused.local_addr().expect("the socket is bound");
+    drop(unused);
+    let (links, _inbound) = start("asker", &["0123456789abcdef"]).await;
+    assert!(
+        links
+            .request(address, body("lost"), PATIENCE)
+            .await
+            .is_none()
+    );
+    assert_eq!(links.traffic().get(Kind::Lookup).dropped_frames, 1);
+}
+
+#[yare::parameterized(
+    changed = { |frames: &mut Vec<Bytes>| { let mut bytes = frames[0].to_vec(); bytes[17] ^= 1; frames[0] = bytes.into(); } },
+    repeated = { |frames: &mut Vec<Bytes>| frames.insert(1, frames[0].clone()) },
+    left_out = { |frames: &mut Vec<Bytes>| { frames.remove(0); } },
+    swapped = { |frames: &mut Vec<Bytes>| frames.swap(0, 1) },
+    short = { |frames: &mut Vec<Bytes>| frames[0] = Bytes::from_static(b"short") },
+)]
+fn open_tampered_frames_fails(tamper: fn(&mut Vec<Bytes>)) {
+    let mut sending = Sealer::new("0123456789abcdef", "label", b"transcript");
+    let mut frames: Vec<Bytes> = ["one", "two", "three"]
+        .map(|text| sending.seal(text.as_bytes()))
+        .into();
+    tamper(&mut frames);
+    let mut receiving = Sealer::new("0123456789abcdef", "label", b"transcript");
+    let opened: Result<Vec<_>, _> = frames
+        .into_iter()
+        .map(|frame| receiving.open(frame))
+        .collect();
+    opened.expect_err("the change is noticed");
+}
