Add membership by bounded probes and gossip

Routers have to know each other without a message to all. Each probes a logarithm of the fleet in turn, changes ride on probes, digests find what gossip missed, suspicion comes before removal, and a record only gives way to a greater (incarnation, version, liveness), asserted in the program.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod error;
 mod id;
+mod membership;
 mod peer;
 mod pool;
 mod preference;
@@ -19,6 +20,10 @@
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
 };
+pub use crate::membership::{
+    Heartbeat, Liveness, LoadLevel, Member, MemberRecord, Membership, MembershipOptions,
+    Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
+};
 pub use crate::peer::{
     Body, Inbound, Kind, LinkOptions, LinkTimes, Links, MAX_PAYLOAD_BYTES, PeerEvent, PeerIdentity,
     PeerKeys, ReplyHandle, Traffic, TrafficByKind, wire_bytes,
--- /dev/null
+++ b/src/membership/message.rs
@@ -0,0 +1,186 @@
+//! The heartbeat as it travels between routers.
+
+use std::net::{IpAddr, SocketAddr};
+
+use bytes::Bytes;
+
+use crate::membership::member::{Liveness, LoadLevel, Member};
+
+/// The part that a heartbeat plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Stage {
+    /// Asks the receiver to acknowledge.
+    Probe = 0,
+    /// Acknowledges a probe.
+    Acknowledge = 1,
+    /// Asks the receiver to probe another router in the sender's place.
+    ProbeFor = 2,
+    /// Carries records only.
+    Records = 3,
+    /// Acknowledges a probe in another router's place, whose record comes along.
+    AcknowledgeFor = 4,
+}
+
+/// A member's record as it travels.
+///
+/// A record that only reports a suspicion or a removal leaves out zone and addresses.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct MemberRecord {
+    /// The router's name.
+    #[prost(string, tag = "1")]
+    pub router: String,
+    /// The availability zone; empty where only a suspicion or removal is reported.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// The address for routers: 4 or 16 bytes of IP and 2 of port, or empty.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub peers: Bytes,
+    /// The address for callers, like the one for routers.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub callers: Bytes,
+    /// The life of the router's process.
+    #[prost(uint64, tag = "5")]
+    pub incarnation: u64,
+    /// The version of the record.
+    #[prost(uint64, tag = "6")]
+    pub version: u64,
+    /// 0 alive, 1 suspected, 2 removed.
+    #[prost(uint32, tag = "7")]
+    pub liveness: u32,
+    /// Whether the router leaves.
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
+    /// 0 normal, 1 busy, 2 full.
+    #[prost(uint32, tag = "9")]
+    pub load: u32,
+}
+
+/// A heartbeat with what rides on it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Heartbeat {
+    /// The part it plays.
+    #[prost(enumeration = "Stage", tag = "1")]
+    pub stage: i32,
+    /// Joins an acknowledgement to its probe.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// The sender's own record.
+    #[prost(message, optional, tag = "3")]
+    pub sender: Option<MemberRecord>,
+    /// The digest over the sender's members.
+    #[prost(fixed64, tag = "4")]
+    pub digest: u64,
+    /// Records that changed lately, or that a synchronisation needs.
+    #[prost(message, repeated, tag = "5")]
+    pub updates: Vec<MemberRecord>,
+    /// For [`Stage::ProbeFor`]: the address to probe.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub target: Bytes,
+    /// One digest per bucket of members, where the digests over all differ.
+    #[prost(fixed32, repeated, tag = "7")]
+    pub bucket_digests: Vec<u32>,
+    /// The buckets whose records the sender wants, one bit each.
+    #[prost(uint32, tag = "8")]
+    pub wanted_buckets: u32,
+}
+
+impl Heartbeat {
+    /// Returns the part it plays, or `None` where this router does not know it.
+    #[must_use]
+    pub fn known_stage(&self) -> Option<Stage> {
+        Stage::try_from(self.stage).ok()
+    }
+}
+
+impl MemberRecord {
+    /// Encodes a member whole.
+    #[must_use]
+    pub fn whole(member: &Member) -> Self {
+        Self {
+            zone: member.zone.to_string(),
+            peers: encode_address(member.peers),
+            callers: encode_address(member.callers),
+            leaving: member.leaving,
+            load: member.load as u32,
+            ..Self::verdict(member)
+        }
+    }
+
+    /// Encodes only who is meant and whether it is believed to run.
+    #[must_use]
+    pub fn verdict(member: &Member) -> Self {
+        Self {
+            router: member.router.to_string(),
+            incarnation: member.incarnation,
+            version: member.version,
+            liveness: member.liveness as u32,
+            ..Self::default()
+        }
+    }
+
+    /// Encodes a member as short as its liveness allows.
+    #[must_use]
+    pub fn short(member: &Member) -> Self {
+        match member.liveness {
+            Liveness::Alive => Self::whole(member),
+            Liveness::Suspected | Liveness::Removed => Self::verdict(member),
+        }
+    }
+
+    /// Decodes a whole record; `None` where a part is missing or malformed.
+    #[must_use]
+    pub fn to_member(&self) -> Option<Member> {
+        if self.router.is_empty() || self.zone.is_empty() {
+            return None;
+        }
+        Some(Member {
+            router: self.router.as_str().into(),
+            zone: self.zone.as_str().into(),
+            peers: decode_address(&self.peers)?,
+            callers: decode_address(&self.callers)?,
+            incarnation: self.incarnation,
+            version: self.version,
+            liveness: self.known_liveness()?,
+            leaving: self.leaving,
+            load: match self.load {
+                0 => LoadLevel::Normal,
+                1 => LoadLevel::Busy,
+                2 => LoadLevel::Full,
+                _ => return None,
+            },
+        })
+    }
+
+    /// Returns the liveness, or `None` where this router does not know its number.
+    #[must_use]
+    pub const fn known_liveness(&self) -> Option<Liveness> {
+        match self.liveness {
+            0 => Some(Liveness::Alive),
+            1 => Some(Liveness::Suspected),
+            2 => Some(Liveness::Removed),
+            _ => None,
+        }
+    }
+}
+
+/// Encodes an address as IP and port in network order.
+pub(crate) fn encode_address(address: SocketAddr) -> Bytes {
+    let mut bytes = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend_from_slice(&address.port().to_be_bytes());
+    bytes.into()
+}
+
+/// Decodes an address; `None` where its length fits neither version of IP.
+pub(crate) fn decode_address(bytes: &[u8]) -> Option<SocketAddr> {
+    let (ip, port) = bytes.split_at_checked(bytes.len().checked_sub(2)?)?;
+    let port = u16::from_be_bytes(port.try_into().ok()?);
+    if let Ok(ip) = <[u8; 4]>::try_from(ip) {
+        return Some((ip, port).into());
+    }
+    let ip = <[u8; 16]>::try_from(ip).ok()?;
+    Some((ip, port).into())
+}
--- /dev/null
+++ b/src/membership/tests/fleet.rs
@@ -0,0 +1,243 @@
+//! A fleet of membership cores in one process, under passed-in time and a network that fails on request.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::membership::{
+    Heartbeat, Liveness, LoadLevel, Member, Membership, MembershipOptions, Outcome,
+};
+use crate::peer::{Body, Kind, wire_bytes};
+
+pub(super) const STEP: Duration = Duration::from_millis(50);
+const ZONES: [&str; 3] = ["ikeja", "yaba", "apapa"];
+
+pub(super) struct Fleet {
+    pub(super) rng: ChaCha8Rng,
+    pub(super) now: Duration,
+    pub(super) nodes: Vec<Node>,
+    pub(super) cuts: BTreeSet<(usize, usize)>,
+    pub(super) loss_percent: u32,
+    pub(super) sent_bytes: u64,
+    pub(super) sent_frames: u64,
+    flying: Vec<Flight>,
+}
+
+pub(super) struct Node {
+    pub(super) state: Option<Membership>,
+    pub(super) incarnation: u64,
+    pub(super) paused_until: Duration,
+    pub(super) sent_bytes: u64,
+    waiting: Vec<(usize, Heartbeat)>,
+}
+
+struct Flight {
+    arrives: Duration,
+    from: usize,
+    to: usize,
+    heartbeat: Heartbeat,
+}
+
+pub(super) fn address(index: usize, port: u16) -> SocketAddr {
+    let [_, _, high, low] = (index as u32).to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], port))
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else {
+        unreachable!("the fleet has addresses of version 4 only");
+    };
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(high) << 8 | usize::from(low)
+}
+
+pub(super) fn member(index: usize, incarnation: u64) -> Member {
+    Member {
+        router: format!("router-{index:03}").into(),
+        zone: ZONES[index % ZONES.len()].into(),
+        peers: address(index, 7_000),
+        callers: address(index, 8_000),
+        incarnation,
+        version: 1,
+        liveness: Liveness::Alive,
+        leaving: false,
+        load: LoadLevel::Normal,
+    }
+}
+
+impl Fleet {
+    pub(super) fn new(size: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            nodes: Vec::new(),
+            cuts: BTreeSet::new(),
+            loss_percent: 0,
+            sent_bytes: 0,
+            sent_frames: 0,
+            flying: Vec::new(),
+        };
+        for index in 0..size {
+            fleet.nodes.push(Node {
+                state: None,
+                incarnation: 1_700_000_000_000,
+                paused_until: Duration::ZERO,
+                sent_bytes: 0,
+                waiting: Vec::new(),
+            });
+            fleet.start(index);
+        }
+        fleet
+    }
+
+    /// Starts a node, as a later life where it ran before.
+    pub(super) fn start(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        node.incarnation += 1;
+        node.paused_until = Duration::ZERO;
+        node.waiting.clear();
+        let seeds = vec![address(0, 7_000), address(1, 7_000), address(2, 7_000)];
+        let own = member(index, node.incarnation);
+        node.state = Some(Membership::new(
+            own,
+            seeds,
+            MembershipOptions::default(),
+            now,
+        ));
+    }
+
+    pub(super) fn crash(&mut self, index: usize) {
+        self.nodes[index].state = None;
+        self.nodes[index].waiting.clear();
+    }
+
+    pub(super) fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub(super) fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.flying)
+            .into_iter()
+            .partition(|flight| flight.arrives <= now);
+        self.flying = later;
+        for flight in due {
+            self.nodes[flight.to]
+                .waiting
+                .push((flight.from, flight.heartbeat));
+        }
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].paused_until <= now {
+                self.run_node(index);
+            }
+        }
+    }
+
+    fn run_node(&mut self, index: usize) {
+        let now = self.now;
+        let waiting = std::mem::take(&mut self.nodes[index].waiting);
+        let Some(mut state) = self.nodes[index].state.take() else {
+            return;
+        };
+        for outcome in state.tick(now, &mut self.rng) {
+            self.act(index, None, outcome);
+        }
+        for (from, heartbeat) in waiting {
+            for outcome in state.receive(&heartbeat, now, &mut self.rng) {
+                self.act(index, Some(from), outcome);
+            }
+        }
+        self.nodes[index].state = Some(state);
+    }
+
+    pub(super) fn act(&mut self, index: usize, asker: Option<usize>, outcome: Outcome) {
+        let (to, heartbeat) = match outcome {
+            Outcome::Send { to, heartbeat } => (index_of(to), heartbeat),
+            Outcome::Reply { heartbeat } => (
+                asker.expect("only a received heartbeat is answered"),
+                heartbeat,
+            ),
+        };
+        let bytes = wire_bytes(&Body::encode(Kind::Heartbeat, &heartbeat)) as u64;
+        self.sent_bytes += bytes;
+        self.sent_frames += 1;
+        self.nodes[index].sent_bytes += bytes;
+        let lost = self.rng.random_range(0..100) < self.loss_percent;
+        if lost || self.cuts.contains(&(index, to)) || to >= self.nodes.len() {
+            return;
+        }
+        let delay = if self.rng.random_range(0..10) == 0 {
+            STEP * 3
+        } else {
+            STEP
+        };
+        self.flying.push(Flight {
+            arrives: self.now + delay,
+            from: index,
+            to,
+            heartbeat,
+        });
+    }
+
+    /// Ends all faults but crashes.
+    pub(super) fn heal(&mut self) {
+        self.cuts.clear();
+        self.loss_percent = 0;
+        for node in &mut self.nodes {
+            node.paused_until = Duration::ZERO;
+        }
+    }
+
+    pub(super) fn cut_zone(&mut self, zone: usize) {
+        for left in 0..self.nodes.len() {
+            for right in 0..self.nodes.len() {
+                if (left % ZONES.len() == zone) != (right % ZONES.len() == zone) {
+                    self.cuts.insert((left, right));
+                }
+            }
+        }
+    }
+
+    /// Describes the first way in which some running node's members differ from those that run.
+    pub(super) fn disagreement(&self) -> Option<String> {
+        let truth: BTreeMap<_, _> = self
+            .nodes
+            .iter()
+            .filter_map(|node| node.state.as_ref())
+            .map(|state| (state.own().router.clone(), state.own().precedence()))
+            .collect();
+        for state in self.nodes.iter().filter_map(|node| node.state.as_ref()) {
+            let seen: BTreeMap<_, _> = state
+                .members()
+                .map(|member| (member.router.clone(), member.precedence()))
+                .collect();
+            if seen != truth {
+                return Some(format!(
+                    "{} sees {seen:?} where there is {truth:?}",
+                    state.own().router
+                ));
+            }
+        }
+        None
+    }
+
+    /// Runs until all running nodes agree with what runs, and returns how long that took.
+    pub(super) fn time_to_agreement(&mut self, limit: Duration) -> Option<Duration> {
+        let begin = self.now;
+        while self.now < begin + limit {
+            self.step();
+            if self.disagreement().is_none() {
+                return Some(self.now - begin);
+            }
+        }
+        None
+    }
+}
