Add limits over the fleet by shares and a usage tree

Limits hold for the whole fleet, and no request may cost a message. Each router admits by its share, in proportion to its part of the fleet's demand; routers sum the demand of heavy accounts over a tree of heartbeats and hear the totals back.

--- /dev/null
+++ b/src/admission/tests/mod.rs
@@ -0,0 +1,2 @@
+mod fleet;
+mod limit;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! crocuswharf routes language-model traffic whose prompts share long openings.
 
 mod account;
+mod admission;
 mod configuration;
 mod directory;
 mod error;
@@ -15,6 +16,7 @@
 mod store;
 
 pub use crate::account::{Account, AccountLimits, NamedAccount};
+pub use crate::admission::{LimitDecision, LimitKind, Limiter, Usage, UsageEntry, UsageTree};
 pub use crate::configuration::Configuration;
 pub use crate::directory::Directory;
 pub use crate::error::{Error, ErrorKind};
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -40,11 +40,13 @@
     Handover = 9,
     /// Asks which revision a router has in force, and other reports for operators.
     Status = 10,
+    /// Adds up the usage of heavy client accounts.
+    Usage = 11,
 }
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Ping,
         Self::Pong,
         Self::Heartbeat,
@@ -56,6 +58,7 @@
         Self::Answer,
         Self::Handover,
         Self::Status,
+        Self::Usage,
     ];
 
     /// Returns the name under which metrics count the kind.
@@ -73,6 +76,7 @@
             Self::Answer => "answer",
             Self::Handover => "handover",
             Self::Status => "status",
+            Self::Usage => "usage",
         }
     }
 }
