Add the client of the platform's object API

Routers need the platform's objects with every lost answer visible as a value.

Calls are counted and bounded by token buckets.

cargo test store:: passes (6 tests).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,4 +30,7 @@
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
-pub use crate::store::{ObjectVersion, PutCondition, PutOutcome, Versioned};
+pub use crate::store::{
+    Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
+    ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
+};
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -6,6 +6,16 @@
 
 use bytes::Bytes;
 
+mod backoff;
+mod budget;
+mod client;
+#[cfg(test)]
+mod tests;
+
+pub use self::backoff::Backoff;
+pub use self::budget::{Budget, BudgetLimits, CallCounts, CallKind};
+pub use self::client::{Client, MAX_VALUE_BYTES, StoreSettings};
+
 /// The version of an object, raised with each write to it.
 pub type ObjectVersion = u64;
 
