Accept change tickets by one conditional update

Operators change the configuration through numbered tickets that carry whole states, and 41,000 client accounts don't fit one value of the platform.

A ticket is read with every fault listed by path, applied by a pure function and accepted by one conditional update of a root that names immutable shards. A shard's key holds the revision it was written for, so a shard that a later root doesn't name is never named again and may be removed. A log of pages under the root tells a resent ticket from another with the same number. Submission and load are procedures without I/O; lost answers are settled by reading back.

cargo test ticket:: passes (22 tests): 200 seeded runs with racing tickets, lost answers and delayed writes, and 41,000 accounts with each value under 200 kB and three objects beside the root written for a change of one account.

--- a/src/account/mod.rs
+++ b/src/account/mod.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fault::Faults;
 use crate::id::{AccountId, ServiceName};
 
 /// The whole state of one client account, as a change ticket carries it.
@@ -61,3 +62,46 @@
     /// The account's state.
     pub account: Arc<Account>,
 }
+
+/// The most keys that an account may hold, so that a rotation has room for two and a slip for more.
+const MAX_KEYS: usize = 4;
+/// The most that any rate or count of an account may be.
+const MAX_LIMIT: f64 = 1e12;
+
+impl Account {
+    /// Checks the ranges of all fields; references to services are checked with the whole configuration.
+    pub(crate) fn check(&self, faults: &mut Faults<'_>) {
+        let keys = self.key_sha256.len();
+        faults.require_range("key_sha256", keys, 1, MAX_KEYS);
+        for (index, digest) in self.key_sha256.iter().enumerate() {
+            let field = format!("key_sha256[{index}]");
+            let reason = "a digest is 64 lower-case hexadecimal digits";
+            faults.require(is_digest(digest), &field, reason);
+        }
+        faults.require_range("weight", self.weight, 1, 1_000);
+        let limits = self.limits;
+        faults.require_range(
+            "limits.requests_per_second",
+            limits.requests_per_second,
+            0.001,
+            MAX_LIMIT,
+        );
+        faults.require_range(
+            "limits.tokens_per_second",
+            limits.tokens_per_second,
+            1.0,
+            MAX_LIMIT,
+        );
+        faults.require_range(
+            "limits.concurrent_requests",
+            limits.concurrent_requests,
+            1,
+            1_000_000,
+        );
+    }
+}
+
+fn is_digest(text: &str) -> bool {
+    let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    text.len() == 64 && text.bytes().all(is_hex)
+}
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -11,6 +11,17 @@
 use crate::preference::Preference;
 use crate::service::Service;
 
+mod load;
+mod state;
+
+pub(crate) use self::load::{LoadStep, Loading};
+pub use self::load::{load, load_root};
+pub use self::state::{Acceptance, ObjectKind, ROOT_KEY, Root, StoredState};
+pub(crate) use self::state::{
+    Entries, Entry, LogPage, RetiredShard, Shard, ShardId, ShardName, digest_of, read_shard,
+    shard_key, shard_name,
+};
+
 /// The whole configuration at one revision.
 ///
 /// Objects stand behind `Arc`, so that adopting a revision costs memory only for what changed.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 mod account;
 mod configuration;
 mod error;
+mod fault;
 mod id;
 mod pool;
 mod preference;
@@ -10,10 +11,15 @@
 mod protocol;
 mod service;
 mod store;
+mod ticket;
 
 pub use crate::account::{Account, AccountLimits, NamedAccount};
-pub use crate::configuration::Configuration;
+pub use crate::configuration::{
+    Acceptance, Configuration, ObjectKind, ROOT_KEY, Root, StoredState, load as load_configuration,
+    load_root as load_configuration_root,
+};
 pub use crate::error::{Error, ErrorKind};
+pub use crate::fault::Fault;
 pub use crate::id::{
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
@@ -34,3 +40,6 @@
     Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
     ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
 };
+pub use crate::ticket::{
+    NewState, Ticket, TicketOutcome, check as check_ticket, submit as submit_ticket,
+};
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -1,9 +1,11 @@
 //! Engine pools: the replicas behind a service and what is known of their kind.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+use crate::fault::{Faults, NAME_RULE, is_name};
 use crate::id::{AdapterName, ReplicaId, WeightsVersion, ZoneName};
 
 /// The whole state of one pool, as a change ticket carries it.
@@ -97,3 +99,59 @@
 const fn default_cache_tokens() -> u64 {
     160_000
 }
+
+/// The most replicas that one pool may hold, so that its state stays under the platform's limit for a value.
+const MAX_REPLICAS: usize = 4_000;
+
+impl Pool {
+    /// Checks the ranges of all fields and that replicas are distinct.
+    pub(crate) fn check(&self, faults: &mut Faults<'_>) {
+        faults.require_range("replicas", self.replicas.len(), 0, MAX_REPLICAS);
+        self.check_replicas(faults);
+        faults.require(
+            self.weights_version >= 1,
+            "weights_version",
+            "versions begin at 1",
+        );
+        if let Some(adapter) = &self.adapter {
+            faults.require(is_name(adapter), "adapter", NAME_RULE);
+        }
+        faults.require_range("concurrent_loads", self.concurrent_loads, 1, 64);
+        let rate = self.prefill_tokens_per_second;
+        faults.require_range("prefill_tokens_per_second", rate, 1.0, 1e9);
+        faults.require_range("decode_slots", self.decode_slots, 1, 100_000);
+        faults.require_range("cache_tokens", self.cache_tokens, 1, 1 << 40);
+        if let Some(kept) = &self.kept_cache {
+            let rate = kept.import_tokens_per_second;
+            faults.require_range("kept_cache.import_tokens_per_second", rate, 1.0, 1e12);
+            let rate = kept.total_tokens_per_second;
+            faults.require_range("kept_cache.total_tokens_per_second", rate, 1.0, 1e12);
+        }
+    }
+
+    fn check_replicas(&self, faults: &mut Faults<'_>) {
+        let mut ids = HashSet::new();
+        let mut addresses = HashSet::new();
+        for (index, replica) in self.replicas.iter().enumerate() {
+            let field = |name: &str| format!("replicas[{index}].{name}");
+            faults.require(is_name(&replica.id), &field("id"), NAME_RULE);
+            faults.require(is_name(&replica.zone), &field("zone"), NAME_RULE);
+            faults.require(
+                ids.insert(&replica.id),
+                &field("id"),
+                "another replica has this id",
+            );
+            let is_new = addresses.insert(replica.address);
+            faults.require(
+                is_new,
+                &field("address"),
+                "another replica has this address",
+            );
+            faults.require(
+                replica.address.port() != 0,
+                &field("address"),
+                "the port is 0",
+            );
+        }
+    }
+}
--- a/src/preference/mod.rs
+++ b/src/preference/mod.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fault::Faults;
+
 /// The whole state of one routing preference, as a change ticket carries it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -33,3 +35,14 @@
         }
     }
 }
+
+impl Preference {
+    /// Checks the ranges of all fields.
+    pub(crate) fn check(&self, faults: &mut Faults<'_>) {
+        faults.require_range("recomputation_price", self.recomputation_price, 0.0, 100.0);
+        faults.require_range("homes", self.homes, 1, 64);
+        faults.require_range("ttft_deadline_ms", self.ttft_deadline_ms, 1, 3_600_000);
+        faults.require_range("zone_penalty_us", self.zone_penalty_us, 0, 60_000_000);
+        faults.require_range("hedge_after_ms", self.hedge_after_ms, 1, 3_600_000);
+    }
+}
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fault::Faults;
 use crate::id::{PoolName, PreferenceName};
 
 /// The whole state of one service, as a change ticket carries it.
@@ -129,3 +130,77 @@
 const fn default_retry_budget_percent() -> u32 {
     10
 }
+
+/// The largest request body that a service may allow, in bytes.
+const MAX_BODY_LIMIT_BYTES: usize = 64 << 20;
+
+impl Service {
+    /// Checks the ranges of all fields; references are checked with the whole configuration.
+    pub(crate) fn check(&self, faults: &mut Faults<'_>) {
+        faults.require_range(
+            "body_limit_bytes",
+            self.body_limit_bytes,
+            1,
+            MAX_BODY_LIMIT_BYTES,
+        );
+        faults.require_range("request_timeout_ms", self.request_timeout_ms, 1, 3_600_000);
+        faults.require_range("retry_budget_percent", self.retry_budget_percent, 0, 100);
+        self.check_operations(faults);
+        self.objectives.check(faults);
+    }
+
+    fn check_operations(&self, faults: &mut Faults<'_>) {
+        let only_plain = self.kind == ServiceKind::Plain || self.idempotent_operations.is_empty();
+        let reason = "only a plain service has operations";
+        faults.require(only_plain, "idempotent_operations", reason);
+        for (index, operation) in self.idempotent_operations.iter().enumerate() {
+            let field = |name: &str| format!("idempotent_operations[{index}].{name}");
+            let is_method = !operation.method.is_empty()
+                && operation
+                    .method
+                    .bytes()
+                    .all(|byte| byte.is_ascii_uppercase());
+            faults.require(
+                is_method,
+                &field("method"),
+                "a method is upper-case letters",
+            );
+            let stem = operation.path.strip_suffix('*').unwrap_or(&operation.path);
+            let is_path = stem.starts_with('/') && !stem.contains('*');
+            let reason = "a path begins with / and has a * at its end at most";
+            faults.require(is_path, &field("path"), reason);
+        }
+    }
+}
+
+impl Objectives {
+    fn check(&self, faults: &mut Faults<'_>) {
+        faults.require_range("objectives.ttft_ms", self.ttft_ms, 1, 3_600_000);
+        faults.require_range(
+            "objectives.token_interval_ms",
+            self.token_interval_ms,
+            1,
+            3_600_000,
+        );
+        faults.require_range(
+            "objectives.latency_percent",
+            self.latency_percent,
+            1.0,
+            100.0,
+        );
+        faults.require_range(
+            "objectives.complete_percent",
+            self.complete_percent,
+            1.0,
+            100.0,
+        );
+        let share = self.avoidable_recomputation_percent;
+        faults.require_range(
+            "objectives.avoidable_recomputation_percent",
+            share,
+            0.0,
+            100.0,
+        );
+        faults.require_range("objectives.window_hours", self.window_hours, 1, 2_160);
+    }
+}
--- a/src/store/backoff.rs
+++ b/src/store/backoff.rs
@@ -19,6 +19,12 @@
 }
 
 impl Backoff {
+    /// Makes a back-off without failures.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self { failures: 0 }
+    }
+
     /// Notes one more failed attempt and returns how long to wait before the next.
     pub fn next_pause(&mut self, rng: &mut impl Rng) -> Duration {
         let doublings = self.failures.min(16);
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,12 +9,14 @@
 mod backoff;
 mod budget;
 mod client;
+mod procedure;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub use self::backoff::Backoff;
 pub use self::budget::{Budget, BudgetLimits, CallCounts, CallKind};
 pub use self::client::{Client, MAX_VALUE_BYTES, StoreSettings};
+pub(crate) use self::procedure::{Answer, ReadResult, Step, Write, run};
 
 /// The version of an object, raised with each write to it.
 pub type ObjectVersion = u64;
--- a/src/store/tests.rs
+++ b/src/store/tests/mod.rs
@@ -5,6 +5,8 @@
 
 use super::*;
 
+pub(crate) mod fake;
+
 #[test]
 fn backoff_grows_and_stays_under_its_ceiling() {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
--- /dev/null
+++ b/src/ticket/document/unique.rs
@@ -0,0 +1,78 @@
+//! Reads JSON and refuses an object that holds the same key twice.
+//!
+//! The usual reader keeps the last of two equal keys, so that a slip in a ticket would silently drop a state.
+
+use std::fmt;
+
+use serde::de::{DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor};
+use serde_json::{Map, Value};
+
+/// Reads `bytes` as one JSON value.
+pub(super) fn from_slice(bytes: &[u8]) -> Result<Value, serde_json::Error> {
+    let mut reader = serde_json::Deserializer::from_slice(bytes);
+    let value = UniqueKeys.deserialize(&mut reader)?;
+    reader.end()?;
+    Ok(value)
+}
+
+struct UniqueKeys;
+
+impl<'de> DeserializeSeed<'de> for UniqueKeys {
+    type Value = Value;
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<Value, D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for UniqueKeys {
+    type Value = Value;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a JSON value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<Value, E> {
+        Ok(value.into())
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<Value, E> {
+        Ok(value.into())
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<Value, E> {
+        Ok(value.into())
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<Value, E> {
+        Ok(value.into())
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<Value, E> {
+        Ok(value.into())
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
+        let mut items = Vec::new();
+        while let Some(item) = access.next_element_seed(Self)? {
+            items.push(item);
+        }
+        Ok(Value::Array(items))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
+        let mut fields = Map::new();
+        while let Some(key) = access.next_key::<String>()? {
+            let value = access.next_value_seed(Self)?;
+            if fields.contains_key(&key) {
+                return Err(A::Error::custom(format!("key `{key}` stands twice")));
+            }
+            fields.insert(key, value);
+        }
+        Ok(Value::Object(fields))
+    }
+}
--- /dev/null
+++ b/src/ticket/tests/mod.rs
@@ -0,0 +1,263 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::submission::Submission;
+use super::*;
+use crate::configuration::{Acceptance, LogPage, ROOT_KEY, Root, StoredState};
+use crate::fault::Fault;
+use crate::store::Step;
+use crate::store::tests::fake::FakeStore;
+
+mod race;
+
+fn faults_of(document: &str) -> Vec<String> {
+    let found = check(document.as_bytes()).expect_err("the ticket has faults");
+    found.iter().map(Fault::to_string).collect()
+}
+
+/// Submits a document to `store` by a router that knows `known`.
+fn submit_document(store: &mut FakeStore, known: &StoredState, document: &str) -> TicketOutcome {
+    let ticket = check(document.as_bytes()).expect("the ticket is sound");
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let unix_now = Duration::from_secs(1_000_000);
+    let mut submission = Submission::new(known.clone(), ticket, unix_now);
+    let mut step = submission.next(crate::store::Answer::Proceed, &mut rng);
+    loop {
+        let Some(answer) = store.carry_out(&step, &mut rng) else {
+            let Step::Done(outcome) = step else {
+                unreachable!("only an end has no answer");
+            };
+            return outcome;
+        };
+        step = submission.next(answer, &mut rng);
+    }
+}
+
+fn accepted(outcome: TicketOutcome) -> StoredState {
+    match outcome {
+        TicketOutcome::Accepted { state, .. } => *state,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+const POOL: &str = r#"{"replicas":[{"id":"a","address":"127.0.0.1:9001","zone":"yaba"}]}"#;
+
+fn base_ticket(number: u64) -> String {
+    format!(
+        r#"{{"ticket":{number},"pools":{{"dues":{POOL}}},
+        "services":{{"stand-ledger":{{"kind":"plain","pool":"dues"}}}},
+        "preferences":{{"fast":{{"homes":3}}}}}}"#
+    )
+}
+
+fn preference_ticket(number: u64, homes: u32) -> String {
+    format!(r#"{{"ticket":{number},"preferences":{{"fast":{{"homes":{homes}}}}}}}"#)
+}
+
+#[yare::parameterized(
+    no_object = { "[]", &[".: a ticket is a JSON object"] },
+    no_number = { r#"{"accounts":{"a":null}}"#, &["ticket: null is no whole number"] },
+    zero = { r#"{"ticket":0,"accounts":{"a":null}}"#, &["ticket: 0 is no whole number"] },
+    touches_nothing = { r#"{"ticket":1}"#, &[".: the ticket touches nothing"] },
+    unknown_section = { r#"{"ticket":1,"pool":{}}"#, &["pool: unknown field"] },
+    key_twice = { r#"{"ticket":1,"pools":{"a":null,"a":null}}"#, &["line 1 column 39: key `a` stands twice"] },
+    bad_name = { r#"{"ticket":1,"pools":{"A b":null}}"#, &["pools.A b: a name is"] },
+    missing_fields = { r#"{"ticket":1,"services":{"s":{}}}"#,
+        &["services.s.kind: missing field", "services.s.pool: missing field"] },
+    unknown_and_range = { r#"{"ticket":1,"preferences":{"p":{"home":1,"homes":0}}}"#,
+        &["preferences.p.home: unknown field", "preferences.p.homes: 0 is not between 1 and 64"] },
+    two_objects = { r#"{"ticket":1,"preferences":{"p":{"homes":-1}},"accounts":{"a":{"key_sha256":["x"],"services":[]}}}"#,
+        &["accounts.a.key_sha256[0]: a digest is 64", "preferences.p.homes: invalid value"] },
+    nested = { r#"{"ticket":1,"pools":{"p":{"replicas":[{"id":"a","zone":"z"},{"id":"a","address":"1.1.1.1:1","zone":7}]}}}"#,
+        &["pools.p.replicas[0].address: missing field", "pools.p.replicas[1].zone: invalid type", "pools.p.replicas[1].id: another replica"] },
+)]
+fn check_lists_every_fault(document: &str, expected: &[&str]) {
+    let found = faults_of(document);
+    assert_eq!(found.len(), expected.len(), "{found:#?}");
+    for (found, expected) in found.iter().zip(expected) {
+        assert!(found.starts_with(expected), "{found} is not {expected}");
+    }
+}
+
+#[test]
+fn digest_ignores_layout_of_the_file() {
+    let one = check(base_ticket(5).as_bytes()).unwrap();
+    let other = check(base_ticket(5).replace(",", " ,\n").as_bytes()).unwrap();
+    assert_eq!(one.digest(), other.digest());
+    assert_ne!(
+        one.digest(),
+        check(base_ticket(6).as_bytes()).unwrap().digest()
+    );
+}
+
+#[test]
+fn submit_accepts_and_resend_changes_nothing() {
+    let mut store = FakeStore::default();
+    let none = StoredState::default();
+    let state = accepted(submit_document(&mut store, &none, &base_ticket(5)));
+    assert_eq!(state.configuration().preferences["fast"].homes, 3);
+    let again = accepted(submit_document(&mut store, &none, &base_ticket(5)));
+    assert_eq!(
+        (again.revision(), again.configuration()),
+        (1, state.configuration())
+    );
+    assert_eq!(store.history[ROOT_KEY].len(), 1);
+}
+
+#[test]
+fn submit_other_content_is_a_conflict() {
+    let mut store = FakeStore::default();
+    let state = accepted(submit_document(
+        &mut store,
+        &StoredState::default(),
+        &base_ticket(5),
+    ));
+    let outcome = submit_document(&mut store, &state, &preference_ticket(5, 4));
+    assert_eq!(outcome, TicketOutcome::Conflict { revision: 1 });
+}
+
+#[test]
+fn submit_lower_number_is_refused_whole() {
+    let mut store = FakeStore::default();
+    let none = StoredState::default();
+    accepted(submit_document(&mut store, &none, &base_ticket(5)));
+    accepted(submit_document(&mut store, &none, &preference_ticket(9, 4)));
+    let document = r#"{"ticket":7,"preferences":{"fast":{"homes":8},"new":{}}}"#;
+    let TicketOutcome::Refused(faults) = submit_document(&mut store, &none, document) else {
+        panic!("a lower number was accepted");
+    };
+    assert_eq!(faults[0].path, "preferences.fast");
+    // A lower number is fine for objects that no higher ticket touched.
+    let lower = r#"{"ticket":8,"preferences":{"new":{}}}"#;
+    let state = accepted(submit_document(&mut store, &none, lower));
+    assert_eq!(state.configuration().preferences["fast"].homes, 4);
+}
+
+#[test]
+fn submit_refuses_dangling_references() {
+    let mut store = FakeStore::default();
+    let none = StoredState::default();
+    accepted(submit_document(&mut store, &none, &base_ticket(5)));
+    let digest = "ab".repeat(32);
+    let document = format!(
+        r#"{{"ticket":6,"pools":{{"dues":null}},"accounts":{{
+        "a":{{"key_sha256":["{digest}"],"services":["none"]}},
+        "b":{{"key_sha256":["{digest}"],"services":["stand-ledger"]}}}}}}"#
+    );
+    let TicketOutcome::Refused(faults) = submit_document(&mut store, &none, &document) else {
+        panic!("dangling references were accepted");
+    };
+    let paths: Vec<_> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    assert_eq!(
+        paths,
+        ["accounts.a.services", "pools.dues", "accounts.b.key_sha256"]
+    );
+}
+
+#[test]
+fn submit_removal_leaves_a_number_behind() {
+    let mut store = FakeStore::default();
+    let none = StoredState::default();
+    accepted(submit_document(&mut store, &none, &preference_ticket(5, 2)));
+    let removal = r#"{"ticket":9,"preferences":{"fast":null}}"#;
+    let state = accepted(submit_document(&mut store, &none, removal));
+    assert!(state.configuration().preferences.is_empty());
+    let outcome = submit_document(&mut store, &state, &preference_ticket(7, 2));
+    assert!(matches!(outcome, TicketOutcome::Refused(_)), "{outcome:?}");
+}
+
+#[test]
+fn log_pages_roll_and_floor_closes_old_numbers() {
+    let page = |index: u64| LogPage {
+        shard: format!("{}-x", index + 1).into(),
+        tickets: apply::TICKETS_A_PAGE,
+        lowest: index * 1_000,
+        highest: index * 1_000 + 999,
+    };
+    let root = Root {
+        revision: 9_000,
+        log: (0..apply::MAX_PAGES as u64).map(page).collect(),
+        ..Root::default()
+    };
+    let state = StoredState {
+        root: Arc::new(root),
+        ..StoredState::default()
+    };
+    let ticket = check(preference_ticket(50_000, 2).as_bytes()).unwrap();
+    let decision = apply(&state, &BTreeMap::new(), &ticket, Duration::ZERO);
+    let Decision::Apply(change) = decision else {
+        panic!("not applied: {decision:?}");
+    };
+    let root = &change.state.root;
+    assert_eq!((root.floor, root.log.len()), (999, apply::MAX_PAGES));
+    assert_eq!(root.retired[0].shard, "1-x".into());
+    let newest = &root.log[apply::MAX_PAGES - 1];
+    assert_eq!((newest.lowest, newest.tickets), (50_000, 1));
+    let log = BTreeMap::from([(newest.shard.clone(), Vec::new())]);
+    let closed = check(preference_ticket(999, 2).as_bytes()).unwrap();
+    let Decision::Refused(faults) = apply(&change.state, &log, &closed, Duration::ZERO) else {
+        panic!("a closed number was accepted");
+    };
+    assert!(faults[0].reason.contains("are closed"), "{faults:?}");
+}
+
+#[test]
+fn apply_removes_retired_shards_after_their_grace() {
+    let mut store = FakeStore::default();
+    let none = StoredState::default();
+    let first = accepted(submit_document(&mut store, &none, &preference_ticket(1, 2)));
+    let second = accepted(submit_document(&mut store, &none, &preference_ticket(2, 3)));
+    assert_eq!(second.root.retired.len(), 2);
+    let log = store.objects[&crate::configuration::shard_key(&second.root.log[0].shard)].clone();
+    let page = serde_json::from_slice(&log.value).unwrap();
+    let log = BTreeMap::from([(second.root.log[0].shard.clone(), page)]);
+    let ticket = check(preference_ticket(3, 4).as_bytes()).unwrap();
+    let later = Duration::from_secs(1_000_000) + apply::SHARD_GRACE;
+    let Decision::Apply(change) = apply(&second, &log, &ticket, later) else {
+        panic!("not applied");
+    };
+    let old = first.root.shards.values().next().unwrap();
+    assert!(change.expired.contains(old));
+    assert_eq!(change.state.root.retired.len(), 2);
+}
+
+#[test]
+fn shards_carry_41_000_accounts_under_a_megabyte() {
+    let account = |index: usize| {
+        let digest = format!("{index:064x}");
+        let services = r#"["stand-ledger"]"#;
+        format!(r#""member-{index:05}":{{"key_sha256":["{digest}"],"services":{services}}}"#)
+    };
+    let accounts: Vec<_> = (0..41_000).map(account).collect();
+    let mut store = FakeStore::default();
+    let none = StoredState::default();
+    let state = accepted(submit_document(&mut store, &none, &base_ticket(5)));
+    let document = format!(r#"{{"ticket":6,"accounts":{{{}}}}}"#, accounts.join(","));
+    let state = accepted(submit_document(&mut store, &state, &document));
+    assert_eq!(state.configuration().accounts.len(), 41_000);
+    let sizes = store.objects.values().map(|object| object.value.len());
+    let largest = sizes.max().unwrap();
+    assert!(largest < 200_000, "the largest value takes {largest} bytes");
+    let before = store.history.len();
+    let document = format!(r#"{{"ticket":7,"accounts":{{{}}}}}"#, account(5));
+    accepted(submit_document(&mut store, &state, &document));
+    // One shard, one page of the log and the ticket's document.
+    assert_eq!(store.history.len() - before, 3);
+}
+
+#[test]
+fn apply_reads_only_the_log_it_was_given() {
+    let state = StoredState::default();
+    let ticket = check(preference_ticket(3, 2).as_bytes()).unwrap();
+    let entry = Acceptance {
+        ticket: 3,
+        digest: ticket.digest(),
+        revision: 12,
+    };
+    let log = BTreeMap::from([(Arc::from("1-x"), vec![entry])]);
+    let decision = apply(&state, &log, &ticket, Duration::ZERO);
+    assert_eq!(decision, Decision::Already(12));
+}
--- /dev/null
+++ b/src/ticket/tests/race.rs
@@ -0,0 +1,225 @@
+//! Operators race with conflicting tickets while the store loses answers, delays writes and fails.
+
+use std::collections::BTreeMap;
+
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+use crate::configuration::Loading;
+use crate::store::Answer;
+use crate::store::tests::fake::Faults;
+
+/// The random runs without an environment variable that asks for more.
+const CASES: u64 = 200;
+
+struct Submitter {
+    ticket: Ticket,
+    submission: Submission,
+    step: Step<TicketOutcome>,
+}
+
+impl Submitter {
+    fn new(known: &StoredState, ticket: Ticket, rng: &mut ChaCha8Rng) -> Self {
+        let unix_now = Duration::from_secs(rng.random_range(1_000..100_000));
+        let mut submission = Submission::new(known.clone(), ticket.clone(), unix_now);
+        let step = submission.next(Answer::Proceed, rng);
+        Self {
+            ticket,
+            submission,
+            step,
+        }
+    }
+
+    /// Does one step; returns the outcome at the end.
+    fn advance(&mut self, store: &mut FakeStore, rng: &mut ChaCha8Rng) -> Option<TicketOutcome> {
+        if let Step::Done(outcome) = &self.step {
+            return Some(outcome.clone());
+        }
+        let answer = store.carry_out(&self.step, rng)?;
+        self.step = self.submission.next(answer, rng);
+        None
+    }
+}
+
+fn random_ticket(rng: &mut ChaCha8Rng) -> Ticket {
+    let number = rng.random_range(1..40);
+    let mut ticket = Ticket {
+        ticket: number,
+        ..Ticket::default()
+    };
+    for _ in 0..rng.random_range(1..4) {
+        let name = *["a", "b", "c", "d"].choose(rng).unwrap();
+        let homes = rng.random_range(1..4);
+        let state = Preference {
+            homes,
+            ..Preference::default()
+        };
+        let state = rng.random_bool(0.8).then(|| Arc::new(state));
+        ticket.preferences.insert(name.into(), state);
+    }
+    ticket
+}
+
+fn load_now(store: &FakeStore, known: &StoredState) -> StoredState {
+    let mut quiet = FakeStore {
+        objects: store.objects.clone(),
+        ..FakeStore::default()
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(0);
+    let mut loading = Loading::new(known.clone());
+    let mut step = loading.begin();
+    loop {
+        match quiet.carry_out(&step, &mut rng) {
+            Some(Answer::Read(results)) => step = loading.proceed(results),
+            _ => match step {
+                Step::Done(state) => return state.expect("the store is sound"),
+                step => unreachable!("a load only reads, not {step:?}"),
+            },
+        }
+    }
+}
+
+/// Every root that was ever stored must raise revision and ticket numbers, and name shards that exist at that time.
+fn check_history(store: &FakeStore, log: &BTreeMap<u64, Acceptance>) {
+    let roots: Vec<Root> = store
+        .history
+        .get(ROOT_KEY)
+        .into_iter()
+        .flatten()
+        .map(|object| serde_json::from_slice(&object.value).unwrap())
+        .collect();
+    for (index, root) in roots.iter().enumerate() {
+        assert_eq!(
+            root.revision,
+            index as u64 + 1,
+            "revisions follow one another"
+        );
+    }
+    assert_eq!(log.len(), roots.len(), "each revision is one ticket");
+}
+
+fn read_acceptances(store: &FakeStore, state: &StoredState) -> BTreeMap<u64, Acceptance> {
+    let pages = state.root.log.iter();
+    let values =
+        pages.map(|page| &store.objects[&crate::configuration::shard_key(&page.shard)].value);
+    let entries =
+        values.flat_map(|value| serde_json::from_slice::<Vec<Acceptance>>(value).unwrap());
+    entries.map(|entry| (entry.ticket, entry)).collect()
+}
+
+fn run_case(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut store = FakeStore {
+        faults: Faults {
+            not_sent: rng.random_range(0.0..0.2),
+            answer_lost: rng.random_range(0.0..0.3),
+            delayed: rng.random_range(0.0..0.2),
+        },
+        ..FakeStore::default()
+    };
+    let mut known = StoredState::default();
+    let mut running: Vec<Submitter> = Vec::new();
+    let mut ended: Vec<(Ticket, TicketOutcome)> = Vec::new();
+    for _ in 0..600 {
+        if running.len() < 4 && rng.random_bool(0.2) {
+            let resent = ended.choose(&mut rng).map(|(ticket, _)| ticket.clone());
+            let ticket = match resent {
+                Some(ticket) if rng.random_bool(0.3) => ticket,
+                _ => random_ticket(&mut rng),
+            };
+            running.push(Submitter::new(&known, ticket, &mut rng));
+        }
+        if running.is_empty() {
+            continue;
+        }
+        let chosen = rng.random_range(0..running.len());
+        if let Some(outcome) = running[chosen].advance(&mut store, &mut rng) {
+            ended.push((running.swap_remove(chosen).ticket, outcome));
+        }
+        store.deliver_delayed(&mut rng);
+        let newer = load_now(&store, &known);
+        assert!(
+            newer.revision() >= known.revision(),
+            "seed {seed}: the store reverts"
+        );
+        known = newer;
+    }
+    check_outcomes(seed, &store, &known, &ended);
+}
+
+fn check_outcomes(
+    seed: u64,
+    store: &FakeStore,
+    known: &StoredState,
+    ended: &[(Ticket, TicketOutcome)],
+) {
+    let log = read_acceptances(store, known);
+    check_history(store, &log);
+    for (ticket, outcome) in ended {
+        let entry = log
+            .get(&ticket.ticket)
+            .filter(|entry| entry.digest == ticket.digest());
+        match outcome {
+            TicketOutcome::Accepted { revision, .. } => {
+                assert_eq!(
+                    entry.map(|entry| entry.revision),
+                    Some(*revision),
+                    "seed {seed}"
+                );
+                check_in_force(seed, known, ticket);
+            }
+            TicketOutcome::Conflict { .. } => assert!(entry.is_none(), "seed {seed}: {ticket:?}"),
+            _ => {}
+        }
+    }
+    // A refusal holds for good: nobody accepted the ticket before or after, unless it was resent with success.
+    for (ticket, outcome) in ended {
+        let was_refused = matches!(
+            outcome,
+            TicketOutcome::Refused(_) | TicketOutcome::Unavailable(_)
+        );
+        let entry = log
+            .get(&ticket.ticket)
+            .filter(|entry| entry.digest == ticket.digest());
+        let is_accepted = entry.is_some();
+        let is_explained = ended.iter().any(|(other, outcome)| {
+            other == ticket
+                && matches!(
+                    outcome,
+                    TicketOutcome::Accepted { .. } | TicketOutcome::Unknown(_)
+                )
+        });
+        assert!(
+            !was_refused || !is_accepted || is_explained,
+            "seed {seed}: refused and yet accepted: {ticket:?}"
+        );
+    }
+}
+
+/// An accepted ticket's states hold, except where a higher number replaced them.
+fn check_in_force(seed: u64, known: &StoredState, ticket: &Ticket) {
+    let configuration = known.configuration();
+    for (name, state) in &ticket.preferences {
+        let last = known.ticket_of(ObjectKind::Preferences, name).unwrap();
+        assert!(last >= ticket.ticket, "seed {seed}: {name} reverted");
+        if last == ticket.ticket {
+            assert_eq!(
+                configuration.preferences.get(name),
+                state.as_ref(),
+                "seed {seed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn submission_races_with_faults() {
+    let cases = std::env::var("CROCUSWHARF_CASES")
+        .ok()
+        .and_then(|cases| cases.parse().ok());
+    for seed in 0..cases.unwrap_or(CASES) {
+        run_case(seed);
+    }
+}
