Adopt only higher revisions and pass them between routers

States reach a router from a watch, reads, peers and its own tickets, in any order and as late as they like.

The adoption core takes only a higher revision and asserts a floor. Peers announce a revision and fetch what was written since, in parts; a shard's name tells the revision that wrote it, so only changed shards travel. A watch's empty poll is followed by a list of the root's version, so that a silent or lying watch costs seconds. Keys are found by digest and compared in constant time.

--- a/src/account/mod.rs
+++ b/src/account/mod.rs
@@ -9,6 +9,12 @@
 use crate::fault::Faults;
 use crate::id::{AccountId, ServiceName};
 
+mod keys;
+#[cfg(test)]
+mod tests;
+
+pub use self::keys::{AccountKeys, key_matches};
+
 /// The whole state of one client account, as a change ticket carries it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -11,8 +11,19 @@
 use crate::preference::Preference;
 use crate::service::Service;
 
+mod adoption;
 mod load;
+mod message;
 mod state;
+#[cfg(test)]
+mod tests;
+mod transfer;
+mod watch;
+
+pub use self::adoption::{Adoption, InForce, StateSource};
+pub use self::message::{Announce, ConfigurationStatus, Fetch, UpdatePart};
+pub use self::transfer::{ReadStep, UpdateReader, UpdateServer};
+pub use self::watch::{RootWatch, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher};
 
 pub(crate) use self::load::{LoadStep, Loading};
 pub use self::load::{load, load_root};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,10 +14,12 @@
 mod store;
 mod ticket;
 
-pub use crate::account::{Account, AccountLimits, NamedAccount};
+pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
 pub use crate::configuration::{
-    Acceptance, Configuration, ObjectKind, ROOT_KEY, Root, StoredState, load as load_configuration,
-    load_root as load_configuration_root,
+    Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
+    ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
+    UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
+    load as load_configuration, load_root as load_configuration_root,
 };
 pub use crate::error::{Error, ErrorKind};
 pub use crate::fault::Fault;
--- a/src/ticket/mod.rs
+++ b/src/ticket/mod.rs
@@ -26,6 +26,8 @@
 
 pub(crate) use self::apply::{Change, Decision, apply};
 pub use self::document::check;
+#[cfg(test)]
+pub(crate) use self::submission::Submission;
 pub use self::submission::{TicketOutcome, submit};
 
 /// The new state of an object; `None` removes it.
--- a/src/ticket/tests/mod.rs
+++ b/src/ticket/tests/mod.rs
@@ -4,7 +4,6 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::submission::Submission;
 use super::*;
 use crate::configuration::{Acceptance, LogPage, ROOT_KEY, Root, StoredState};
 use crate::fault::Fault;
