--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,11 @@
 
 mod account;
 mod configuration;
+mod directory;
 mod error;
 mod fault;
 mod id;
+mod membership;
 mod peer;
 mod pool;
 mod preference;
@@ -21,12 +23,19 @@
     UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
     load as load_configuration, load_root as load_configuration_root,
 };
+pub use crate::account::{Account, AccountLimits, NamedAccount};
+pub use crate::configuration::Configuration;
+pub use crate::directory::Directory;
 pub use crate::error::{Error, ErrorKind};
 pub use crate::fault::Fault;
 pub use crate::id::{
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
 };
+pub use crate::membership::{
+    Heartbeat, Liveness, LoadLevel, Member, MemberRecord, Membership, MembershipOptions,
+    Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
+};
 pub use crate::peer::{
     Body, Inbound, Kind, LinkOptions, LinkTimes, Links, MAX_PAYLOAD_BYTES, PeerEvent, PeerIdentity,
     PeerKeys, ReplyHandle, Traffic, TrafficByKind, wire_bytes,
