Serve the whole path: callers, engines, platform, nine routers, demo

Payments are not claimed on the platform yet, and the choice of replica is a stand-in for the routing policy.

--- a/src/bin/crocuswharf-router.rs
+++ b/src/bin/crocuswharf-router.rs
@@ -1,2 +1,82 @@
-//! Daemon.
-fn main() {}
+//! The daemon on each entry VM.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::Context;
+use argh::FromArgs;
+use crocuswharf::{Router, RouterSettings};
+use simplelog::{ColorChoice, Config, TermLogger, TerminalMode};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Route language-model traffic; settings come from a JSON file.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// print the version
+    #[argh(switch)]
+    version: bool,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+    /// the settings file, such as examples/router.json
+    #[argh(positional)]
+    settings: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let args: Args = crocuswharf::parse_args();
+    if args.version {
+        println!("crocuswharf-router {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = &args.settings else {
+        eprintln!("crocuswharf-router: the settings file is missing; see --help");
+        return ExitCode::from(crocuswharf::EXIT_USAGE);
+    };
+    match RouterSettings::from_file(path)
+        .map_err(anyhow::Error::from)
+        .and_then(|settings| run(settings, args.check))
+    {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("crocuswharf-router: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: RouterSettings, check_only: bool) -> anyhow::Result<()> {
+    if check_only {
+        println!("settings are valid");
+        return Ok(());
+    }
+    let level = settings.log_level()?;
+    TermLogger::init(
+        level,
+        Config::default(),
+        TerminalMode::Stderr,
+        ColorChoice::Auto,
+    )?;
+    let drain_limit = settings.times.drain_limit();
+    let router = Router::start(settings)?;
+    let signals = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("signal runtime")?;
+    signals.block_on(async {
+        wait_for_signal().await?;
+        router.drain(drain_limit).await;
+        Ok(())
+    })
+}
+
+/// Waits for the first signal to leave; later ones are ignored while the drain goes on.
+async fn wait_for_signal() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("SIGINT")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,111 @@
+//! The control thread and what it shares with the traffic threads.
+//!
+//! One thread owns all control state, so that no decision about configuration, members or engines needs a lock. It
+//! publishes an immutable [`Snapshot`]; traffic threads load it and never wait for the control thread.
+//!
+//! Rejected: control state behind a mutex, which a slow control decision would turn into a pause of all traffic.
+//! See docs/ARCHITECTURE.md.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use arc_swap::ArcSwap;
+use tokio::sync::mpsc;
+
+use crate::configuration::StoredState;
+use crate::engine::EngineClient;
+use crate::error::Error;
+use crate::settings::RouterSettings;
+use crate::store::{self, StoreSettings};
+
+mod feed;
+mod loads;
+mod publisher;
+mod snapshot;
+mod thread;
+
+pub(crate) use self::snapshot::{InFlight, PoolView, Snapshot};
+pub(crate) use self::thread::{ControlThread, Event};
+
+/// The events that may wait for the control thread.
+const EVENT_QUEUE: usize = 4_096;
+
+/// What the control thread and the traffic threads share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    /// The settings of this router.
+    pub(crate) settings: RouterSettings,
+    /// What traffic threads know.
+    pub(crate) snapshot: ArcSwap<Snapshot>,
+    /// The client towards backend servers.
+    pub(crate) engines: EngineClient,
+    /// The client of the platform's object API.
+    pub(crate) store: store::Client,
+    /// The configuration in force as the platform holds it.
+    pub(crate) stored: ArcSwap<StoredState>,
+    /// Whether the router is leaving.
+    pub(crate) draining: AtomicBool,
+    open_requests: Arc<AtomicUsize>,
+    events: mpsc::Sender<Event>,
+}
+
+impl Shared {
+    /// Makes the shared part of a router that knows nothing yet.
+    ///
+    /// The second value is the control thread's end of the queue of events.
+    pub(crate) fn new(settings: RouterSettings) -> Result<(Self, mpsc::Receiver<Event>), Error> {
+        let engines = EngineClient::new(settings.times.connect_timeout())?;
+        let store = store::Client::new(&store_settings(&settings))?;
+        let (events, receiver) = mpsc::channel(EVENT_QUEUE);
+        let shared = Self {
+            settings,
+            snapshot: ArcSwap::default(),
+            engines,
+            store,
+            draining: AtomicBool::new(false),
+            open_requests: Arc::default(),
+            stored: ArcSwap::default(),
+            events,
+        };
+        Ok((shared, receiver))
+    }
+
+    /// Returns the queue of the control thread.
+    pub(crate) const fn events(&self) -> &mpsc::Sender<Event> {
+        &self.events
+    }
+
+    /// Offers a configuration to the control thread, which takes it if it is newer.
+    pub(crate) async fn offer_configuration(&self, state: Arc<StoredState>) {
+        // A closed queue means that the router is stopping.
+        let _ = self.events.send(Event::Configuration(state)).await;
+    }
+
+    /// Counts a request as open until the returned value is dropped.
+    pub(crate) fn open_request(&self) -> OpenRequest {
+        self.open_requests.fetch_add(1, Ordering::Relaxed);
+        OpenRequest(Arc::clone(&self.open_requests))
+    }
+
+    /// Returns the number of requests in flight at this router.
+    pub(crate) fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts one request as open for as long as it lives.
+#[derive(Debug)]
+pub(crate) struct OpenRequest(Arc<AtomicUsize>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn store_settings(settings: &RouterSettings) -> StoreSettings {
+    StoreSettings {
+        call_timeout_ms: settings.times.platform_timeout_ms,
+        ..StoreSettings::new(&format!("http://{}", settings.platform))
+    }
+}
--- /dev/null
+++ b/src/control/publisher.rs
@@ -0,0 +1,155 @@
+//! Builds snapshots from control state.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::snapshot::{KeyDigest, PoolView, ReplicaView, Snapshot};
+use crate::account::NamedAccount;
+use crate::configuration::Configuration;
+use crate::id::{PoolName, ReplicaId};
+use crate::pool::{Pool, Replica};
+use crate::protocol::{Entries, LoadReport};
+
+/// The bytes of a SHA-256 digest.
+const DIGEST_BYTES: usize = 32;
+
+/// The control state from which snapshots are built.
+#[derive(Debug, Default)]
+pub(crate) struct Publisher {
+    configuration: Arc<Configuration>,
+    accounts: Arc<HashMap<KeyDigest, NamedAccount>>,
+    replicas: HashMap<(PoolName, ReplicaId), ReplicaView>,
+    entries: Option<Arc<Entries>>,
+}
+
+impl Publisher {
+    /// Takes over a configuration with a higher revision; a lower one is ignored, so that nothing reverts.
+    pub(crate) fn adopt(&mut self, configuration: Arc<Configuration>) -> bool {
+        if configuration.revision <= self.configuration.revision {
+            return false;
+        }
+        self.accounts = Arc::new(index_accounts(&configuration));
+        self.replicas = self.carry_replicas(&configuration);
+        self.configuration = configuration;
+        true
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) const fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+
+    /// Takes over the answer of the entry directory.
+    pub(crate) fn set_entries(&mut self, entries: Entries) {
+        self.entries = Some(Arc::new(entries));
+    }
+
+    /// Takes a load report, or its absence, for one replica.
+    pub(crate) fn set_load(
+        &mut self,
+        pool: &PoolName,
+        replica: &ReplicaId,
+        load: Option<LoadReport>,
+    ) {
+        let key = (Arc::clone(pool), Arc::clone(replica));
+        let Some(view) = self.replicas.get_mut(&key) else {
+            return;
+        };
+        view.available = load.as_ref().is_some_and(|load| !load.leaving);
+        if let Some(load) = &load {
+            view.incarnation = load.incarnation;
+            view.weights_version = load.weights_version;
+        }
+        view.load = load;
+    }
+
+    /// Builds the snapshot of the present state.
+    pub(crate) fn snapshot(&self) -> Snapshot {
+        let pools = self
+            .configuration
+            .pools
+            .iter()
+            .map(|(name, pool)| (Arc::clone(name), Arc::new(self.pool_view(name, pool))))
+            .collect();
+        Snapshot {
+            configuration: Arc::clone(&self.configuration),
+            accounts: Arc::clone(&self.accounts),
+            pools,
+            entries: self.entries.clone(),
+        }
+    }
+
+    fn pool_view(&self, name: &PoolName, pool: &Arc<Pool>) -> PoolView {
+        let replicas = pool
+            .replicas
+            .iter()
+            .filter_map(|replica| {
+                let key = (Arc::clone(name), Arc::clone(&replica.id));
+                self.replicas.get(&key).cloned()
+            })
+            .collect();
+        PoolView {
+            pool: Arc::clone(pool),
+            replicas,
+        }
+    }
+
+    /// Keeps what is known of the replicas that stay, and begins anew for others.
+    fn carry_replicas(
+        &self,
+        configuration: &Configuration,
+    ) -> HashMap<(PoolName, ReplicaId), ReplicaView> {
+        let mut replicas = HashMap::new();
+        for (name, pool) in &configuration.pools {
+            for replica in &pool.replicas {
+                let key = (Arc::clone(name), Arc::clone(&replica.id));
+                let view = match self.replicas.get(&key) {
+                    Some(known) if *known.replica == *replica => known.clone(),
+                    _ => new_replica(replica),
+                };
+                replicas.insert(key, view);
+            }
+        }
+        replicas
+    }
+}
+
+fn new_replica(replica: &Replica) -> ReplicaView {
+    ReplicaView {
+        replica: Arc::new(replica.clone()),
+        incarnation: 0,
+        weights_version: 0,
+        load: None,
+        available: true,
+        in_flight: Arc::default(),
+    }
+}
+
+fn index_accounts(configuration: &Configuration) -> HashMap<KeyDigest, NamedAccount> {
+    let mut accounts = HashMap::with_capacity(configuration.accounts.len());
+    for (id, account) in &configuration.accounts {
+        for digest in account
+            .key_sha256
+            .iter()
+            .filter_map(|text| parse_digest(text))
+        {
+            let named = NamedAccount {
+                id: Arc::clone(id),
+                account: Arc::clone(account),
+            };
+            accounts.insert(digest, named);
+        }
+    }
+    accounts
+}
+
+fn parse_digest(text: &str) -> Option<KeyDigest> {
+    if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
+        return None;
+    }
+    let mut digest = [0; DIGEST_BYTES];
+    for (index, byte) in digest.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(digest)
+}
--- /dev/null
+++ b/src/control/snapshot.rs
@@ -0,0 +1,87 @@
+//! What traffic threads know: one immutable value that the control thread publishes.
+//!
+//! Traffic threads never lock control state. They load the current snapshot once per request, so that a request sees
+//! one revision of the configuration from beginning to end. The counters behind [`ReplicaView`] outlive snapshots.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use sha2::{Digest, Sha256};
+
+use crate::account::NamedAccount;
+use crate::configuration::Configuration;
+use crate::id::{Incarnation, PoolName, WeightsVersion};
+use crate::pool::{Pool, Replica};
+use crate::protocol::{Entries, LoadReport};
+
+/// The SHA-256 digest of a caller's key.
+pub(crate) type KeyDigest = [u8; 32];
+
+/// Everything that a traffic thread reads.
+#[derive(Debug, Default)]
+pub(crate) struct Snapshot {
+    /// The configuration in force.
+    pub(crate) configuration: Arc<Configuration>,
+    /// The client accounts by key digest.
+    pub(crate) accounts: Arc<HashMap<KeyDigest, NamedAccount>>,
+    /// The pools with what is known of their replicas.
+    pub(crate) pools: HashMap<PoolName, Arc<PoolView>>,
+    /// The answer of the entry directory.
+    pub(crate) entries: Option<Arc<Entries>>,
+}
+
+/// A pool with what is known of its replicas.
+#[derive(Debug)]
+pub(crate) struct PoolView {
+    /// The pool as configured.
+    pub(crate) pool: Arc<Pool>,
+    /// The replicas in the order of the configuration.
+    pub(crate) replicas: Vec<ReplicaView>,
+}
+
+/// What is known of one replica.
+#[derive(Clone, Debug)]
+pub(crate) struct ReplicaView {
+    /// The replica as configured.
+    pub(crate) replica: Arc<Replica>,
+    /// The incarnation last seen, zero before the first answer.
+    pub(crate) incarnation: Incarnation,
+    /// The weights version last seen, zero before the first answer.
+    pub(crate) weights_version: WeightsVersion,
+    /// The last load report.
+    pub(crate) load: Option<LoadReport>,
+    /// Whether new work may be sent.
+    pub(crate) available: bool,
+    /// The requests that this router has in flight there.
+    pub(crate) in_flight: Arc<AtomicU32>,
+}
+
+impl Snapshot {
+    /// Finds the account to which `key` belongs.
+    ///
+    /// The look-up is by digest, so its time tells nothing about keys that are not known already.
+    pub(crate) fn account_of_key(&self, key: &str) -> Option<&NamedAccount> {
+        let digest: KeyDigest = Sha256::digest(key.as_bytes()).into();
+        self.accounts.get(&digest)
+    }
+}
+
+/// Counts a request in flight at a replica for as long as it lives.
+#[derive(Debug)]
+pub(crate) struct InFlight(Arc<AtomicU32>);
+
+impl InFlight {
+    /// Begins to count.
+    pub(crate) fn new(counter: &Arc<AtomicU32>) -> Self {
+        counter.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(counter))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let before = self.0.fetch_sub(1, Ordering::Relaxed);
+        assert!(before > 0, "a request in flight was counted down twice");
+    }
+}
--- /dev/null
+++ b/src/control/thread.rs
@@ -0,0 +1,194 @@
+//! The control thread: one loop over one queue of events.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use tokio::sync::{mpsc, oneshot};
+
+use super::Shared;
+use super::feed::follow_configuration;
+use super::loads::poll_load;
+use super::publisher::Publisher;
+use crate::configuration::StoredState;
+use crate::error::{Error, ErrorKind};
+use crate::id::{PoolName, ReplicaId};
+use crate::protocol::{Entries, Entry, LoadReport};
+use crate::service::ServiceKind;
+
+/// What the control thread reacts to.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A configuration was loaded.
+    Configuration(Arc<StoredState>),
+    /// An engine was asked for its load.
+    Load {
+        /// The pool of the replica.
+        pool: PoolName,
+        /// The replica.
+        replica: ReplicaId,
+        /// The report, or nothing where the engine did not answer.
+        load: Option<Box<LoadReport>>,
+    },
+}
+
+/// The running control thread; dropping it stops the thread.
+#[derive(Debug)]
+pub(crate) struct ControlThread {
+    stop: Option<oneshot::Sender<()>>,
+    join: Option<JoinHandle<()>>,
+}
+
+impl ControlThread {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`ErrorKind::Io`] where the operating system gives no thread.
+    pub(crate) fn start(
+        shared: Arc<Shared>,
+        events: mpsc::Receiver<Event>,
+        own_entry: Entry,
+    ) -> Result<Self, Error> {
+        let (stop, stopped) = oneshot::channel();
+        let name = format!("control-{}", shared.settings.router);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|error| Error::new(ErrorKind::Io, format!("control runtime: {error}")))?;
+        let join = std::thread::Builder::new()
+            .name(name)
+            .spawn(move || runtime.block_on(run(shared, events, own_entry, stopped)))
+            .map_err(|error| Error::new(ErrorKind::Io, format!("control thread: {error}")))?;
+        Ok(Self {
+            stop: Some(stop),
+            join: Some(join),
+        })
+    }
+}
+
+impl Drop for ControlThread {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(join) = self.join.take()
+            && join.join().is_err()
+        {
+            log::error!("control: The thread has panicked.");
+        }
+    }
+}
+
+async fn run(
+    shared: Arc<Shared>,
+    mut events: mpsc::Receiver<Event>,
+    own_entry: Entry,
+    mut stopped: oneshot::Receiver<()>,
+) {
+    let feed = tokio::spawn(follow_configuration(
+        Arc::clone(&shared),
+        shared.events().clone(),
+    ));
+    let mut control = Control::new(shared, own_entry);
+    control.publish();
+    loop {
+        tokio::select! {
+            _ = &mut stopped => break,
+            event = events.recv() => match event {
+                Some(event) => control.handle(event),
+                None => break,
+            },
+        }
+    }
+    feed.abort();
+}
+
+/// The control state.
+struct Control {
+    shared: Arc<Shared>,
+    publisher: Publisher,
+    polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
+}
+
+impl Control {
+    fn new(shared: Arc<Shared>, own_entry: Entry) -> Self {
+        let mut publisher = Publisher::default();
+        publisher.set_entries(Entries {
+            entries: vec![own_entry],
+            life_ms: shared.settings.times.directory_life_ms,
+        });
+        Self {
+            shared,
+            publisher,
+            polls: HashMap::new(),
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Configuration(state) => self.adopt(&state),
+            Event::Load {
+                pool,
+                replica,
+                load,
+            } => {
+                self.publisher
+                    .set_load(&pool, &replica, load.map(|load| *load));
+            }
+        }
+        self.publish();
+    }
+
+    fn adopt(&mut self, state: &Arc<StoredState>) {
+        let revision = state.revision();
+        if !self.publisher.adopt(Arc::new(state.configuration())) {
+            return;
+        }
+        self.shared.stored.store(Arc::clone(state));
+        log::info!("config: Revision is in force. revision={revision}");
+        self.follow_engines();
+    }
+
+    /// Polls the engines of the configuration, and those only.
+    fn follow_engines(&mut self) {
+        for (_, poll) in self.polls.drain() {
+            poll.abort();
+        }
+        let configuration = Arc::clone(self.publisher.configuration());
+        let interval = self.shared.settings.times.load_interval();
+        for service in configuration.services.values() {
+            if service.kind != ServiceKind::Model {
+                continue;
+            }
+            let Some(pool) = configuration.pools.get(&service.pool) else {
+                continue;
+            };
+            for replica in &pool.replicas {
+                let key = (Arc::clone(&service.pool), Arc::clone(&replica.id));
+                let poll = poll_load(
+                    self.shared.engines.clone(),
+                    Arc::clone(&service.pool),
+                    Arc::new(replica.clone()),
+                    interval,
+                    self.shared.events().clone(),
+                );
+                if let Some(twin) = self.polls.insert(key, poll) {
+                    twin.abort();
+                }
+            }
+        }
+    }
+
+    fn publish(&self) {
+        self.shared
+            .snapshot
+            .store(Arc::new(self.publisher.snapshot()));
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        for poll in self.polls.values() {
+            poll.abort();
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/directory.rs
@@ -0,0 +1,50 @@
+//! Answers `GET /v1/entries`: which addresses callers shall use, and for how long.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use salvo::http::StatusCode;
+use salvo::writing::Json;
+use salvo::{Depot, FlowCtrl, Request, Response, async_trait};
+
+use super::reply::{Reply, RunState};
+use crate::control::Shared;
+
+/// Handles directory requests.
+pub(crate) struct DirectoryHandler {
+    shared: Arc<Shared>,
+}
+
+impl DirectoryHandler {
+    /// Makes the handler.
+    pub(crate) const fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+#[async_trait]
+impl salvo::Handler for DirectoryHandler {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        match &self.shared.snapshot.load().entries {
+            Some(entries) => res.render(Json(&**entries)),
+            None => not_ready().render(res),
+        }
+    }
+}
+
+fn not_ready() -> Reply {
+    Reply {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        code: "starting",
+        message: "the router does not know the other routers yet".to_owned(),
+        param: None,
+        ran: RunState::NotRun,
+        retry_after: Some(Duration::from_secs(1)),
+    }
+}
--- /dev/null
+++ b/src/entry/dispatch.rs
@@ -0,0 +1,242 @@
+//! Places one chat request on a replica and follows it to its end.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use salvo::http::StatusCode;
+use serde_json::Value;
+use smallvec::SmallVec;
+
+use super::choice::choose;
+use super::reply::{Reply, RunState};
+use crate::control::{InFlight, OpenRequest, PoolView, Shared};
+use crate::engine::{CallError, ChatAnswer, ChatCall};
+use crate::id::{Incarnation, RequestId};
+use crate::pool::Replica;
+use crate::prefix::Opening;
+
+/// The replicas that are tried for one request before it is refused.
+const MAX_ATTEMPTS: usize = 3;
+/// The time after which a caller may come back when no replica could take its request.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// One chat request and what has been done with it.
+pub(crate) struct Dispatch {
+    shared: Arc<Shared>,
+    pool: Arc<PoolView>,
+    request_id: RequestId,
+    priority: u8,
+    opening: Opening,
+    body: Bytes,
+    deadline: Instant,
+    excluded: SmallVec<[usize; 4]>,
+    in_flight: Option<InFlight>,
+    // Keeps the drain waiting until the last byte is on its way.
+    _open: OpenRequest,
+}
+
+/// Where a request was placed.
+#[derive(Clone, Debug)]
+pub(crate) struct Placed {
+    /// The replica's place in the pool.
+    pub(crate) index: usize,
+    /// The replica.
+    pub(crate) replica: Arc<Replica>,
+    /// The incarnation that answers.
+    pub(crate) incarnation: Incarnation,
+}
+
+/// What a dispatch needs to know of its request.
+pub(crate) struct DispatchRequest {
+    /// The request's id.
+    pub(crate) request_id: RequestId,
+    /// The client account's priority.
+    pub(crate) priority: u8,
+    /// The prompt's opening.
+    pub(crate) opening: Opening,
+    /// The body as the caller sent it.
+    pub(crate) body: Bytes,
+    /// When the whole answer must be there.
+    pub(crate) deadline: Instant,
+    /// Counts the request as open.
+    pub(crate) open: OpenRequest,
+}
+
+impl Dispatch {
+    /// Makes the dispatch of `request` to the replicas of `pool`.
+    pub(crate) fn new(shared: Arc<Shared>, pool: Arc<PoolView>, request: DispatchRequest) -> Self {
+        Self {
+            shared,
+            pool,
+            request_id: request.request_id,
+            priority: request.priority,
+            opening: request.opening,
+            body: request.body,
+            deadline: request.deadline,
+            excluded: SmallVec::new(),
+            in_flight: None,
+            _open: request.open,
+        }
+    }
+
+    /// Returns the request's id.
+    pub(crate) const fn request_id(&self) -> RequestId {
+        self.request_id
+    }
+
+    /// Returns the body as the caller sent it.
+    pub(crate) const fn body(&self) -> &Bytes {
+        &self.body
+    }
+
+    /// Keeps further attempts away from a replica.
+    pub(crate) fn exclude(&mut self, placed: &Placed) {
+        self.excluded.push(placed.index);
+    }
+
+    /// Chooses replicas until one answers, each on a new connection where the last one failed.
+    ///
+    /// A chat call is idempotent, so a call that may have reached an engine can be repeated elsewhere.
+    pub(crate) async fn place(&mut self, body: Bytes) -> Result<(Placed, ChatAnswer), Reply> {
+        let mut ran = RunState::NotRun;
+        for _ in 0..MAX_ATTEMPTS {
+            let Some(index) = choose(&self.pool, &self.opening, &self.excluded) else {
+                break;
+            };
+            match self.attempt(index, body.clone()).await {
+                Ok(placed) => return Ok(placed),
+                Err(error) => {
+                    ran = worse(ran, &error);
+                    self.excluded.push(index);
+                }
+            }
+        }
+        Err(no_replica(ran))
+    }
+
+    async fn attempt(
+        &mut self,
+        index: usize,
+        body: Bytes,
+    ) -> Result<(Placed, ChatAnswer), CallError> {
+        let view = &self.pool.replicas[index];
+        let in_flight = InFlight::new(&view.in_flight);
+        let call = ChatCall {
+            request_id: self.request_id,
+            priority: self.priority,
+            remaining: self.remaining(),
+            opening: &self.opening,
+        };
+        let answer = self
+            .shared
+            .engines
+            .chat(view.replica.address, call, body)
+            .await
+            .and_then(accept_status)
+            .inspect_err(|error| {
+                log::warn!(
+                    "request: Attempt failed. request={} replica={} error={error:?}",
+                    self.request_id,
+                    view.replica.id
+                );
+            })?;
+        if answer.weights_version != self.pool.pool.weights_version {
+            log::debug!(
+                "request: The engine serves other weights than expected. request={} replica={} weights_version={}",
+                self.request_id,
+                view.replica.id,
+                answer.weights_version
+            );
+        }
+        let placed = Placed {
+            index,
+            replica: Arc::clone(&view.replica),
+            incarnation: answer.incarnation,
+        };
+        self.in_flight = Some(in_flight);
+        Ok((placed, answer))
+    }
+
+    /// Resumes the answer at the engine that had it; `None` where it can't or where the engine has restarted.
+    pub(crate) async fn resume(&self, placed: &Placed, sequence: u64) -> Option<ChatAnswer> {
+        let answer = self
+            .shared
+            .engines
+            .resume(placed.replica.address, self.request_id, sequence)
+            .await
+            .and_then(accept_status)
+            .ok()?;
+        (answer.incarnation == placed.incarnation).then_some(answer)
+    }
+
+    /// Cancels the answer at its engine without waiting for the confirmation.
+    pub(crate) fn cancel(&self, replica: Arc<Replica>) {
+        let engines = self.shared.engines.clone();
+        let request_id = self.request_id;
+        tokio::spawn(async move { engines.cancel(replica.address, request_id).await });
+    }
+
+    /// Returns the id of the caller's event `sequence`, by which any router can resume the answer.
+    pub(crate) fn event_id(&self, placed: &Placed, sequence: u64) -> String {
+        let (replica, incarnation) = (&placed.replica.id, placed.incarnation);
+        format!("{}.{replica}.{incarnation}.{sequence}", self.request_id)
+    }
+
+    /// Notes that the first token has come.
+    pub(crate) fn record_first_token(&self) {}
+
+    /// Learns from the usage in an engine's last chunk.
+    pub(crate) fn read_usage(&self, data: &str) {
+        if !data.contains("cached_tokens") {
+            return;
+        }
+        let Ok(chunk) = serde_json::from_str::<Value>(data) else {
+            return;
+        };
+        let cached = &chunk["usage"]["prompt_tokens_details"]["cached_tokens"];
+        log::debug!(
+            "request: Engine told its usage. request={} cached_tokens={cached}",
+            self.request_id
+        );
+    }
+
+    /// Notes how the answer ended.
+    pub(crate) fn record_end(&mut self, complete: bool) {
+        self.in_flight = None;
+        log::debug!(
+            "request: Ended. request={} complete={complete}",
+            self.request_id
+        );
+    }
+
+    fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+fn accept_status(answer: ChatAnswer) -> Result<ChatAnswer, CallError> {
+    let status = answer.response.status();
+    if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+        return Err(CallError::Lost(format!("the engine answered {status}")));
+    }
+    Ok(answer)
+}
+
+fn worse(ran: RunState, error: &CallError) -> RunState {
+    match error {
+        CallError::NotConnected(_) => ran,
+        CallError::Lost(_) => RunState::Unknown,
+    }
+}
+
+fn no_replica(ran: RunState) -> Reply {
+    Reply {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        code: "no_replica",
+        message: "no replica of the service could take the request".to_owned(),
+        param: None,
+        ran,
+        retry_after: Some(RETRY_AFTER),
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,92 @@
+//! The HTTP front towards callers and operators.
+//!
+//! Handlers are thin: they read the request, ask the pure parts what to do, and write the answer. docs/API.md describes
+//! each path.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
+use salvo::{Router, Server};
+use tokio::runtime::Runtime;
+
+use crate::control::Shared;
+use crate::error::{Error, ErrorKind};
+
+mod body;
+mod caller;
+mod chat;
+mod choice;
+mod continuation;
+mod directory;
+mod dispatch;
+mod health;
+mod plain;
+mod relay;
+mod reply;
+mod tickets;
+
+/// Serves callers on `listener`.
+pub(crate) fn serve_callers(
+    runtime: &Runtime,
+    listener: TcpListener,
+    shared: &Arc<Shared>,
+) -> Result<(), Error> {
+    let routes = Router::new()
+        .push(
+            Router::with_path("services/{name}/{**rest}")
+                .goal(plain::PlainHandler::new(Arc::clone(shared))),
+        )
+        .push(
+            Router::with_path("v1/chat/completions")
+                .post(chat::ChatHandler::new(Arc::clone(shared))),
+        )
+        .push(
+            Router::with_path("v1/entries")
+                .get(directory::DirectoryHandler::new(Arc::clone(shared))),
+        );
+    serve(runtime, listener, shared, routes)
+}
+
+/// Serves operators on `listener`.
+pub(crate) fn serve_operators(
+    runtime: &Runtime,
+    listener: TcpListener,
+    shared: &Arc<Shared>,
+) -> Result<(), Error> {
+    let routes = Router::new()
+        .push(Router::with_path("tickets").post(tickets::TicketHandler::new(Arc::clone(shared))))
+        .push(Router::with_path("healthz").get(health::LiveHandler))
+        .push(Router::with_path("readyz").get(health::ReadyHandler::new(Arc::clone(shared))));
+    serve(runtime, listener, shared, routes)
+}
+
+fn serve(
+    runtime: &Runtime,
+    listener: TcpListener,
+    shared: &Arc<Shared>,
+    routes: Router,
+) -> Result<(), Error> {
+    let acceptor = {
+        let _context = runtime.enter();
+        tokio::net::TcpListener::from_std(listener)
+            .and_then(TcpAcceptor::try_from)
+            .map_err(|error| Error::new(ErrorKind::Io, format!("listener: {error}")))?
+    };
+    let times = &shared.settings.times;
+    let fuse = FuseConfig::default()
+        .with_http1_header_timeout(Duration::from_millis(times.header_timeout_ms))
+        .with_connection_idle_timeout(Duration::from_millis(times.idle_timeout_ms))
+        .with_request_body_timeout(Duration::from_millis(times.body_timeout_ms));
+    let server = Server::new(acceptor)
+        .fuse_config(fuse)
+        .max_connections(shared.settings.bounds.connections);
+    runtime.spawn(async move {
+        if let Err(error) = server.try_serve(routes).await {
+            log::error!("entry: The server has stopped. error={error}");
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/src/entry/plain.rs
@@ -0,0 +1,308 @@
+//! Answers `/services/NAME/...`: calls of plain services.
+//!
+//! An idempotent call may be repeated at another replica. Any other call carries an idempotency key, is given to one
+//! replica at most, and is never repeated once its first byte may have left.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use rand::RngExt;
+use reqwest::header::{HeaderMap, HeaderName};
+use salvo::http::StatusCode;
+use salvo::{Depot, FlowCtrl, Request, Response, async_trait};
+use smallvec::SmallVec;
+
+use super::caller::{authenticate, bad_request, find_service};
+use super::chat::read_body;
+use super::reply::{Reply, RunState, set_header};
+use crate::control::{InFlight, PoolView, Shared};
+use crate::engine::{CallError, PlainCall};
+use crate::id::RequestId;
+use crate::protocol::{HEADER_IDEMPOTENCY_KEY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN};
+use crate::service::{Service, ServiceKind};
+
+/// The replicas that are tried for one call before it is refused.
+const MAX_ATTEMPTS: usize = 3;
+/// The time after which a caller may come back when no replica could take its call.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The headers that concern one connection or the router alone and are not passed on.
+const OWN_HEADERS: [&str; 11] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Handles calls of plain services.
+pub(crate) struct PlainHandler {
+    shared: Arc<Shared>,
+}
+
+/// A whole answer of a plain service.
+#[derive(Clone, Debug)]
+pub(crate) struct PlainAnswer {
+    /// The HTTP status.
+    pub(crate) status: StatusCode,
+    /// The headers to pass on.
+    pub(crate) headers: HeaderMap,
+    /// The body.
+    pub(crate) body: Bytes,
+    /// The replica that answered.
+    pub(crate) replica: Arc<str>,
+}
+
+impl PlainHandler {
+    /// Makes the handler.
+    pub(crate) const fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn answer(&self, request: &mut Request, res: &mut Response) -> Result<(), Reply> {
+        let request_id = RequestId::now_v7();
+        set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
+        let snapshot = self.shared.snapshot.load_full();
+        let account = authenticate(request, &snapshot)?;
+        let name = request.param::<String>("name").unwrap_or_default();
+        let service = find_service(&snapshot, &account, &name, ServiceKind::Plain, "name")?;
+        let pool = snapshot
+            .pools
+            .get(&service.pool)
+            .ok_or_else(|| unknown_pool(&name))?;
+        let limit_bytes = service
+            .body_limit_bytes
+            .min(self.shared.settings.bounds.body_limit_bytes);
+        let body = read_body(request, limit_bytes).await?;
+        let call = plain_call(request, &service, body);
+        let path = call.path.split('?').next().unwrap_or_default();
+        let answer = if service.is_idempotent(call.method.as_str(), path) {
+            self.repeatable(request_id, pool, &call).await?
+        } else {
+            idempotency_key(request)?;
+            self.once(request_id, pool, &call).await?
+        };
+        write_answer(res, answer);
+        Ok(())
+    }
+
+    async fn repeatable(
+        &self,
+        request_id: RequestId,
+        pool: &PoolView,
+        call: &PlainCall,
+    ) -> Result<PlainAnswer, Reply> {
+        let mut excluded = SmallVec::<[usize; MAX_ATTEMPTS]>::new();
+        let mut ran = RunState::NotRun;
+        while excluded.len() < MAX_ATTEMPTS {
+            let Some(index) = choose_least_loaded(pool, &excluded) else {
+                break;
+            };
+            match self.attempt(request_id, pool, index, call).await {
+                Ok(answer) => return Ok(answer),
+                Err(CallError::NotConnected(_)) => {}
+                Err(CallError::Lost(_)) => ran = RunState::Unknown,
+            }
+            excluded.push(index);
+        }
+        Err(no_replica(ran))
+    }
+
+    /// Gives the call to the first replica that takes the connection, and to no other after that.
+    async fn once(
+        &self,
+        request_id: RequestId,
+        pool: &PoolView,
+        call: &PlainCall,
+    ) -> Result<PlainAnswer, Reply> {
+        let mut excluded = SmallVec::<[usize; MAX_ATTEMPTS]>::new();
+        while excluded.len() < MAX_ATTEMPTS {
+            let Some(index) = choose_least_loaded(pool, &excluded) else {
+                break;
+            };
+            match self.attempt(request_id, pool, index, call).await {
+                Ok(answer) => return Ok(answer),
+                Err(CallError::NotConnected(_)) => excluded.push(index),
+                Err(CallError::Lost(_)) => return Err(outcome_unknown()),
+            }
+        }
+        Err(no_replica(RunState::NotRun))
+    }
+
+    async fn attempt(
+        &self,
+        request_id: RequestId,
+        pool: &PoolView,
+        index: usize,
+        call: &PlainCall,
+    ) -> Result<PlainAnswer, CallError> {
+        let view = &pool.replicas[index];
+        let _in_flight = InFlight::new(&view.in_flight);
+        let started = Instant::now();
+        let result = self.call(&view.replica, call).await;
+        match &result {
+            Ok(answer) => log::debug!(
+                "request: Plain call answered. request={request_id} replica={} status={} took_ms={}",
+                view.replica.id,
+                answer.status.as_u16(),
+                started.elapsed().as_millis()
+            ),
+            Err(error) => log::warn!(
+                "request: Attempt failed. request={request_id} replica={} error={error:?}",
+                view.replica.id
+            ),
+        }
+        result
+    }
+
+    async fn call(
+        &self,
+        replica: &crate::pool::Replica,
+        call: &PlainCall,
+    ) -> Result<PlainAnswer, CallError> {
+        let response = self
+            .shared
+            .engines
+            .plain(replica.address, call.clone())
+            .await?;
+        let status = response.status();
+        let mut headers = response.headers().clone();
+        remove_own_headers(&mut headers);
+        let body = response
+            .bytes()
+            .await
+            .map_err(|error| CallError::Lost(error.to_string()))?;
+        Ok(PlainAnswer {
+            status,
+            headers,
+            body,
+            replica: Arc::clone(&replica.id),
+        })
+    }
+}
+
+#[async_trait]
+impl salvo::Handler for PlainHandler {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let _open = self.shared.open_request();
+        if let Err(reply) = self.answer(request, res).await {
+            reply.render(res);
+        }
+    }
+}
+
+/// Chooses the available replica with the fewest requests of this router, at random among equals.
+fn choose_least_loaded(pool: &PoolView, excluded: &[usize]) -> Option<usize> {
+    let count = pool.replicas.len();
+    if count == 0 {
+        return None;
+    }
+    let first = rand::rng().random_range(0..count);
+    (0..count)
+        .map(|step| (first + step) % count)
+        .filter(|index| pool.replicas[*index].available && !excluded.contains(index))
+        .min_by_key(|index| pool.replicas[*index].in_flight.load(Ordering::Relaxed))
+}
+
+fn plain_call(request: &Request, service: &Service, body: Bytes) -> PlainCall {
+    let rest = request.param::<String>("rest").unwrap_or_default();
+    let path = match request.uri().query() {
+        Some(query) => format!("/{rest}?{query}"),
+        None => format!("/{rest}"),
+    };
+    let mut headers = request.headers().clone();
+    remove_own_headers(&mut headers);
+    PlainCall {
+        method: request.method().clone(),
+        path,
+        headers,
+        body,
+        remaining: Duration::from_millis(service.request_timeout_ms),
+    }
+}
+
+fn remove_own_headers(headers: &mut HeaderMap) {
+    for name in OWN_HEADERS {
+        headers.remove(HeaderName::from_static(name));
+    }
+}
+
+fn idempotency_key(request: &Request) -> Result<uuid::Uuid, Reply> {
+    let value = request
+        .headers()
+        .get(HEADER_IDEMPOTENCY_KEY)
+        .ok_or_else(|| bad_key("the header is missing, and this call may not be repeated"))?;
+    let text = value
+        .to_str()
+        .map_err(|_| bad_key("the value is not text"))?;
+    let key = uuid::Uuid::try_parse(text).map_err(|_| bad_key(&format!("{text:?} is no UUID")))?;
+    if key.get_version_num() == 7 {
+        return Ok(key);
+    }
+    Err(bad_key(&format!(
+        "{text:?} is no UUID of version 7, whose time is needed"
+    )))
+}
+
+fn bad_key(reason: &str) -> Reply {
+    bad_request(
+        HEADER_IDEMPOTENCY_KEY,
+        format!("{HEADER_IDEMPOTENCY_KEY}: {reason}"),
+    )
+}
+
+fn write_answer(res: &mut Response, answer: PlainAnswer) {
+    res.status_code(answer.status);
+    for (name, value) in &answer.headers {
+        res.headers_mut().append(name, value.clone());
+    }
+    set_header(res, HEADER_REPLICA, &answer.replica);
+    set_header(res, HEADER_RUN, RunState::Completed.as_str());
+    res.body(answer.body);
+}
+
+fn no_replica(ran: RunState) -> Reply {
+    Reply {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        code: "no_replica",
+        message: "no replica of the service could take the call".to_owned(),
+        param: None,
+        ran,
+        retry_after: Some(RETRY_AFTER),
+    }
+}
+
+fn outcome_unknown() -> Reply {
+    Reply {
+        status: StatusCode::BAD_GATEWAY,
+        code: "outcome_unknown",
+        message: "the replica may have run the call, and its answer was lost".to_owned(),
+        param: None,
+        ran: RunState::Unknown,
+        retry_after: None,
+    }
+}
+
+fn unknown_pool(name: &str) -> Reply {
+    Reply {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        code: "pool_not_known",
+        message: format!("name: the pool of service {name:?} is not known yet"),
+        param: Some("name"),
+        ran: RunState::NotRun,
+        retry_after: Some(RETRY_AFTER),
+    }
+}
--- /dev/null
+++ b/src/entry/reply.rs
@@ -0,0 +1,109 @@
+//! Error answers to callers, in the shape that chat completions clients know.
+//!
+//! Every error answer says in a header whether the request ran, because a caller decides by it whether a resend is safe.
+
+use std::time::Duration;
+
+use salvo::http::StatusCode;
+use salvo::{Response, writing::Json};
+use serde::Serialize;
+
+use crate::protocol::HEADER_RUN;
+
+/// Whether a request ran, as an error answer states it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunState {
+    /// No backend server was given the request, and none will be.
+    NotRun,
+    /// A backend server ran the request.
+    Completed,
+    /// A backend server may have run the request.
+    Unknown,
+}
+
+impl RunState {
+    /// Returns the value of the header that states it.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Completed => "ran",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// An error answer to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Reply {
+    /// The HTTP status.
+    pub(crate) status: StatusCode,
+    /// A short stable code for programs.
+    pub(crate) code: &'static str,
+    /// One sentence for people, which names field and value.
+    pub(crate) message: String,
+    /// The field at fault, where there is one.
+    pub(crate) param: Option<&'static str>,
+    /// Whether the request ran.
+    pub(crate) ran: RunState,
+    /// When the caller may come back, where that helps.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorObject<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorObject<'a> {
+    message: &'a str,
+    r#type: &'static str,
+    param: Option<&'static str>,
+    code: &'static str,
+}
+
+impl Reply {
+    /// Returns the error object as JSON, for an error event in a stream.
+    pub(crate) fn to_json(&self) -> String {
+        serde_json::to_string(&self.body()).unwrap_or_default()
+    }
+
+    /// Writes the reply into `res`.
+    pub(crate) fn render(&self, res: &mut Response) {
+        res.status_code(self.status);
+        set_header(res, HEADER_RUN, self.ran.as_str());
+        if let Some(retry_after) = self.retry_after {
+            let seconds = retry_after.as_millis().div_ceil(1_000).max(1);
+            set_header(res, "retry-after", &seconds.to_string());
+        }
+        res.render(Json(self.body()));
+    }
+
+    fn body(&self) -> ErrorBody<'_> {
+        ErrorBody {
+            error: ErrorObject {
+                message: &self.message,
+                r#type: error_type(self.status),
+                param: self.param,
+                code: self.code,
+            },
+        }
+    }
+}
+
+/// Sets a header whose value is known to be valid; an invalid value leaves the header out.
+pub(crate) fn set_header(res: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        res.headers_mut().insert(name, value);
+    }
+}
+
+fn error_type(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "authentication_error",
+        StatusCode::FORBIDDEN => "permission_error",
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        status if status.is_client_error() => "invalid_request_error",
+        _ => "server_error",
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,19 +2,26 @@
 
 mod account;
 mod configuration;
+mod control;
 mod directory;
+mod engine;
+mod entry;
 mod error;
 mod fault;
 mod id;
+mod listener;
 mod membership;
 mod peer;
 mod pool;
 mod preference;
 mod prefix;
 mod protocol;
+mod router;
 mod service;
+mod settings;
 mod store;
 mod ticket;
+mod usage;
 
 pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
 pub use crate::configuration::{
@@ -23,8 +30,6 @@
     UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
     load as load_configuration, load_root as load_configuration_root,
 };
-pub use crate::account::{Account, AccountLimits, NamedAccount};
-pub use crate::configuration::Configuration;
 pub use crate::directory::Directory;
 pub use crate::error::{Error, ErrorKind};
 pub use crate::fault::Fault;
@@ -32,6 +37,7 @@
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
 };
+pub use crate::listener::bind_listener;
 pub use crate::membership::{
     Heartbeat, Liveness, LoadLevel, Member, MemberRecord, Membership, MembershipOptions,
     Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
@@ -51,7 +57,11 @@
     HEADER_OPENING, HEADER_PRIORITY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN,
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
+pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
+pub use crate::settings::{
+    Bounds, Listen, LogSettings, RouterSettings, Times, parse_json, read_json,
+};
 pub use crate::store::{
     Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
     ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
@@ -59,3 +69,4 @@
 pub use crate::ticket::{
     NewState, Ticket, TicketOutcome, check as check_ticket, submit as submit_ticket,
 };
+pub use crate::usage::{EXIT_USAGE, parse_args};
