Add claims: at most once by conditional update of bucket objects

Cause: a call that may not be repeated must run at most once through any number of routers, resends and outages. Change: buckets of claims with a persisted horizon, a batching writer that settles lost answers by reading back, a ledger that alone lets a claimed call be dispatched or given up, and one place that can say "not run". Conclusion: an earlier send of the same key may have run elsewhere, so a refusal before the claim is "not run" only where no earlier send is possible.

--- /dev/null
+++ b/src/request/claim/bucket.rs
@@ -0,0 +1,295 @@
+//! The value of one bucket object and the rules by which a claim changes it.
+//!
+//! A bucket records the horizon below which it has dropped claims. A key at or below the horizon is turned away, so a
+//! dropped claim can't be claimed anew, whatever the wall clocks of the routers say.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+
+use super::key::{CLAIM_LIFE, CLOCK_MARGIN, Claim, ClaimKey};
+use super::ledger::Disowned;
+
+const MAX_BUCKET_BYTES: usize = 768 << 10;
+const MAX_BUCKET_BYTES_WITH_ANSWERS: usize = 512 << 10;
+const MAX_ANSWER_BYTES: usize = 4 << 10;
+
+/// How far a claimed call has come, as the platform knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum ClaimState {
+    /// An attempt holds the claim; it may run, be running, or have run.
+    Claimed = 0,
+    /// The call ran, and its answer is kept.
+    RanAnswerKept = 1,
+    /// The call ran; its answer was too large to keep.
+    RanAnswerNotKept = 2,
+    /// The attempt gave the claim up and never dispatched.
+    NotRun = 3,
+}
+
+/// The answer of a call that ran, kept for repeats of its key.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct KeptAnswer {
+    /// The HTTP status.
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+    /// The value of the answer's `Content-Type`.
+    #[prost(string, tag = "2")]
+    pub content_type: String,
+    /// The body.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub body: Bytes,
+}
+
+/// One claim in a bucket.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ClaimEntry {
+    /// The client account.
+    #[prost(string, tag = "1")]
+    pub account: String,
+    /// The idempotency key.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub key: Bytes,
+    /// The digest of the request's content.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub digest: Bytes,
+    /// The only attempt that may dispatch.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub attempt: Bytes,
+    /// The router of that attempt.
+    #[prost(string, tag = "5")]
+    pub router: String,
+    /// The life of that router's process.
+    #[prost(uint64, tag = "6")]
+    pub incarnation: u64,
+    /// How far the call has come.
+    #[prost(enumeration = "ClaimState", tag = "7")]
+    pub state: i32,
+    /// The kept answer, for [`ClaimState::RanAnswerKept`] only.
+    #[prost(message, optional, tag = "8")]
+    pub answer: Option<KeptAnswer>,
+    /// The number of the caller's send that the attempt serves; zero where the caller gave none.
+    #[prost(uint32, tag = "9")]
+    pub send_number: u32,
+    /// The time in the key, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "10")]
+    pub key_unix_ms: u64,
+}
+
+/// The value of one bucket object.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Bucket {
+    /// Keys at or below this time are turned away, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "1")]
+    pub horizon_unix_ms: u64,
+    /// The claims, in the order in which they came.
+    #[prost(message, repeated, tag = "2")]
+    pub entries: Vec<ClaimEntry>,
+}
+
+/// What a bucket says to one change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The claim is this attempt's, once the bucket is stored.
+    Granted,
+    /// Another attempt holds or held the claim.
+    Taken(Box<ClaimEntry>),
+    /// The key was used before with another request content.
+    ContentDiffers,
+    /// The key is older than the claims that the bucket still holds, or the claim to settle is no longer there.
+    Expired,
+    /// The bucket can't take another claim.
+    Full,
+    /// The outcome is recorded.
+    Settled,
+}
+
+impl ClaimEntry {
+    /// Tells whether `claim` serves a send that the caller made after the one which this entry served.
+    ///
+    /// An earlier send may still wait in a paused router or in a socket. It must not run after the caller has been told
+    /// "not run", and only the caller's own numbers tell the two apart.
+    #[must_use]
+    pub fn is_before(&self, claim: &Claim) -> bool {
+        let is_numbered = self.send_number > 0;
+        is_numbered
+            && claim
+                .send_number
+                .is_some_and(|number| number > self.send_number)
+    }
+
+    fn of_claim(claim: &Claim) -> Self {
+        Self {
+            account: claim.key.account.to_string(),
+            key: Bytes::copy_from_slice(claim.key.key.as_bytes()),
+            digest: Bytes::copy_from_slice(&claim.digest),
+            attempt: Bytes::copy_from_slice(claim.attempt.as_bytes()),
+            router: claim.router.to_string(),
+            incarnation: claim.incarnation,
+            state: ClaimState::Claimed.into(),
+            answer: None,
+            send_number: claim.send_number.unwrap_or(0),
+            key_unix_ms: claim.key.unix_ms(),
+        }
+    }
+
+    /// Returns the attempt that holds the claim; the nil UUID where the stored bytes are none.
+    #[must_use]
+    pub fn attempt_id(&self) -> uuid::Uuid {
+        uuid::Uuid::from_slice(&self.attempt).unwrap_or_default()
+    }
+
+    fn allows_takeover(&self, claim: &Claim, proof: Option<&Disowned>) -> bool {
+        let is_given_up = match self.state() {
+            ClaimState::NotRun => true,
+            ClaimState::Claimed => proof.is_some_and(|proof| proof.covers(self)),
+            ClaimState::RanAnswerKept | ClaimState::RanAnswerNotKept => false,
+        };
+        is_given_up && self.is_before(claim)
+    }
+}
+
+impl Bucket {
+    /// Reads a bucket from the platform's value.
+    ///
+    /// # Errors
+    ///
+    /// Returns the codec's error where the value is no bucket; the caller then treats the platform as unavailable.
+    pub fn from_value(value: &Bytes) -> Result<Self, prost::DecodeError> {
+        Self::decode(value.clone())
+    }
+
+    /// Returns the value to store.
+    #[must_use]
+    pub fn to_value(&self) -> Bytes {
+        self.encode_to_vec().into()
+    }
+
+    /// Returns the entry of `key`, if any.
+    #[must_use]
+    pub fn entry(&self, key: &ClaimKey) -> Option<&ClaimEntry> {
+        let position = self.position(key)?;
+        self.entries.get(position)
+    }
+
+    fn position(&self, key: &ClaimKey) -> Option<usize> {
+        self.entries.iter().position(|entry| {
+            entry.key == key.key.as_bytes().as_slice() && *entry.account == *key.account
+        })
+    }
+
+    /// Enters `claim`, taking over a claim that was given up where `proof` or the entry's own state allows it.
+    pub fn claim(&mut self, claim: &Claim, proof: Option<&Disowned>) -> Verdict {
+        if claim.key.unix_ms() <= self.horizon_unix_ms {
+            return Verdict::Expired;
+        }
+        let Some(position) = self.position(&claim.key) else {
+            return self.append(claim);
+        };
+        let entry = &mut self.entries[position];
+        if entry.digest != claim.digest.as_slice() {
+            return Verdict::ContentDiffers;
+        }
+        let is_own = entry.attempt_id() == claim.attempt && entry.state() == ClaimState::Claimed;
+        if is_own {
+            return Verdict::Granted;
+        }
+        if !entry.allows_takeover(claim, proof) {
+            return Verdict::Taken(Box::new(entry.clone()));
+        }
+        *entry = ClaimEntry::of_claim(claim);
+        Verdict::Granted
+    }
+
+    fn append(&mut self, claim: &Claim) -> Verdict {
+        let entry = ClaimEntry::of_claim(claim);
+        if self.encoded_len() + entry.encoded_len() > MAX_BUCKET_BYTES {
+            return Verdict::Full;
+        }
+        self.entries.push(entry);
+        Verdict::Granted
+    }
+
+    /// Records that `attempt` ran, with its answer where there is room for it.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the claim says that this attempt did not run: the at-most-once invariant is broken.
+    pub fn settle_ran(
+        &mut self,
+        key: &ClaimKey,
+        attempt: uuid::Uuid,
+        answer: Option<&KeptAnswer>,
+    ) -> Verdict {
+        let room = MAX_BUCKET_BYTES_WITH_ANSWERS.saturating_sub(self.encoded_len());
+        let entry = match self.entry_of_attempt(key, attempt) {
+            Ok(entry) => entry,
+            Err(verdict) => return verdict,
+        };
+        assert!(
+            entry.state() != ClaimState::NotRun,
+            "an attempt ran after it was recorded as not run"
+        );
+        if entry.state() != ClaimState::Claimed {
+            return Verdict::Settled;
+        }
+        let kept = answer.filter(|answer| answer.encoded_len() <= room.min(MAX_ANSWER_BYTES));
+        entry.answer = kept.cloned();
+        entry.set_state(match kept {
+            Some(_) => ClaimState::RanAnswerKept,
+            None => ClaimState::RanAnswerNotKept,
+        });
+        Verdict::Settled
+    }
+
+    /// Records that `attempt` was given up without a dispatch.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the claim says that the same attempt ran: the at-most-once invariant is broken.
+    pub fn settle_not_run(&mut self, key: &ClaimKey, attempt: uuid::Uuid) -> Verdict {
+        let entry = match self.entry_of_attempt(key, attempt) {
+            Ok(entry) => entry,
+            Err(verdict) => return verdict,
+        };
+        let ran = matches!(
+            entry.state(),
+            ClaimState::RanAnswerKept | ClaimState::RanAnswerNotKept
+        );
+        assert!(!ran, "an attempt was given up as not run after it ran");
+        entry.set_state(ClaimState::NotRun);
+        Verdict::Settled
+    }
+
+    fn entry_of_attempt(
+        &mut self,
+        key: &ClaimKey,
+        attempt: uuid::Uuid,
+    ) -> Result<&mut ClaimEntry, Verdict> {
+        let Some(position) = self.position(key) else {
+            return Err(Verdict::Expired);
+        };
+        let entry = &mut self.entries[position];
+        if entry.attempt_id() == attempt {
+            return Ok(entry);
+        }
+        Err(Verdict::Taken(Box::new(entry.clone())))
+    }
+
+    /// Drops the claims whose keys are older than the claims' life at `unix_now` and raises the horizon to match.
+    pub fn prune(&mut self, unix_now: Duration) {
+        let cutoff = unix_now.saturating_sub(CLAIM_LIFE + CLOCK_MARGIN);
+        let cutoff_unix_ms = cutoff.as_millis() as u64;
+        if cutoff_unix_ms <= self.horizon_unix_ms {
+            return;
+        }
+        let count = self.entries.len();
+        self.entries
+            .retain(|entry| entry.key_unix_ms > cutoff_unix_ms);
+        if self.entries.len() < count {
+            self.horizon_unix_ms = cutoff_unix_ms;
+        }
+    }
+}
--- /dev/null
+++ b/src/request/claim/tests/world.rs
@@ -0,0 +1,524 @@
+//! Routers, callers, a platform and a service that counts runs, driven in random order with random faults.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use uuid::Uuid;
+
+use super::parts::{
+    Call, EPOCH, Ends, Envelope, Faults, Live, Message, Router, new_call, new_router, router_name,
+};
+use super::store::{FakeStore, LateWrite};
+use crate::request::claim::{
+    Action, Attempt, AttemptId, Change, Claim, ClaimKey, Decision, Disowned, DispatchPermit,
+    KeptAnswer, ReadOutcome, Step, WriterTicket, bucket_of, check_key,
+};
+use crate::request::refusal::{EarlierSends, End, Undispatched};
+
+const ROUTERS: usize = 3;
+const CALLS: usize = 3;
+const MAX_SENDS: usize = 5;
+const STEPS: usize = 260;
+const SUBMIT_TIMEOUT: Duration = Duration::from_millis(400);
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+pub(super) struct World {
+    rng: ChaCha8Rng,
+    faults: Faults,
+    now: Duration,
+    store: FakeStore,
+    routers: Vec<Router>,
+    calls: Vec<Call>,
+    wire: Vec<Envelope>,
+    next_ticket: WriterTicket,
+    pub(super) ends: Ends,
+}
+
+impl World {
+    pub(super) fn new(seed: u64, faults: Faults) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let skew_bound_ms = match faults {
+            Faults::None => 1,
+            Faults::All => 900,
+            Faults::WildClocks => 7_200_000,
+        };
+        let mut new_skew = || rng.random_range(-skew_bound_ms..=skew_bound_ms);
+        let routers = (0..ROUTERS).map(|index| new_router(index, 1, new_skew()));
+        let routers = routers.collect();
+        let calls = (0..CALLS).map(|_| new_call(&mut rng)).collect();
+        Self {
+            rng,
+            faults,
+            now: Duration::ZERO,
+            store: FakeStore::default(),
+            routers,
+            calls,
+            wire: Vec::new(),
+            next_ticket: 0,
+            ends: Ends::default(),
+        }
+    }
+
+    /// Runs the world to its end and checks what must hold for each call.
+    pub(super) fn run(&mut self) {
+        for _ in 0..STEPS {
+            self.step();
+        }
+        self.faults = match self.faults {
+            Faults::WildClocks => Faults::WildClocks,
+            _ => Faults::None,
+        };
+        self.settle_down();
+        for call in &self.calls {
+            assert!(call.runs <= 1, "a call ran twice");
+            let is_last = call.not_run_at_send == call.sends.checked_sub(1);
+            assert!(
+                !is_last || call.runs == 0,
+                "a call ran after its caller was told that it did not"
+            );
+            self.ends.runs += u64::from(call.runs);
+        }
+    }
+
+    fn settle_down(&mut self) {
+        self.store.is_down = false;
+        for router in &mut self.routers {
+            router.is_paused = false;
+        }
+        for _ in 0..400 {
+            self.deliver_some();
+            self.now += Duration::from_millis(10);
+            self.poll_all();
+        }
+    }
+
+    fn step(&mut self) {
+        let has_faults = self.faults != Faults::None;
+        match self.rng.random_range(0..100) {
+            0..6 => self.caller_sends(),
+            6..12 => self.advance_clock(),
+            12..40 => self.poll_all(),
+            40 if has_faults => self.crash(),
+            41..44 if has_faults => self.pause_or_resume(),
+            44 if has_faults => self.store.is_down = !self.store.is_down && self.chance(3),
+            45..48 if has_faults => self.apply_late_write(),
+            _ => self.deliver_some(),
+        }
+    }
+
+    fn advance_clock(&mut self) {
+        let step_ms = match self.rng.random_range(0..60) {
+            0 if self.faults != Faults::None => 3_700_000,
+            1..12 => 3_000,
+            _ => self.rng.random_range(1..120),
+        };
+        self.now += Duration::from_millis(step_ms);
+    }
+
+    fn caller_sends(&mut self) {
+        let call = self.rng.random_range(0..CALLS);
+        if self.calls[call].sends == MAX_SENDS {
+            return;
+        }
+        let send = self.calls[call].sends;
+        self.calls[call].sends += 1;
+        let router = self.rng.random_range(0..ROUTERS);
+        let to = (router, self.routers[router].incarnation);
+        self.post(to, to, Message::Send(call, send));
+    }
+
+    fn crash(&mut self) {
+        let index = self.rng.random_range(0..ROUTERS);
+        let router = &self.routers[index];
+        let (incarnation, skew_ms) = (router.incarnation + 1, router.skew_ms);
+        self.routers[index] = new_router(index, incarnation, skew_ms);
+    }
+
+    fn pause_or_resume(&mut self) {
+        let index = self.rng.random_range(0..ROUTERS);
+        let is_pause = self.chance(3);
+        let router = &mut self.routers[index];
+        router.is_paused = !router.is_paused && is_pause;
+    }
+
+    fn apply_late_write(&mut self) {
+        if self.store.late.is_empty() || self.store.is_down {
+            return;
+        }
+        let index = self.rng.random_range(0..self.store.late.len());
+        let write = self.store.late.swap_remove(index);
+        self.store.apply(&write);
+    }
+
+    fn post(&mut self, from: (usize, u64), to: (usize, u64), message: Message) {
+        self.wire.push(Envelope { from, to, message });
+    }
+
+    fn unix_now(&self, router: usize) -> Duration {
+        let now_ms = (EPOCH + self.now).as_millis() as i64 + self.routers[router].skew_ms;
+        Duration::from_millis(now_ms as u64)
+    }
+
+    fn chance(&mut self, one_in: u32) -> bool {
+        self.faults != Faults::None && self.rng.random_range(0..one_in) == 0
+    }
+
+    fn deliver_some(&mut self) {
+        if self.wire.is_empty() {
+            return;
+        }
+        let index = self.rng.random_range(0..self.wire.len());
+        let is_outside = matches!(
+            self.wire[index].message,
+            Message::Read(_) | Message::Write(_) | Message::Call(..)
+        );
+        let (router, incarnation) = self.wire[index].to;
+        if !is_outside && self.routers[router].is_paused {
+            return;
+        }
+        let envelope = self.wire.swap_remove(index);
+        if !is_outside && self.routers[router].incarnation != incarnation {
+            return;
+        }
+        self.handle(envelope);
+    }
+
+    fn handle(&mut self, envelope: Envelope) {
+        let Envelope { from, to, message } = envelope;
+        match message {
+            Message::Send(call, send) => self.take_in(to.0, call, send),
+            Message::Read(bucket) => {
+                let outcome = match self.chance(10) {
+                    true => ReadOutcome::Unavailable,
+                    false => self.store.read(bucket),
+                };
+                self.post(to, to, Message::ReadReply(bucket, outcome));
+            }
+            Message::Write(write) => {
+                let bucket = write.bucket;
+                let has_faults = self.faults != Faults::None;
+                let outcome = self.store.put(write, has_faults, &mut self.rng);
+                self.post(to, to, Message::PutReply(bucket, outcome));
+            }
+            Message::ReadReply(bucket, outcome) => {
+                let (now, unix_now) = (self.now, self.unix_now(to.0));
+                let writer = self.routers[to.0].writers.get_mut(&bucket).unwrap();
+                let actions = writer.read_done(&outcome, now, unix_now);
+                self.act(to.0, bucket, actions);
+            }
+            Message::PutReply(bucket, outcome) => {
+                let (now, unix_now) = (self.now, self.unix_now(to.0));
+                let writer = self.routers[to.0].writers.get_mut(&bucket).unwrap();
+                let actions = writer.put_done(outcome, now, unix_now);
+                self.act(to.0, bucket, actions);
+            }
+            Message::Submit(change, attempt) => self.submit(from, to.0, change, attempt),
+            Message::Decision(attempt, decision) => self.decided(to.0, attempt, decision),
+            Message::Query(attempt) => self.answer_query(from, to, attempt),
+            Message::Word(attempt, word) => self.take_word(to.0, attempt, word),
+            Message::Call(attempt, key, connects) => self.serve(to, attempt, &key, connects),
+            Message::Answer(attempt, request_id, body) => {
+                self.answered(to.0, attempt, request_id, body);
+            }
+        }
+    }
+
+    fn take_in(&mut self, router: usize, call: usize, send: usize) {
+        let unix_now = self.unix_now(router);
+        let key = self.calls[call].key.clone();
+        let is_numbered = self.calls[call].is_numbered;
+        let send_number = is_numbered.then_some(send as u32 + 1);
+        let earlier_sends = EarlierSends::of_send_number(send_number);
+        let undispatched = match check_key(&key, Undispatched::new(earlier_sends), unix_now) {
+            Ok(undispatched) => undispatched,
+            Err(end) => return self.finish(call, send, &end),
+        };
+        let claim = Claim {
+            key,
+            digest: [call as u8; 16],
+            attempt: Uuid::from_u128(self.rng.random()),
+            router: router_name(router),
+            incarnation: self.routers[router].incarnation,
+            send_number,
+        };
+        let id = claim.attempt;
+        let ledger = &mut self.routers[router].ledger;
+        let (attempt, step) = Attempt::begin(claim, undispatched, ledger);
+        let live = Live {
+            call,
+            send,
+            attempt,
+            permit: None,
+            since: self.now,
+            asked: None,
+        };
+        self.routers[router].live.insert(id, live);
+        self.follow(router, id, step);
+    }
+
+    /// Carries out what the state machine of a send asks for.
+    fn follow(&mut self, router: usize, id: AttemptId, step: Step) {
+        let own = (router, self.routers[router].incarnation);
+        match step {
+            Step::Submit(claim, proof) => {
+                self.ends.takeovers += u64::from(proof.is_some());
+                let change = Change::Claim(claim, proof);
+                self.send_to_owner(own, change, Some(id));
+            }
+            Step::AskRouter(name, incarnation, attempt) => {
+                let index = (0..ROUTERS).find(|index| router_name(*index) == name);
+                let live = self.routers[router].live.get_mut(&id).unwrap();
+                live.asked = Some(attempt);
+                let to = (index.unwrap(), incarnation);
+                self.post(own, to, Message::Query(attempt));
+            }
+            Step::Dispatch(permit) => self.dispatch(router, id, permit),
+            Step::Replay(answer) => {
+                let live = self.routers[router].live.remove(&id).unwrap();
+                let body = Uuid::from_slice(&answer.body).unwrap();
+                self.caller_answered(live.call, body);
+            }
+            Step::Finish(end) => {
+                let live = self.routers[router].live.remove(&id).unwrap();
+                self.finish(live.call, live.send, &end);
+            }
+            Step::Ignore => {}
+        }
+    }
+
+    fn send_to_owner(&mut self, own: (usize, u64), change: Change, attempt: Option<AttemptId>) {
+        let owner = self.rng.random_range(0..ROUTERS);
+        let to = (owner, self.routers[owner].incarnation);
+        if self.chance(8) {
+            self.post(own, own, Message::Submit(change.clone(), attempt));
+        }
+        if !self.chance(12) {
+            self.post(own, to, Message::Submit(change, attempt));
+        }
+    }
+
+    fn submit(
+        &mut self,
+        from: (usize, u64),
+        router: usize,
+        change: Change,
+        attempt: Option<AttemptId>,
+    ) {
+        let bucket = match &change {
+            Change::Claim(claim, _) => bucket_of(&claim.key),
+            Change::SettleRan(key, ..) | Change::SettleNotRun(key, _) => bucket_of(key),
+        };
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let timeout = match attempt {
+            Some(_) => SUBMIT_TIMEOUT,
+            None => SETTLE_TIMEOUT,
+        };
+        let now = self.now;
+        let owner = &mut self.routers[router];
+        if let Some(attempt) = attempt {
+            owner.tickets.insert(ticket, (from, attempt));
+        }
+        let writer = owner.writers.entry(bucket).or_default();
+        let action = writer.submit(ticket, change, now, now + timeout);
+        self.act(router, bucket, action.into_iter().collect());
+        self.poll(router, bucket);
+    }
+
+    fn act(&mut self, router: usize, bucket: u32, actions: Vec<Action>) {
+        let own = (router, self.routers[router].incarnation);
+        for action in actions {
+            match action {
+                Action::Read => self.post(own, own, Message::Read(bucket)),
+                Action::Put(condition, value) => {
+                    let write = LateWrite {
+                        bucket,
+                        condition,
+                        value,
+                    };
+                    self.post(own, own, Message::Write(write));
+                }
+                Action::Decide(ticket, decision) => {
+                    let Some((to, attempt)) = self.routers[router].tickets.remove(&ticket) else {
+                        continue;
+                    };
+                    if self.chance(10) {
+                        let copy = Message::Decision(attempt, decision.clone());
+                        self.post(own, to, copy);
+                    }
+                    if !self.chance(12) {
+                        self.post(own, to, Message::Decision(attempt, decision));
+                    }
+                }
+            }
+        }
+    }
+
+    fn decided(&mut self, router: usize, id: AttemptId, decision: Decision) {
+        let Router { ledger, live, .. } = &mut self.routers[router];
+        let Some(live) = live.get_mut(&id) else {
+            return;
+        };
+        let step = live.attempt.decided(decision, ledger);
+        self.follow(router, id, step);
+    }
+
+    fn answer_query(&mut self, from: (usize, u64), to: (usize, u64), attempt: AttemptId) {
+        use crate::request::claim::AttemptPhase::Disowned as Given;
+        let word = match self.routers[to.0].ledger.phase(attempt) {
+            Some(Given(disowned)) => Some(disowned.clone()),
+            _ => None,
+        };
+        self.post(to, from, Message::Word(attempt, word));
+    }
+
+    fn take_word(&mut self, router: usize, attempt: AttemptId, word: Option<Disowned>) {
+        let mut live = self.routers[router].live.iter();
+        let Some((&id, _)) = live.find(|(_, live)| live.asked == Some(attempt)) else {
+            return;
+        };
+        let Router { ledger, live, .. } = &mut self.routers[router];
+        let live = live.get_mut(&id).unwrap();
+        live.asked = None;
+        let step = live.attempt.answered_by_router(word, ledger);
+        self.follow(router, id, step);
+    }
+
+    fn dispatch(&mut self, router: usize, id: AttemptId, permit: DispatchPermit) {
+        let own = (router, self.routers[router].incarnation);
+        let connects = !self.chance(4);
+        let live = self.routers[router].live.get_mut(&id).unwrap();
+        let key = live.attempt.claim().key.clone();
+        live.permit = Some(permit);
+        live.since = self.now;
+        self.post(own, own, Message::Call(id, key, connects));
+    }
+
+    /// The service: runs the call, or crashes before or after it, and answers once, twice, crossed or never.
+    fn serve(&mut self, from: (usize, u64), id: AttemptId, key: &ClaimKey, connects: bool) {
+        if !connects {
+            return self.connect_failed(from, id);
+        }
+        if self.chance(12) {
+            return;
+        }
+        let call = self.calls.iter_mut().find(|call| call.key == *key).unwrap();
+        call.runs += 1;
+        assert!(call.runs <= 1, "a call ran twice");
+        if self.chance(8) {
+            return;
+        }
+        let copies = 1 + usize::from(self.chance(8));
+        for _ in 0..copies {
+            let request_id = match self.chance(12) {
+                true => Uuid::from_u128(self.rng.random()),
+                false => id,
+            };
+            self.post(from, from, Message::Answer(id, request_id, key.key));
+        }
+    }
+
+    fn connect_failed(&mut self, from: (usize, u64), id: AttemptId) {
+        let is_alive = self.routers[from.0].incarnation == from.1;
+        if !is_alive || !self.routers[from.0].live.contains_key(&id) {
+            return;
+        }
+        let is_last = self.rng.random_range(0..2) == 0;
+        let Router { ledger, live, .. } = &mut self.routers[from.0];
+        let state = live.get_mut(&id).unwrap();
+        let permit = state.permit.take().unwrap();
+        if !is_last {
+            let permit = state.attempt.connect_failed(permit, ledger);
+            return self.dispatch(from.0, id, permit);
+        }
+        let retry_after = Duration::from_secs(1);
+        let (end, change) = state.attempt.no_replica(permit, retry_after, ledger);
+        let live = live.remove(&id).unwrap();
+        self.send_to_owner(from, change, None);
+        self.finish(live.call, live.send, &end);
+    }
+
+    fn answered(&mut self, router: usize, id: AttemptId, request_id: AttemptId, body: Uuid) {
+        let own = (router, self.routers[router].incarnation);
+        let is_large = self.rng.random_range(0..4) == 0;
+        let Router { ledger, live, .. } = &mut self.routers[router];
+        if request_id != id || !live.contains_key(&id) {
+            return;
+        }
+        let mut live = live.remove(&id).unwrap();
+        let answer = KeptAnswer {
+            status: 200,
+            content_type: String::new(),
+            body: Bytes::copy_from_slice(body.as_bytes()),
+        };
+        let answer = (!is_large).then_some(answer);
+        let change = live.attempt.ran(answer, ledger);
+        self.send_to_owner(own, change, None);
+        self.caller_answered(live.call, body);
+    }
+
+    fn poll_all(&mut self) {
+        for router in 0..ROUTERS {
+            if self.routers[router].is_paused {
+                continue;
+            }
+            let buckets: Vec<u32> = self.routers[router].writers.keys().copied().collect();
+            for bucket in buckets {
+                self.poll(router, bucket);
+            }
+            self.time_out(router);
+        }
+    }
+
+    fn poll(&mut self, router: usize, bucket: u32) {
+        let (now, unix_now) = (self.now, self.unix_now(router));
+        let writer = self.routers[router].writers.get_mut(&bucket).unwrap();
+        let actions = writer.poll(now, unix_now);
+        self.act(router, bucket, actions);
+    }
+
+    fn time_out(&mut self, router: usize) {
+        let now = self.now;
+        let live = self.routers[router].live.iter();
+        let late = live.filter(|(_, live)| live.since + SUBMIT_TIMEOUT * 2 < now);
+        let late: Vec<AttemptId> = late.map(|(id, _)| *id).collect();
+        for id in late {
+            let Router { ledger, live, .. } = &mut self.routers[router];
+            let state = live.get_mut(&id).unwrap();
+            let step = match state.permit {
+                Some(_) => Step::Finish(state.attempt.answer_lost(ledger)),
+                None => state.attempt.unavailable(ledger),
+            };
+            self.follow(router, id, step);
+        }
+    }
+
+    fn caller_answered(&mut self, call: usize, body: Uuid) {
+        let call = &self.calls[call];
+        assert_eq!(call.key.key, body, "a caller got another call's answer");
+        assert_eq!(call.runs, 1, "an answer came of a call that did not run");
+        self.ends.answered += 1;
+    }
+
+    fn finish(&mut self, call: usize, send: usize, end: &End) {
+        let call = &mut self.calls[call];
+        match end {
+            End::Answered => unreachable!("answers take another way"),
+            End::RanAnswerNotKept => {
+                assert_eq!(call.runs, 1, "told that a call ran which did not");
+                self.ends.answer_not_kept += 1;
+            }
+            End::OutcomeUnknown(_) => self.ends.unknown += 1,
+            End::NotRun(_) => {
+                assert!(
+                    send + 1 < call.sends || call.runs == 0,
+                    "refused after it ran"
+                );
+                call.not_run_at_send = call.not_run_at_send.max(Some(send));
+                self.ends.not_run += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,8 @@
+//! The life of one request, from admission to its last byte.
+//!
+//! All decisions are pure state machines; the shells in `entry/` and `peer/` carry their outcomes out.
+//! See docs/design/requests.md.
+
+pub mod claim;
+pub mod message;
+pub mod refusal;
