--- a/src/request/claim/tests/mod.rs
+++ b/src/request/claim/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Randomised and focused tests of the claims.
 
+mod cost;
 mod parts;
 mod store;
 mod world;
--- a/src/request/claim/tests/world.rs
+++ b/src/request/claim/tests/world.rs
@@ -412,11 +412,11 @@
         }
         let copies = 1 + usize::from(self.chance(8));
         for _ in 0..copies {
-            let request_id = match self.chance(12) {
-                true => Uuid::from_u128(self.rng.random()),
-                false => id,
+            let (request_id, body) = match self.chance(12) {
+                true => (Uuid::from_u128(self.rng.random()), Uuid::max()),
+                false => (id, key.key),
             };
-            self.post(from, from, Message::Answer(id, request_id, key.key));
+            self.post(from, from, Message::Answer(id, request_id, body));
         }
     }
 
