Add the stream assembler and event ids

Cause: answers must arrive whole and in order over connections that reorder, double, cross, drop or go silent, and a caller whose router died must be able to resume through another. Change: an assembler that delivers each chunk once and in order and asks for a resume on a new connection after a close, a silence, a crossed chunk or a gap; event ids authenticated together with the client account. Conclusion: the shell has to wire it to the engines; the assembler needs no text of its own.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,8 +30,7 @@
     HEADER_OPENING, HEADER_PRIORITY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN,
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
-pub use crate::request::claim;
 pub use crate::request::message as request_message;
-pub use crate::request::refusal;
+pub use crate::request::{claim, event_id, refusal, stream};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
 pub use crate::store::{ObjectVersion, PutCondition, PutOutcome, Versioned};
--- /dev/null
+++ b/src/request/event_id.rs
@@ -0,0 +1,111 @@
+//! Event ids of answer streams, by which a caller resumes through any router.
+//!
+//! An id names replica, incarnation, stream and sequence, so a router that has never seen the stream finds it. The id is
+//! authenticated together with the client account: a caller can neither reach another account's stream nor make up one.
+
+use std::fmt::Write;
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+use crate::id::{AccountId, Incarnation, ReplicaId, RequestId};
+
+const MAC_BYTES: usize = 16;
+const MAX_ID_BYTES: usize = 512;
+
+/// The place of one event in an engine's stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventId {
+    /// The replica that keeps the stream.
+    pub replica: ReplicaId,
+    /// The life of that replica.
+    pub incarnation: Incarnation,
+    /// The request whose answer the stream is.
+    pub stream: RequestId,
+    /// The event's sequence in the stream.
+    pub sequence: u64,
+}
+
+/// The key that all routers of a deployment share for event ids.
+#[derive(Clone)]
+pub struct EventIdKey(Hmac<Sha256>);
+
+impl EventIdKey {
+    /// Derives the key from the secret that the routers share.
+    ///
+    /// # Panics
+    ///
+    /// Never: HMAC takes keys of any length.
+    #[must_use]
+    pub fn derive(secret: &[u8]) -> Self {
+        let mut derivation = Hmac::<Sha256>::new_from_slice(secret).expect("HMAC takes any key");
+        derivation.update(b"crocuswharf event id");
+        let key = derivation.finalize().into_bytes();
+        Self(Hmac::new_from_slice(&key).expect("HMAC takes any key"))
+    }
+
+    fn mac(&self, account: &AccountId, text: &str) -> [u8; MAC_BYTES] {
+        let mut mac = self.0.clone();
+        mac.update(&(account.len() as u64).to_be_bytes());
+        mac.update(account.as_bytes());
+        mac.update(text.as_bytes());
+        let full: [u8; 32] = mac.finalize().into_bytes().into();
+        let mut short = [0; MAC_BYTES];
+        short.copy_from_slice(&full[..MAC_BYTES]);
+        short
+    }
+}
+
+impl EventId {
+    /// Writes the id for the `id` field of a server-sent event to `account`.
+    #[must_use]
+    pub fn encode(&self, account: &AccountId, key: &EventIdKey) -> String {
+        let stream = self.stream.simple();
+        let (replica, incarnation, sequence) = (&self.replica, self.incarnation, self.sequence);
+        let mut text = format!("{replica}.{incarnation:x}.{stream}.{sequence:x}");
+        let mac = key.mac(account, &text);
+        text.push('.');
+        for byte in mac {
+            write!(text, "{byte:02x}").expect("a String takes all text");
+        }
+        text
+    }
+
+    /// Reads an id that `account` sent back; returns `None` where it was not made for that account.
+    #[must_use]
+    pub fn decode(text: &str, account: &AccountId, key: &EventIdKey) -> Option<Self> {
+        if text.len() > MAX_ID_BYTES {
+            return None;
+        }
+        let (signed, mac) = text.rsplit_once('.')?;
+        let expected = key.mac(account, signed);
+        let is_genuine: bool = decode_mac(mac)?.ct_eq(&expected).into();
+        is_genuine.then(|| Self::parse(signed)).flatten()
+    }
+
+    fn parse(signed: &str) -> Option<Self> {
+        let mut parts = signed.rsplitn(4, '.');
+        let sequence = u64::from_str_radix(parts.next()?, 16).ok()?;
+        let stream = uuid::Uuid::try_parse(parts.next()?).ok()?;
+        let incarnation = u64::from_str_radix(parts.next()?, 16).ok()?;
+        let replica = parts.next()?.into();
+        Some(Self {
+            replica,
+            incarnation,
+            stream,
+            sequence,
+        })
+    }
+}
+
+fn decode_mac(text: &str) -> Option<[u8; MAC_BYTES]> {
+    if text.len() != MAC_BYTES * 2 || !text.is_ascii() {
+        return None;
+    }
+    let mut mac = [0; MAC_BYTES];
+    for (index, byte) in mac.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[index * 2..index * 2 + 2], 16).ok()?;
+    }
+    Some(mac)
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -4,5 +4,10 @@
 //! See docs/design/requests.md.
 
 pub mod claim;
+pub mod event_id;
 pub mod message;
 pub mod refusal;
+pub mod stream;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/request/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of streams, event ids, retries, hedges, ejection and the drain.
+
+mod stream;
--- /dev/null
+++ b/src/request/tests/stream.rs
@@ -0,0 +1,151 @@
+//! Streams against an engine whose connections reorder, double, cross, drop and go silent.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use uuid::Uuid;
+use yare::parameterized;
+
+use crate::request::event_id::{EventId, EventIdKey};
+use crate::request::stream::{
+    Assembler, Chunk, Interruption, ResumePlace, StreamError, StreamLimits, StreamStep,
+};
+
+const LIMITS: StreamLimits = StreamLimits {
+    silence_limit: Duration::from_secs(2),
+    max_interruptions: 1_000,
+};
+/// Chunks of an old connection that still arrive after a new one was made.
+const LATE_CHUNKS: usize = 3;
+const REQUEST: Uuid = Uuid::from_u128(7);
+
+fn chunk(sequence: u64, last: u64) -> Chunk {
+    Chunk {
+        request_id: REQUEST,
+        sequence,
+        data: Bytes::from(sequence.to_string()),
+        is_last: sequence == last,
+    }
+}
+
+fn cases() -> u64 {
+    let cases = std::env::var("CROCUSWHARF_CASES").ok();
+    cases.map_or(500, |cases| cases.parse().expect("a number of cases"))
+}
+
+/// Streams one answer through random faults; returns what the caller got.
+fn stream_through_faults(seed: u64, last: u64) -> Vec<u64> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut now = Duration::ZERO;
+    let mut assembler = Assembler::new(REQUEST, LIMITS, now);
+    let mut connection = 0;
+    let mut wire: Vec<(u32, Chunk)> = (1..=last).map(|s| (0, chunk(s, last))).collect();
+    let mut got = Vec::new();
+    while !assembler.is_over() {
+        let step = match (rng.random_range(0..20), wire.is_empty()) {
+            (0, _) => assembler.interrupted(connection, Interruption::Closed, now),
+            (1, _) => {
+                let mut crossed = chunk(assembler.delivered() + 1, last);
+                crossed.request_id = Uuid::from_u128(8);
+                crossed.data = Bytes::from_static(b"crossed");
+                assembler.chunk(connection, crossed, now)
+            }
+            (2, _) | (_, true) => {
+                now += LIMITS.silence_limit;
+                assembler.poll(now)
+            }
+            (fault, false) => {
+                let near = wire.len().min(4);
+                let index = rng.random_range(0..near);
+                let (on, chunk) = match fault {
+                    3 => wire[index].clone(),
+                    _ => wire.remove(index),
+                };
+                match fault {
+                    4 => StreamStep::Wait,
+                    _ => assembler.chunk(on, chunk, now),
+                }
+            }
+        };
+        match step {
+            StreamStep::Deliver(chunks) => {
+                got.extend(chunks.iter().map(|chunk| chunk.sequence));
+                let is_own = |c: &Chunk| c.data == c.sequence.to_string().as_bytes();
+                assert!(chunks.iter().all(is_own), "a crossed chunk was delivered");
+            }
+            StreamStep::Wait => {}
+            StreamStep::Resume {
+                connection: new,
+                after_sequence,
+                ..
+            } => {
+                connection = new;
+                wire.truncate(LATE_CHUNKS);
+                wire.extend((after_sequence + 1..=last).map(|s| (new, chunk(s, last))));
+            }
+            StreamStep::Fail(error) => panic!("the stream failed: {error:?}"),
+        }
+    }
+    got
+}
+
+#[test]
+fn assembler_all_faults() {
+    for seed in 0..cases() {
+        let got = stream_through_faults(seed, 30);
+        let whole: Vec<u64> = (1..=30).collect();
+        assert_eq!(got, whole, "seed {seed}");
+    }
+}
+
+#[test]
+fn assembler_lost_stream_moves() {
+    let mut assembler = Assembler::new(REQUEST, LIMITS, Duration::ZERO);
+    assembler.chunk(0, chunk(1, 9), Duration::ZERO);
+    let step = assembler.interrupted(0, Interruption::StreamLost, Duration::ZERO);
+    let StreamStep::Resume { place, .. } = step else {
+        panic!("the stream did not go on: {step:?}");
+    };
+    assert_eq!(place, ResumePlace::OtherReplica);
+    assembler.moved(REQUEST, Duration::ZERO);
+    let step = assembler.chunk(1, chunk(1, 1), Duration::ZERO);
+    assert!(matches!(step, StreamStep::Deliver(_)));
+    assert!(assembler.is_over());
+}
+
+#[test]
+fn assembler_too_many_interruptions() {
+    let limits = StreamLimits {
+        max_interruptions: 1,
+        ..LIMITS
+    };
+    let mut assembler = Assembler::new(REQUEST, limits, Duration::ZERO);
+    assembler.interrupted(0, Interruption::Closed, Duration::ZERO);
+    let step = assembler.poll(LIMITS.silence_limit);
+    assert_eq!(step, StreamStep::Fail(StreamError::TooManyInterruptions));
+}
+
+#[parameterized(
+    same_account = { "shinewell", None, true },
+    other_account = { "cedarbunk", None, false },
+    changed_first_byte = { "shinewell", Some(0), false },
+    changed_sequence = { "shinewell", Some(44), false },
+)]
+fn event_id_decode(account: &str, changed_byte: Option<usize>, is_accepted: bool) {
+    let id = EventId {
+        replica: "wharf.3".into(),
+        incarnation: 17,
+        stream: REQUEST,
+        sequence: 5,
+    };
+    let key = EventIdKey::derive(b"secret");
+    let mut text = id.encode(&"shinewell".into(), &key).into_bytes();
+    if let Some(index) = changed_byte {
+        text[index] ^= 1;
+    }
+    let text = String::from_utf8(text).unwrap();
+    let decoded = EventId::decode(&text, &account.into(), &key);
+    assert_eq!(decoded, is_accepted.then_some(id));
+}
