Add retries within a budget, hedges and outlier ejection

Cause: retries of many routers must not multiply an outage, and a dead replica must stop getting work. Change: a retry decision that checks safety, deadline and budget; hedges out of the same budget; ejection of at most half a pool with a slow return.

--- /dev/null
+++ b/src/request/hedge.rs
@@ -0,0 +1,48 @@
+//! A second try of a request whose first token is late.
+//!
+//! Hedges come out of the same budget as retries, so that a slow service isn't given more work because it is slow. The
+//! routing preference switches them on; calls that may not be repeated are never hedged.
+
+use std::time::Duration;
+
+use super::retry::RetryBudget;
+use crate::preference::Preference;
+
+/// The hedge of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Hedge {
+    due_at: Option<Duration>,
+}
+
+impl Hedge {
+    /// Plans the hedge of a request that was dispatched at `now`.
+    #[must_use]
+    pub fn plan(preference: &Preference, is_idempotent: bool, now: Duration) -> Self {
+        let is_allowed = preference.hedge && is_idempotent;
+        let hedge_after = Duration::from_millis(preference.hedge_after_ms);
+        Self {
+            due_at: is_allowed.then(|| now + hedge_after),
+        }
+    }
+
+    /// Returns when [`poll`](Self::poll) is due, or `None` where no hedge will be sent.
+    #[must_use]
+    pub const fn due_at(&self) -> Option<Duration> {
+        self.due_at
+    }
+
+    /// Takes in the first token, after which no hedge is sent.
+    pub const fn first_token(&mut self) {
+        self.due_at = None;
+    }
+
+    /// Tells whether to send the hedge now; at most one is sent, and none where the budget is spent.
+    pub fn poll(&mut self, now: Duration, budget: &mut RetryBudget) -> bool {
+        let is_due = self.due_at.is_some_and(|due_at| due_at <= now);
+        if !is_due {
+            return false;
+        }
+        self.due_at = None;
+        budget.withdraw()
+    }
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -4,9 +4,12 @@
 //! See docs/design/requests.md.
 
 pub mod claim;
+pub mod ejection;
 pub mod event_id;
+pub mod hedge;
 pub mod message;
 pub mod refusal;
+pub mod retry;
 pub mod stream;
 
 #[cfg(test)]
--- a/src/request/tests/mod.rs
+++ b/src/request/tests/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of streams, event ids, retries, hedges, ejection and the drain.
 
+mod retry;
 mod stream;
