Add the fair queue between accounts and deadline-aware shedding

Cause: one account's flood must not make the others' first tokens late. Change: start-time fair queueing with weights, a burst credit and a bound that drops from the largest backlog; requests whose first token would come too late are refused.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! crocuswharf routes language-model traffic whose prompts share long openings.
 
 mod account;
+mod admission;
 mod configuration;
 mod error;
 mod id;
@@ -13,6 +14,7 @@
 mod store;
 
 pub use crate::account::{Account, AccountLimits, NamedAccount};
+pub use crate::admission::{queue, shed};
 pub use crate::configuration::Configuration;
 pub use crate::error::{Error, ErrorKind};
 pub use crate::id::{
