Add the phases of a graceful exit

Cause: an exit must cut no request, also when a supervisor signals twice. Change: a drain that goes from the directory over draining and hand-over to the exit, in one direction. Conclusion: the shell has to close the listener and name the requests in flight.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,6 @@
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
 pub use crate::request::message as request_message;
-pub use crate::request::{claim, ejection, event_id, hedge, refusal, retry, stream};
+pub use crate::request::{claim, drain, ejection, event_id, hedge, refusal, retry, stream};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
 pub use crate::store::{ObjectVersion, PutCondition, PutOutcome, Versioned};
