--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,8 +3,12 @@
 mod account;
 mod admission;
 mod configuration;
+mod directory;
 mod error;
+mod fault;
 mod id;
+mod membership;
+mod peer;
 mod pool;
 mod preference;
 mod prefix;
@@ -12,15 +16,31 @@
 mod request;
 mod service;
 mod store;
+mod ticket;
 
-pub use crate::account::{Account, AccountLimits, NamedAccount};
+pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
 pub use crate::admission::{queue, shed};
-pub use crate::configuration::Configuration;
+pub use crate::configuration::{
+    Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
+    ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
+    UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
+    load as load_configuration, load_root as load_configuration_root,
+};
+pub use crate::directory::Directory;
 pub use crate::error::{Error, ErrorKind};
+pub use crate::fault::Fault;
 pub use crate::id::{
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
 };
+pub use crate::membership::{
+    Heartbeat, Liveness, LoadLevel, Member, MemberRecord, Membership, MembershipOptions,
+    Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
+};
+pub use crate::peer::{
+    Body, Inbound, Kind, LinkOptions, LinkTimes, Links, MAX_PAYLOAD_BYTES, PeerEvent, PeerIdentity,
+    PeerKeys, ReplyHandle, Traffic, TrafficByKind, wire_bytes,
+};
 pub use crate::pool::{KeptCache, Pool, Replica, ReplicaRole};
 pub use crate::preference::Preference;
 pub use crate::prefix::{
@@ -35,4 +55,10 @@
 pub use crate::request::message as request_message;
 pub use crate::request::{claim, drain, ejection, event_id, hedge, refusal, retry, stream};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
-pub use crate::store::{ObjectVersion, PutCondition, PutOutcome, Versioned};
+pub use crate::store::{
+    Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
+    ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
+};
+pub use crate::ticket::{
+    NewState, Ticket, TicketOutcome, check as check_ticket, submit as submit_ticket,
+};
