Add the claim service, which does the claims' I/O

Cause: the claims were pure state machines without a platform or peers. Change: a worker that holds the bucket writers, claims and settlements that go to the owner of a bucket over the peer links, the word of another router on a given-up attempt, and a claimed call that may be dispatched once.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,7 +53,9 @@
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
 pub use crate::request::message as request_message;
-pub use crate::request::{claim, drain, ejection, event_id, hedge, refusal, retry, stream};
+pub use crate::request::{
+    claim, claim_service, drain, ejection, event_id, hedge, refusal, retry, stream,
+};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
 pub use crate::store::{
     Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
--- a/src/request/claim/key.rs
+++ b/src/request/claim/key.rs
@@ -86,13 +86,3 @@
 pub fn object_key(bucket: u32) -> Arc<str> {
     format!("claims/{bucket}").into()
 }
-
-/// Returns the member that batches the writes to `bucket`, by rendezvous hashing.
-///
-/// Routers may disagree while members change; the conditional update then decides, at the price of a conflict.
-#[must_use]
-pub fn bucket_owner(bucket: u32, members: &[RouterId]) -> Option<&RouterId> {
-    members
-        .iter()
-        .max_by_key(|member| xxh3_64_with_seed(member.as_bytes(), u64::from(bucket)))
-}
--- a/src/request/claim/mod.rs
+++ b/src/request/claim/mod.rs
@@ -17,8 +17,7 @@
 pub use self::attempt::{Attempt, Step, check_key};
 pub use self::bucket::{Bucket, ClaimEntry, ClaimState, KeptAnswer, Verdict};
 pub use self::key::{
-    AttemptId, BUCKET_COUNT, CLAIM_LIFE, CLOCK_MARGIN, Claim, ClaimKey, bucket_of, bucket_owner,
-    object_key,
+    AttemptId, BUCKET_COUNT, CLAIM_LIFE, CLOCK_MARGIN, Claim, ClaimKey, bucket_of, object_key,
 };
 pub use self::ledger::{AttemptPhase, Disowned, DispatchPermit, Ledger, TakenAnswer};
 pub use self::writer::{Action, BucketWriter, Change, Decision, ReadOutcome, WriterTicket};
--- /dev/null
+++ b/src/request/claim_service/peer.rs
@@ -0,0 +1,170 @@
+//! Claims between routers: to the owner of a bucket, and about attempts of other routers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::ClaimService;
+use crate::id::{Incarnation, RouterId};
+use crate::membership::owner_of;
+use crate::peer::{Body, Kind, Links, PeerEvent, PeerIdentity};
+use crate::request::claim::{AttemptId, AttemptPhase, Change, Decision, Disowned};
+use crate::request::message::{
+    AttemptQuery, AttemptReply, ClaimMessage, ClaimReply, ClaimRequest, ClaimRequestBody,
+    DisownedMessage, SettleMessage,
+};
+
+/// How long the owner of a bucket may take before this router writes for itself.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long another router may take to say whether it gave an attempt up.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A router that may own buckets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimMember {
+    /// The router's name.
+    pub router: RouterId,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+}
+
+/// The routers among which buckets are shared out, and the links to them.
+#[derive(Clone)]
+pub struct ClaimPeers {
+    /// The links.
+    pub links: Links,
+    /// The routers that run and don't leave.
+    pub members: Vec<ClaimMember>,
+}
+
+impl std::fmt::Debug for ClaimPeers {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ClaimPeers")
+            .field("members", &self.members)
+            .finish_non_exhaustive()
+    }
+}
+
+impl ClaimPeers {
+    pub(super) fn owner(&self, bucket: u32) -> Option<ClaimMember> {
+        let routers = self.members.iter().map(|member| &member.router);
+        let owner = owner_of(u64::from(bucket), routers)?;
+        self.member(owner)
+    }
+
+    fn member(&self, router: &RouterId) -> Option<ClaimMember> {
+        let mut members = self.members.iter();
+        members.find(|member| member.router == *router).cloned()
+    }
+}
+
+fn body(request: ClaimRequestBody) -> Body {
+    let request = ClaimRequest {
+        body: Some(request),
+    };
+    Body::encode(Kind::Claim, &request)
+}
+
+impl ClaimService {
+    /// Submits a claim to the peer that owns its bucket; `None` where there is none or it does not decide.
+    pub(super) async fn claim_at_owner(&self, change: &Change) -> Option<Decision> {
+        let Change::Claim(claim, proof) = change else {
+            return None;
+        };
+        let (peers, owner) = self.owner(&claim.key)?;
+        let message = ClaimMessage::of(claim, proof.as_ref());
+        let request = body(ClaimRequestBody::Claim(message));
+        let reply = peers
+            .links
+            .request(owner.address, request, OWNER_TIMEOUT)
+            .await?;
+        let reply: ClaimReply = reply.decode().ok()?;
+        Some(reply.into_decision(claim.attempt))
+    }
+
+    /// Hands an outcome to the peer that owns its bucket; returns whether it was sent.
+    pub(super) fn settle_at_owner(&self, change: &Change) -> bool {
+        let key = match change {
+            Change::Claim(claim, _) => &claim.key,
+            Change::SettleRan(key, ..) | Change::SettleNotRun(key, _) => key,
+        };
+        let (Some((peers, owner)), Some(message)) = (self.owner(key), SettleMessage::of(change))
+        else {
+            return false;
+        };
+        let request = body(ClaimRequestBody::Settle(message));
+        peers.links.send(owner.address, request)
+    }
+
+    /// Asks the router of an attempt whether it gave the attempt up.
+    pub(super) async fn ask_router(
+        &self,
+        router: &RouterId,
+        incarnation: Incarnation,
+        attempt: AttemptId,
+    ) -> Option<Disowned> {
+        let peers = self.inner.peers.load_full()?;
+        let member = peers.member(router)?;
+        let query = AttemptQuery {
+            attempt: bytes::Bytes::copy_from_slice(attempt.as_bytes()),
+            incarnation,
+        };
+        let request = body(ClaimRequestBody::Query(query));
+        let links = &peers.links;
+        let reply = links
+            .request(member.address, request, QUERY_TIMEOUT)
+            .await?;
+        let reply: AttemptReply = reply.decode().ok()?;
+        let word = reply.word?.into_proof(router.clone(), incarnation)?;
+        (word.attempt() == attempt).then_some(word)
+    }
+
+    /// Answers what a peer asks about claims; the control thread hands bodies of [`Kind::Claim`] here.
+    pub fn receive(&self, event: PeerEvent) {
+        let request: Option<ClaimRequest> = event.body.decode().ok();
+        match request.and_then(|request| request.body) {
+            Some(ClaimRequestBody::Claim(message)) => {
+                let service = self.clone();
+                tokio::spawn(async move {
+                    if let (Some(reply), Some(handle)) =
+                        (service.decide_for(message, &event.from).await, event.reply)
+                    {
+                        handle.send(Body::encode(Kind::Claim, &reply));
+                    }
+                });
+            }
+            Some(ClaimRequestBody::Settle(message)) => {
+                if let Some(change) = message.into_change() {
+                    self.settle_here(change);
+                }
+            }
+            Some(ClaimRequestBody::Query(query)) => {
+                let reply = self.word_on(&query);
+                if let Some(handle) = event.reply {
+                    handle.send(Body::encode(Kind::Claim, &reply));
+                }
+            }
+            None => log::warn!("claim: A body of {} is not understood.", event.from.router),
+        }
+    }
+
+    async fn decide_for(&self, message: ClaimMessage, from: &PeerIdentity) -> Option<ClaimReply> {
+        let (claim, proof) = message.into_claim(from.router.clone(), from.incarnation)?;
+        let attempt = claim.attempt;
+        let decision = self.claim_here(Change::Claim(claim, proof)).await;
+        Some(ClaimReply::of(attempt, decision))
+    }
+
+    fn word_on(&self, query: &AttemptQuery) -> AttemptReply {
+        let is_this_life = query.incarnation == self.inner.options.incarnation;
+        let attempt = AttemptId::from_slice(&query.attempt).unwrap_or_default();
+        let ledger = self.ledger();
+        let word = match ledger.phase(attempt) {
+            Some(AttemptPhase::Disowned(disowned)) if is_this_life => {
+                Some(DisownedMessage::of(disowned))
+            }
+            _ => None,
+        };
+        AttemptReply { word }
+    }
+}
--- /dev/null
+++ b/src/request/claim_service/worker.rs
@@ -0,0 +1,189 @@
+//! The task that holds the bucket writers and does their reads and writes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::unix_now;
+use crate::request::claim::{
+    Action, BucketWriter, Change, Decision, ReadOutcome, WriterTicket, bucket_of, object_key,
+};
+use crate::store::{self, PutOutcome};
+
+/// How long an idle writer keeps its copy of the bucket.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+
+/// A change for the writer of its bucket.
+#[derive(Debug)]
+pub(super) struct Command {
+    pub(super) change: Change,
+    pub(super) timeout: Duration,
+    pub(super) decided: Option<oneshot::Sender<Decision>>,
+}
+
+/// What came of one call of the platform.
+enum Done {
+    Read(u32, ReadOutcome),
+    Put(u32, PutOutcome),
+}
+
+struct Slot {
+    writer: BucketWriter,
+    used_at: Duration,
+}
+
+struct Worker {
+    store: store::Client,
+    started: Instant,
+    slots: HashMap<u32, Slot>,
+    waiting: HashMap<WriterTicket, oneshot::Sender<Decision>>,
+    calls: JoinSet<Done>,
+    last_ticket: WriterTicket,
+}
+
+/// Serves changes until the last sender is gone and all writers are idle.
+pub(super) async fn run(store: store::Client, mut commands: mpsc::Receiver<Command>) {
+    let mut worker = Worker {
+        store,
+        started: Instant::now(),
+        slots: HashMap::new(),
+        waiting: HashMap::new(),
+        calls: JoinSet::new(),
+        last_ticket: 0,
+    };
+    let mut is_open = true;
+    while is_open || !worker.slots.is_empty() {
+        let wake = worker.started + worker.next_wake();
+        tokio::select! {
+            command = commands.recv(), if is_open => match command {
+                Some(command) => worker.submit(command),
+                None => is_open = false,
+            },
+            Some(done) = worker.calls.join_next() => {
+                worker.take(done.expect("a call of the platform does not panic"));
+            }
+            () = tokio::time::sleep_until(wake) => worker.poll_all(),
+        }
+    }
+}
+
+impl Worker {
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn next_wake(&self) -> Duration {
+        let wakes = self.slots.values().map(|slot| {
+            let idle_at = slot.used_at + IDLE_LIMIT;
+            slot.writer.next_poll().unwrap_or(idle_at)
+        });
+        wakes.min().unwrap_or_else(|| self.now() + IDLE_LIMIT)
+    }
+
+    fn submit(&mut self, command: Command) {
+        let bucket = match &command.change {
+            Change::Claim(claim, _) => bucket_of(&claim.key),
+            Change::SettleRan(key, ..) | Change::SettleNotRun(key, _) => bucket_of(key),
+        };
+        let now = self.now();
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
+        if let Some(decided) = command.decided {
+            self.waiting.insert(ticket, decided);
+        }
+        let slot = self.slots.entry(bucket).or_insert_with(|| Slot {
+            writer: BucketWriter::default(),
+            used_at: now,
+        });
+        slot.used_at = now;
+        let deadline = now + command.timeout;
+        let refused = slot.writer.submit(ticket, command.change, now, deadline);
+        self.act(bucket, refused.into_iter().collect());
+        self.poll(bucket);
+    }
+
+    fn poll(&mut self, bucket: u32) {
+        let now = self.now();
+        let Some(slot) = self.slots.get_mut(&bucket) else {
+            return;
+        };
+        let actions = slot.writer.poll(now, unix_now());
+        self.act(bucket, actions);
+    }
+
+    fn poll_all(&mut self) {
+        let now = self.now();
+        self.slots
+            .retain(|_, slot| !slot.writer.is_idle() || now < slot.used_at + IDLE_LIMIT);
+        let buckets: Vec<u32> = self.slots.keys().copied().collect();
+        for bucket in buckets {
+            self.poll(bucket);
+        }
+    }
+
+    fn take(&mut self, done: Done) {
+        let now = self.now();
+        let (bucket, actions) = match done {
+            Done::Read(bucket, outcome) => {
+                let writer = self.writer(bucket);
+                (bucket, writer.read_done(&outcome, now, unix_now()))
+            }
+            Done::Put(bucket, outcome) => {
+                let writer = self.writer(bucket);
+                (bucket, writer.put_done(outcome, now, unix_now()))
+            }
+        };
+        self.act(bucket, actions);
+    }
+
+    fn writer(&mut self, bucket: u32) -> &mut BucketWriter {
+        let slot = self.slots.get_mut(&bucket);
+        &mut slot.expect("a writer with a call in flight is kept").writer
+    }
+
+    fn act(&mut self, bucket: u32, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Read => {
+                    let call = read(self.store.clone(), bucket);
+                    self.calls.spawn(call);
+                }
+                Action::Put(condition, value) => {
+                    let (store, key) = (self.store.clone(), object_key(bucket));
+                    self.calls.spawn(async move {
+                        Done::Put(bucket, store.put(&key, value, condition).await)
+                    });
+                }
+                Action::Decide(ticket, decision) => self.decide(ticket, decision),
+            }
+        }
+    }
+
+    fn decide(&mut self, ticket: WriterTicket, decision: Decision) {
+        match self.waiting.remove(&ticket) {
+            // The send may have been given up meanwhile.
+            Some(decided) => drop(decided.send(decision)),
+            None if decision == Decision::Unavailable => {
+                log::warn!("claim: An outcome was not recorded in time.");
+            }
+            None => {}
+        }
+    }
+}
+
+async fn read(store: store::Client, bucket: u32) -> Done {
+    let key: Arc<str> = object_key(bucket);
+    let outcome = match store.get(&key).await {
+        Ok(Some(found)) => ReadOutcome::Found(found),
+        Ok(None) => ReadOutcome::Absent,
+        Err(error) => {
+            log::warn!("claim: A bucket can't be read. bucket={bucket} error={error}");
+            ReadOutcome::Unavailable
+        }
+    };
+    Done::Read(bucket, outcome)
+}
--- a/src/request/message.rs
+++ b/src/request/message.rs
@@ -7,9 +7,39 @@
 use prost::Message;
 use uuid::Uuid;
 
-use super::claim::{Claim, ClaimEntry, ClaimKey, Disowned, KeptAnswer};
+use super::claim::{Change, Claim, ClaimEntry, ClaimKey, Decision, Disowned, KeptAnswer, Verdict};
 use crate::id::{Incarnation, RouterId};
 
+/// What a router asks of another about claims.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ClaimRequest {
+    /// The request proper.
+    #[prost(oneof = "ClaimRequestBody", tags = "1, 2, 3")]
+    pub body: Option<ClaimRequestBody>,
+}
+
+/// The requests about claims.
+#[derive(Clone, PartialEq, Eq, prost::Oneof)]
+pub enum ClaimRequestBody {
+    /// Enter a claim; answered by a [`ClaimReply`].
+    #[prost(message, tag = "1")]
+    Claim(ClaimMessage),
+    /// Record how an attempt ended; not answered.
+    #[prost(message, tag = "2")]
+    Settle(SettleMessage),
+    /// Tell whether an attempt was given up; answered by an [`AttemptReply`].
+    #[prost(message, tag = "3")]
+    Query(AttemptQuery),
+}
+
+/// The answer to an [`AttemptQuery`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct AttemptReply {
+    /// The router's word, where it gave the attempt up in the life asked about.
+    #[prost(message, optional, tag = "1")]
+    pub word: Option<DisownedMessage>,
+}
+
 /// A claim on its way to the owner of its bucket.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct ClaimMessage {
@@ -186,3 +216,76 @@
         self.word.into_proof(self.router.into(), self.incarnation)
     }
 }
+
+impl ClaimReply {
+    /// Writes the `decision` about a claim of `attempt`.
+    #[must_use]
+    pub fn of(attempt: Uuid, decision: Decision) -> Self {
+        let (kind, entry) = match decision {
+            Decision::Unavailable | Decision::Settled(Verdict::Settled) => {
+                (ClaimReplyKind::Unavailable, None)
+            }
+            Decision::Settled(Verdict::Granted) => (ClaimReplyKind::Granted, None),
+            Decision::Settled(Verdict::Taken(entry)) => (ClaimReplyKind::Taken, Some(*entry)),
+            Decision::Settled(Verdict::ContentDiffers) => (ClaimReplyKind::ContentDiffers, None),
+            Decision::Settled(Verdict::Expired) => (ClaimReplyKind::Expired, None),
+            Decision::Settled(Verdict::Full) => (ClaimReplyKind::Full, None),
+        };
+        Self {
+            attempt: Bytes::copy_from_slice(attempt.as_bytes()),
+            kind: kind.into(),
+            entry,
+        }
+    }
+
+    /// Reads the decision about a claim of `attempt`; a reply about another attempt decides nothing.
+    #[must_use]
+    pub fn into_decision(self, attempt: Uuid) -> Decision {
+        if self.attempt != attempt.as_bytes().as_slice() {
+            return Decision::Unavailable;
+        }
+        match (self.kind(), self.entry) {
+            (ClaimReplyKind::Granted, _) => Decision::Settled(Verdict::Granted),
+            (ClaimReplyKind::Taken, Some(entry)) => {
+                Decision::Settled(Verdict::Taken(Box::new(entry)))
+            }
+            (ClaimReplyKind::ContentDiffers, _) => Decision::Settled(Verdict::ContentDiffers),
+            (ClaimReplyKind::Expired, _) => Decision::Settled(Verdict::Expired),
+            (ClaimReplyKind::Full, _) => Decision::Settled(Verdict::Full),
+            (ClaimReplyKind::Unavailable | ClaimReplyKind::Taken, _) => Decision::Unavailable,
+        }
+    }
+}
+
+impl SettleMessage {
+    /// Writes a change that records how an attempt ended; returns `None` for a claim.
+    #[must_use]
+    pub fn of(change: &Change) -> Option<Self> {
+        let (key, attempt, ran, answer) = match change {
+            Change::Claim(..) => return None,
+            Change::SettleRan(key, attempt, answer) => (key, attempt, true, answer.clone()),
+            Change::SettleNotRun(key, attempt) => (key, attempt, false, None),
+        };
+        Some(Self {
+            account: key.account.to_string(),
+            key: Bytes::copy_from_slice(key.key.as_bytes()),
+            attempt: Bytes::copy_from_slice(attempt.as_bytes()),
+            ran,
+            answer,
+        })
+    }
+
+    /// Reads the change; returns `None` where a field has the wrong length.
+    #[must_use]
+    pub fn into_change(self) -> Option<Change> {
+        let key = ClaimKey {
+            account: self.account.into(),
+            key: Uuid::from_slice(&self.key).ok()?,
+        };
+        let attempt = Uuid::from_slice(&self.attempt).ok()?;
+        Some(match self.ran {
+            true => Change::SettleRan(key, attempt, self.answer),
+            false => Change::SettleNotRun(key, attempt),
+        })
+    }
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -4,6 +4,7 @@
 //! See docs/design/requests.md.
 
 pub mod claim;
+pub mod claim_service;
 pub mod drain;
 pub mod ejection;
 pub mod event_id;
