--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! crocuswharf routes language-model traffic whose prompts share long openings.
 
 mod account;
+mod admission;
 mod configuration;
 mod control;
 mod directory;
@@ -17,6 +18,7 @@
 mod prefix;
 mod protocol;
 mod router;
+mod request;
 mod service;
 mod settings;
 mod store;
@@ -24,6 +26,7 @@
 mod usage;
 
 pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
+pub use crate::admission::{queue, shed};
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
     ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
@@ -58,6 +61,10 @@
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
 pub use crate::router::{DrainReport, Router, RouterAddresses};
+pub use crate::request::message as request_message;
+pub use crate::request::{
+    claim, claim_service, drain, ejection, event_id, hedge, refusal, retry, stream,
+};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
 pub use crate::settings::{
     Bounds, Listen, LogSettings, RouterSettings, Times, parse_json, read_json,
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,18 @@
+//! The life of one request, from admission to its last byte.
+//!
+//! All decisions are pure state machines; the shells in `entry/` and `peer/` carry their outcomes out.
+//! See docs/design/requests.md.
+
+pub mod claim;
+pub mod claim_service;
+pub mod drain;
+pub mod ejection;
+pub mod event_id;
+pub mod hedge;
+pub mod message;
+pub mod refusal;
+pub mod retry;
+pub mod stream;
+
+#[cfg(test)]
+mod tests;
