--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -8,3 +8,5 @@
 
 pub use self::limit::{LimitDecision, LimitKind, Limiter};
 pub use self::usage::{Usage, UsageEntry, UsageTree};
+pub mod queue;
+pub mod shed;
