--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,19 +17,18 @@
 mod preference;
 mod prefix;
 mod protocol;
-mod router;
 mod request;
+mod router;
 mod service;
 mod settings;
 mod store;
 mod ticket;
 mod usage;
 
-pub use crate::account::{Account, AccountLimits, NamedAccount};
-pub use crate::admission::{LimitDecision, LimitKind, Limiter, Usage, UsageEntry, UsageTree};
-pub use crate::configuration::Configuration;
 pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
-pub use crate::admission::{queue, shed};
+pub use crate::admission::{
+    LimitDecision, LimitKind, Limiter, Usage, UsageEntry, UsageTree, queue, shed,
+};
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
     ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
@@ -63,11 +62,11 @@
     HEADER_OPENING, HEADER_PRIORITY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN,
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
-pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::request::message as request_message;
 pub use crate::request::{
     claim, claim_service, drain, ejection, event_id, hedge, refusal, retry, stream,
 };
+pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
 pub use crate::settings::{
     Bounds, Listen, LogSettings, RouterSettings, Times, parse_json, read_json,
