Add the joined view of backend servers and pass on which VMs leave

An engine's own word, the VM list and missed reports were not joined: an engine became available again with its next report. A backend server that said that it leaves now stays so for its incarnation, older incarnations heard late are ignored, and the VM list's word travels on heartbeats with a life that only readers of the list renew.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod admission;
+mod backend;
 mod configuration;
 mod control;
 mod directory;
@@ -29,6 +30,7 @@
 pub use crate::admission::{
     LimitDecision, LimitKind, Limiter, Usage, UsageEntry, UsageTree, queue, shed,
 };
+pub use crate::backend::{Availability, Backend, BackendChange};
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
     ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
@@ -44,8 +46,8 @@
 };
 pub use crate::listener::bind_listener;
 pub use crate::membership::{
-    Heartbeat, Liveness, LoadLevel, Member, MemberRecord, Membership, MembershipOptions,
-    Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
+    Heartbeat, LeavingVm, LeavingVms, Liveness, LoadLevel, Member, MemberRecord, Membership,
+    MembershipOptions, Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
 };
 pub use crate::peer::{
     Body, Inbound, Kind, LinkOptions, LinkTimes, Links, MAX_PAYLOAD_BYTES, PeerEvent, PeerIdentity,
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 
+use crate::membership::leaving::LeavingVm;
 use crate::membership::member::{Liveness, LoadLevel, Member};
 
 /// The part that a heartbeat plays.
@@ -86,6 +87,12 @@
     /// The buckets whose records the sender wants, one bit each.
     #[prost(uint32, tag = "8")]
     pub wanted_buckets: u32,
+    /// The VMs that the platform's list shows as leaving.
+    #[prost(message, repeated, tag = "9")]
+    pub leaving_vms: Vec<LeavingVm>,
+    /// The revision of the configuration that the sender has in force.
+    #[prost(uint64, tag = "10")]
+    pub revision: u64,
 }
 
 impl Heartbeat {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -10,6 +10,7 @@
 
 mod detection;
 mod exchange;
+mod leaving;
 mod member;
 mod message;
 mod probe;
@@ -22,6 +23,7 @@
 #[cfg(test)]
 pub(crate) mod tests;
 
+pub use self::leaving::{LeavingVm, LeavingVms};
 pub use self::member::{Liveness, LoadLevel, Member};
 pub use self::message::{Heartbeat, MemberRecord, Stage};
 pub use self::rendezvous::{owner_of, watchers_of};
--- a/src/membership/tests/mod.rs
+++ b/src/membership/tests/mod.rs
@@ -8,6 +8,7 @@
 use crate::protocol::{Vm, VmState};
 
 pub(crate) mod fleet;
+mod leaving;
 mod random;
 mod traffic;
 
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -69,7 +69,7 @@
 
 /// The connections of one router to all its peers; clones share them.
 ///
-/// The tasks run on the runtime on which [`Links::bind`] was called. Sending and requesting work from any thread.
+/// The tasks run on the runtime on which [`Links::listen`] was called. Sending and requesting work from any thread.
 #[derive(Clone)]
 pub struct Links {
     shared: Arc<Shared>,
@@ -83,19 +83,35 @@
 }
 
 impl Links {
-    /// Listens on the address of `options.identity` and returns the links with the stream of what peers send.
+    /// Listens on the address of `options.identity`; see [`Links::listen`].
     ///
     /// # Errors
     ///
     /// Fails with [`ErrorKind::Io`] where the address can't be bound.
-    pub async fn bind(mut options: LinkOptions) -> Result<(Self, Inbound), Error> {
-        let io_error = |error: std::io::Error| {
-            Error::new(ErrorKind::Io, format!("can't listen for peers: {error}"))
-        };
+    pub async fn bind(options: LinkOptions) -> Result<(Self, Inbound), Error> {
         let listener = TcpListener::bind(options.identity.address)
             .await
-            .map_err(io_error)?;
-        options.identity.address = listener.local_addr().map_err(io_error)?;
+            .and_then(TcpListener::into_std)
+            .map_err(|error| listen_error(&error))?;
+        Self::listen(options, listener)
+    }
+
+    /// Listens on `listener` and returns the links with the stream of what peers send.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`ErrorKind::Io`] where the listener can't be used.
+    pub fn listen(
+        mut options: LinkOptions,
+        listener: std::net::TcpListener,
+    ) -> Result<(Self, Inbound), Error> {
+        let listener = listener
+            .set_nonblocking(true)
+            .and_then(|()| TcpListener::from_std(listener))
+            .map_err(|error| listen_error(&error))?;
+        options.identity.address = listener
+            .local_addr()
+            .map_err(|error| listen_error(&error))?;
         let shared = Arc::new(Shared {
             options,
             traffic: TrafficByKind::default(),
@@ -176,3 +192,13 @@
         queue
     }
 }
+
+fn listen_error(error: &std::io::Error) -> Error {
+    Error::new(ErrorKind::Io, format!("can't listen for peers: {error}"))
+}
+
+impl std::fmt::Debug for Links {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Links({})", self.identity().router)
+    }
+}
