Wire members, directory and configuration between routers into the control thread

Routers did not talk. The control thread now listens for peers, probes them, plans directory answers each second, reads the VM list where it is one of its zone's readers, joins reports and leaving VMs, and fetches a newer configuration from a peer as soon as a heartbeat or an announcement names it.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,7 +7,9 @@
 //! See docs/ARCHITECTURE.md.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
 use tokio::sync::mpsc;
@@ -15,11 +17,15 @@
 use crate::configuration::StoredState;
 use crate::engine::EngineClient;
 use crate::error::Error;
+use crate::id::Incarnation;
+use crate::peer::Links;
 use crate::settings::RouterSettings;
 use crate::store::{self, StoreSettings};
 
 mod feed;
+mod fetch;
 mod loads;
+mod peers;
 mod publisher;
 mod snapshot;
 mod thread;
@@ -35,6 +41,8 @@
 pub(crate) struct Shared {
     /// The settings of this router.
     pub(crate) settings: RouterSettings,
+    /// This life of the process.
+    pub(crate) incarnation: Incarnation,
     /// What traffic threads know.
     pub(crate) snapshot: ArcSwap<Snapshot>,
     /// The client towards backend servers.
@@ -43,6 +51,8 @@
     pub(crate) store: store::Client,
     /// The configuration in force as the platform holds it.
     pub(crate) stored: ArcSwap<StoredState>,
+    /// The connections to other routers, once the control thread has opened them.
+    pub(crate) links: OnceLock<Links>,
     /// Whether the router is leaving.
     pub(crate) draining: AtomicBool,
     open_requests: Arc<AtomicUsize>,
@@ -59,9 +69,11 @@
         let (events, receiver) = mpsc::channel(EVENT_QUEUE);
         let shared = Self {
             settings,
+            incarnation: new_incarnation(),
             snapshot: ArcSwap::default(),
             engines,
             store,
+            links: OnceLock::new(),
             draining: AtomicBool::new(false),
             open_requests: Arc::default(),
             stored: ArcSwap::default(),
@@ -103,6 +115,12 @@
     }
 }
 
+/// Returns the number of this life of the process; a later life on the same VM gets a higher one.
+fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |since| since.as_millis() as Incarnation)
+}
+
 fn store_settings(settings: &RouterSettings) -> StoreSettings {
     StoreSettings {
         call_timeout_ms: settings.times.platform_timeout_ms,
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -5,10 +5,13 @@
 
 use super::snapshot::{KeyDigest, PoolView, ReplicaView, Snapshot};
 use crate::account::NamedAccount;
+use crate::backend::{Availability, Backend};
 use crate::configuration::Configuration;
+use crate::directory::Directory;
 use crate::id::{PoolName, ReplicaId};
+use crate::membership::{LeavingVms, Member};
 use crate::pool::{Pool, Replica};
-use crate::protocol::{Entries, LoadReport};
+use crate::protocol::LoadReport;
 
 /// The bytes of a SHA-256 digest.
 const DIGEST_BYTES: usize = 32;
@@ -19,7 +22,8 @@
     configuration: Arc<Configuration>,
     accounts: Arc<HashMap<KeyDigest, NamedAccount>>,
     replicas: HashMap<(PoolName, ReplicaId), ReplicaView>,
-    entries: Option<Arc<Entries>>,
+    members: Arc<[Member]>,
+    directory: Option<Arc<Directory>>,
 }
 
 impl Publisher {
@@ -39,9 +43,19 @@
         &self.configuration
     }
 
-    /// Takes over the answer of the entry directory.
-    pub(crate) fn set_entries(&mut self, entries: Entries) {
-        self.entries = Some(Arc::new(entries));
+    /// Takes over the members and the plan of the entry directory's answers.
+    pub(crate) fn set_members(&mut self, members: Arc<[Member]>, directory: Directory) {
+        self.members = members;
+        self.directory = Some(Arc::new(directory));
+    }
+
+    /// Takes over which VMs leave.
+    pub(crate) fn set_leaving_vms(&mut self, leaving: &LeavingVms) {
+        for view in self.replicas.values_mut() {
+            let leaves = leaving.contains(view.replica.address);
+            view.backend.set_leaving_by_vm_list(leaves);
+            view.available = view.backend.availability() == Availability::Available;
+        }
     }
 
     /// Takes a load report, or its absence, for one replica.
@@ -55,12 +69,16 @@
         let Some(view) = self.replicas.get_mut(&key) else {
             return;
         };
-        view.available = load.as_ref().is_some_and(|load| !load.leaving);
-        if let Some(load) = &load {
-            view.incarnation = load.incarnation;
-            view.weights_version = load.weights_version;
+        match load {
+            Some(load) => {
+                view.backend.take_report(load);
+            }
+            None => view.backend.miss_report(),
         }
-        view.load = load;
+        view.available = view.backend.availability() == Availability::Available;
+        view.incarnation = view.backend.incarnation();
+        view.weights_version = view.backend.weights_version();
+        view.load = view.backend.load().cloned();
     }
 
     /// Builds the snapshot of the present state.
@@ -75,7 +93,8 @@
             configuration: Arc::clone(&self.configuration),
             accounts: Arc::clone(&self.accounts),
             pools,
-            entries: self.entries.clone(),
+            members: Arc::clone(&self.members),
+            directory: self.directory.clone(),
         }
     }
 
@@ -120,6 +139,7 @@
         incarnation: 0,
         weights_version: 0,
         load: None,
+        backend: Backend::default(),
         available: true,
         in_flight: Arc::default(),
     }
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -10,10 +10,13 @@
 use sha2::{Digest, Sha256};
 
 use crate::account::NamedAccount;
+use crate::backend::Backend;
 use crate::configuration::Configuration;
+use crate::directory::Directory;
 use crate::id::{Incarnation, PoolName, WeightsVersion};
+use crate::membership::Member;
 use crate::pool::{Pool, Replica};
-use crate::protocol::{Entries, LoadReport};
+use crate::protocol::LoadReport;
 
 /// The SHA-256 digest of a caller's key.
 pub(crate) type KeyDigest = [u8; 32];
@@ -27,8 +30,10 @@
     pub(crate) accounts: Arc<HashMap<KeyDigest, NamedAccount>>,
     /// The pools with what is known of their replicas.
     pub(crate) pools: HashMap<PoolName, Arc<PoolView>>,
-    /// The answer of the entry directory.
-    pub(crate) entries: Option<Arc<Entries>>,
+    /// The members, suspected ones and this router included.
+    pub(crate) members: Arc<[Member]>,
+    /// The plan of the entry directory's answers.
+    pub(crate) directory: Option<Arc<Directory>>,
 }
 
 /// A pool with what is known of its replicas.
@@ -51,6 +56,8 @@
     pub(crate) weights_version: WeightsVersion,
     /// The last load report.
     pub(crate) load: Option<LoadReport>,
+    /// What all sources together say of it.
+    pub(crate) backend: Backend,
     /// Whether new work may be sent.
     pub(crate) available: bool,
     /// The requests that this router has in flight there.
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -1,6 +1,7 @@
 //! The control thread: one loop over one queue of events.
 
 use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
@@ -8,12 +9,16 @@
 
 use super::Shared;
 use super::feed::follow_configuration;
+use super::fetch::follow_vms;
 use super::loads::poll_load;
+use super::peers::{PeerChange, Peers, TICK_INTERVAL};
 use super::publisher::Publisher;
 use crate::configuration::StoredState;
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
-use crate::protocol::{Entries, Entry, LoadReport};
+use crate::membership::Heartbeat;
+use crate::peer::{Inbound, PeerEvent};
+use crate::protocol::{LoadReport, Vm};
 use crate::service::ServiceKind;
 
 /// What the control thread reacts to.
@@ -30,6 +35,12 @@
         /// The report, or nothing where the engine did not answer.
         load: Option<Box<LoadReport>>,
     },
+    /// A probe of another router was acknowledged.
+    Heartbeat(Box<Heartbeat>),
+    /// The platform's VM list was read.
+    Vms(Vec<Vm>),
+    /// A fetch of a peer's configuration has ended.
+    FetchEnded,
 }
 
 /// The running control thread; dropping it stops the thread.
@@ -48,7 +59,8 @@
     pub(crate) fn start(
         shared: Arc<Shared>,
         events: mpsc::Receiver<Event>,
-        own_entry: Entry,
+        listener: TcpListener,
+        callers: SocketAddr,
     ) -> Result<Self, Error> {
         let (stop, stopped) = oneshot::channel();
         let name = format!("control-{}", shared.settings.router);
@@ -56,9 +68,13 @@
             .enable_all()
             .build()
             .map_err(|error| Error::new(ErrorKind::Io, format!("control runtime: {error}")))?;
+        let (peers, inbound) = {
+            let _context = runtime.enter();
+            Peers::start(&shared, listener, callers)?
+        };
         let join = std::thread::Builder::new()
             .name(name)
-            .spawn(move || runtime.block_on(run(shared, events, own_entry, stopped)))
+            .spawn(move || runtime.block_on(run(shared, events, peers, inbound, stopped)))
             .map_err(|error| Error::new(ErrorKind::Io, format!("control thread: {error}")))?;
         Ok(Self {
             stop: Some(stop),
@@ -81,18 +97,23 @@
 async fn run(
     shared: Arc<Shared>,
     mut events: mpsc::Receiver<Event>,
-    own_entry: Entry,
+    peers: Peers,
+    mut inbound: Inbound,
     mut stopped: oneshot::Receiver<()>,
 ) {
     let feed = tokio::spawn(follow_configuration(
         Arc::clone(&shared),
         shared.events().clone(),
     ));
-    let mut control = Control::new(shared, own_entry);
-    control.publish();
+    let vms = tokio::spawn(follow_vms(Arc::clone(&shared)));
+    let mut control = Control::new(shared, peers);
+    let mut ticks = tokio::time::interval(TICK_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             _ = &mut stopped => break,
+            _ = ticks.tick() => control.tick(),
+            Some(event) = inbound.recv() => control.receive(event),
             event = events.recv() => match event {
                 Some(event) => control.handle(event),
                 None => break,
@@ -100,26 +121,54 @@
         }
     }
     feed.abort();
+    vms.abort();
 }
 
 /// The control state.
 struct Control {
     shared: Arc<Shared>,
     publisher: Publisher,
+    peers: Peers,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
 }
 
 impl Control {
-    fn new(shared: Arc<Shared>, own_entry: Entry) -> Self {
-        let mut publisher = Publisher::default();
-        publisher.set_entries(Entries {
-            entries: vec![own_entry],
-            life_ms: shared.settings.times.directory_life_ms,
-        });
-        Self {
+    fn new(shared: Arc<Shared>, peers: Peers) -> Self {
+        // Set once here, so that an earlier value is impossible.
+        let _ = shared.links.set(peers.links().clone());
+        let mut control = Self {
             shared,
-            publisher,
+            publisher: Publisher::default(),
+            peers,
             polls: HashMap::new(),
+        };
+        control.take_change(PeerChange {
+            members: true,
+            leaving_vms: true,
+        });
+        control
+    }
+
+    fn tick(&mut self) {
+        let change = self.peers.tick();
+        self.take_change(change);
+    }
+
+    fn receive(&mut self, event: PeerEvent) {
+        let change = self.peers.receive(event);
+        self.take_change(change);
+    }
+
+    fn take_change(&mut self, change: PeerChange) {
+        if change.members {
+            let directory = self.peers.plan_directory();
+            self.publisher.set_members(self.peers.members(), directory);
+        }
+        if change.leaving_vms {
+            self.publisher.set_leaving_vms(self.peers.leaving_vms());
+        }
+        if change != PeerChange::default() {
+            self.publish();
         }
     }
 
@@ -134,6 +183,15 @@
                 self.publisher
                     .set_load(&pool, &replica, load.map(|load| *load));
             }
+            Event::Heartbeat(heartbeat) => {
+                let change = self.peers.take_heartbeat(&heartbeat, None);
+                return self.take_change(change);
+            }
+            Event::Vms(vms) => {
+                let change = self.peers.take_vms(&vms);
+                return self.take_change(change);
+            }
+            Event::FetchEnded => return self.peers.end_fetch(),
         }
         self.publish();
     }
@@ -145,6 +203,7 @@
         }
         self.shared.stored.store(Arc::clone(state));
         log::info!("config: Revision is in force. revision={revision}");
+        self.peers.announce();
         self.follow_engines();
     }
 
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -10,7 +10,7 @@
 use super::reply::{Reply, RunState};
 use crate::control::Shared;
 
-/// Handles directory requests.
+/// Handles directory requests; the query parameter `zone` names the zone that the caller prefers.
 pub(crate) struct DirectoryHandler {
     shared: Arc<Shared>,
 }
@@ -26,13 +26,14 @@
 impl salvo::Handler for DirectoryHandler {
     async fn handle(
         &self,
-        _request: &mut Request,
+        request: &mut Request,
         _depot: &mut Depot,
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        match &self.shared.snapshot.load().entries {
-            Some(entries) => res.render(Json(&**entries)),
+        let zone: Option<String> = request.query("zone");
+        match &self.shared.snapshot.load().directory {
+            Some(directory) => res.render(Json(directory.answer(zone.as_deref()))),
             None => not_ready().render(res),
         }
     }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -14,7 +14,6 @@
 use crate::entry;
 use crate::error::{Error, ErrorKind};
 use crate::listener::bind_listener;
-use crate::protocol::Entry;
 use crate::settings::RouterSettings;
 
 /// How often the drain looks whether requests are in flight.
@@ -65,15 +64,10 @@
             operators: local_address(&operators)?,
             peers: local_address(&peers)?,
         };
-        let own_entry = Entry {
-            address: addresses.callers,
-            zone: Arc::clone(&settings.zone),
-            weight: 1,
-        };
         let traffic = traffic_runtime(&settings)?;
         let (shared, events) = Shared::new(settings)?;
         let shared = Arc::new(shared);
-        let control = ControlThread::start(Arc::clone(&shared), events, own_entry)?;
+        let control = ControlThread::start(Arc::clone(&shared), events, peers, addresses.callers)?;
         entry::serve_callers(&traffic, callers, &shared)?;
         entry::serve_operators(&traffic, operators, &shared)?;
         log::info!(
