Add the burn core: windows, sketches, joined report, table and HTML

Operators need to see which objective burns and on whom, over all routers, in bounded memory.

Each router counts ended requests in rings of slices for 5 min, 1 h, 6 h and 3 d; histograms merge, accounts, replicas and zones stand in space-saving sketches. A member that could not be asked is named and in no figure.

--- /dev/null
+++ b/src/burn/window.rs
@@ -0,0 +1,92 @@
+//! The windows over which burn is reported.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::error::Error;
+
+const MINUTE: Duration = Duration::from_secs(60);
+const HOUR: Duration = Duration::from_secs(3_600);
+
+/// A window of the burn report; a router that runs for less time holds less.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Window {
+    /// Five minutes: confirms that a fast alarm still burns.
+    #[serde(rename = "5m")]
+    FiveMinutes,
+    /// One hour: the fast alarm, and the confirmation of the slow one.
+    #[serde(rename = "1h")]
+    Hour,
+    /// Six hours: the slow alarm.
+    #[serde(rename = "6h")]
+    SixHours,
+    /// Three days: the budget.
+    #[serde(rename = "3d")]
+    ThreeDays,
+}
+
+impl Window {
+    /// All windows, shortest first.
+    pub const ALL: [Self; 4] = [
+        Self::FiveMinutes,
+        Self::Hour,
+        Self::SixHours,
+        Self::ThreeDays,
+    ];
+
+    /// Returns the length of the window.
+    #[must_use]
+    pub const fn span(self) -> Duration {
+        match self {
+            Self::FiveMinutes => Duration::from_secs(5 * MINUTE.as_secs()),
+            Self::Hour => HOUR,
+            Self::SixHours => Duration::from_secs(6 * HOUR.as_secs()),
+            Self::ThreeDays => Duration::from_secs(72 * HOUR.as_secs()),
+        }
+    }
+
+    /// Returns the name that commands take and reports show.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::FiveMinutes => "5m",
+            Self::Hour => "1h",
+            Self::SixHours => "6h",
+            Self::ThreeDays => "3d",
+        }
+    }
+
+    /// Finds the window called `name`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`ErrorKind::InvalidInput`](crate::ErrorKind::InvalidInput) for any other name.
+    pub fn parse(name: &str) -> Result<Self, Error> {
+        Self::ALL
+            .into_iter()
+            .find(|window| window.name() == name)
+            .ok_or_else(|| Error::invalid("window", name.escape_debug(), "use 5m, 1h, 6h or 3d"))
+    }
+
+    /// Returns into how many slices counts are cut.
+    #[must_use]
+    pub const fn tally_slices(self) -> usize {
+        match self {
+            Self::FiveMinutes => 30,
+            Self::Hour => 60,
+            Self::SixHours => 36,
+            Self::ThreeDays => 72,
+        }
+    }
+
+    /// Returns into how many slices histograms and burners are cut; fewer, because they are larger.
+    #[must_use]
+    pub(super) const fn detail_slices(self) -> usize {
+        match self {
+            Self::FiveMinutes => 5,
+            Self::Hour | Self::SixHours => 6,
+            Self::ThreeDays => 9,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! crocuswharf routes language-model traffic whose prompts share long openings.
 
 mod account;
+mod burn;
 mod configuration;
 mod error;
 mod id;
@@ -10,8 +11,15 @@
 mod protocol;
 mod service;
 mod store;
+mod telemetry;
 
 pub use crate::account::{Account, AccountLimits, NamedAccount};
+pub use crate::burn::{
+    Alarm, Burn, BurnRate, BurnerFigure, BurnerReport, Ending, HistogramFigures, LatencyReport,
+    MAX_SERVICES, MemberAnswer, MemberFigures, MissingMember, ObjectiveBurners, ObjectiveKind,
+    ObjectiveReport, Observation, Report, ServiceFigures, ServiceReport, Tally, TallyFigures,
+    Window, render_html, render_table,
+};
 pub use crate::configuration::Configuration;
 pub use crate::error::{Error, ErrorKind};
 pub use crate::id::{
