Add explanations: request ids with a router tag, bounded rings, text

An engineer must find out what was done with one request and why, without asking every router.

A request id is a UUIDv7 whose last 32 bits are the router's tag. Each router keeps its latest explanations, and those of failed, retried or unclaimed requests in a ring of their own. No field can hold prompt text or keys.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod burn;
 mod configuration;
 mod error;
+mod explain;
 mod id;
 mod pool;
 mod preference;
@@ -15,13 +16,20 @@
 
 pub use crate::account::{Account, AccountLimits, NamedAccount};
 pub use crate::burn::{
-    Alarm, Burn, BurnRate, BurnerFigure, BurnerReport, Ending, HistogramFigures, LatencyReport,
-    MAX_SERVICES, MemberAnswer, MemberFigures, MissingMember, ObjectiveBurners, ObjectiveKind,
-    ObjectiveReport, Observation, Report, ServiceFigures, ServiceReport, Tally, TallyFigures,
-    Window, render_html, render_table,
+    Alarm as BurnAlarm, Burn, BurnRate, BurnerFigure, BurnerReport, Ending as BurnEnding,
+    HistogramFigures, LatencyReport, MAX_SERVICES, MemberAnswer, MemberFigures, MissingMember,
+    ObjectiveBurners, ObjectiveKind, ObjectiveReport, Observation as BurnObservation,
+    Report as BurnReport, ServiceFigures, ServiceReport, Tally, TallyFigures, Window as BurnWindow,
+    render_html, render_table,
 };
 pub use crate::configuration::Configuration;
 pub use crate::error::{Error, ErrorKind};
+pub use crate::explain::{
+    Attempt as ExplainedAttempt, AttemptCause, Candidate as ExplainedCandidate,
+    Choice as ExplainedChoice, Claim as ExplainedClaim, End as ExplainedEnd, Explanation,
+    Explanations, MAX_ATTEMPTS, MAX_CANDIDATES, MAX_REASON_BYTES, RouterTag, Run as ExplainedRun,
+    View as ExplainedView, new_request_id, render_explanation, router_tag, tag_of,
+};
 pub use crate::id::{
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
