--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 mod explain;
 mod id;
+mod peer;
 mod pool;
 mod preference;
 mod prefix;
@@ -34,6 +35,10 @@
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
 };
+pub use crate::peer::{
+    Body, Inbound, Kind, LinkOptions, LinkTimes, Links, MAX_PAYLOAD_BYTES, PeerEvent, PeerIdentity,
+    PeerKeys, ReplyHandle, Traffic, TrafficByKind, wire_bytes,
+};
 pub use crate::pool::{KeptCache, Pool, Replica, ReplicaRole};
 pub use crate::preference::Preference;
 pub use crate::prefix::{
@@ -46,4 +51,7 @@
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
-pub use crate::store::{ObjectVersion, PutCondition, PutOutcome, Versioned};
+pub use crate::store::{
+    Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
+    ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
+};
