--- a/src/burn/mod.rs
+++ b/src/burn/mod.rs
@@ -152,6 +152,18 @@
         }
     }
 
+    /// Returns the share of bad events over `allowed_share`, or `None` without events.
+    #[must_use]
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a share needs no more than 52 bits"
+    )]
+    pub fn burn_rate(&self, kind: ObjectiveKind, allowed_share: f64) -> Option<f64> {
+        let bad = self.bad[kind as usize] as f64;
+        let total = self.good[kind as usize] as f64 + bad;
+        (total > 0.0).then(|| bad / total / allowed_share)
+    }
+
     fn count(&mut self, kind: ObjectiveKind, is_good: bool) {
         let side = if is_good {
             &mut self.good
@@ -271,6 +283,16 @@
         self.dropped
     }
 
+    /// Returns each service's counts over all windows, in the order of [`Window::ALL`].
+    pub fn totals(&self, now: Duration) -> impl Iterator<Item = (&str, [Tally; 4])> {
+        self.services.iter().map(move |(name, service)| {
+            (
+                &**name,
+                Window::ALL.map(|window| service.total(window, now)),
+            )
+        })
+    }
+
     /// Returns this router's figures: counts over all windows, and details over `window`.
     #[must_use]
     pub fn figures(&self, window: Window, now: Duration) -> MemberFigures {
--- a/src/burn/report.rs
+++ b/src/burn/report.rs
@@ -301,7 +301,7 @@
                 .series
                 .iter()
                 .rev()
-                .map(|tally| rate(kind, allowed_share, tally))
+                .map(|tally| tally.burn_rate(kind, allowed_share))
                 .collect(),
         }
     }
@@ -313,21 +313,11 @@
             window,
             good: tally.good[kind as usize],
             bad: tally.bad[kind as usize],
-            rate: rate(kind, allowed_share, tally),
+            rate: tally.burn_rate(kind, allowed_share),
         }
     }
 }
 
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "a share needs no more than 52 bits"
-)]
-fn rate(kind: ObjectiveKind, allowed_share: f64, tally: &Tally) -> Option<f64> {
-    let bad = tally.bad[kind as usize] as f64;
-    let total = tally.good[kind as usize] as f64 + bad;
-    (total > 0.0).then(|| bad / total / allowed_share)
-}
-
 /// Returns the burn rate over the held window nearest to the objective's own, which is the spent share of the budget.
 fn budget_rate(burn_rates: &[BurnRate], objectives: &Objectives) -> Option<f64> {
     let window_s = u64::from(objectives.window_hours) * 3_600;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,3 +55,8 @@
     Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
     ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
 };
+pub use crate::telemetry::{
+    Journal, JournalCapacity, JournalEntry, LogLevel, LogSettings, LogTarget, METRICS,
+    MetricDescription, MetricKind, RequestMetrics, install_recorder, log_config,
+    render_metrics_page, start_logs,
+};
--- /dev/null
+++ b/src/telemetry/catalog.rs
@@ -0,0 +1,184 @@
+//! Every metric of the system in one place.
+
+use std::fmt::Write;
+
+use metrics::Unit;
+
+/// The kinds of metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MetricKind {
+    /// A count that only grows.
+    Counter,
+    /// A value that goes up and down.
+    Gauge,
+    /// A distribution.
+    Histogram,
+}
+
+impl MetricKind {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Counter => "counter",
+            Self::Gauge => "gauge",
+            Self::Histogram => "histogram",
+        }
+    }
+}
+
+/// What one metric means.
+#[derive(Clone, Copy, Debug)]
+pub struct MetricDescription {
+    /// The metric's name, with its unit as the suffix.
+    pub name: &'static str,
+    /// The metric's kind.
+    pub kind: MetricKind,
+    /// The unit.
+    pub unit: Unit,
+    /// The labels, all with few values.
+    pub labels: &'static [&'static str],
+    /// What it says, in one sentence.
+    pub help: &'static str,
+}
+
+const fn metric(
+    name: &'static str,
+    kind: MetricKind,
+    unit: Unit,
+    labels: &'static [&'static str],
+    help: &'static str,
+) -> MetricDescription {
+    MetricDescription {
+        name,
+        kind,
+        unit,
+        labels,
+        help,
+    }
+}
+
+/// All metrics, ordered by name.
+pub const METRICS: &[MetricDescription] = &[
+    metric(
+        "crocuswharf_attempts_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["router", "service", "cause"],
+        "Dispatches to replicas, by cause: first, retry, hedge or resume.",
+    ),
+    metric(
+        "crocuswharf_avoidable_tokens_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["router", "service"],
+        "Opening tokens that were recomputed although a replica held them warm.",
+    ),
+    metric(
+        "crocuswharf_burn_rate",
+        MetricKind::Gauge,
+        Unit::Count,
+        &["router", "service", "objective", "window"],
+        "Burn rate of an objective at this router alone; 1 spends exactly the budget.",
+    ),
+    metric(
+        "crocuswharf_opening_tokens_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["router", "service"],
+        "Tokens of prompt openings in ended requests.",
+    ),
+    metric(
+        "crocuswharf_peer_bytes_total",
+        MetricKind::Counter,
+        Unit::Bytes,
+        &["kind", "direction"],
+        "Bytes between routers, by kind of frame and direction.",
+    ),
+    metric(
+        "crocuswharf_peer_dropped_frames_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["kind"],
+        "Frames between routers that were dropped for want of room or connection.",
+    ),
+    metric(
+        "crocuswharf_request_duration_seconds",
+        MetricKind::Histogram,
+        Unit::Seconds,
+        &["router", "service"],
+        "Time from a request to the end of its answer.",
+    ),
+    metric(
+        "crocuswharf_requests_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["router", "service", "ending"],
+        "Ended requests, by ending: complete, incomplete, refused or caller.",
+    ),
+    metric(
+        "crocuswharf_store_calls_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["kind", "outcome"],
+        "Calls to the platform's object API, by kind and outcome.",
+    ),
+    metric(
+        "crocuswharf_time_to_first_token_seconds",
+        MetricKind::Histogram,
+        Unit::Seconds,
+        &["router", "service"],
+        "Time from a request to the first token of its answer, or the first byte of a plain one.",
+    ),
+    metric(
+        "crocuswharf_token_interval_seconds",
+        MetricKind::Histogram,
+        Unit::Seconds,
+        &["router", "service"],
+        "Mean time between the tokens of one answer.",
+    ),
+    metric(
+        "crocuswharf_warm_tokens_expected_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["router", "service"],
+        "Prompt tokens that were expected to be warm at the chosen replica.",
+    ),
+    metric(
+        "crocuswharf_warm_tokens_found_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["router", "service"],
+        "Prompt tokens that engines found warm.",
+    ),
+];
+
+/// Gives the recorder each metric's help text and unit.
+pub(super) fn describe_all() {
+    for metric in METRICS {
+        match metric.kind {
+            MetricKind::Counter => {
+                metrics::describe_counter!(metric.name, metric.unit, metric.help);
+            }
+            MetricKind::Gauge => metrics::describe_gauge!(metric.name, metric.unit, metric.help),
+            MetricKind::Histogram => {
+                metrics::describe_histogram!(metric.name, metric.unit, metric.help);
+            }
+        }
+    }
+}
+
+/// Renders the table of docs/operations/metrics.md.
+#[must_use]
+pub fn render_metrics_page() -> String {
+    let mut page = String::from("| metric | kind | labels | meaning |\n|---|---|---|---|\n");
+    for metric in METRICS {
+        let _ = writeln!(
+            page,
+            "| `{}` | {} | {} | {} |",
+            metric.name,
+            metric.kind.name(),
+            metric.labels.join(", "),
+            metric.help
+        );
+    }
+    page
+}
--- /dev/null
+++ b/src/telemetry/tests.rs
@@ -0,0 +1,241 @@
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ::log::{Level, Log, Record};
+use simplelog::{LevelFilter, WriteLogger};
+
+use super::*;
+use crate::burn::{Ending, Observation, Window};
+use crate::explain::Explanation;
+use crate::service::Objectives;
+
+fn entry(index: u64) -> JournalEntry {
+    let id = uuid::Uuid::from_u128(index.into());
+    let account = format!("account-{}", index % 41_000);
+    let mut explanation = Explanation::begin(
+        id,
+        "router-t".into(),
+        "wharf-llm".into(),
+        account.as_str().into(),
+        Duration::ZERO,
+    );
+    explanation.total_ms = 900;
+    explanation.end.complete = true;
+    let observation = Observation {
+        service: "wharf-llm".into(),
+        account: account.into(),
+        replica: Some("wharf-1".into()),
+        zone: Some("coast-a".into()),
+        ending: Ending::Complete,
+        ttft: Some(Duration::from_millis(200 + index % 400)),
+        token_interval: Some(Duration::from_millis(30)),
+        opening_tokens: 1_000,
+        avoidable_tokens: 10,
+    };
+    JournalEntry {
+        observation,
+        explanation,
+    }
+}
+
+#[test]
+fn metrics_41_000_accounts_make_no_series() {
+    let handle = install_recorder().unwrap();
+    let mut journal = Journal::new(
+        "router-t".into(),
+        JournalCapacity::default(),
+        Duration::ZERO,
+    );
+    for index in 0..41_000 {
+        journal.record(entry(index), &Objectives::default(), Duration::from_secs(1));
+    }
+    journal.update_gauges(|_| Some(Objectives::default()), Duration::from_secs(1));
+    let page = handle.render();
+    assert!(page.contains("crocuswharf_burn_rate{"));
+    assert!(page.contains("crocuswharf_time_to_first_token_seconds_bucket{"));
+    assert!(!page.contains("account-"));
+    let lines = page.lines().count();
+    assert!(lines < 200, "{lines} lines for one service");
+    assert_eq!(
+        journal
+            .figures(Window::Hour, Duration::from_secs(1))
+            .services[0]
+            .windows[0]
+            .requests,
+        41_000
+    );
+}
+
+#[test]
+fn catalog_names_follow_conventions() {
+    let names: Vec<_> = METRICS.iter().map(|metric| metric.name).collect();
+    assert!(names.is_sorted(), "the catalogue is out of order");
+    for metric in METRICS {
+        assert!(metric.name.starts_with("crocuswharf_"), "{}", metric.name);
+        let is_total = metric.name.ends_with("_total");
+        assert_eq!(
+            is_total,
+            metric.kind == MetricKind::Counter,
+            "{}",
+            metric.name
+        );
+        assert!(!metric.labels.contains(&"account"), "{}", metric.name);
+        assert!(metric.help.ends_with('.'), "{}", metric.name);
+    }
+}
+
+/// Finds each `metrics::counter!("name"` and its kin under src/ and compares the names with the catalogue.
+#[test]
+fn catalog_lists_every_metric_in_the_source() {
+    let mut used = BTreeSet::new();
+    for text in sources(Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/src"))) {
+        for part in text
+            .split('"')
+            .filter(|part| part.starts_with("crocuswharf_"))
+        {
+            let is_name = part.chars().all(|c| c.is_ascii_lowercase() || c == '_');
+            if is_name && part != "crocuswharf_" && part != "crocuswharf_standin" {
+                used.insert(part.to_owned());
+            }
+        }
+    }
+    let listed: BTreeSet<String> = METRICS
+        .iter()
+        .map(|metric| metric.name.to_owned())
+        .collect();
+    assert_eq!(used, listed);
+}
+
+/// The prefixes of log lines, one for each part.
+const PREFIXES: [&str; 21] = [
+    "admission",
+    "backend",
+    "burn",
+    "command",
+    "config",
+    "control",
+    "demo",
+    "directory",
+    "engine",
+    "entry",
+    "explain",
+    "membership",
+    "peer",
+    "platform",
+    "policy",
+    "recovery",
+    "request",
+    "rollout",
+    "router",
+    "store",
+    "ticket",
+];
+/// Words that no log line may take as an argument: they name prompt text, answers or keys.
+const FORBIDDEN: [&str; 10] = [
+    "authorization",
+    "bearer",
+    "body",
+    "content",
+    "idempotency_key",
+    "key_sha256",
+    "messages",
+    "prompt",
+    "secret",
+    "token_text",
+];
+
+/// Reads each log line's call in the source: its prefix must be known, and it must not name secret values.
+#[test]
+fn log_lines_have_known_prefixes_and_no_secrets() {
+    for text in sources(Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/src"))) {
+        for level in ["error", "warn", "info", "debug", "trace"] {
+            for call in text.split(&format!("log::{level}!(")).skip(1) {
+                let call = arguments(call);
+                let line = call.split('"').nth(1).unwrap_or_default();
+                let prefix = line.split_once(": ").map_or("", |(prefix, _)| prefix);
+                assert!(
+                    PREFIXES.contains(&prefix),
+                    "unknown prefix in log line {line:?}"
+                );
+                let mut words = call.split(|c: char| !c.is_ascii_alphanumeric() && c != '_');
+                let secret = words.find(|word| FORBIDDEN.contains(word));
+                assert_eq!(secret, None, "log line {line:?} names a secret value");
+            }
+        }
+    }
+}
+
+/// Returns the part of `text` before the parenthesis that closes a call.
+fn arguments(text: &str) -> &str {
+    let mut depth = 1;
+    let end = text.find(|c: char| {
+        depth += i32::from(c == '(') - i32::from(c == ')');
+        depth == 0
+    });
+    &text[..end.unwrap_or(text.len())]
+}
+
+/// Returns the text of each source file that records metrics, without the catalogue itself and tests.
+fn sources(directory: &Path) -> Vec<String> {
+    let mut texts = Vec::new();
+    for entry in std::fs::read_dir(directory).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() && !path.ends_with("tests") {
+            texts.extend(sources(&path));
+        } else if !path.ends_with("catalog.rs") && !path.ends_with("tests.rs") {
+            texts.extend(std::fs::read_to_string(&path));
+        }
+    }
+    texts
+}
+
+#[derive(Clone, Default)]
+struct Sink(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[yare::parameterized(
+    own = { "crocuswharf::entry", true },
+    stand_in = { "crocuswharf_standin", true },
+    http_library = { "hyper::proto", false },
+    http_client = { "reqwest::connect", false },
+)]
+fn log_config_lets_only_own_lines_through(target: &str, expected: bool) {
+    let sink = Sink::default();
+    let logger = WriteLogger::new(LevelFilter::Trace, log_config(), sink.clone());
+    let record = Record::builder()
+        .target(target)
+        .level(Level::Trace)
+        .module_path(Some(target))
+        .args(format_args!("entry: request ended request=1"))
+        .build();
+    logger.log(&record);
+    assert_eq!(!sink.0.lock().unwrap().is_empty(), expected);
+}
+
+#[test]
+fn printable_hostile_text_stays_one_short_line() {
+    let shown = printable(&format!("a\n\u{1b}[31m\u{202e}{}", "x".repeat(500)));
+    assert!(shown.chars().count() <= 97);
+    assert!(!shown.contains(['\n', '\u{1b}', '\u{202e}']));
+}
+
+#[test]
+fn log_settings_unknown_level_is_refused() {
+    let refused = serde_json::from_str::<LogSettings>(r#"{"level":"loud"}"#);
+    assert!(refused.is_err());
+    let read: LogSettings = serde_json::from_str(r#"{"level":"debug","target":"stdout"}"#).unwrap();
+    assert_eq!(read.level, LogLevel::Debug);
+}
