--- a/src/burn/message.rs
+++ b/src/burn/message.rs
@@ -99,6 +99,12 @@
 }
 
 impl MemberFigures {
+    /// Encodes the figures for another router.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        self.encode_to_vec()
+    }
+
     /// Decodes what a member sent.
     ///
     /// # Errors
--- a/src/burn/window.rs
+++ b/src/burn/window.rs
@@ -81,12 +81,14 @@
     }
 
     /// Returns into how many slices histograms and burners are cut; fewer, because they are larger.
+    ///
+    /// The ring holds one slice more, so details reach back up to one slice beyond the window.
     #[must_use]
     pub(super) const fn detail_slices(self) -> usize {
         match self {
-            Self::FiveMinutes => 5,
-            Self::Hour | Self::SixHours => 6,
-            Self::ThreeDays => 9,
+            Self::FiveMinutes => 2,
+            Self::Hour | Self::SixHours => 4,
+            Self::ThreeDays => 6,
         }
     }
 }
--- a/src/telemetry/journal.rs
+++ b/src/telemetry/journal.rs
@@ -21,7 +21,7 @@
 impl Default for JournalCapacity {
     fn default() -> Self {
         Self {
-            smooth: 2_048,
+            smooth: 1_024,
             notable: 1_024,
         }
     }
