Add the fleet status: members, hot openings, repairs with evidence

An engineer must see what the fleet is and what it repaired lately without reading nine logs.

Each router tells its part; the asked one joins them and names the missing. Hot openings stand in a sketch of bounded size. Requests for reports and their answers are one pair of messages between routers.

--- a/src/burn/message.rs
+++ b/src/burn/message.rs
@@ -115,16 +115,23 @@
             return Err(protocol(format!("{} bytes of burn figures", bytes.len())));
         }
         let figures = Self::decode(bytes).map_err(|error| protocol(error.to_string()))?;
-        if figures.services.len() > MAX_SERVICES {
+        figures.check()?;
+        Ok(figures)
+    }
+
+    /// Checks that the figures are no more than a router sends.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`ErrorKind::Protocol`] otherwise.
+    pub(crate) fn check(&self) -> Result<(), Error> {
+        if self.services.len() > MAX_SERVICES {
             return Err(protocol(format!(
                 "burn figures of {} services",
-                figures.services.len()
+                self.services.len()
             )));
         }
-        for service in &figures.services {
-            service.check()?;
-        }
-        Ok(figures)
+        self.services.iter().try_for_each(ServiceFigures::check)
     }
 }
 
--- a/src/burn/mod.rs
+++ b/src/burn/mod.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::id::{AccountId, ReplicaId, ServiceName, ZoneName};
 use crate::service::Objectives;
@@ -34,6 +34,7 @@
     Alarm, BurnRate, BurnerReport, LatencyReport, MemberAnswer, MissingMember, ObjectiveReport,
     Report, ServiceReport,
 };
+pub(crate) use self::sketch::{Heavy, TopK};
 pub use self::table::render_table;
 pub use self::window::Window;
 
@@ -44,7 +45,7 @@
 pub const MAX_SERVICES: usize = 64;
 
 /// The objectives that every service has, in the order in which figures list them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ObjectiveKind {
     /// Time to first token.
@@ -93,7 +94,7 @@
 const SMALLEST_ALLOWED_SHARE: f64 = 1e-6;
 
 /// How a request ended, as the objectives see it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ending {
     /// The caller got the whole answer.
--- a/src/burn/report.rs
+++ b/src/burn/report.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::burn::detail::{Detail, Latency};
 use crate::burn::message::{HistogramFigures, MemberFigures, ServiceFigures};
@@ -36,7 +36,7 @@
 }
 
 /// The joined report.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Report {
     /// The window of latencies, burners and series.
     pub window: Window,
@@ -53,7 +53,7 @@
 }
 
 /// A member that could not be asked.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MissingMember {
     /// The member.
     pub router: RouterId,
@@ -62,7 +62,7 @@
 }
 
 /// The burn of one service.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ServiceReport {
     /// The service.
     pub service: ServiceName,
@@ -77,7 +77,7 @@
 }
 
 /// Percentiles of a merged histogram, in milliseconds; `None` where nothing was recorded.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct LatencyReport {
     /// The number of recorded latencies.
     pub count: u64,
@@ -90,7 +90,7 @@
 }
 
 /// The burn of one objective.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ObjectiveReport {
     /// The objective.
     pub objective: ObjectiveKind,
@@ -115,7 +115,7 @@
 }
 
 /// The burn rate over one window.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct BurnRate {
     /// The window.
     pub window: Window,
@@ -128,7 +128,7 @@
 }
 
 /// How urgent the burn of an objective is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Alarm {
     /// Nothing to do.
@@ -140,7 +140,7 @@
 }
 
 /// One name that burns the budget.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct BurnerReport {
     /// The name.
     pub name: Arc<str>,
--- a/src/burn/sketch.rs
+++ b/src/burn/sketch.rs
@@ -8,24 +8,24 @@
 
 /// One name in a [`TopK`].
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Heavy {
-    pub(super) name: Arc<str>,
+pub(crate) struct Heavy {
+    pub(crate) name: Arc<str>,
     /// At least the name's true weight.
-    pub(super) weight: u64,
+    pub(crate) weight: u64,
     /// At most this much of `weight` may belong to other names.
-    pub(super) error: u64,
+    pub(crate) error: u64,
 }
 
 /// A space-saving sketch of weighted names.
 #[derive(Clone, Debug)]
-pub(super) struct TopK {
+pub(crate) struct TopK {
     capacity: usize,
     entries: Vec<Heavy>,
 }
 
 impl TopK {
     /// Makes an empty sketch that keeps at most `capacity` names.
-    pub(super) const fn new(capacity: usize) -> Self {
+    pub(crate) const fn new(capacity: usize) -> Self {
         Self {
             capacity,
             entries: Vec::new(),
@@ -33,7 +33,7 @@
     }
 
     /// Adds `weight` to `name`.
-    pub(super) fn add(&mut self, name: &Arc<str>, weight: u64) {
+    pub(crate) fn add(&mut self, name: &Arc<str>, weight: u64) {
         if weight == 0 {
             return;
         }
@@ -60,7 +60,7 @@
     /// Adds another sketch of the same capacity.
     ///
     /// A name that only one side kept may have had up to the other side's least weight there, if that side was full.
-    pub(super) fn merge(&mut self, other: &Self) {
+    pub(crate) fn merge(&mut self, other: &Self) {
         let own_floor = self.floor();
         let other_floor = other.floor();
         let mut merged: Vec<Heavy> = Vec::with_capacity(self.entries.len() + other.entries.len());
@@ -79,14 +79,14 @@
     }
 
     /// Returns the kept names, heaviest first.
-    pub(super) fn heaviest(&self) -> Vec<Heavy> {
+    pub(crate) fn heaviest(&self) -> Vec<Heavy> {
         let mut entries = self.entries.clone();
         entries.sort_by(|a, b| b.weight.cmp(&a.weight).then_with(|| a.name.cmp(&b.name)));
         entries
     }
 
     /// Takes over entries that another member sent; entries beyond the capacity are ignored.
-    pub(super) fn restore(capacity: usize, entries: impl IntoIterator<Item = Heavy>) -> Self {
+    pub(crate) fn restore(capacity: usize, entries: impl IntoIterator<Item = Heavy>) -> Self {
         let mut sketch = Self::new(capacity);
         for entry in entries.into_iter().take(capacity) {
             if sketch.find(&entry.name).is_none() {
--- a/src/burn/window.rs
+++ b/src/burn/window.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::error::Error;
 
@@ -10,7 +10,7 @@
 const HOUR: Duration = Duration::from_secs(3_600);
 
 /// A window of the burn report; a router that runs for less time holds less.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Window {
     /// Five minutes: confirms that a fast alarm still burns.
     #[serde(rename = "5m")]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 mod prefix;
 mod protocol;
 mod service;
+mod status;
 mod store;
 mod telemetry;
 
@@ -51,6 +52,10 @@
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
+pub use crate::status::{
+    AskedReport, FleetStatus, Heat, MemberStatus, OpeningHeat, Repair, Repairs, ReplicaStatus,
+    ReportReply, ReportRequest, StoreCalls, opening_name, render_status,
+};
 pub use crate::store::{
     Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
     ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
--- a/src/telemetry/journal.rs
+++ b/src/telemetry/journal.rs
@@ -1,4 +1,4 @@
-//! What a router keeps of its ended requests for operators: burn, explanations and metrics together.
+//! What a router keeps for operators: burn, explanations, metrics, hot openings and repairs.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +7,7 @@
 use crate::explain::{Explanation, Explanations};
 use crate::id::{RequestId, RouterId};
 use crate::service::Objectives;
+use crate::status::{Heat, OpeningHeat, Repair, Repairs};
 use crate::telemetry::request::RequestMetrics;
 
 /// How many explanations a router keeps.
@@ -34,6 +35,8 @@
     pub observation: Observation,
     /// What was done and why.
     pub explanation: Explanation,
+    /// The name of the prompt's opening, if it has one.
+    pub opening: Option<Arc<str>>,
 }
 
 /// Everything that one router keeps of its ended requests, bounded in memory.
@@ -43,6 +46,8 @@
     burn: Burn,
     explanations: Explanations,
     metrics: RequestMetrics,
+    heat: Heat,
+    repairs: Repairs,
 }
 
 impl Journal {
@@ -53,6 +58,8 @@
             burn: Burn::new(now),
             explanations: Explanations::new(capacity.smooth, capacity.notable),
             metrics: RequestMetrics::new(router.clone()),
+            heat: Heat::new(now),
+            repairs: Repairs::default(),
             router,
         }
     }
@@ -61,9 +68,29 @@
     pub fn record(&mut self, entry: JournalEntry, objectives: &Objectives, now: Duration) {
         self.burn.record(&entry.observation, objectives, now);
         self.metrics.record(&entry.observation, &entry.explanation);
+        if let Some(opening) = &entry.opening {
+            self.heat.record(opening, now);
+        }
         self.explanations.push(entry.explanation);
     }
 
+    /// Notes that `part` did `action` by itself because of `evidence`.
+    pub fn repaired(&mut self, part: &str, action: &str, evidence: &str, unix_now: Duration) {
+        self.repairs.push(part, action, evidence, unix_now);
+    }
+
+    /// Returns the openings that were asked for most, at most `limit`, hottest first.
+    #[must_use]
+    pub fn hottest(&self, limit: usize) -> Vec<OpeningHeat> {
+        self.heat.hottest(limit)
+    }
+
+    /// Returns what was repaired lately, latest first.
+    #[must_use]
+    pub fn repairs(&self) -> Vec<Repair> {
+        self.repairs.latest()
+    }
+
     /// Forgets the burn of services for which `is_kept` says no.
     pub fn retain_services(&mut self, is_kept: impl Fn(&str) -> bool) {
         self.burn.retain(is_kept);
--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -38,6 +38,7 @@
     JournalEntry {
         observation,
         explanation,
+        opening: Some("wharf-llm/0".into()),
     }
 }
 
--- a/standin/src/capacity/records.rs
+++ b/standin/src/capacity/records.rs
@@ -97,9 +97,15 @@
                 avoidable_tokens: if is_bad { 2_000 } else { 0 },
             },
             explanation,
+            opening: Some(self.opening()),
         }
     }
 
+    fn opening(&mut self) -> Arc<str> {
+        let skewed = self.rng.random_range(0.0_f64..1.0).powi(3) * 2_000.0;
+        format!("model/account/{skewed:.0}").into()
+    }
+
     fn choice(&mut self) -> ExplainedChoice {
         let candidates = (0..4).map(|_| ExplainedCandidate {
             replica: self.replicas[self.rng.random_range(0..self.replicas.len())].clone(),
