--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -88,6 +88,18 @@
     }
 }
 
+/// The page between its markers must be what the catalogue renders; the failure prints the table to paste.
+#[test]
+fn catalog_is_on_the_metrics_page() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/operations/metrics.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    let table = render_metrics_page();
+    assert!(
+        page.contains(&table),
+        "docs/operations/metrics.md must hold:\n{table}"
+    );
+}
+
 /// Finds each `metrics::counter!("name"` and its kin under src/ and compares the names with the catalogue.
 #[test]
 fn catalog_lists_every_metric_in_the_source() {
@@ -111,9 +123,10 @@
 }
 
 /// The prefixes of log lines, one for each part.
-const PREFIXES: [&str; 21] = [
+const PREFIXES: [&str; 22] = [
     "admission",
     "backend",
+    "drain",
     "burn",
     "command",
     "config",
