--- a/src/burn/tests.rs
+++ b/src/burn/tests.rs
@@ -286,3 +286,28 @@
     }
     assert_eq!(burn.dropped(), 3);
 }
+
+/// Each plot must be well-formed XML, which browsers forgive and other viewers do not.
+#[test]
+fn render_html_plots_have_closed_tags() {
+    let mut burn = Burn::new(Duration::ZERO);
+    for index in 0..600 {
+        let now = SECOND * 6 * index;
+        burn.record(
+            &observation("a", u64::from(index)),
+            &Objectives::default(),
+            now,
+        );
+    }
+    let answers = vec![answer("r1", Ok(burn.figures(Window::Hour, SECOND * 3_600)))];
+    let page = render_html(&Report::join(&objectives(), Window::Hour, answers)).unwrap();
+    for svg in page.split("<svg").skip(1) {
+        let svg = svg.split("</svg>").next().unwrap();
+        for tag in ["text", "g"] {
+            let opened =
+                svg.matches(&format!("<{tag} ")).count() + svg.matches(&format!("<{tag}>")).count();
+            assert_eq!(opened, svg.matches(&format!("</{tag}>")).count(), "{tag}");
+        }
+        assert!(svg.matches("<rect").count() > 50, "a plot without bars");
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod burn;
+mod command;
 mod configuration;
 mod error;
 mod explain;
@@ -24,6 +25,7 @@
     Report as BurnReport, ServiceFigures, ServiceReport, Tally, TallyFigures, Window as BurnWindow,
     render_html, render_table,
 };
+pub use crate::command::{BurnArgs, ExplainArgs, StatusArgs, burn, explain, status};
 pub use crate::configuration::Configuration;
 pub use crate::error::{Error, ErrorKind};
 pub use crate::explain::{
