--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,12 @@
 mod burn;
 mod command;
 mod configuration;
+mod directory;
 mod error;
 mod explain;
+mod fault;
 mod id;
+mod membership;
 mod peer;
 mod pool;
 mod preference;
@@ -16,7 +19,15 @@
 mod status;
 mod store;
 mod telemetry;
+mod ticket;
 
+pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
+pub use crate::configuration::{
+    Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
+    ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
+    UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
+    load as load_configuration, load_root as load_configuration_root,
+};
 pub use crate::account::{Account, AccountLimits, NamedAccount};
 pub use crate::burn::{
     Alarm as BurnAlarm, Burn, BurnRate, BurnerFigure, BurnerReport, Ending as BurnEnding,
@@ -27,6 +38,7 @@
 };
 pub use crate::command::{BurnArgs, ExplainArgs, StatusArgs, burn, explain, status};
 pub use crate::configuration::Configuration;
+pub use crate::directory::Directory;
 pub use crate::error::{Error, ErrorKind};
 pub use crate::explain::{
     Attempt as ExplainedAttempt, AttemptCause, Candidate as ExplainedCandidate,
@@ -34,10 +46,15 @@
     Explanations, MAX_ATTEMPTS, MAX_CANDIDATES, MAX_REASON_BYTES, RouterTag, Run as ExplainedRun,
     View as ExplainedView, new_request_id, render_explanation, router_tag, tag_of,
 };
+pub use crate::fault::Fault;
 pub use crate::id::{
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
 };
+pub use crate::membership::{
+    Heartbeat, Liveness, LoadLevel, Member, MemberRecord, Membership, MembershipOptions,
+    Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
+};
 pub use crate::peer::{
     Body, Inbound, Kind, LinkOptions, LinkTimes, Links, MAX_PAYLOAD_BYTES, PeerEvent, PeerIdentity,
     PeerKeys, ReplyHandle, Traffic, TrafficByKind, wire_bytes,
@@ -66,4 +83,6 @@
     Journal, JournalCapacity, JournalEntry, LogLevel, LogSettings, LogTarget, METRICS,
     MetricDescription, MetricKind, RequestMetrics, install_recorder, log_config,
     render_metrics_page, start_logs,
+pub use crate::ticket::{
+    NewState, Ticket, TicketOutcome, check as check_ticket, submit as submit_ticket,
 };
