--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,13 +22,6 @@
 mod ticket;
 
 pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
-pub use crate::configuration::{
-    Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
-    ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
-    UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
-    load as load_configuration, load_root as load_configuration_root,
-};
-pub use crate::account::{Account, AccountLimits, NamedAccount};
 pub use crate::burn::{
     Alarm as BurnAlarm, Burn, BurnRate, BurnerFigure, BurnerReport, Ending as BurnEnding,
     HistogramFigures, LatencyReport, MAX_SERVICES, MemberAnswer, MemberFigures, MissingMember,
@@ -37,7 +30,12 @@
     render_html, render_table,
 };
 pub use crate::command::{BurnArgs, ExplainArgs, StatusArgs, burn, explain, status};
-pub use crate::configuration::Configuration;
+pub use crate::configuration::{
+    Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
+    ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
+    UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
+    load as load_configuration, load_root as load_configuration_root,
+};
 pub use crate::directory::Directory;
 pub use crate::error::{Error, ErrorKind};
 pub use crate::explain::{
@@ -83,6 +81,7 @@
     Journal, JournalCapacity, JournalEntry, LogLevel, LogSettings, LogTarget, METRICS,
     MetricDescription, MetricKind, RequestMetrics, install_recorder, log_config,
     render_metrics_page, start_logs,
+};
 pub use crate::ticket::{
     NewState, Ticket, TicketOutcome, check as check_ticket, submit as submit_ticket,
 };
