--- a/standin/src/capacity/mod.rs
+++ b/standin/src/capacity/mod.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 
 mod fit;
+mod membership;
 mod records;
 mod report;
 mod target;
@@ -30,7 +31,10 @@
 type Measure = fn() -> anyhow::Result<Vec<report::Figure>>;
 
 /// The roles in the order of the report.
-const ROLES: [(&str, Measure); 1] = [("records", records::measure)];
+const ROLES: [(&str, Measure); 2] = [
+    ("records", records::measure),
+    ("membership", membership::measure),
+];
 
 /// Measures and prints.
 ///
