--- a/standin/src/capacity/mod.rs
+++ b/standin/src/capacity/mod.rs
@@ -7,6 +7,7 @@
 
 mod fit;
 mod membership;
+mod peers;
 mod records;
 mod report;
 mod target;
@@ -31,7 +32,8 @@
 type Measure = fn() -> anyhow::Result<Vec<report::Figure>>;
 
 /// The roles in the order of the report.
-const ROLES: [(&str, Measure); 2] = [
+const ROLES: [(&str, Measure); 3] = [
+    ("peers", peers::measure),
     ("records", records::measure),
     ("membership", membership::measure),
 ];
