--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,15 @@
 
 mod account;
 mod admission;
+mod burn;
+mod command;
 mod configuration;
 mod control;
 mod directory;
 mod engine;
 mod entry;
 mod error;
+mod explain;
 mod fault;
 mod id;
 mod listener;
@@ -17,16 +20,26 @@
 mod preference;
 mod prefix;
 mod protocol;
-mod router;
 mod request;
+mod router;
 mod service;
 mod settings;
+mod status;
 mod store;
+mod telemetry;
 mod ticket;
 mod usage;
 
 pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
 pub use crate::admission::{queue, shed};
+pub use crate::burn::{
+    Alarm as BurnAlarm, Burn, BurnRate, BurnerFigure, BurnerReport, Ending as BurnEnding,
+    HistogramFigures, LatencyReport, MAX_SERVICES, MemberAnswer, MemberFigures, MissingMember,
+    ObjectiveBurners, ObjectiveKind, ObjectiveReport, Observation as BurnObservation,
+    Report as BurnReport, ServiceFigures, ServiceReport, Tally, TallyFigures, Window as BurnWindow,
+    render_html, render_table,
+};
+pub use crate::command::{BurnArgs, ExplainArgs, StatusArgs, burn, explain, status};
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
     ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
@@ -35,6 +48,12 @@
 };
 pub use crate::directory::Directory;
 pub use crate::error::{Error, ErrorKind};
+pub use crate::explain::{
+    Attempt as ExplainedAttempt, AttemptCause, Candidate as ExplainedCandidate,
+    Choice as ExplainedChoice, Claim as ExplainedClaim, End as ExplainedEnd, Explanation,
+    Explanations, MAX_ATTEMPTS, MAX_CANDIDATES, MAX_REASON_BYTES, RouterTag, Run as ExplainedRun,
+    View as ExplainedView, new_request_id, render_explanation, router_tag, tag_of,
+};
 pub use crate::fault::Fault;
 pub use crate::id::{
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
@@ -60,19 +79,26 @@
     HEADER_OPENING, HEADER_PRIORITY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN,
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
-pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::request::message as request_message;
 pub use crate::request::{
     claim, claim_service, drain, ejection, event_id, hedge, refusal, retry, stream,
 };
+pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
-pub use crate::settings::{
-    Bounds, Listen, LogSettings, RouterSettings, Times, parse_json, read_json,
+pub use crate::settings::{Bounds, Listen, RouterSettings, Times, parse_json, read_json};
+pub use crate::status::{
+    AskedReport, FleetStatus, Heat, MemberStatus, OpeningHeat, Repair, Repairs, ReplicaStatus,
+    ReportReply, ReportRequest, StoreCalls, opening_name, render_status,
 };
 pub use crate::store::{
     Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
     ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
 };
+pub use crate::telemetry::{
+    Journal, JournalCapacity, JournalEntry, LogLevel, LogSettings, LogTarget, METRICS,
+    MetricDescription, MetricKind, RequestMetrics, install_recorder, log_config,
+    render_metrics_page, start_logs,
+};
 pub use crate::ticket::{
     NewState, Ticket, TicketOutcome, check as check_ticket, submit as submit_ticket,
 };
--- a/src/request/claim_service/mod.rs
+++ b/src/request/claim_service/mod.rs
@@ -115,7 +115,7 @@
             decided: None,
         };
         if self.inner.commands.try_send(command).is_err() {
-            log::warn!("claim: An outcome could not be queued and is not recorded.");
+            log::warn!("request: A claim's outcome could not be queued and is not recorded.");
         }
     }
 
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use crocuswharf_standin::{demo, engine, plain, platform, serve};
+use crocuswharf_standin::{capacity, demo, engine, plain, platform, serve};
 
 /// The exit code for what was refused or failed.
 const EXIT_FAILED: u8 = 1;
@@ -23,6 +23,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Capacity(capacity::CapacityArgs),
     Demo(demo::DemoArgs),
     Engine(EngineArgs),
     Plain(PlainArgs),
@@ -80,6 +81,7 @@
 #[tokio::main]
 async fn run(command: Command) -> anyhow::Result<bool> {
     match command {
+        Command::Capacity(args) => capacity::run(&args).map(|()| true),
         Command::Demo(args) => demo::run(&args).await,
         Command::Engine(args) => {
             let settings: engine::EngineSettings = crocuswharf::read_json(&args.settings)?;
