Add the operators' command line and the ticket handlers

Operators need to check, submit, list, show and follow tickets.

crocuswharf ticket calls the operators' interface of the first router that answers; a submission moves on to the next router only where none has seen it. The handlers are thin over a desk that checks, submits and reads the log. Exit status: 0 done, 1 refused or failed, 2 wrong usage.

--- /dev/null
+++ b/src/command/tests.rs
@@ -0,0 +1,67 @@
+use super::*;
+
+async fn run_words(words: &[&str]) -> CommandOutcome {
+    let mut arguments = vec!["crocuswharf".to_owned()];
+    arguments.extend(words.iter().map(ToString::to_string));
+    outcome(&arguments).await
+}
+
+#[yare::parameterized(
+    none = { &[] },
+    unknown_command = { &["tickets"] },
+    unknown_option = { &["--loud", "ticket", "list"] },
+    no_file = { &["ticket", "submit"] },
+    no_action = { &["ticket"] },
+)]
+#[test_macro(tokio::test)]
+async fn outcome_wrong_usage(words: &[&str]) {
+    let outcome = run_words(words).await;
+    assert!(matches!(outcome, CommandOutcome::Usage(_)), "{outcome:?}");
+}
+
+#[yare::parameterized(
+    help = { &["--help"], "ticket" },
+    ticket_help = { &["ticket", "--help"], "submit" },
+    version = { &["--version"], env!("CARGO_PKG_VERSION") },
+    offline = { &["ticket", "check", "--offline", "examples/tickets/1-shinewell.json"], "ticket 1 has no fault" },
+    second = { &["ticket", "check", "--offline", "examples/tickets/2-new-weights.json"], "ticket 2 has no fault" },
+)]
+#[test_macro(tokio::test)]
+async fn outcome_done(words: &[&str], expected: &str) {
+    let outcome = run_words(words).await;
+    assert!(
+        matches!(&outcome, CommandOutcome::Done(text) if text.contains(expected)),
+        "{outcome:?}"
+    );
+}
+
+#[yare::parameterized(
+    no_settings = { &["--settings", "absent.json", "ticket", "list"], "settings file absent.json" },
+    no_ticket = { &["ticket", "check", "--offline", "absent.json"], "ticket file absent.json" },
+    no_ticket_at_all = { &["ticket", "check", "--offline", "Cargo.toml"], "1 fault\nline 1" },
+)]
+#[test_macro(tokio::test)]
+async fn outcome_failed(words: &[&str], expected: &str) {
+    let outcome = run_words(words).await;
+    assert!(
+        matches!(&outcome, CommandOutcome::Failed(text) if text.contains(expected)),
+        "{outcome:?}"
+    );
+}
+
+#[yare::parameterized(
+    no_router = { r#"{"routers":[],"operator_key":"k"}"#, "routers: [] is not allowed" },
+    no_key = { r#"{"routers":["127.0.0.1:1"],"operator_key":""}"#, "operator_key:" },
+    bad_address = { r#"{"routers":["here"],"operator_key":"k"}"#, "routers[0]: invalid socket address" },
+    unknown = { r#"{"routers":["127.0.0.1:1"],"operator_key":"k","x":1}"#, "unknown field `x`" },
+    timeout = { r#"{"routers":["127.0.0.1:1"],"operator_key":"k","timeout_ms":1}"#, "timeout_ms: 1 is not allowed" },
+)]
+fn settings_refused(document: &str, expected: &str) {
+    let error = CommandSettings::parse(document.as_bytes()).unwrap_err();
+    assert!(error.to_string().contains(expected), "{error}");
+}
+
+#[test]
+fn settings_example_is_sound() {
+    CommandSettings::read("examples/crocuswharf.json").unwrap();
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! crocuswharf routes language-model traffic whose prompts share long openings.
 
 mod account;
+mod command;
 mod configuration;
 mod error;
 mod fault;
@@ -15,6 +16,7 @@
 mod ticket;
 
 pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
+pub use crate::command::run as run_command;
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
     ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
@@ -48,5 +50,7 @@
     ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
 };
 pub use crate::ticket::{
-    NewState, Ticket, TicketOutcome, check as check_ticket, submit as submit_ticket,
+    MemberRevision, NewState, Ticket, TicketDesk, TicketOutcome, TicketReply, TicketShown,
+    TicketStatus, check as check_ticket, check_against as check_ticket_against,
+    submit as submit_ticket, ticket_routes,
 };
--- a/src/ticket/apply.rs
+++ b/src/ticket/apply.rs
@@ -91,6 +91,19 @@
     Decision::Apply(Box::new(change))
 }
 
+/// Lists the faults of `ticket` against `state`, as far as they show without the log of accepted tickets.
+#[must_use]
+pub fn check_against(state: &StoredState, ticket: &Ticket) -> Vec<Fault> {
+    let mut found = Vec::new();
+    check_number(state, ticket, &mut found);
+    check_order(state, ticket, &mut found);
+    let mut change = Builder::new(state, Duration::ZERO);
+    change.put_objects(ticket);
+    let change = change.finish(&mut found);
+    reference::check(&change.state.configuration(), ticket, &mut found);
+    found
+}
+
 fn check_number(state: &StoredState, ticket: &Ticket, found: &mut Vec<Fault>) {
     let root = &state.root;
     let mut refuse = |reason| {
--- a/src/ticket/mod.rs
+++ b/src/ticket/mod.rs
@@ -18,14 +18,21 @@
 use crate::service::Service;
 
 mod apply;
+mod desk;
 mod document;
+mod handler;
 mod reference;
+mod reply;
 mod submission;
 #[cfg(test)]
 mod tests;
 
+pub use self::apply::check_against;
 pub(crate) use self::apply::{Change, Decision, apply};
+pub use self::desk::TicketDesk;
 pub use self::document::check;
+pub use self::handler::ticket_routes;
+pub use self::reply::{MemberRevision, TicketReply, TicketShown, TicketStatus};
 #[cfg(test)]
 pub(crate) use self::submission::Submission;
 pub use self::submission::{TicketOutcome, submit};
