Test the store's client and the ticket handlers over loopback

The client's statuses, conditions and timeouts were only tested unreachable.

A small platform on a loopback socket answers reads, conditional writes, lists and watches, and loses answers on demand; a listener that never answers stands for a silent connection. The ticket handlers run against it.

cargo test store:: ticket::tests::desk passes (12 tests).

--- a/src/store/tests/mod.rs
+++ b/src/store/tests/mod.rs
@@ -5,7 +5,9 @@
 
 use super::*;
 
+mod calls;
 pub(crate) mod fake;
+pub(crate) mod platform;
 
 #[test]
 fn backoff_grows_and_stays_under_its_ceiling() {
--- a/src/ticket/tests/mod.rs
+++ b/src/ticket/tests/mod.rs
@@ -10,6 +10,7 @@
 use crate::store::Step;
 use crate::store::tests::fake::FakeStore;
 
+mod desk;
 mod race;
 
 fn faults_of(document: &str) -> Vec<String> {
