Roll weights, adapters and roles over a pool under a lease

Engines have to reach what the tickets say although holders of the lease pause, orders arrive late and some engines ignore fencing numbers.

The lease is one object per pool; its version is the fencing number, and a holder counts its time from the sending of the write. The rollout works each step out of the ticket in force and the engines' reports: it fences engines that check, drains, orders at most concurrent_loads at once and never more than a third of a pool, and counts a report only after the order has ended.

--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -23,7 +23,7 @@
 pub use self::adoption::{Adoption, InForce, StateSource};
 pub use self::message::{Announce, ConfigurationStatus, Fetch, UpdatePart};
 pub use self::transfer::{ReadStep, UpdateReader, UpdateServer};
-pub use self::watch::{RootWatch, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher};
+pub use self::watch::{ROOT_TOPIC, RootWatch, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep};
 
 pub(crate) use self::load::{LoadStep, Loading};
 pub use self::load::{load, load_root};
--- a/src/configuration/watch.rs
+++ b/src/configuration/watch.rs
@@ -6,15 +6,13 @@
 
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
-use xxhash_rust::xxh3::Xxh3;
-
-use super::ROOT_KEY;
-use crate::id::{RouterId, ZoneName};
 use crate::store::{Backoff, ObjectVersion};
+use rand::{Rng, RngExt};
 
 /// How many routers of an availability zone watch.
 pub const WATCHERS_A_ZONE: usize = 2;
+/// The topic under which rendezvous hashing chooses who watches the root.
+pub const ROOT_TOPIC: u64 = 0x726f_6f74;
 /// How long one poll of a watch waits.
 pub const WATCH_WAIT: Duration = Duration::from_secs(5);
 /// How often a router that does not watch reads the root's version.
@@ -22,31 +20,6 @@
 /// How often a router looks for the root before the first ticket; a watch of an absent object returns at once.
 const NO_ROOT_CHECK: Duration = Duration::from_secs(2);
 
-/// Tells whether `own` is among the routers of its availability zone that watch.
-///
-/// Rendezvous hashing gives all routers the same answer while they know the same members. Where they don't, one watch
-/// more or less is held for a while, which costs a call and never correctness.
-#[must_use]
-pub fn is_watcher<'a>(
-    own: &RouterId,
-    zone: &ZoneName,
-    members: impl IntoIterator<Item = (&'a RouterId, &'a ZoneName)>,
-) -> bool {
-    let own_rank = rank(own);
-    let ahead = members
-        .into_iter()
-        .filter(|(id, other_zone)| *other_zone == zone && *id != own)
-        .filter(|(id, _)| (rank(id), *id) > (own_rank, own));
-    ahead.take(WATCHERS_A_ZONE).count() < WATCHERS_A_ZONE
-}
-
-fn rank(router: &str) -> u64 {
-    let mut hasher = Xxh3::new();
-    hasher.update(ROOT_KEY.as_bytes());
-    hasher.update(router.as_bytes());
-    hasher.digest()
-}
-
 /// The next call towards the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchStep {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 mod preference;
 mod prefix;
 mod protocol;
+mod rollout;
 mod service;
 mod store;
 mod ticket;
@@ -21,12 +22,10 @@
 pub use crate::command::run as run_command;
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
-    ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
-    UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
+    ROOT_KEY, ROOT_TOPIC, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart,
+    UpdateReader, UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep,
     load as load_configuration, load_root as load_configuration_root,
 };
-pub use crate::account::{Account, AccountLimits, NamedAccount};
-pub use crate::configuration::Configuration;
 pub use crate::directory::Directory;
 pub use crate::error::{Error, ErrorKind};
 pub use crate::fault::Fault;
@@ -53,6 +52,10 @@
     HEADER_OPENING, HEADER_PRIORITY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN,
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
+pub use crate::rollout::{
+    DrainNotice, Drains, LEASE_LIFE, Lease, LeaseAction, LeaseEvent, LeaseRecord, ORDER_TIMEOUT,
+    ObservedReplica, OrderEnd, Rollout, RolloutAction,
+};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
 pub use crate::store::{
     Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
