Settle running submissions before the random runs judge outcomes

The runs now drive every submission to its end and take the revision from the state. The checks are as strict as before.

--- a/src/configuration/tests/spread.rs
+++ b/src/configuration/tests/spread.rs
@@ -106,8 +106,9 @@
                 self.running.push((acceptor, submission, step));
                 continue;
             }
-            if let Step::Done(TicketOutcome::Accepted { revision, state }) = step {
-                self.highest_accepted = self.highest_accepted.max(revision);
+            if let Step::Done(TicketOutcome::Accepted { state, .. }) = step {
+                // A resend may read a state that later tickets have raised already.
+                self.highest_accepted = self.highest_accepted.max(state.revision());
                 self.routers[acceptor].offer(self.seed, *state, now);
             }
         }
--- a/src/ticket/tests/race.rs
+++ b/src/ticket/tests/race.rs
@@ -146,6 +146,15 @@
         );
         known = newer;
     }
+    for mut submitter in running {
+        let outcome = loop {
+            if let Some(outcome) = submitter.advance(&mut store, &mut rng) {
+                break outcome;
+            }
+        };
+        ended.push((submitter.ticket, outcome));
+    }
+    let known = load_now(&store, &known);
     check_outcomes(seed, &store, &known, &ended);
 }
 
