--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,11 +2,16 @@
 
 mod account;
 mod command;
+mod admission;
 mod configuration;
+mod control;
 mod directory;
+mod engine;
+mod entry;
 mod error;
 mod fault;
 mod id;
+mod listener;
 mod membership;
 mod peer;
 mod pool;
@@ -14,12 +19,17 @@
 mod prefix;
 mod protocol;
 mod rollout;
+mod router;
+mod request;
 mod service;
+mod settings;
 mod store;
 mod ticket;
+mod usage;
 
 pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
 pub use crate::command::run as run_command;
+pub use crate::admission::{queue, shed};
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
     ROOT_KEY, ROOT_TOPIC, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart,
@@ -33,6 +43,7 @@
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
 };
+pub use crate::listener::bind_listener;
 pub use crate::membership::{
     Heartbeat, Liveness, LoadLevel, Member, MemberRecord, Membership, MembershipOptions,
     Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
@@ -55,8 +66,15 @@
 pub use crate::rollout::{
     DrainNotice, Drains, LEASE_LIFE, Lease, LeaseAction, LeaseEvent, LeaseRecord, ORDER_TIMEOUT,
     ObservedReplica, OrderEnd, Rollout, RolloutAction,
+pub use crate::router::{DrainReport, Router, RouterAddresses};
+pub use crate::request::message as request_message;
+pub use crate::request::{
+    claim, claim_service, drain, ejection, event_id, hedge, refusal, retry, stream,
 };
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
+pub use crate::settings::{
+    Bounds, Listen, LogSettings, RouterSettings, Times, parse_json, read_json,
+};
 pub use crate::store::{
     Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
     ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
@@ -66,3 +84,4 @@
     TicketStatus, check as check_ticket, check_against as check_ticket_against,
     submit as submit_ticket, ticket_routes,
 };
+pub use crate::usage::{EXIT_USAGE, parse_args};
