--- a/src/command/tests.rs
+++ b/src/command/tests/reports.rs
@@ -3,7 +3,7 @@
 
 use argh::FromArgs;
 
-use super::*;
+use super::super::*;
 use crate::burn::{Burn, Ending, MemberAnswer, Observation, Report, Window};
 use crate::service::Objectives;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 mod prefix;
 mod protocol;
 mod request;
+mod rollout;
 mod router;
 mod service;
 mod settings;
@@ -39,11 +40,12 @@
     Report as BurnReport, ServiceFigures, ServiceReport, Tally, TallyFigures, Window as BurnWindow,
     render_html, render_table,
 };
+pub use crate::command::run as run_command;
 pub use crate::command::{BurnArgs, ExplainArgs, StatusArgs, burn, explain, status};
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
-    ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
-    UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
+    ROOT_KEY, ROOT_TOPIC, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart,
+    UpdateReader, UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep,
     load as load_configuration, load_root as load_configuration_root,
 };
 pub use crate::directory::Directory;
@@ -83,6 +85,10 @@
 pub use crate::request::{
     claim, claim_service, drain, ejection, event_id, hedge, refusal, retry, stream,
 };
+pub use crate::rollout::{
+    DrainNotice, Drains, LEASE_LIFE, Lease, LeaseAction, LeaseEvent, LeaseRecord, ORDER_TIMEOUT,
+    ObservedReplica, OrderEnd, Rollout, RolloutAction,
+};
 pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
 pub use crate::settings::{Bounds, Listen, RouterSettings, Times, parse_json, read_json};
@@ -100,6 +106,8 @@
     render_metrics_page, start_logs,
 };
 pub use crate::ticket::{
-    NewState, Ticket, TicketOutcome, check as check_ticket, submit as submit_ticket,
+    MemberRevision, NewState, Ticket, TicketDesk, TicketOutcome, TicketReply, TicketShown,
+    TicketStatus, check as check_ticket, check_against as check_ticket_against,
+    submit as submit_ticket, ticket_routes,
 };
 pub use crate::usage::{EXIT_USAGE, parse_args};
