--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod admission;
+mod backend;
 mod burn;
 mod command;
 mod configuration;
@@ -32,7 +33,10 @@
 mod usage;
 
 pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
-pub use crate::admission::{queue, shed};
+pub use crate::admission::{
+    LimitDecision, LimitKind, Limiter, Usage, UsageEntry, UsageTree, queue, shed,
+};
+pub use crate::backend::{Availability, Backend, BackendChange};
 pub use crate::burn::{
     Alarm as BurnAlarm, Burn, BurnRate, BurnerFigure, BurnerReport, Ending as BurnEnding,
     HistogramFigures, LatencyReport, MAX_SERVICES, MemberAnswer, MemberFigures, MissingMember,
@@ -45,7 +49,7 @@
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
     ROOT_KEY, ROOT_TOPIC, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart,
-    UpdateReader, UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep,
+    UpdateReader, UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
     load as load_configuration, load_root as load_configuration_root,
 };
 pub use crate::directory::Directory;
@@ -63,8 +67,8 @@
 };
 pub use crate::listener::bind_listener;
 pub use crate::membership::{
-    Heartbeat, Liveness, LoadLevel, Member, MemberRecord, Membership, MembershipOptions,
-    Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
+    Heartbeat, LeavingVm, LeavingVms, Liveness, LoadLevel, Member, MemberRecord, Membership,
+    MembershipOptions, Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
 };
 pub use crate::peer::{
     Body, Inbound, Kind, LinkOptions, LinkTimes, Links, MAX_PAYLOAD_BYTES, PeerEvent, PeerIdentity,
@@ -91,7 +95,9 @@
 };
 pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
-pub use crate::settings::{Bounds, Listen, RouterSettings, Times, parse_json, read_json};
+pub use crate::settings::{
+    Bounds, Listen, LogSettings, RouterSettings, Times, parse_json, read_json,
+};
 pub use crate::status::{
     AskedReport, FleetStatus, Heat, MemberStatus, OpeningHeat, Repair, Repairs, ReplicaStatus,
     ReportReply, ReportRequest, StoreCalls, opening_name, render_status,
