--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,27 +1,37 @@
 //! crocuswharf routes language-model traffic whose prompts share long openings.
 
 mod account;
+mod admission;
 mod burn;
 mod command;
 mod configuration;
+mod control;
 mod directory;
+mod engine;
+mod entry;
 mod error;
 mod explain;
 mod fault;
 mod id;
+mod listener;
 mod membership;
 mod peer;
 mod pool;
 mod preference;
 mod prefix;
 mod protocol;
+mod request;
+mod router;
 mod service;
+mod settings;
 mod status;
 mod store;
 mod telemetry;
 mod ticket;
+mod usage;
 
 pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
+pub use crate::admission::{queue, shed};
 pub use crate::burn::{
     Alarm as BurnAlarm, Burn, BurnRate, BurnerFigure, BurnerReport, Ending as BurnEnding,
     HistogramFigures, LatencyReport, MAX_SERVICES, MemberAnswer, MemberFigures, MissingMember,
@@ -49,6 +59,7 @@
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
 };
+pub use crate::listener::bind_listener;
 pub use crate::membership::{
     Heartbeat, Liveness, LoadLevel, Member, MemberRecord, Membership, MembershipOptions,
     Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
@@ -68,7 +79,13 @@
     HEADER_OPENING, HEADER_PRIORITY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN,
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
+pub use crate::request::message as request_message;
+pub use crate::request::{
+    claim, claim_service, drain, ejection, event_id, hedge, refusal, retry, stream,
+};
+pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
+pub use crate::settings::{Bounds, Listen, RouterSettings, Times, parse_json, read_json};
 pub use crate::status::{
     AskedReport, FleetStatus, Heat, MemberStatus, OpeningHeat, Repair, Repairs, ReplicaStatus,
     ReportReply, ReportRequest, StoreCalls, opening_name, render_status,
@@ -85,3 +102,4 @@
 pub use crate::ticket::{
     NewState, Ticket, TicketOutcome, check as check_ticket, submit as submit_ticket,
 };
+pub use crate::usage::{EXIT_USAGE, parse_args};
