--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -147,7 +147,7 @@
     async fn resume(&mut self, reason: &str) -> Option<SseEvent> {
         let request_id = self.dispatch.request_id();
         log::warn!(
-            "stream: Resuming on a new connection. request={request_id} replica={} after={} reason={reason:?}",
+            "request: Resuming on a new connection. request={request_id} replica={} after={} reason={reason:?}",
             self.placed.replica.id,
             self.engine_sequence,
         );
--- a/src/request/claim_service/worker.rs
+++ b/src/request/claim_service/worker.rs
@@ -168,7 +168,7 @@
             // The send may have been given up meanwhile.
             Some(decided) => drop(decided.send(decision)),
             None if decision == Decision::Unavailable => {
-                log::warn!("claim: An outcome was not recorded in time.");
+                log::warn!("request: A claim's outcome was not recorded in time.");
             }
             None => {}
         }
@@ -181,7 +181,7 @@
         Ok(Some(found)) => ReadOutcome::Found(found),
         Ok(None) => ReadOutcome::Absent,
         Err(error) => {
-            log::warn!("claim: A bucket can't be read. bucket={bucket} error={error}");
+            log::warn!("request: A bucket of claims can't be read. bucket={bucket} error={error}");
             ReadOutcome::Unavailable
         }
     };
