Confirm recorded outcomes and count those that are not

Cause: an outcome handed to the owner of a bucket could be lost on the way, and a drain could exit before it was recorded. Change: the owner replies when the platform holds the outcome, else the router records it itself; open_calls counts what is not recorded yet. Conclusion: a drain can wait for open_calls to reach zero.

--- a/src/request/claim_service/call.rs
+++ b/src/request/claim_service/call.rs
@@ -89,13 +89,8 @@
         if let Some(decision) = self.claim_at_owner(&change).await {
             return decision;
         }
-        self.claim_here(change).await
-    }
-
-    fn settle(&self, change: Change) {
-        if !self.settle_at_owner(&change) {
-            self.settle_here(change);
-        }
+        let timeout = self.inner.options.claim_timeout;
+        self.decide_here(change, timeout).await
     }
 }
 
--- a/src/request/claim_service/mod.rs
+++ b/src/request/claim_service/mod.rs
@@ -10,6 +10,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -28,7 +29,7 @@
 const COMMAND_QUEUE: usize = 4_096;
 
 /// How long an outcome may wait to be recorded before it is dropped.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// What the claim service needs to know.
 #[derive(Clone, Debug)]
@@ -55,6 +56,8 @@
     ledger: Mutex<Ledger>,
     commands: mpsc::Sender<Command>,
     peers: ArcSwapOption<ClaimPeers>,
+    runtime: Handle,
+    unrecorded: AtomicUsize,
 }
 
 impl ClaimService {
@@ -70,6 +73,8 @@
                 ledger: Mutex::new(ledger),
                 commands,
                 peers: ArcSwapOption::empty(),
+                runtime: runtime.clone(),
+                unrecorded: AtomicUsize::new(0),
             }),
         }
     }
@@ -79,10 +84,10 @@
         self.inner.peers.store(peers.map(Arc::new));
     }
 
-    /// Returns the number of claimed calls that have not ended, for the drain.
+    /// Returns the number of claimed calls that have not ended or whose outcome is not recorded, for the drain.
     #[must_use]
-    pub fn open_attempts(&self) -> usize {
-        self.ledger().open_attempts()
+    pub fn open_calls(&self) -> usize {
+        self.ledger().open_attempts() + self.inner.unrecorded.load(Ordering::Relaxed)
     }
 
     fn ledger(&self) -> MutexGuard<'_, Ledger> {
@@ -93,13 +98,13 @@
             .expect("a claim invariant is broken")
     }
 
-    /// Submits a claim here, on this router's own writer, and waits for the decision.
-    async fn claim_here(&self, change: Change) -> Decision {
+    /// Submits a change to this router's own writer and waits for the decision.
+    async fn decide_here(&self, change: Change, timeout: Duration) -> Decision {
         let (decided, decision) = oneshot::channel();
         let command = Command {
             change,
-            timeout: self.inner.options.claim_timeout,
-            decided: Some(decided),
+            timeout,
+            decided,
         };
         if self.inner.commands.try_send(command).is_err() {
             return Decision::Unavailable;
@@ -107,16 +112,18 @@
         decision.await.unwrap_or(Decision::Unavailable)
     }
 
-    /// Records an outcome here, without waiting.
-    fn settle_here(&self, change: Change) {
-        let command = Command {
-            change,
-            timeout: SETTLE_TIMEOUT,
-            decided: None,
-        };
-        if self.inner.commands.try_send(command).is_err() {
-            log::warn!("claim: An outcome could not be queued and is not recorded.");
-        }
+    /// Records an outcome, at the owner of its bucket or else here, while the send goes on to its end.
+    fn settle(&self, change: Change) {
+        self.inner.unrecorded.fetch_add(1, Ordering::Relaxed);
+        let service = self.clone();
+        self.inner.runtime.spawn(async move {
+            let is_recorded = service.settle_at_owner(&change).await
+                || service.decide_here(change, SETTLE_TIMEOUT).await != Decision::Unavailable;
+            if !is_recorded {
+                log::warn!("claim: An outcome could not be recorded.");
+            }
+            service.inner.unrecorded.fetch_sub(1, Ordering::Relaxed);
+        });
     }
 
     /// Returns the peer that owns the bucket of `key`; `None` where this router does, or none is known.
--- a/src/request/claim_service/peer.rs
+++ b/src/request/claim_service/peer.rs
@@ -10,7 +10,7 @@
 use crate::request::claim::{AttemptId, AttemptPhase, Change, Decision, Disowned};
 use crate::request::message::{
     AttemptQuery, AttemptReply, ClaimMessage, ClaimReply, ClaimRequest, ClaimRequestBody,
-    DisownedMessage, SettleMessage,
+    DisownedMessage, SettleMessage, SettleReply,
 };
 
 /// How long the owner of a bucket may take before this router writes for itself.
@@ -19,6 +19,9 @@
 /// How long another router may take to say whether it gave an attempt up.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long the owner of a bucket may take to record an outcome before this router does it.
+const OWNER_SETTLE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// A router that may own buckets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimMember {
@@ -82,8 +85,8 @@
         Some(reply.into_decision(claim.attempt))
     }
 
-    /// Hands an outcome to the peer that owns its bucket; returns whether it was sent.
-    pub(super) fn settle_at_owner(&self, change: &Change) -> bool {
+    /// Hands an outcome to the peer that owns its bucket; returns whether the peer has recorded it.
+    pub(super) async fn settle_at_owner(&self, change: &Change) -> bool {
         let key = match change {
             Change::Claim(claim, _) => &claim.key,
             Change::SettleRan(key, ..) | Change::SettleNotRun(key, _) => key,
@@ -93,7 +96,12 @@
             return false;
         };
         let request = body(ClaimRequestBody::Settle(message));
-        peers.links.send(owner.address, request)
+        let links = &peers.links;
+        let reply = links
+            .request(owner.address, request, OWNER_SETTLE_TIMEOUT)
+            .await;
+        let reply: Option<SettleReply> = reply.and_then(|reply| reply.decode().ok());
+        reply.is_some_and(|reply| reply.is_recorded)
     }
 
     /// Asks the router of an attempt whether it gave the attempt up.
@@ -122,39 +130,42 @@
     /// Answers what a peer asks about claims; the control thread hands bodies of [`Kind::Claim`] here.
     pub fn receive(&self, event: PeerEvent) {
         let request: Option<ClaimRequest> = event.body.decode().ok();
-        match request.and_then(|request| request.body) {
-            Some(ClaimRequestBody::Claim(message)) => {
-                let service = self.clone();
-                tokio::spawn(async move {
-                    if let (Some(reply), Some(handle)) =
-                        (service.decide_for(message, &event.from).await, event.reply)
-                    {
-                        handle.send(Body::encode(Kind::Claim, &reply));
-                    }
-                });
+        let Some(request) = request.and_then(|request| request.body) else {
+            let router = &event.from.router;
+            log::warn!("claim: A peer's request is not understood. router={router}");
+            return;
+        };
+        let service = self.clone();
+        self.inner.runtime.spawn(async move {
+            let reply = service.reply_to(request, &event.from).await;
+            if let (Some(reply), Some(handle)) = (reply, event.reply) {
+                handle.send(reply);
             }
-            Some(ClaimRequestBody::Settle(message)) => {
-                if let Some(change) = message.into_change() {
-                    self.settle_here(change);
-                }
+        });
+    }
+
+    async fn reply_to(&self, request: ClaimRequestBody, from: &PeerIdentity) -> Option<Body> {
+        match request {
+            ClaimRequestBody::Claim(message) => {
+                let (claim, proof) = message.into_claim(from.router.clone(), from.incarnation)?;
+                let attempt = claim.attempt;
+                let timeout = self.inner.options.claim_timeout;
+                let decision = self.decide_here(Change::Claim(claim, proof), timeout).await;
+                let reply = ClaimReply::of(attempt, decision);
+                Some(Body::encode(Kind::Claim, &reply))
+            }
+            ClaimRequestBody::Settle(message) => {
+                let change = message.into_change()?;
+                let decision = self.decide_here(change, OWNER_SETTLE_TIMEOUT).await;
+                let is_recorded = decision != Decision::Unavailable;
+                Some(Body::encode(Kind::Claim, &SettleReply { is_recorded }))
             }
-            Some(ClaimRequestBody::Query(query)) => {
-                let reply = self.word_on(&query);
-                if let Some(handle) = event.reply {
-                    handle.send(Body::encode(Kind::Claim, &reply));
-                }
+            ClaimRequestBody::Query(query) => {
+                Some(Body::encode(Kind::Claim, &self.word_on(&query)))
             }
-            None => log::warn!("claim: A body of {} is not understood.", event.from.router),
         }
     }
 
-    async fn decide_for(&self, message: ClaimMessage, from: &PeerIdentity) -> Option<ClaimReply> {
-        let (claim, proof) = message.into_claim(from.router.clone(), from.incarnation)?;
-        let attempt = claim.attempt;
-        let decision = self.claim_here(Change::Claim(claim, proof)).await;
-        Some(ClaimReply::of(attempt, decision))
-    }
-
     fn word_on(&self, query: &AttemptQuery) -> AttemptReply {
         let is_this_life = query.incarnation == self.inner.options.incarnation;
         let attempt = AttemptId::from_slice(&query.attempt).unwrap_or_default();
--- a/src/request/claim_service/worker.rs
+++ b/src/request/claim_service/worker.rs
@@ -22,7 +22,7 @@
 pub(super) struct Command {
     pub(super) change: Change,
     pub(super) timeout: Duration,
-    pub(super) decided: Option<oneshot::Sender<Decision>>,
+    pub(super) decided: oneshot::Sender<Decision>,
 }
 
 /// What came of one call of the platform.
@@ -92,9 +92,7 @@
         let now = self.now();
         self.last_ticket += 1;
         let ticket = self.last_ticket;
-        if let Some(decided) = command.decided {
-            self.waiting.insert(ticket, decided);
-        }
+        self.waiting.insert(ticket, command.decided);
         let slot = self.slots.entry(bucket).or_insert_with(|| Slot {
             writer: BucketWriter::default(),
             used_at: now,
@@ -164,13 +162,9 @@
     }
 
     fn decide(&mut self, ticket: WriterTicket, decision: Decision) {
-        match self.waiting.remove(&ticket) {
-            // The send may have been given up meanwhile.
-            Some(decided) => drop(decided.send(decision)),
-            None if decision == Decision::Unavailable => {
-                log::warn!("claim: An outcome was not recorded in time.");
-            }
-            None => {}
+        if let Some(decided) = self.waiting.remove(&ticket) {
+            // Whoever asked may have given up meanwhile.
+            let _ = decided.send(decision);
         }
     }
 }
--- a/src/request/message.rs
+++ b/src/request/message.rs
@@ -24,7 +24,7 @@
     /// Enter a claim; answered by a [`ClaimReply`].
     #[prost(message, tag = "1")]
     Claim(ClaimMessage),
-    /// Record how an attempt ended; not answered.
+    /// Record how an attempt ended; answered by a [`SettleReply`].
     #[prost(message, tag = "2")]
     Settle(SettleMessage),
     /// Tell whether an attempt was given up; answered by an [`AttemptReply`].
@@ -129,6 +129,14 @@
     pub answer: Option<KeptAnswer>,
 }
 
+/// The answer to a [`SettleMessage`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SettleReply {
+    /// Whether the platform holds the outcome.
+    #[prost(bool, tag = "1")]
+    pub is_recorded: bool,
+}
+
 /// Asks a router whether it gave an attempt up.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct AttemptQuery {
