--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,7 +49,7 @@
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
     ROOT_KEY, ROOT_TOPIC, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart,
-    UpdateReader, UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
+    UpdateReader, UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep,
     load as load_configuration, load_root as load_configuration_root,
 };
 pub use crate::directory::Directory;
@@ -95,9 +95,7 @@
 };
 pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
-pub use crate::settings::{
-    Bounds, Listen, LogSettings, RouterSettings, Times, parse_json, read_json,
-};
+pub use crate::settings::{Bounds, Listen, RouterSettings, Times, parse_json, read_json};
 pub use crate::status::{
     AskedReport, FleetStatus, Heat, MemberStatus, OpeningHeat, Repair, Repairs, ReplicaStatus,
     ReportReply, ReportRequest, StoreCalls, opening_name, render_status,
