Choose replicas in cells by an owner's model, and compare with baselines

Change: openings get levels and an owner key; cells of replicas and routers; an owner's model of caches (LRU over levels) and prefill queues fed by its own and its cell peers' placements, answers, evictions and load reports; the choice at the entry router; frames; kept-cache budget; and 'compare' in virtual time.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod error;
 mod id;
+mod policy;
 mod pool;
 mod preference;
 mod prefix;
@@ -18,10 +19,17 @@
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
     RouterId, ServiceName, TicketNumber, WeightsVersion, ZoneName,
 };
+pub use crate::policy::{
+    Candidate, CandidateMessage, Cells, Choice, Considered, Deciding, InstanceTag, KeptBudget,
+    KeptPlan, Learning, Lookup, LookupMessage, Observation, ObservationMessage,
+    ObservationsMessage, OwnerReply, OwnerReplyMessage, OwnerView, Placement, PoolView,
+    ReplicaView, RequestTag, ViewChunkMessage, choose,
+};
 pub use crate::pool::{KeptCache, Pool, Replica, ReplicaRole};
 pub use crate::preference::Preference;
 pub use crate::prefix::{
-    BYTES_PER_TOKEN, MAX_PIECES, Opening, OpeningRoot, PIECE_TOKENS, Piece, PieceHash,
+    BYTES_PER_TOKEN, Level, LevelKey, MAX_PIECES, MIN_LEVEL_TOKENS, Opening, OpeningRoot,
+    PIECE_TOKENS, Piece, PieceHash, level_key,
 };
 pub use crate::protocol::{
     CacheEvent, CacheEventKind, CacheEvents, EngineIdentity, EngineOrder, Entries, Entry,
--- /dev/null
+++ b/src/policy/observation.rs
@@ -0,0 +1,137 @@
+//! What a router asks an opening's owner, and what the owner learns.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::view::InstanceTag;
+use crate::prefix::{Level, LevelKey, Opening};
+
+/// Names one dispatch for as long as its answer is awaited; the low bits of the request's id.
+pub type RequestTag = u32;
+
+/// The question which replica a prompt should go to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Lookup {
+    /// The request.
+    pub request: RequestTag,
+    /// The cell whose replicas are asked for.
+    pub cell: usize,
+    /// The levels of the prompt's opening.
+    pub levels: SmallVec<[Level; 4]>,
+    /// The position of the shared part in `levels`.
+    pub shared_level: usize,
+    /// The estimated tokens of the whole prompt.
+    pub prompt_tokens: u32,
+    /// The price of recomputation of the service's preference.
+    pub recomputation_price: f64,
+    /// The position of the asking router's availability zone among those of the pool, in the order of their names.
+    pub zone: usize,
+    /// A replica that has just failed this request.
+    pub excluded: Option<InstanceTag>,
+}
+
+impl Lookup {
+    /// Returns the key of the shared part.
+    #[must_use]
+    pub fn owner_key(&self) -> LevelKey {
+        self.levels.get(self.shared_level).map_or(0, |l| l.key)
+    }
+
+    /// Makes the question for `opening`, without an excluded replica.
+    #[must_use]
+    pub fn new(
+        request: RequestTag,
+        cell: usize,
+        opening: &Opening,
+        recomputation_price: f64,
+        zone: usize,
+    ) -> Self {
+        Self {
+            request,
+            cell,
+            levels: opening.levels.clone(),
+            shared_level: opening.shared_level,
+            prompt_tokens: opening.prompt_tokens,
+            recomputation_price,
+            zone,
+            excluded: None,
+        }
+    }
+}
+
+/// One replica that an owner thinks of for a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The replica, in one life, under one weights version.
+    pub instance: InstanceTag,
+    /// The tokens of the prompt that are expected to be warm there.
+    pub warm_tokens: u32,
+    /// The expected time in the replica's queue.
+    pub wait: Duration,
+}
+
+/// An owner's answer; it has placed the request at the first candidate.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OwnerReply {
+    /// The request.
+    pub request: RequestTag,
+    /// The candidates, the best first; none where the cell has no replica that may take the request.
+    pub candidates: SmallVec<[Candidate; 3]>,
+    /// The mean wait over the cell.
+    pub pressure: Duration,
+}
+
+/// What a router learns of a cell. All times are the observing router's own.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Observation {
+    /// A request was or is about to be dispatched.
+    Placed {
+        /// The request.
+        request: RequestTag,
+        /// The levels of its opening.
+        levels: SmallVec<[Level; 4]>,
+        /// The tokens of its prompt.
+        prompt_tokens: u32,
+        /// Where it went.
+        instance: InstanceTag,
+        /// When.
+        at: Duration,
+    },
+    /// A request that was placed did not go there.
+    Withdrawn {
+        /// The request.
+        request: RequestTag,
+        /// Where it did not go.
+        instance: InstanceTag,
+    },
+    /// A request's first token came.
+    Answered {
+        /// The request.
+        request: RequestTag,
+        /// Who answered, as the answer itself says.
+        instance: InstanceTag,
+        /// The tokens that the engine found warm, where it has said so.
+        cached_tokens: Option<u32>,
+        /// When the first token left the engine, as far as is known.
+        at: Duration,
+    },
+    /// A replica dropped the pieces that end these levels.
+    Evicted {
+        /// The replica.
+        instance: InstanceTag,
+        /// The levels.
+        keys: Vec<LevelKey>,
+        /// When at the latest.
+        at: Duration,
+    },
+    /// A replica reported its load.
+    Load {
+        /// The replica.
+        instance: InstanceTag,
+        /// The requests that waited for or were in prefill.
+        waiting_requests: u32,
+        /// When it was so.
+        at: Duration,
+    },
+}
--- /dev/null
+++ b/standin/src/compare/faults.rs
@@ -0,0 +1,67 @@
+//! The faults that a comparison can bring about, and when.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// Which faults happen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Faults {
+    /// Engines crash and come back empty.
+    pub(crate) crash: bool,
+    /// Streams of cache events lose entries.
+    pub(crate) gaps: bool,
+    /// Hot openings shift from one moment to the next.
+    pub(crate) shift: bool,
+    /// A third of the routers restart at once.
+    pub(crate) restart: bool,
+}
+
+impl FromStr for Faults {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, String> {
+        let none = Self::default();
+        match name {
+            "none" => Ok(none),
+            "crash" => Ok(Self {
+                crash: true,
+                ..none
+            }),
+            "gaps" => Ok(Self { gaps: true, ..none }),
+            "shift" => Ok(Self {
+                shift: true,
+                ..none
+            }),
+            "restart" => Ok(Self {
+                restart: true,
+                ..none
+            }),
+            "all" => Ok(Self {
+                crash: true,
+                gaps: true,
+                shift: true,
+                restart: true,
+            }),
+            _ => Err(format!(
+                "faults: {name} is none of none, crash, gaps, shift, restart, all"
+            )),
+        }
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names = [
+            (self.crash, "crash"),
+            (self.gaps, "gaps"),
+            (self.shift, "shift"),
+            (self.restart, "restart"),
+        ];
+        let mut on = names.iter().filter(|n| n.0).map(|n| n.1);
+        match (on.clone().count(), on.next()) {
+            (4, _) => f.write_str("all"),
+            (_, Some(name)) => f.write_str(name),
+            (_, None) => f.write_str("none"),
+        }
+    }
+}
