Model decode slots, and give the oracle the caches as they will be

Change: the queue model counts decode slots and learns when answers end; the oracle sees the cache behind its queue; caches warm up at a lower rate first.

--- a/src/policy/message.rs
+++ b/src/policy/message.rs
@@ -87,7 +87,7 @@
 /// One observation; its kind follows from the fields that are set.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ObservationMessage {
-    /// The kind: 1 placed, 2 withdrawn, 3 answered, 4 evicted, 5 load.
+    /// The kind: 1 placed, 2 withdrawn, 3 answered, 4 evicted, 5 load, 6 finished.
     #[prost(uint32, tag = "1")]
     pub kind: u32,
     /// The request.
@@ -144,6 +144,7 @@
 const KIND_ANSWERED: u32 = 3;
 const KIND_EVICTED: u32 = 4;
 const KIND_LOAD: u32 = 5;
+const KIND_FINISHED: u32 = 6;
 
 impl LookupMessage {
     /// Makes the frame of a question about the pool with the hash `pool`.
@@ -256,6 +257,17 @@
                 number: *cached_tokens,
                 ..Self::default()
             },
+            Observation::Finished {
+                request,
+                instance,
+                at,
+            } => Self {
+                kind: KIND_FINISHED,
+                request: *request,
+                instance: *instance,
+                age_ms: age(at),
+                ..Self::default()
+            },
             Observation::Evicted { instance, keys, at } => Self {
                 kind: KIND_EVICTED,
                 instance: *instance,
@@ -297,6 +309,11 @@
                 cached_tokens: self.number,
                 at,
             }),
+            KIND_FINISHED => Some(Observation::Finished {
+                request,
+                instance,
+                at,
+            }),
             KIND_EVICTED => Some(Observation::Evicted {
                 instance,
                 keys: self.keys.clone(),
--- a/src/policy/observation.rs
+++ b/src/policy/observation.rs
@@ -116,6 +116,15 @@
         /// When the first token left the engine, as far as is known.
         at: Duration,
     },
+    /// A request's answer ended, whole or not.
+    Finished {
+        /// The request.
+        request: RequestTag,
+        /// Who answered.
+        instance: InstanceTag,
+        /// When.
+        at: Duration,
+    },
     /// A replica dropped the pieces that end these levels.
     Evicted {
         /// The replica.
--- a/src/policy/owner.rs
+++ b/src/policy/owner.rs
@@ -114,7 +114,7 @@
     fn new(view: ReplicaView) -> Self {
         Self {
             instance: view.instance(),
-            queue: QueueModel::default(),
+            queue: QueueModel::new(view.decode_slots as usize),
             cache: CacheModel::new(view.cache_tokens),
             trust: 1.0,
             awaited: VecDeque::new(),
@@ -347,6 +347,11 @@
                 let cached = cached_tokens.filter(|_| self.learning.answers);
                 self.with_model(*instance, |m| m.answered(*request, cached, *at));
             }
+            Observation::Finished {
+                request,
+                instance,
+                at,
+            } => self.with_model(*instance, |m| m.queue.finished(*request, *at)),
             Observation::Evicted { instance, keys, at } => {
                 if self.learning.events {
                     self.with_model(*instance, |m| {
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -7,18 +7,27 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use super::observation::RequestTag;
 
 /// The most dispatches kept for replay; a queue longer than this is past any deadline.
-const MAX_DISPATCHES: usize = 64;
+const MAX_DISPATCHES: usize = 160;
+/// The time that an answer is expected to take after its first token, until the first has ended.
+const INITIAL_DECODE_TIME: Duration = Duration::from_secs(4);
+/// How much one answer's time moves the mean.
+const DECODE_TIME_STEP: f64 = 0.05;
 /// The age at which a dispatch no longer matters for replay.
 const DISPATCH_LIFE: Duration = Duration::from_secs(10);
 
 /// What one replica has been given and when it is expected to be done.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct QueueModel {
     busy_until: Duration,
     dispatches: VecDeque<Dispatch>,
+    slots: usize,
+    /// The mean time that an answer takes after its first token.
+    decode_time: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -27,12 +36,56 @@
     at: Duration,
     cost: Duration,
     end: Duration,
+    is_finished: bool,
 }
 
 impl QueueModel {
+    pub(crate) fn new(slots: usize) -> Self {
+        Self {
+            busy_until: Duration::ZERO,
+            dispatches: VecDeque::new(),
+            slots: slots.max(1),
+            decode_time: INITIAL_DECODE_TIME,
+        }
+    }
+
     /// Returns the expected wait of a request dispatched at `now`.
     pub(crate) fn wait(&self, now: Duration) -> Duration {
-        self.busy_until.saturating_sub(now)
+        self.start(now).saturating_sub(now)
+    }
+
+    /// Returns when a request dispatched at `now` is expected to start: after the queue, and with a free slot.
+    fn start(&self, now: Duration) -> Duration {
+        self.busy_until.max(now).max(self.slot_free_at(now))
+    }
+
+    /// Returns when a slot is expected to be free for one more request.
+    fn slot_free_at(&self, now: Duration) -> Duration {
+        let mut finishes: SmallVec<[Duration; 64]> = self
+            .dispatches
+            .iter()
+            .filter(|d| !d.is_finished)
+            .map(|d| d.end + self.decode_time)
+            .filter(|&finish| finish > now)
+            .collect();
+        let Some(excess) = finishes.len().checked_sub(self.slots) else {
+            return now;
+        };
+        let (_, finish, _) = finishes.select_nth_unstable(excess);
+        *finish
+    }
+
+    /// Learns that the answer to `request` ended at `at`.
+    pub(crate) fn finished(&mut self, request: RequestTag, at: Duration) {
+        let Some(index) = self.position(request) else {
+            return;
+        };
+        let dispatch = &mut self.dispatches[index];
+        dispatch.is_finished = true;
+        let took = at.saturating_sub(dispatch.end).as_secs_f64();
+        let mean = self.decode_time.as_secs_f64();
+        let mean = mean + DECODE_TIME_STEP * (took - mean);
+        self.decode_time = Duration::from_secs_f64(mean.max(0.0));
     }
 
     /// Returns when the queue is expected to be empty.
@@ -46,17 +99,18 @@
             || self
                 .dispatches
                 .front()
-                .is_some_and(|d| d.at + DISPATCH_LIFE < at && d.end < at)
+                .is_some_and(|d| d.is_finished || d.end + DISPATCH_LIFE < at)
         {
             self.dispatches.pop_front();
         }
-        let end = self.busy_until.max(at) + cost;
+        let end = self.start(at) + cost;
         self.busy_until = end;
         self.dispatches.push_back(Dispatch {
             request,
             at,
             cost,
             end,
+            is_finished: false,
         });
     }
 
--- a/src/policy/view.rs
+++ b/src/policy/view.rs
@@ -34,6 +34,8 @@
     pub prefill_tokens_per_second: f64,
     /// The tokens that its cache holds.
     pub cache_tokens: u64,
+    /// How many answers it generates at once.
+    pub decode_slots: u32,
     /// When its prefill queue is expected to be empty.
     pub busy_until: Duration,
 }
--- a/standin/src/compare/driver.rs
+++ b/standin/src/compare/driver.rs
@@ -13,8 +13,6 @@
 const RING_POINTS: u64 = 64;
 /// How far above the mean a replica's load may be under consistent hashing with bounded load.
 const LOAD_BOUND: f64 = 1.25;
-/// The price of recomputation at which the oracle did best; see docs/MEASUREMENTS.md.
-const ORACLE_PRICE: f64 = 2.0;
 
 /// The compared policies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,6 +103,7 @@
     next: Vec<usize>,
     ring: Vec<(u64, usize)>,
     warm: Vec<usize>,
+    oracle_price: f64,
 }
 
 /// One decision's circumstances.
@@ -116,7 +115,7 @@
 }
 
 impl Driver {
-    pub(crate) fn new(routers: usize, replicas: usize) -> Self {
+    pub(crate) fn new(routers: usize, replicas: usize, oracle_price: f64) -> Self {
         let mut ring: Vec<_> = (0..replicas)
             .flat_map(|r| (0..RING_POINTS).map(move |p| (mix(mix(r as u64) ^ p), r)))
             .collect();
@@ -127,6 +126,7 @@
             next: (0..routers).map(|r| r * 7).collect(),
             ring,
             warm: vec![0; replicas],
+            oracle_price,
         }
     }
 
@@ -212,10 +212,10 @@
         holders.warm_pieces(question.opening, &mut self.warm);
         let cost = |replica: usize| {
             let engine = &engines[replica];
-            let wait = engine_wait_secs(engine, question.now);
+            let wait = engine.free_at.saturating_sub(question.now).as_secs_f64();
             let warm = tokens_of(question.opening, self.warm[replica]);
             let cold = question.opening.prompt_tokens - warm;
-            wait + ORACLE_PRICE * engine.prefill_secs(cold)
+            wait + self.oracle_price * engine.prefill_secs(cold)
         };
         (0..engines.len())
             .filter(|&r| engines[r].is_up && question.excluded != Some(r))
@@ -224,40 +224,3 @@
             .map(|(_, r)| r)
     }
 }
-
-/// Returns the true time until an engine's queue is empty, if no slot binds.
-fn engine_wait_secs(engine: &Engine, now: Duration) -> f64 {
-    let current = engine
-        .prefill
-        .as_ref()
-        .map_or(0.0, |p| p.end.saturating_sub(now).as_secs_f64());
-    let queued: f64 = engine
-        .queue
-        .iter()
-        .enumerate()
-        .map(|(index, job)| {
-            let warm = warm_when_started(engine, index);
-            engine.prefill_secs(job.opening.prompt_tokens - warm)
-        })
-        .sum();
-    current + queued
-}
-
-/// Returns the tokens that will be warm for a queued job: what the cache holds or the jobs before it will have stored.
-fn warm_when_started(engine: &Engine, index: usize) -> u32 {
-    let job = &engine.queue[index];
-    let pieces = engine.cache.warm_pieces(&job.opening);
-    let before = engine.queue.iter().take(index).map(|j| &j.opening);
-    let current = engine.prefill.iter().map(|p| &p.job.opening);
-    let shared = current
-        .chain(before)
-        .map(|other| shared_pieces(&job.opening, other))
-        .max()
-        .unwrap_or(0);
-    tokens_of(&job.opening, pieces.max(shared))
-}
-
-fn shared_pieces(one: &Opening, other: &Opening) -> usize {
-    let pairs = one.pieces.iter().zip(&other.pieces);
-    pairs.take_while(|(a, b)| a.hash == b.hash).count()
-}
--- a/standin/src/compare/engine.rs
+++ b/standin/src/compare/engine.rs
@@ -13,7 +13,9 @@
 pub(crate) struct Job {
     pub(crate) request: usize,
     pub(crate) opening: Opening,
-    pub(crate) answer_tokens: u32,
+    pub(crate) decode: Duration,
+    /// The tokens that the engine will compute, as follows from the jobs before it.
+    pub(crate) cold_tokens: u32,
 }
 
 /// The prefill that an engine computes.
@@ -33,7 +35,13 @@
     pub(crate) queue: VecDeque<Job>,
     pub(crate) prefill: Option<Prefill>,
     pub(crate) running: usize,
+    /// When the answers that are generated end.
+    pub(crate) ends: Vec<Duration>,
+    /// When one more request could start, if no other came before it.
+    pub(crate) free_at: Duration,
     pub(crate) cache: PieceCache,
+    /// The cache as it will be when all queued jobs are done; kept for the oracle alone.
+    pub(crate) foreseen: PieceCache,
     prefill_tokens_per_second: f64,
     decode_slots: usize,
 }
@@ -51,7 +59,10 @@
             queue: VecDeque::new(),
             prefill: None,
             running: 0,
+            ends: Vec::new(),
+            free_at: Duration::ZERO,
             cache: PieceCache::new(cache_tokens),
+            foreseen: PieceCache::new(cache_tokens),
             prefill_tokens_per_second,
             decode_slots,
         }
@@ -78,6 +89,40 @@
         Some(end)
     }
 
+    /// Adds a job to what the oracle foresees.
+    pub(crate) fn foresee_job(&mut self, job: &mut Job, answer_tokens: u32) {
+        let warm = self.foreseen.warm_pieces(&job.opening);
+        job.cold_tokens = job.opening.prompt_tokens - tokens_of(&job.opening, warm);
+        self.foreseen.store(&job.opening, answer_tokens);
+    }
+
+    /// Works out when one more request could start, from what the engine knows and nobody else does.
+    pub(crate) fn foresee(&mut self, now: Duration) {
+        let mut free = now;
+        let mut ends = self.ends.clone();
+        if let Some(prefill) = &self.prefill {
+            free = prefill.end;
+            ends.push(prefill.end + prefill.job.decode);
+        }
+        ends.sort_unstable();
+        for index in 0..self.queue.len() {
+            let start = self.slot_after(&mut ends, free);
+            let job = &self.queue[index];
+            free = start + Duration::from_secs_f64(self.prefill_secs(job.cold_tokens));
+            let end = free + job.decode;
+            ends.insert(ends.partition_point(|&e| e < end), end);
+        }
+        self.free_at = self.slot_after(&mut ends, free);
+    }
+
+    /// Takes a slot at `free` or when the next one is free.
+    fn slot_after(&self, ends: &mut Vec<Duration>, free: Duration) -> Duration {
+        if ends.len() < self.decode_slots {
+            return free;
+        }
+        ends.remove(0).max(free)
+    }
+
     /// Returns the time to compute `tokens`.
     pub(crate) fn prefill_secs(&self, tokens: u32) -> f64 {
         f64::from(tokens) / self.prefill_tokens_per_second + STEP_SECS
@@ -103,7 +148,10 @@
         self.is_up = false;
         self.incarnation += 1;
         self.running = 0;
+        self.ends.clear();
+        self.free_at = Duration::ZERO;
         self.cache.clear();
+        self.foreseen.clear();
         let current = self.prefill.take().map(|p| p.job);
         current.into_iter().chain(self.queue.drain(..)).collect()
     }
--- a/standin/src/compare/mod.rs
+++ b/standin/src/compare/mod.rs
@@ -60,6 +60,12 @@
     /// run only these policies, comma separated
     #[argh(option)]
     only: Option<String>,
+    /// the price of recomputation of crocuswharf's preference; the deployment's own where absent
+    #[argh(option)]
+    price: Option<f64>,
+    /// the price of recomputation at which the oracle decides; the deployment's own where absent
+    #[argh(option)]
+    oracle_price: Option<f64>,
     /// leave out parts of the policy, comma separated: owner, answers, events, price, width, randomness, reports
     #[argh(option, default = "String::new()")]
     without: String,
@@ -91,7 +97,9 @@
     anyhow::ensure!(load > 0.0, "load: {load} is not above zero");
     anyhow::ensure!(args.routers > 0, "routers: 0 is not above zero");
     anyhow::ensure!(args.replicas != Some(0), "replicas: 0 is not above zero");
-    let scenario = Scenario::new(args.deployment, args.routers, args.replicas, load);
+    let mut scenario = Scenario::new(args.deployment, args.routers, args.replicas, load);
+    scenario.recomputation_price = args.price.unwrap_or(scenario.recomputation_price);
+    scenario.oracle_price = args.oracle_price.unwrap_or(scenario.oracle_price);
     let arrivals = workload::arrivals(&scenario, args.faults, args.seed, args.requests);
     let policies = kinds
         .iter()
--- a/standin/src/compare/routers.rs
+++ b/standin/src/compare/routers.rs
@@ -178,6 +178,10 @@
         self.replicas[replica].instance()
     }
 
+    pub(crate) fn cell_of(&self, replica: usize) -> usize {
+        self.pool_view.cells().cell_of_replica(replica)
+    }
+
     pub(crate) fn take_events(&mut self) -> Vec<(Duration, RouterEvent)> {
         std::mem::take(&mut self.events)
     }
@@ -515,6 +519,27 @@
         }
     }
 
+    /// Learns at the entry router that an answer ended.
+    pub(crate) fn finished(
+        &mut self,
+        request: usize,
+        entry: usize,
+        cell: usize,
+        instance: InstanceTag,
+        now: Duration,
+    ) {
+        let observation = Observation::Finished {
+            request: request as u32,
+            instance,
+            at: now,
+        };
+        if self.ablation.without_owner {
+            self.views[entry].record(&observation);
+        } else {
+            self.tell(entry, cell, observation, now);
+        }
+    }
+
     /// Hands load reports to the routers of each replica's cell.
     pub(crate) fn load_reports(&mut self, at: Duration, waiting: &[u32], now: Duration) {
         if !self.is_used || self.ablation.without_reports {
@@ -674,6 +699,7 @@
         is_available: true,
         prefill_tokens_per_second: scenario.prefill_tokens_per_second,
         cache_tokens: scenario.cache_tokens,
+        decode_slots: scenario.decode_slots as u32,
         busy_until: Duration::ZERO,
     }
 }
--- a/standin/src/compare/scenario.rs
+++ b/standin/src/compare/scenario.rs
@@ -70,6 +70,8 @@
     pub(crate) token_interval_secs: f64,
     pub(crate) cache_tokens: u64,
     pub(crate) recomputation_price: f64,
+    /// The price at which the oracle does best; see docs/MEASUREMENTS.md.
+    pub(crate) oracle_price: f64,
     pub(crate) ttft_deadline_ms: u64,
     pub(crate) burst_share: f64,
     pub(crate) arrivals_per_second: f64,
@@ -199,6 +201,7 @@
         token_interval_secs: 0.03,
         cache_tokens: 160_000,
         recomputation_price: 3.0,
+        oracle_price: 2.0,
         ttft_deadline_ms: 60_000,
         burst_share: 0.0,
         arrivals_per_second: 0.0,
@@ -215,6 +218,7 @@
         prefill_tokens_per_second: 25_000.0,
         cache_tokens: 320_000,
         recomputation_price: 5.0,
+        oracle_price: 3.0,
         ..shinewell()
     }
 }
--- a/standin/src/compare/simulation.rs
+++ b/standin/src/compare/simulation.rs
@@ -68,6 +68,7 @@
     DecodeEnd {
         replica: usize,
         incarnation: u64,
+        request: usize,
     },
     FirstToken {
         request: usize,
@@ -140,6 +141,8 @@
     sequence: u64,
     engines: Vec<Engine>,
     holders: Holders,
+    /// The holders when all queued jobs are done.
+    foreseen: Holders,
     driver: Driver,
     routers: Routers,
     router_is_up: Vec<bool>,
@@ -180,7 +183,8 @@
         sequence: 0,
         engines: (0..scenario.replicas).map(|_| engine()).collect(),
         holders: Holders::default(),
-        driver: Driver::new(scenario.routers, scenario.replicas),
+        foreseen: Holders::default(),
+        driver: Driver::new(scenario.routers, scenario.replicas, scenario.oracle_price),
         routers: Routers::new(scenario, kind, ablation, faults, seed),
         router_is_up: vec![true; scenario.routers],
         requests: vec![RequestState::default(); arrivals.arrivals.len()],
@@ -254,12 +258,8 @@
             Event::DecodeEnd {
                 replica,
                 incarnation,
-            } => {
-                if self.engines[replica].incarnation == incarnation {
-                    self.engines[replica].running -= 1;
-                    self.start(replica);
-                }
-            }
+                request,
+            } => self.decode_end(replica, incarnation, request),
             Event::FirstToken {
                 request,
                 cached_tokens,
@@ -359,7 +359,7 @@
             self.kind,
             &question,
             &self.engines,
-            &self.holders,
+            &self.foreseen,
             &mut self.rng,
         );
         self.count_decision(started);
@@ -411,15 +411,37 @@
             self.after(OTHER_ZONE_DELAY, Event::Refused { request, replica });
             return;
         }
-        let job = Job {
+        let mut job = Job {
             request,
+            cold_tokens: 0,
             opening: self.opening(request),
-            answer_tokens: self.arrival(request).answer_tokens,
+            decode: Duration::from_secs_f64(
+                f64::from(self.arrival(request).answer_tokens) * self.scenario.token_interval_secs,
+            ),
         };
-        self.engines[replica].queue.push_back(job);
+        if self.kind == PolicyKind::Oracle {
+            self.foresee(replica, &mut job);
+        }
+        let engine = &mut self.engines[replica];
+        engine.queue.push_back(job);
+        if self.kind == PolicyKind::Oracle {
+            engine.foresee(self.now);
+        }
         self.start(replica);
     }
 
+    fn foresee(&mut self, replica: usize, job: &mut Job) {
+        let engine = &mut self.engines[replica];
+        let answer_tokens = self.arrivals.arrivals[job.request].answer_tokens;
+        engine.foresee_job(job, answer_tokens);
+        for key in engine.foreseen.stored.drain(..) {
+            self.foreseen.add(key, replica);
+        }
+        for key in engine.foreseen.evicted.drain(..) {
+            self.foreseen.remove(key, replica, Loss::Evicted);
+        }
+    }
+
     fn start(&mut self, replica: usize) {
         let engine = &mut self.engines[replica];
         let incarnation = engine.incarnation;
@@ -477,18 +499,37 @@
             return;
         };
         self.store(replica, &prefill);
-        let decode = f64::from(prefill.job.answer_tokens) * self.scenario.token_interval_secs;
+        let decode = prefill.job.decode;
+        self.engines[replica].ends.push(self.now + decode);
         self.after(
-            Duration::from_secs_f64(decode),
+            decode,
             Event::DecodeEnd {
                 replica,
                 incarnation,
+                request: prefill.job.request,
             },
         );
         self.first_token(replica, &prefill);
         self.start(replica);
     }
 
+    fn decode_end(&mut self, replica: usize, incarnation: u64, request: usize) {
+        if self.engines[replica].incarnation != incarnation {
+            return;
+        }
+        self.engines[replica].running -= 1;
+        let now = self.now;
+        self.engines[replica].ends.retain(|&end| end > now);
+        self.start(replica);
+        let entry = self.requests[request].entry;
+        if self.kind == PolicyKind::Crocuswharf && self.router_is_up[entry] {
+            let cell = self.routers.cell_of(replica);
+            let instance = self.engines[replica].instance;
+            self.routers
+                .finished(request, entry, cell, instance, self.now);
+        }
+    }
+
     fn first_token(&mut self, replica: usize, prefill: &Prefill) {
         let request = prefill.job.request;
         let delay = delay_between(self.requests[request].entry % ZONES, replica % ZONES);
@@ -516,7 +557,10 @@
     fn store(&mut self, replica: usize, prefill: &Prefill) {
         let cache = &mut self.engines[replica].cache;
         let (stored, evicted) = (cache.stored.len(), cache.evicted.len());
-        cache.store(&prefill.job.opening, prefill.job.answer_tokens);
+        cache.store(
+            &prefill.job.opening,
+            self.arrivals.arrivals[prefill.job.request].answer_tokens,
+        );
         for &key in &cache.stored[stored..] {
             self.holders.add(key, replica);
         }
@@ -573,6 +617,10 @@
         for key in keys {
             self.holders.remove(key, replica, Loss::Crashed);
         }
+        let keys: Vec<_> = self.engines[replica].foreseen.keys().collect();
+        for key in keys {
+            self.foreseen.remove(key, replica, Loss::Crashed);
+        }
         for job in self.engines[replica].crash() {
             self.report.retried += 1;
             self.after(
--- a/standin/src/compare/workload.rs
+++ b/standin/src/compare/workload.rs
@@ -9,8 +9,10 @@
 use super::faults::Faults;
 use super::scenario::{Scenario, mix, zipf};
 
-/// The time for which arrivals warm the caches before they count.
-const WARM_UP_SECS: f64 = 20.0;
+/// The time for which arrivals warm the caches before they count; cold caches get a part of the rate at first.
+const WARM_UP_SECS: f64 = 40.0;
+const COLD_SECS: f64 = 20.0;
+const COLD_RATE_SHARE: f64 = 0.4;
 /// The share of seconds in which one opening bursts.
 const BURST_PROBABILITY: f64 = 0.05;
 /// When hot openings shift, as shares of the time that counts.
@@ -52,13 +54,18 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let popularity = Popularity::new(scenario);
     let rate = scenario.arrivals_per_second;
-    let first_counted = (WARM_UP_SECS * rate) as usize;
+    let first_counted = ((COLD_SECS * COLD_RATE_SHARE + WARM_UP_SECS - COLD_SECS) * rate) as usize;
     let counted_secs = requests as f64 / rate;
     let mut burst = Burst::default();
     let mut arrivals = Vec::with_capacity(first_counted + requests);
     let mut at = 0.0;
     for serial in 0..first_counted + requests {
-        at += -(1.0 - rng.random::<f64>()).ln() / rate;
+        let rate_now = if at < COLD_SECS {
+            COLD_RATE_SHARE * rate
+        } else {
+            rate
+        };
+        at += -(1.0 - rng.random::<f64>()).ln() / rate_now;
         let progress = (at - WARM_UP_SECS) / counted_secs;
         let shifts = if faults.shift {
             SHIFTS.iter().filter(|&&s| progress > s).count()
