--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 mod listener;
 mod membership;
 mod peer;
+mod policy;
 mod pool;
 mod preference;
 mod prefix;
@@ -74,10 +75,17 @@
     Body, Inbound, Kind, LinkOptions, LinkTimes, Links, MAX_PAYLOAD_BYTES, PeerEvent, PeerIdentity,
     PeerKeys, ReplyHandle, Traffic, TrafficByKind, wire_bytes,
 };
+pub use crate::policy::{
+    Candidate, CandidateMessage, Cells, Choice, Considered, Deciding, InstanceTag, KeptBudget,
+    KeptPlan, Learning, Lookup, LookupMessage, Observation, ObservationMessage,
+    ObservationsMessage, OwnerReply, OwnerReplyMessage, OwnerView, Placement, PoolView,
+    ReplicaView, RequestTag, ViewChunkMessage, choose,
+};
 pub use crate::pool::{KeptCache, Pool, Replica, ReplicaRole};
 pub use crate::preference::Preference;
 pub use crate::prefix::{
-    BYTES_PER_TOKEN, MAX_PIECES, Opening, OpeningRoot, PIECE_TOKENS, Piece, PieceHash,
+    BYTES_PER_TOKEN, Level, LevelKey, MAX_PIECES, MIN_LEVEL_TOKENS, Opening, OpeningRoot,
+    PIECE_TOKENS, Piece, PieceHash, level_key,
 };
 pub use crate::protocol::{
     CacheEvent, CacheEventKind, CacheEvents, EngineIdentity, EngineOrder, Entries, Entry,
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! conventions as the real ones, over real HTTP on loopback, and fail on demand.
 
 pub mod capacity;
+pub mod compare;
 pub mod demo;
 pub mod engine;
 pub mod plain;
