--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -6,14 +6,17 @@
 
 use super::Shared;
 use super::thread::Event;
-use crate::configuration::{ReadStep, StoredState, UpdatePart, UpdateReader, is_watcher};
+use crate::configuration::{ReadStep, StoredState, UpdatePart, UpdateReader, WATCHERS_A_ZONE};
 use crate::error::Error;
+use crate::membership::watchers_of;
 use crate::peer::{Body, Kind, Links};
 
 /// How long a peer may take for one part of its configuration.
 const PART_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often a router that reads the VM list does so.
 const VM_LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// What the readers of the VM list are chosen by.
+const VM_LIST_TOPIC: u64 = 0x766d_6c69_7374;
 
 /// Reads what the peer at `from` has beyond `known`; `None` where it is not ahead or does not answer.
 pub(crate) async fn fetch_configuration(
@@ -44,10 +47,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let snapshot = shared.snapshot.load_full();
-        let members = snapshot.members.iter();
-        let members = members.map(|member| (&member.router, &member.zone));
-        if !is_watcher(&shared.settings.router, &shared.settings.zone, members) {
+        if !reads_vms(&shared) {
             continue;
         }
         match shared.store.vms().await {
@@ -60,3 +60,15 @@
         }
     }
 }
+
+/// Tells whether this router is one of the few of its zone that read the VM list.
+fn reads_vms(shared: &Shared) -> bool {
+    let settings = &shared.settings;
+    let snapshot = shared.snapshot.load();
+    let in_zone = snapshot
+        .members
+        .iter()
+        .filter(|member| member.zone == settings.zone)
+        .map(|member| &member.router);
+    watchers_of(VM_LIST_TOPIC, in_zone, WATCHERS_A_ZONE).contains(&&settings.router)
+}
