Follow the platform and serve tickets in the router

The router's feed had no check behind an empty watch, and its control thread compared revisions without a floor.

Control now holds the adoption core, the feed makes the calls that the watch's core asks for, keys are found through the accounts' key table, and the operators' routes for tickets stand behind one guard. A submission settles unanswered shard writes by reading them back; before, a platform that lost every answer made it give up as unavailable.

--- a/src/account/keys.rs
+++ b/src/account/keys.rs
@@ -45,7 +45,7 @@
 
     /// Returns the account that holds `key`, if any does.
     #[must_use]
-    pub fn find(&self, key: &str) -> Option<NamedAccount> {
+    pub fn find(&self, key: &str) -> Option<&NamedAccount> {
         let digest: KeyDigest = Sha256::digest(key.as_bytes()).into();
         let prefix = &digest[..8];
         let first = self
@@ -54,7 +54,7 @@
         let candidates = self.holders[first..].iter();
         let mut same_prefix = candidates.take_while(|holder| &holder.digest[..8] == prefix);
         let holder = same_prefix.find(|holder| bool::from(holder.digest.ct_eq(&digest)))?;
-        Some(holder.account.clone())
+        Some(&holder.account)
     }
 
     /// Returns how many keys are valid.
--- a/src/command/ticket.rs
+++ b/src/command/ticket.rs
@@ -87,8 +87,8 @@
 ) -> CommandOutcome {
     let result = match command.action {
         Action::Check(action) if action.offline => check_offline(&action.file),
-        Action::Check(action) => send(&action.file, "/operators/tickets/check", connect).await,
-        Action::Submit(action) => send(&action.file, "/operators/tickets", connect).await,
+        Action::Check(action) => send(&action.file, "/tickets/check", connect).await,
+        Action::Submit(action) => send(&action.file, "/tickets", connect).await,
         Action::Status(action) => status(&action.ticket, connect).await,
         Action::List(_) => list(connect).await,
         Action::Show(action) => show(&action.ticket, connect).await,
@@ -153,7 +153,7 @@
     ticket: &str,
     connect: impl FnOnce() -> Result<OperatorClient, Error>,
 ) -> Result<CommandOutcome, Error> {
-    let path = format!("/operators/tickets/{}/status", number_of(ticket)?);
+    let path = format!("/tickets/{}/status", number_of(ticket)?);
     let status: TicketStatus = read_answer(connect()?, &path).await?;
     let mut text = format!(
         "ticket {} is revision {}, in force at {} of {} members\n",
@@ -172,7 +172,7 @@
 async fn list(
     connect: impl FnOnce() -> Result<OperatorClient, Error>,
 ) -> Result<CommandOutcome, Error> {
-    let accepted: Vec<Acceptance> = read_answer(connect()?, "/operators/tickets").await?;
+    let accepted: Vec<Acceptance> = read_answer(connect()?, "/tickets").await?;
     let mut text = String::from("ticket revision digest\n");
     for entry in &accepted {
         let _ = writeln!(
@@ -188,7 +188,7 @@
     ticket: &str,
     connect: impl FnOnce() -> Result<OperatorClient, Error>,
 ) -> Result<CommandOutcome, Error> {
-    let path = format!("/operators/tickets/{}", number_of(ticket)?);
+    let path = format!("/tickets/{}", number_of(ticket)?);
     let shown: TicketShown = read_answer(connect()?, &path).await?;
     let mut text = format!("ticket {} is revision {}\n", shown.ticket, shown.revision);
     match &shown.document {
--- a/src/configuration/watch.rs
+++ b/src/configuration/watch.rs
@@ -14,7 +14,7 @@
 /// The topic under which rendezvous hashing chooses who watches the root.
 pub const ROOT_TOPIC: u64 = 0x726f_6f74;
 /// How long one poll of a watch waits.
-pub const WATCH_WAIT: Duration = Duration::from_secs(5);
+pub const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// How often a router that does not watch reads the root's version.
 const IDLE_CHECK: Duration = Duration::from_secs(300);
 /// How often a router looks for the root before the first ticket; a watch of an absent object returns at once.
--- a/src/control/feed.rs
+++ b/src/control/feed.rs
@@ -1,48 +1,67 @@
 //! Follows the configuration on the platform.
 //!
-//! A watch on the root object tells of each accepted ticket; only shards that changed are then fetched. Nothing on the
-//! request path waits for this: while the platform is away, the last configuration stays in force.
+//! What to ask next is decided by [`RootWatch`]; this loop only makes the calls. Nothing on the request path waits for
+//! it: while the platform is away, the last configuration stays in force.
 
 use std::sync::Arc;
-use std::time::Duration;
-
-use tokio::sync::mpsc;
 
 use super::Shared;
-use super::thread::Event;
-use crate::configuration::{ROOT_KEY, load_root};
+use crate::configuration::{
+    ROOT_KEY, RootWatch, StateSource, StoredState, WATCH_WAIT, WatchEvent, WatchStep, load,
+    load_root,
+};
 use crate::error::Error;
-use crate::store::Backoff;
-
-/// How long one watch waits for news.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+use crate::store::Versioned;
 
 /// Loads the configuration whenever its root object changes, until the control thread has gone.
-pub(crate) async fn follow_configuration(shared: Arc<Shared>, events: mpsc::Sender<Event>) {
-    let mut backoff = Backoff::default();
-    while !events.is_closed() {
-        match follow_once(&shared, &events).await {
-            Ok(()) => backoff.reset(),
-            Err(error) => {
-                let pause = backoff.next_pause(&mut rand::rng());
-                log::warn!(
-                    "config: The platform did not answer. error={error} pause_ms={}",
-                    pause.as_millis()
-                );
-                tokio::time::sleep(pause).await;
-            }
+pub(crate) async fn follow_configuration(shared: Arc<Shared>) {
+    let mut watch = RootWatch::new();
+    let mut event = WatchEvent::Nothing;
+    while !shared.events().is_closed() {
+        if let Some(version) = shared.stored.load().root_version() {
+            watch.raise(version);
+        }
+        let step = watch.next(event, true, &mut rand::rng());
+        event = carry_out(&shared, step).await.unwrap_or_else(|error| {
+            log::warn!("config: The platform did not answer. error={error}");
+            WatchEvent::Failed
+        });
+    }
+}
+
+async fn carry_out(shared: &Shared, step: WatchStep) -> Result<WatchEvent, Error> {
+    match step {
+        WatchStep::Poll(after) => match shared.store.watch(ROOT_KEY, after, WATCH_WAIT).await? {
+            Some(root) => take_root(shared, root).await,
+            None => Ok(WatchEvent::Nothing),
+        },
+        WatchStep::Check => {
+            let listed = shared.store.list(ROOT_KEY).await?;
+            let root = listed.iter().find(|listing| &*listing.key == ROOT_KEY);
+            Ok(root.map_or(WatchEvent::Nothing, |root| WatchEvent::Listed(root.version)))
+        }
+        WatchStep::Read => {
+            let known = shared.stored.load_full();
+            let state = load(&shared.store, &known).await?;
+            Ok(offer(shared, state).await)
+        }
+        WatchStep::Pause(pause) => {
+            tokio::time::sleep(pause).await;
+            Ok(WatchEvent::Nothing)
         }
     }
 }
 
-async fn follow_once(shared: &Shared, events: &mpsc::Sender<Event>) -> Result<(), Error> {
+async fn take_root(shared: &Shared, root: Versioned) -> Result<WatchEvent, Error> {
     let known = shared.stored.load_full();
-    let after = known.root_version().unwrap_or(0);
-    let Some(root) = shared.store.watch(ROOT_KEY, after, WATCH_WAIT).await? else {
-        return Ok(());
-    };
     let state = load_root(&shared.store, &known, root).await?;
-    // A closed channel means that the control thread is leaving.
-    let _ = events.send(Event::Configuration(Arc::new(state))).await;
-    Ok(())
+    Ok(offer(shared, state).await)
+}
+
+async fn offer(shared: &Shared, state: StoredState) -> WatchEvent {
+    let Some(version) = state.root_version() else {
+        return WatchEvent::Nothing;
+    };
+    shared.offer_configuration(StateSource::Store, state).await;
+    WatchEvent::Root(version)
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,7 +12,7 @@
 use arc_swap::ArcSwap;
 use tokio::sync::mpsc;
 
-use crate::configuration::StoredState;
+use crate::configuration::{StateSource, StoredState};
 use crate::engine::EngineClient;
 use crate::error::Error;
 use crate::settings::RouterSettings;
@@ -76,9 +76,10 @@
     }
 
     /// Offers a configuration to the control thread, which takes it if it is newer.
-    pub(crate) async fn offer_configuration(&self, state: Arc<StoredState>) {
+    pub(crate) async fn offer_configuration(&self, source: StateSource, state: StoredState) {
+        let event = Event::Configuration(source, Box::new(state));
         // A closed queue means that the router is stopping.
-        let _ = self.events.send(Event::Configuration(state)).await;
+        let _ = self.events.send(event).await;
     }
 
     /// Counts a request as open until the returned value is dropped.
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -3,35 +3,32 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::snapshot::{KeyDigest, PoolView, ReplicaView, Snapshot};
-use crate::account::NamedAccount;
+use super::snapshot::{PoolView, ReplicaView, Snapshot};
+use crate::account::AccountKeys;
 use crate::configuration::Configuration;
 use crate::id::{PoolName, ReplicaId};
 use crate::pool::{Pool, Replica};
 use crate::protocol::{Entries, LoadReport};
 
-/// The bytes of a SHA-256 digest.
-const DIGEST_BYTES: usize = 32;
-
 /// The control state from which snapshots are built.
 #[derive(Debug, Default)]
 pub(crate) struct Publisher {
     configuration: Arc<Configuration>,
-    accounts: Arc<HashMap<KeyDigest, NamedAccount>>,
+    keys: Arc<AccountKeys>,
     replicas: HashMap<(PoolName, ReplicaId), ReplicaView>,
     entries: Option<Arc<Entries>>,
 }
 
 impl Publisher {
-    /// Takes over a configuration with a higher revision; a lower one is ignored, so that nothing reverts.
-    pub(crate) fn adopt(&mut self, configuration: Arc<Configuration>) -> bool {
-        if configuration.revision <= self.configuration.revision {
-            return false;
-        }
-        self.accounts = Arc::new(index_accounts(&configuration));
+    /// Takes over the configuration that is in force now, and its keys.
+    pub(crate) fn adopt(&mut self, configuration: Arc<Configuration>, keys: Arc<AccountKeys>) {
+        assert!(
+            configuration.revision > self.configuration.revision,
+            "what traffic sees never reverts"
+        );
+        self.keys = keys;
         self.replicas = self.carry_replicas(&configuration);
         self.configuration = configuration;
-        true
     }
 
     /// Returns the configuration in force.
@@ -73,7 +70,7 @@
             .collect();
         Snapshot {
             configuration: Arc::clone(&self.configuration),
-            accounts: Arc::clone(&self.accounts),
+            keys: Arc::clone(&self.keys),
             pools,
             entries: self.entries.clone(),
         }
@@ -124,32 +121,3 @@
         in_flight: Arc::default(),
     }
 }
-
-fn index_accounts(configuration: &Configuration) -> HashMap<KeyDigest, NamedAccount> {
-    let mut accounts = HashMap::with_capacity(configuration.accounts.len());
-    for (id, account) in &configuration.accounts {
-        for digest in account
-            .key_sha256
-            .iter()
-            .filter_map(|text| parse_digest(text))
-        {
-            let named = NamedAccount {
-                id: Arc::clone(id),
-                account: Arc::clone(account),
-            };
-            accounts.insert(digest, named);
-        }
-    }
-    accounts
-}
-
-fn parse_digest(text: &str) -> Option<KeyDigest> {
-    if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
-        return None;
-    }
-    let mut digest = [0; DIGEST_BYTES];
-    for (index, byte) in digest.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
-    }
-    Some(digest)
-}
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -7,24 +7,19 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use sha2::{Digest, Sha256};
-
-use crate::account::NamedAccount;
+use crate::account::{AccountKeys, NamedAccount};
 use crate::configuration::Configuration;
 use crate::id::{Incarnation, PoolName, WeightsVersion};
 use crate::pool::{Pool, Replica};
 use crate::protocol::{Entries, LoadReport};
 
-/// The SHA-256 digest of a caller's key.
-pub(crate) type KeyDigest = [u8; 32];
-
 /// Everything that a traffic thread reads.
 #[derive(Debug, Default)]
 pub(crate) struct Snapshot {
     /// The configuration in force.
     pub(crate) configuration: Arc<Configuration>,
-    /// The client accounts by key digest.
-    pub(crate) accounts: Arc<HashMap<KeyDigest, NamedAccount>>,
+    /// The keys of the client accounts.
+    pub(crate) keys: Arc<AccountKeys>,
     /// The pools with what is known of their replicas.
     pub(crate) pools: HashMap<PoolName, Arc<PoolView>>,
     /// The answer of the entry directory.
@@ -59,11 +54,8 @@
 
 impl Snapshot {
     /// Finds the account to which `key` belongs.
-    ///
-    /// The look-up is by digest, so its time tells nothing about keys that are not known already.
     pub(crate) fn account_of_key(&self, key: &str) -> Option<&NamedAccount> {
-        let digest: KeyDigest = Sha256::digest(key.as_bytes()).into();
-        self.accounts.get(&digest)
+        self.keys.find(key)
     }
 }
 
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Instant;
 
 use tokio::sync::{mpsc, oneshot};
 
@@ -10,7 +11,7 @@
 use super::feed::follow_configuration;
 use super::loads::poll_load;
 use super::publisher::Publisher;
-use crate::configuration::StoredState;
+use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
 use crate::protocol::{Entries, Entry, LoadReport};
@@ -19,8 +20,8 @@
 /// What the control thread reacts to.
 #[derive(Debug)]
 pub(crate) enum Event {
-    /// A configuration was loaded.
-    Configuration(Arc<StoredState>),
+    /// A configuration was loaded or accepted.
+    Configuration(StateSource, Box<StoredState>),
     /// An engine was asked for its load.
     Load {
         /// The pool of the replica.
@@ -84,10 +85,7 @@
     own_entry: Entry,
     mut stopped: oneshot::Receiver<()>,
 ) {
-    let feed = tokio::spawn(follow_configuration(
-        Arc::clone(&shared),
-        shared.events().clone(),
-    ));
+    let feed = tokio::spawn(follow_configuration(Arc::clone(&shared)));
     let mut control = Control::new(shared, own_entry);
     control.publish();
     loop {
@@ -105,6 +103,8 @@
 /// The control state.
 struct Control {
     shared: Arc<Shared>,
+    started: Instant,
+    in_force: InForce,
     publisher: Publisher,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
 }
@@ -118,6 +118,8 @@
         });
         Self {
             shared,
+            started: Instant::now(),
+            in_force: InForce::new(),
             publisher,
             polls: HashMap::new(),
         }
@@ -125,7 +127,7 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Configuration(state) => self.adopt(&state),
+            Event::Configuration(source, state) => self.adopt(source, *state),
             Event::Load {
                 pool,
                 replica,
@@ -138,13 +140,34 @@
         self.publish();
     }
 
-    fn adopt(&mut self, state: &Arc<StoredState>) {
+    fn adopt(&mut self, source: StateSource, state: StoredState) {
+        let source = source.label();
         let revision = state.revision();
-        if !self.publisher.adopt(Arc::new(state.configuration())) {
-            return;
+        match self.in_force.offer(state, self.started.elapsed()) {
+            Adoption::Adopted { before } => {
+                log::info!(
+                    "config: Revision is in force. revision={revision} before={before} source={source}"
+                );
+                self.take_over();
+            }
+            Adoption::Same => self.shared.stored.store(Arc::clone(self.in_force.state())),
+            Adoption::Older => log::debug!(
+                "config: Older revision was ignored. revision={revision} source={source}"
+            ),
+            Adoption::Diverged => {
+                log::error!(
+                    "config: Other content of the revision in force was ignored. revision={revision} source={source}"
+                );
+            }
         }
-        self.shared.stored.store(Arc::clone(state));
-        log::info!("config: Revision is in force. revision={revision}");
+    }
+
+    fn take_over(&mut self) {
+        metrics::gauge!("crocuswharf_configuration_revision").set(self.in_force.revision() as f64);
+        let configuration = Arc::clone(self.in_force.configuration());
+        self.publisher
+            .adopt(configuration, Arc::clone(self.in_force.keys()));
+        self.shared.stored.store(Arc::clone(self.in_force.state()));
         self.follow_engines();
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -57,7 +57,7 @@
     shared: &Arc<Shared>,
 ) -> Result<(), Error> {
     let routes = Router::new()
-        .push(Router::with_path("tickets").post(tickets::TicketHandler::new(Arc::clone(shared))))
+        .push(tickets::routes(shared))
         .push(Router::with_path("healthz").get(health::LiveHandler))
         .push(Router::with_path("readyz").get(health::ReadyHandler::new(Arc::clone(shared))));
     serve(runtime, listener, shared, routes)
--- a/src/entry/tickets.rs
+++ b/src/entry/tickets.rs
@@ -1,121 +1,93 @@
-//! Answers `POST /tickets`: submits a change ticket.
+//! Mounts the operators' routes for tickets and the revision in force behind the operators' keys.
 
 use std::sync::Arc;
 
+use futures_util::future::BoxFuture;
 use salvo::http::StatusCode;
 use salvo::writing::Json;
-use salvo::{Depot, FlowCtrl, Request, Response, async_trait};
-use serde_json::{Value, json};
-use sha2::{Digest, Sha256};
-use subtle::ConstantTimeEq;
+use salvo::{Depot, FlowCtrl, Request, Response, Router, async_trait};
+use serde_json::json;
 
 use super::caller::bearer_key;
-use super::chat::read_body;
+use crate::account::key_matches;
+use crate::configuration::{StateSource, StoredState};
 use crate::control::Shared;
-use crate::ticket::{self, TicketOutcome};
+use crate::ticket::{MemberRevision, TicketDesk, ticket_routes};
 
-/// The largest ticket, in bytes.
-const TICKET_LIMIT_BYTES: usize = 64 << 20;
-
-/// Handles submitted tickets.
-pub(crate) struct TicketHandler {
-    shared: Arc<Shared>,
+/// Returns the routes for tickets; the guard stands before all of them.
+pub(crate) fn routes(shared: &Arc<Shared>) -> Router {
+    Router::new()
+        .hoop(OperatorGuard(Arc::clone(shared)))
+        .push(ticket_routes(desk(shared)))
+        .push(Router::with_path("revision").get(RevisionHandler(Arc::clone(shared))))
 }
 
-impl TicketHandler {
-    /// Makes the handler.
-    pub(crate) const fn new(shared: Arc<Shared>) -> Self {
-        Self { shared }
-    }
+/// Tells the revision in force at this router, without asking the platform.
+struct RevisionHandler(Arc<Shared>);
 
-    async fn answer(&self, request: &mut Request) -> (StatusCode, Value) {
-        if !is_operator(request, &self.shared) {
-            return (
-                StatusCode::UNAUTHORIZED,
-                json!({"error": "authorization: no operator has this key"}),
-            );
-        }
-        let Ok(document) = read_body(request, TICKET_LIMIT_BYTES).await else {
-            let error = format!(
-                "body: the ticket can't be read or is larger than {TICKET_LIMIT_BYTES} bytes"
-            );
-            return (StatusCode::BAD_REQUEST, json!({"error": error}));
-        };
-        match ticket::check(&document) {
-            Ok(ticket) => self.submit(&ticket).await,
-            Err(faults) => (StatusCode::BAD_REQUEST, faults_body(&faults)),
-        }
+#[async_trait]
+impl salvo::Handler for RevisionHandler {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let revision = self.0.stored.load().revision();
+        res.render(Json(json!({"revision": revision})));
     }
+}
 
-    async fn submit(&self, ticket: &ticket::Ticket) -> (StatusCode, Value) {
-        let known = self.shared.stored.load_full();
-        match ticket::submit(&self.shared.store, &known, ticket).await {
-            TicketOutcome::Accepted { revision, state } => {
-                self.shared.offer_configuration(Arc::new(*state)).await;
-                (
-                    StatusCode::OK,
-                    json!({"ticket": ticket.ticket, "revision": revision}),
-                )
-            }
-            TicketOutcome::Conflict { revision } => {
-                let error = format!(
-                    "ticket: number {} was accepted with other content",
-                    ticket.ticket
-                );
-                (
-                    StatusCode::CONFLICT,
-                    json!({"error": error, "revision": revision}),
-                )
-            }
-            TicketOutcome::Refused(faults) => {
-                (StatusCode::UNPROCESSABLE_ENTITY, faults_body(&faults))
-            }
-            TicketOutcome::Unavailable(reason) => {
-                let error = format!("the platform is away and nothing changed: {reason}");
-                (StatusCode::SERVICE_UNAVAILABLE, json!({"error": error}))
-            }
-            TicketOutcome::Unknown(reason) => {
-                let error = format!("the ticket may be accepted; send it again: {reason}");
-                (StatusCode::GATEWAY_TIMEOUT, json!({"error": error}))
-            }
-        }
+fn desk(shared: &Arc<Shared>) -> TicketDesk {
+    let (known, taker, asked) = (Arc::clone(shared), Arc::clone(shared), Arc::clone(shared));
+    TicketDesk {
+        store: shared.store.clone(),
+        in_force: Arc::new(move || known.stored.load_full()),
+        accepted: Arc::new(move |state| accept(Arc::clone(&taker), state)),
+        members: Arc::new(move || members(Arc::clone(&asked))),
     }
 }
 
+fn accept(shared: Arc<Shared>, state: StoredState) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        shared.offer_configuration(StateSource::Ticket, state).await;
+    })
+}
+
+fn members(shared: Arc<Shared>) -> BoxFuture<'static, Vec<MemberRevision>> {
+    let own = MemberRevision {
+        router: Arc::clone(&shared.settings.router),
+        zone: Arc::clone(&shared.settings.zone),
+        revision: shared.stored.load().revision(),
+    };
+    Box::pin(std::future::ready(vec![own]))
+}
+
+/// Answers 401 unless the request carries an operator's key.
+pub(crate) struct OperatorGuard(pub(crate) Arc<Shared>);
+
 #[async_trait]
-impl salvo::Handler for TicketHandler {
+impl salvo::Handler for OperatorGuard {
     async fn handle(
         &self,
         request: &mut Request,
         _depot: &mut Depot,
         res: &mut Response,
-        _ctrl: &mut FlowCtrl,
+        ctrl: &mut FlowCtrl,
     ) {
-        let (status, body) = self.answer(request).await;
-        res.status_code(status);
-        res.render(Json(body));
+        if is_operator(request, &self.0) {
+            return;
+        }
+        ctrl.skip_rest();
+        res.status_code(StatusCode::UNAUTHORIZED);
+        res.render(Json(
+            json!({"error": "authorization: no operator has this key"}),
+        ));
     }
 }
 
 /// Tells whether the request carries an operator's key; every digest is compared, in constant time.
 pub(crate) fn is_operator(request: &Request, shared: &Shared) -> bool {
-    let Some(key) = bearer_key(request) else {
-        return false;
-    };
-    let digest: String = Sha256::digest(key.as_bytes())
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect();
-    shared
-        .settings
-        .operator_key_sha256
-        .iter()
-        .fold(false, |found, known| {
-            found | bool::from(known.as_bytes().ct_eq(digest.as_bytes()))
-        })
-}
-
-fn faults_body(faults: &[crate::fault::Fault]) -> Value {
-    let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
-    json!({"error": "the ticket has faults", "faults": faults})
+    bearer_key(request).is_some_and(|key| key_matches(&shared.settings.operator_key_sha256, key))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,8 @@
 //! crocuswharf routes language-model traffic whose prompts share long openings.
 
 mod account;
-mod command;
 mod admission;
+mod command;
 mod configuration;
 mod control;
 mod directory;
@@ -18,9 +18,9 @@
 mod preference;
 mod prefix;
 mod protocol;
+mod request;
 mod rollout;
 mod router;
-mod request;
 mod service;
 mod settings;
 mod store;
@@ -28,8 +28,8 @@
 mod usage;
 
 pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
-pub use crate::command::run as run_command;
 pub use crate::admission::{queue, shed};
+pub use crate::command::run as run_command;
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
     ROOT_KEY, ROOT_TOPIC, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart,
@@ -63,14 +63,15 @@
     HEADER_OPENING, HEADER_PRIORITY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN,
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
-pub use crate::rollout::{
-    DrainNotice, Drains, LEASE_LIFE, Lease, LeaseAction, LeaseEvent, LeaseRecord, ORDER_TIMEOUT,
-    ObservedReplica, OrderEnd, Rollout, RolloutAction,
-pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::request::message as request_message;
 pub use crate::request::{
     claim, claim_service, drain, ejection, event_id, hedge, refusal, retry, stream,
 };
+pub use crate::rollout::{
+    DrainNotice, Drains, LEASE_LIFE, Lease, LeaseAction, LeaseEvent, LeaseRecord, ORDER_TIMEOUT,
+    ObservedReplica, OrderEnd, Rollout, RolloutAction,
+};
+pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
 pub use crate::settings::{
     Bounds, Listen, LogSettings, RouterSettings, Times, parse_json, read_json,
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -21,7 +21,7 @@
 /// The most bytes that the platform holds in one value.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
 /// How much longer than its own wait a watch may take before its connection counts as silent.
-const WATCH_SLACK: Duration = Duration::from_secs(3);
+const WATCH_SLACK: Duration = Duration::from_secs(2);
 
 /// Where the platform is and how long a call may take.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/ticket/desk.rs
+++ b/src/ticket/desk.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use futures_util::future::BoxFuture;
 use serde_json::Value;
 
 use super::reply::{MemberRevision, TicketReply, TicketShown, TicketStatus};
@@ -23,9 +24,9 @@
     /// Returns the state in force.
     pub in_force: Arc<dyn Fn() -> Arc<StoredState> + Send + Sync>,
     /// Takes the state that an accepted ticket made, to adopt it and to announce it to peers.
-    pub accepted: Arc<dyn Fn(StoredState) + Send + Sync>,
+    pub accepted: Arc<dyn Fn(StoredState) -> BoxFuture<'static, ()> + Send + Sync>,
     /// Returns the revision in force at each member, this router included.
-    pub members: Arc<dyn Fn() -> Vec<MemberRevision> + Send + Sync>,
+    pub members: Arc<dyn Fn() -> BoxFuture<'static, Vec<MemberRevision>> + Send + Sync>,
 }
 
 impl TicketDesk {
@@ -56,7 +57,7 @@
         let reply = TicketReply::of(&ticket, &outcome);
         log_outcome(&ticket, &reply);
         if let TicketOutcome::Accepted { state, .. } = outcome {
-            (self.accepted)(*state);
+            (self.accepted)(*state).await;
         }
         reply
     }
@@ -88,7 +89,7 @@
     /// As [`load`].
     pub async fn status(&self, number: TicketNumber) -> Result<Option<TicketStatus>, Error> {
         let accepted = self.find(number).await?;
-        let members = (self.members)();
+        let members = (self.members)().await;
         Ok(accepted.map(|accepted| TicketStatus::of(number, accepted.revision, &members)))
     }
 
--- a/src/ticket/handler.rs
+++ b/src/ticket/handler.rs
@@ -1,7 +1,7 @@
 //! The operators' HTTP interface for tickets.
 //!
-//! `POST /operators/tickets` submits, `POST /operators/tickets/check` checks, `GET /operators/tickets` lists,
-//! `GET /operators/tickets/{number}` shows and `GET /operators/tickets/{number}/status` tells where one is in force.
+//! `POST /tickets` submits, `POST /tickets/check` checks, `GET /tickets` lists,
+//! `GET /tickets/{number}` shows and `GET /tickets/{number}/status` tells where one is in force.
 //! Whoever mounts the routes puts the operators' authentication before them.
 
 use salvo::http::StatusCode;
@@ -22,7 +22,7 @@
     let one = Router::with_path("{number}")
         .get(show_ticket)
         .push(Router::with_path("status").get(status_ticket));
-    Router::with_path("operators/tickets")
+    Router::with_path("tickets")
         .hoop(salvo::affix_state::inject(desk))
         .get(list_tickets)
         .post(submit_ticket)
--- a/src/ticket/submission.rs
+++ b/src/ticket/submission.rs
@@ -81,7 +81,8 @@
     Begin,
     Load(Box<Loading>),
     ReadLog(Box<StoredState>, Vec<ShardName>),
-    WriteShards(Box<StoredState>, Box<Change>),
+    WriteShards(Box<StoredState>, Box<Change>, Vec<Arc<str>>),
+    ReadShards(Box<StoredState>, Box<Change>),
     WriteRoot(Box<Change>),
     Remove(Box<TicketOutcome>),
     Ended,
@@ -113,8 +114,15 @@
             (Phase::ReadLog(state, pages), Answer::Read(results)) => {
                 self.after_log(state, &pages, results, rng)
             }
-            (Phase::WriteShards(state, change), Answer::Write(outcomes)) => {
-                self.after_shards(&state, change, &outcomes, rng)
+            (Phase::WriteShards(state, change, keys), Answer::Write(outcomes)) => {
+                self.after_shards(state, change, &keys, &outcomes, rng)
+            }
+            (Phase::ReadShards(state, change), Answer::Read(results)) => {
+                let is_there = |result: &ReadResult| matches!(result, Ok(Some(_)));
+                match results.iter().all(is_there) {
+                    true => self.write_root(&state, change),
+                    false => self.fail("a shard could not be written", rng),
+                }
             }
             (Phase::WriteRoot(change), Answer::Write(outcomes)) => {
                 self.after_root(*change, outcomes[0], rng)
@@ -202,26 +210,38 @@
             let key = document_key(self.ticket.ticket, &self.ticket.digest());
             writes.push(absent(key, document));
         }
-        self.phase = Phase::WriteShards(state, change);
+        let keys = writes.iter().map(|write| write.key.clone()).collect();
+        self.phase = Phase::WriteShards(state, change, keys);
         Step::Write(writes)
     }
 
     fn after_shards(
         &mut self,
-        state: &StoredState,
+        state: Box<StoredState>,
         change: Box<Change>,
+        keys: &[Arc<str>],
         outcomes: &[PutOutcome],
         rng: &mut impl Rng,
     ) -> SubmissionStep {
-        // A shard that is there already holds the same bytes, because its key names their digest.
-        let is_there =
-            |outcome: &PutOutcome| matches!(outcome, PutOutcome::Stored(_) | PutOutcome::Conflict);
-        if !outcomes.iter().all(is_there) {
+        if outcomes.contains(&PutOutcome::NotSent) {
             return self.fail("a shard could not be written", rng);
         }
-        let condition = state
-            .root_version
-            .map_or(PutCondition::Absent, PutCondition::Version);
+        // A shard that is there already holds the same bytes, because its key names their digest.
+        let written = keys.iter().zip(outcomes);
+        let unsettled: Vec<_> = written
+            .filter(|(_, outcome)| **outcome == PutOutcome::Unknown)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if unsettled.is_empty() {
+            return self.write_root(&state, change);
+        }
+        self.phase = Phase::ReadShards(state, change);
+        Step::Read(unsettled)
+    }
+
+    fn write_root(&mut self, state: &StoredState, change: Box<Change>) -> SubmissionStep {
+        let version = state.root_version;
+        let condition = version.map_or(PutCondition::Absent, PutCondition::Version);
         let value = change.root.clone();
         self.phase = Phase::WriteRoot(change);
         let key = ROOT_KEY.into();
--- a/src/ticket/tests/desk.rs
+++ b/src/ticket/tests/desk.rs
@@ -24,8 +24,13 @@
         let desk = TicketDesk {
             store: platform.client(),
             in_force: Arc::new(move || shown.lock().unwrap().clone()),
-            accepted: Arc::new(move |state| *taken.lock().unwrap() = Arc::new(state)),
-            members: Arc::new(|| vec![member("r1", 1), member("r2", 0)]),
+            accepted: Arc::new(move |state| {
+                *taken.lock().unwrap() = Arc::new(state);
+                Box::pin(std::future::ready(()))
+            }),
+            members: Arc::new(|| {
+                Box::pin(std::future::ready(vec![member("r1", 1), member("r2", 0)]))
+            }),
         };
         let acceptor = TcpListener::new("127.0.0.1:0").bind().await;
         let address = acceptor.holdings()[0]
@@ -34,7 +39,7 @@
             .into_std()
             .unwrap();
         tokio::spawn(Server::new(acceptor).serve(Router::new().push(ticket_routes(desk))));
-        let url = format!("http://{address}/operators/tickets");
+        let url = format!("http://{address}/tickets");
         let http = reqwest::Client::builder().no_proxy().build().unwrap();
         Self {
             platform,
