--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -3,18 +3,28 @@
 //! Each subcommand has a module with its arguments and a function that returns what to print. The exit status is 0
 //! where what was asked for is done, 1 where it was refused or failed, and 2 for wrong usage.
 
+use std::io::IsTerminal;
 use std::process::ExitCode;
 
 use argh::FromArgs;
 
+use crate::error::Error;
+
+mod burn;
 mod client;
+mod explain;
+mod progress;
 mod settings;
+mod status;
 #[cfg(test)]
 mod tests;
 mod ticket;
 
+pub use self::burn::{BurnArgs, burn};
 pub(crate) use self::client::OperatorClient;
+pub use self::explain::{ExplainArgs, explain};
 pub(crate) use self::settings::CommandSettings;
+pub use self::status::{StatusArgs, status};
 
 /// Drives a crocuswharf deployment.
 #[derive(Debug, FromArgs)]
@@ -32,6 +42,9 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Burn(BurnArgs),
+    Explain(ExplainArgs),
+    Status(StatusArgs),
     Ticket(ticket::TicketCommand),
 }
 
@@ -87,7 +100,52 @@
         CommandSettings::read(&arguments.settings)
             .and_then(|settings| OperatorClient::new(&settings))
     };
+    let colour = std::io::stdout().is_terminal();
     match command {
+        Command::Burn(args) => {
+            report(connect, async |client| {
+                burn(&args, colour, async |path| fetch(&client, path).await).await
+            })
+            .await
+        }
+        Command::Explain(args) => {
+            report(connect, async |client| {
+                explain(&args, async |path| fetch(&client, path).await).await
+            })
+            .await
+        }
+        Command::Status(args) => {
+            report(connect, async |client| {
+                status(&args, colour, async |path| fetch(&client, path).await).await
+            })
+            .await
+        }
         Command::Ticket(command) => ticket::run(command, connect).await,
     }
 }
+
+/// Runs a command that reads one report from a router.
+async fn report(
+    connect: impl FnOnce() -> Result<OperatorClient, Error>,
+    run: impl AsyncFnOnce(OperatorClient) -> anyhow::Result<String>,
+) -> CommandOutcome {
+    let client = match connect() {
+        Ok(client) => client,
+        Err(error) => return CommandOutcome::Failed(error.to_string()),
+    };
+    match run(client).await {
+        Ok(text) => CommandOutcome::Done(text),
+        Err(error) => CommandOutcome::Failed(format!("{error:#}")),
+    }
+}
+
+async fn fetch(client: &OperatorClient, path: &str) -> anyhow::Result<String> {
+    let answer = client.get(path).await?;
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    anyhow::ensure!(
+        answer.is_success(),
+        "the router answered {}: {text}",
+        answer.status
+    );
+    Ok(text)
+}
--- a/src/command/tests.rs
+++ b/src/command/tests/line.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::super::*;
 
 async fn run_words(words: &[&str]) -> CommandOutcome {
     let mut arguments = vec!["crocuswharf".to_owned()];
--- /dev/null
+++ b/src/command/tests/mod.rs
@@ -0,0 +1,2 @@
+mod line;
+mod reports;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::error::{Error, ErrorKind};
 use crate::id::{RouterId, ZoneName};
+use crate::telemetry::LogSettings;
 
 #[cfg(test)]
 mod tests;
@@ -190,22 +191,6 @@
     }
 }
 
-/// What is logged.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct LogSettings {
-    /// The least severe level that is written: `error`, `warn`, `info`, `debug` or `trace`.
-    pub level: Arc<str>,
-}
-
-impl Default for LogSettings {
-    fn default() -> Self {
-        Self {
-            level: "info".into(),
-        }
-    }
-}
-
 impl RouterSettings {
     /// Reads and checks the settings file at `path`.
     ///
@@ -254,22 +239,7 @@
         if self.traffic_threads == 0 {
             return Err(Error::invalid("traffic_threads", 0, "must be above zero"));
         }
-        self.log_level().map(|_| ())
-    }
-
-    /// Returns the log level.
-    ///
-    /// # Errors
-    ///
-    /// Fails with [`ErrorKind::InvalidInput`] where the level has no such name.
-    pub fn log_level(&self) -> Result<log::LevelFilter, Error> {
-        self.log.level.parse().map_err(|_| {
-            Error::invalid(
-                "log.level",
-                &self.log.level,
-                "use error, warn, info, debug or trace",
-            )
-        })
+        Ok(())
     }
 
     fn check_keys(&self) -> Result<(), Error> {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! The fakes hold what a test needs of an engine, a plain service or the platform, and no more. They speak the same
 //! conventions as the real ones, over real HTTP on loopback, and fail on demand.
 
+pub mod capacity;
 pub mod demo;
 pub mod engine;
 pub mod plain;
