--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -23,7 +23,9 @@
 pub use self::adoption::{Adoption, InForce, StateSource};
 pub use self::message::{Announce, ConfigurationStatus, Fetch, UpdatePart};
 pub use self::transfer::{ReadStep, UpdateReader, UpdateServer};
-pub use self::watch::{ROOT_TOPIC, RootWatch, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep};
+pub use self::watch::{
+    ROOT_TOPIC, RootWatch, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
+};
 
 pub(crate) use self::load::{LoadStep, Loading};
 pub use self::load::{load, load_root};
--- a/src/configuration/tests/mod.rs
+++ b/src/configuration/tests/mod.rs
@@ -5,6 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::*;
+use crate::id::{RouterId, ZoneName};
 use crate::preference::Preference;
 use crate::store::Step;
 use crate::store::tests::fake::FakeStore;
@@ -143,6 +144,22 @@
     assert!(matches!(reader.take(&part), ReadStep::Failed(_)));
 }
 
+#[test]
+fn is_watcher_two_in_each_zone() {
+    let zones: Vec<ZoneName> = ["ikeja", "yaba", "apapa"].map(ZoneName::from).to_vec();
+    let members: Vec<(RouterId, ZoneName)> = (0..90)
+        .map(|index| (format!("router-{index}").into(), zones[index % 3].clone()))
+        .collect();
+    let known = || members.iter().map(|(id, zone)| (id, zone));
+    for zone in &zones {
+        let own = members.iter().filter(|(_, other)| other == zone);
+        let watching = own.filter(|(id, zone)| is_watcher(id, zone, known()));
+        assert_eq!(watching.count(), WATCHERS_A_ZONE);
+    }
+    // A router that knows nobody watches itself.
+    assert!(is_watcher(&members[0].0, &members[0].1, []));
+}
+
 #[test]
 fn watch_checks_behind_an_empty_poll_and_reads_what_it_missed() {
     let mut watch = RootWatch::new();
--- a/src/configuration/watch.rs
+++ b/src/configuration/watch.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::id::{RouterId, ZoneName};
+use crate::membership::watchers_of;
 use crate::store::{Backoff, ObjectVersion};
 use rand::{Rng, RngExt};
 
@@ -20,6 +22,23 @@
 /// How often a router looks for the root before the first ticket; a watch of an absent object returns at once.
 const NO_ROOT_CHECK: Duration = Duration::from_secs(2);
 
+/// Tells whether `own` is among the routers of its availability zone that watch.
+///
+/// `members` are the routers of all zones; `own` counts whether or not it is among them. Where routers know other
+/// members, one watch more or less is held for a while, which costs a call and never correctness.
+#[must_use]
+pub fn is_watcher<'a>(
+    own: &'a RouterId,
+    zone: &ZoneName,
+    members: impl IntoIterator<Item = (&'a RouterId, &'a ZoneName)>,
+) -> bool {
+    let others = members
+        .into_iter()
+        .filter(|(id, other)| *other == zone && *id != own)
+        .map(|(id, _)| id);
+    watchers_of(ROOT_TOPIC, others.chain([own]), WATCHERS_A_ZONE).contains(&own)
+}
+
 /// The next call towards the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchStep {
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -163,7 +163,6 @@
     }
 
     fn take_over(&mut self) {
-        metrics::gauge!("crocuswharf_configuration_revision").set(self.in_force.revision() as f64);
         let configuration = Arc::clone(self.in_force.configuration());
         self.publisher
             .adopt(configuration, Arc::clone(self.in_force.keys()));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -95,9 +95,7 @@
 };
 pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
-pub use crate::settings::{
-    Bounds, Listen, LogSettings, RouterSettings, Times, parse_json, read_json,
-};
+pub use crate::settings::{Bounds, Listen, RouterSettings, Times, parse_json, read_json};
 pub use crate::status::{
     AskedReport, FleetStatus, Heat, MemberStatus, OpeningHeat, Repair, Repairs, ReplicaStatus,
     ReportReply, ReportRequest, StoreCalls, opening_name, render_status,
