--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -10,7 +10,7 @@
 use super::Shared;
 use super::fetch::fetch_configuration;
 use super::thread::Event;
-use crate::configuration::{Announce, Fetch, UpdateServer};
+use crate::configuration::{Announce, Fetch, StateSource, UpdateServer};
 use crate::directory::Directory;
 use crate::error::Error;
 use crate::membership::{
@@ -310,7 +310,8 @@
         tokio::spawn(async move {
             match fetch_configuration(&links, from, known).await {
                 Ok(Some(state)) => {
-                    pass_on(&events, Event::Configuration(Arc::new(state)));
+                    let event = Event::Configuration(StateSource::Peer, Box::new(state));
+                    pass_on(&events, event);
                 }
                 Ok(None) => {}
                 Err(error) => log::info!("config: A peer's configuration failed. error={error}"),
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Instant;
 
 use tokio::sync::{mpsc, oneshot};
 
@@ -13,7 +14,7 @@
 use super::loads::poll_load;
 use super::peers::{PeerChange, Peers, TICK_INTERVAL};
 use super::publisher::Publisher;
-use crate::configuration::StoredState;
+use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
 use crate::membership::Heartbeat;
@@ -24,8 +25,8 @@
 /// What the control thread reacts to.
 #[derive(Debug)]
 pub(crate) enum Event {
-    /// A configuration was loaded.
-    Configuration(Arc<StoredState>),
+    /// A configuration was loaded or accepted.
+    Configuration(StateSource, Box<StoredState>),
     /// An engine was asked for its load.
     Load {
         /// The pool of the replica.
@@ -101,10 +102,7 @@
     mut inbound: Inbound,
     mut stopped: oneshot::Receiver<()>,
 ) {
-    let feed = tokio::spawn(follow_configuration(
-        Arc::clone(&shared),
-        shared.events().clone(),
-    ));
+    let feed = tokio::spawn(follow_configuration(Arc::clone(&shared)));
     let vms = tokio::spawn(follow_vms(Arc::clone(&shared)));
     let mut control = Control::new(shared, peers);
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
@@ -127,6 +125,8 @@
 /// The control state.
 struct Control {
     shared: Arc<Shared>,
+    started: Instant,
+    in_force: InForce,
     publisher: Publisher,
     peers: Peers,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
@@ -138,6 +138,8 @@
         let _ = shared.links.set(peers.links().clone());
         let mut control = Self {
             shared,
+            started: Instant::now(),
+            in_force: InForce::new(),
             publisher: Publisher::default(),
             peers,
             polls: HashMap::new(),
@@ -174,7 +176,7 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Configuration(state) => self.adopt(&state),
+            Event::Configuration(source, state) => self.adopt(source, *state),
             Event::Load {
                 pool,
                 replica,
@@ -196,13 +198,33 @@
         self.publish();
     }
 
-    fn adopt(&mut self, state: &Arc<StoredState>) {
+    fn adopt(&mut self, source: StateSource, state: StoredState) {
+        let source = source.label();
         let revision = state.revision();
-        if !self.publisher.adopt(Arc::new(state.configuration())) {
-            return;
+        match self.in_force.offer(state, self.started.elapsed()) {
+            Adoption::Adopted { before } => {
+                log::info!(
+                    "config: Revision is in force. revision={revision} before={before} source={source}"
+                );
+                self.take_over();
+            }
+            Adoption::Same => self.shared.stored.store(Arc::clone(self.in_force.state())),
+            Adoption::Older => log::debug!(
+                "config: Older revision was ignored. revision={revision} source={source}"
+            ),
+            Adoption::Diverged => {
+                log::error!(
+                    "config: Other content of the revision in force was ignored. revision={revision} source={source}"
+                );
+            }
         }
-        self.shared.stored.store(Arc::clone(state));
-        log::info!("config: Revision is in force. revision={revision}");
+    }
+
+    fn take_over(&mut self) {
+        let configuration = Arc::clone(self.in_force.configuration());
+        self.publisher
+            .adopt(configuration, Arc::clone(self.in_force.keys()));
+        self.shared.stored.store(Arc::clone(self.in_force.state()));
         self.peers.announce();
         self.follow_engines();
     }
