Claim the calls of plain services that may not be repeated

Cause: the entry dispatched them on the caller's key alone, so a resend through another router ran twice. Change: the plain-service path claims such calls on the platform, runs them in a task of their own, keeps their answers for resends, and refuses as "not run" only with proof; a drain waits until outcomes are recorded.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,13 +8,17 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
 use crate::configuration::StoredState;
 use crate::engine::EngineClient;
 use crate::error::Error;
+use crate::id::Incarnation;
+use crate::request::claim_service::{ClaimOptions, ClaimService};
 use crate::settings::RouterSettings;
 use crate::store::{self, StoreSettings};
 
@@ -41,6 +45,8 @@
     pub(crate) engines: EngineClient,
     /// The client of the platform's object API.
     pub(crate) store: store::Client,
+    /// Claims calls that may not be repeated.
+    pub(crate) claims: ClaimService,
     /// The configuration in force as the platform holds it.
     pub(crate) stored: ArcSwap<StoredState>,
     /// Whether the router is leaving.
@@ -53,15 +59,26 @@
     /// Makes the shared part of a router that knows nothing yet.
     ///
     /// The second value is the control thread's end of the queue of events.
-    pub(crate) fn new(settings: RouterSettings) -> Result<(Self, mpsc::Receiver<Event>), Error> {
+    pub(crate) fn new(
+        settings: RouterSettings,
+        traffic: &Handle,
+    ) -> Result<(Self, mpsc::Receiver<Event>), Error> {
         let engines = EngineClient::new(settings.times.connect_timeout())?;
         let store = store::Client::new(&store_settings(&settings))?;
+        let claims = ClaimOptions {
+            router: Arc::clone(&settings.router),
+            incarnation: new_incarnation(),
+            store: store.clone(),
+            claim_timeout: settings.times.platform_timeout() / 2,
+        };
+        let claims = ClaimService::start(claims, traffic);
         let (events, receiver) = mpsc::channel(EVENT_QUEUE);
         let shared = Self {
             settings,
             snapshot: ArcSwap::default(),
             engines,
             store,
+            claims,
             draining: AtomicBool::new(false),
             open_requests: Arc::default(),
             stored: ArcSwap::default(),
@@ -103,6 +120,12 @@
     }
 }
 
+/// Returns the number of this life of the process; a later life on the same VM gets a higher one.
+fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |since| since.as_millis() as Incarnation)
+}
+
 fn store_settings(settings: &RouterSettings) -> StoreSettings {
     StoreSettings {
         call_timeout_ms: settings.times.platform_timeout_ms,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod caller;
 mod chat;
 mod choice;
+mod claimed;
 mod continuation;
 mod directory;
 mod dispatch;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -14,19 +14,22 @@
 use salvo::{Depot, FlowCtrl, Request, Response, async_trait};
 use smallvec::SmallVec;
 
-use super::caller::{authenticate, bad_request, find_service};
+use super::caller::{authenticate, find_service};
 use super::chat::read_body;
+use super::claimed::{ClaimedRequest, SendHead, before_claim, content_digest};
 use super::reply::{Reply, RunState, set_header};
 use crate::control::{InFlight, PoolView, Shared};
 use crate::engine::{CallError, PlainCall};
 use crate::id::RequestId;
-use crate::protocol::{HEADER_IDEMPOTENCY_KEY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN};
+use crate::protocol::{HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN};
+use crate::request::claim::ClaimKey;
+use crate::request::claim_service::ClaimService;
 use crate::service::{Service, ServiceKind};
 
 /// The replicas that are tried for one call before it is refused.
-const MAX_ATTEMPTS: usize = 3;
+pub(crate) const MAX_ATTEMPTS: usize = 3;
 /// The time after which a caller may come back when no replica could take its call.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The headers that concern one connection or the router alone and are not passed on.
 const OWN_HEADERS: [&str; 11] = [
     "authorization",
@@ -43,10 +46,19 @@
 ];
 
 /// Handles calls of plain services.
+#[derive(Clone)]
 pub(crate) struct PlainHandler {
     shared: Arc<Shared>,
 }
 
+/// A call that has been read and checked.
+struct Prepared {
+    pool: Arc<PoolView>,
+    call: PlainCall,
+    /// What is claimed, for a call that may not be repeated.
+    once: Option<(ClaimKey, [u8; 16], Option<u32>)>,
+}
+
 /// A whole answer of a plain service.
 #[derive(Clone, Debug)]
 pub(crate) struct PlainAnswer {
@@ -56,8 +68,8 @@
     pub(crate) headers: HeaderMap,
     /// The body.
     pub(crate) body: Bytes,
-    /// The replica that answered.
-    pub(crate) replica: Arc<str>,
+    /// The replica that answered; `None` for a kept answer.
+    pub(crate) replica: Option<Arc<str>>,
 }
 
 impl PlainHandler {
@@ -66,9 +78,39 @@
         Self { shared }
     }
 
+    /// Returns the service that claims calls which may not be repeated.
+    pub(crate) fn claims(&self) -> &ClaimService {
+        &self.shared.claims
+    }
+
     async fn answer(&self, request: &mut Request, res: &mut Response) -> Result<(), Reply> {
         let request_id = RequestId::now_v7();
         set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
+        let prepared = self.prepare(request).await;
+        let prepared = prepared.map_err(|reply| before_claim(reply, request))?;
+        let answer = match prepared.once {
+            None => {
+                self.repeatable(request_id, &prepared.pool, &prepared.call)
+                    .await?
+            }
+            Some((key, digest, send_number)) => {
+                let claimed = ClaimedRequest {
+                    handler: self.clone(),
+                    pool: prepared.pool,
+                    call: prepared.call,
+                    key,
+                    digest,
+                    send_number,
+                    _open: self.shared.open_request(),
+                };
+                claimed.run().await?
+            }
+        };
+        write_answer(res, answer);
+        Ok(())
+    }
+
+    async fn prepare(&self, request: &mut Request) -> Result<Prepared, Reply> {
         let snapshot = self.shared.snapshot.load_full();
         let account = authenticate(request, &snapshot)?;
         let name = request.param::<String>("name").unwrap_or_default();
@@ -83,14 +125,19 @@
         let body = read_body(request, limit_bytes).await?;
         let call = plain_call(request, &service, body);
         let path = call.path.split('?').next().unwrap_or_default();
-        let answer = if service.is_idempotent(call.method.as_str(), path) {
-            self.repeatable(request_id, pool, &call).await?
-        } else {
-            idempotency_key(request)?;
-            self.once(request_id, pool, &call).await?
+        let once = match service.is_idempotent(call.method.as_str(), path) {
+            true => None,
+            false => {
+                let head = SendHead::read(request)?;
+                let digest = content_digest(&name, &call);
+                Some((head.claim_key(&account.id), digest, head.send_number()))
+            }
         };
-        write_answer(res, answer);
-        Ok(())
+        Ok(Prepared {
+            pool: Arc::clone(pool),
+            call,
+            once,
+        })
     }
 
     async fn repeatable(
@@ -115,28 +162,8 @@
         Err(no_replica(ran))
     }
 
-    /// Gives the call to the first replica that takes the connection, and to no other after that.
-    async fn once(
-        &self,
-        request_id: RequestId,
-        pool: &PoolView,
-        call: &PlainCall,
-    ) -> Result<PlainAnswer, Reply> {
-        let mut excluded = SmallVec::<[usize; MAX_ATTEMPTS]>::new();
-        while excluded.len() < MAX_ATTEMPTS {
-            let Some(index) = choose_least_loaded(pool, &excluded) else {
-                break;
-            };
-            match self.attempt(request_id, pool, index, call).await {
-                Ok(answer) => return Ok(answer),
-                Err(CallError::NotConnected(_)) => excluded.push(index),
-                Err(CallError::Lost(_)) => return Err(outcome_unknown()),
-            }
-        }
-        Err(no_replica(RunState::NotRun))
-    }
-
-    async fn attempt(
+    /// Gives the call to one replica.
+    pub(crate) async fn attempt(
         &self,
         request_id: RequestId,
         pool: &PoolView,
@@ -183,7 +210,7 @@
             status,
             headers,
             body,
-            replica: Arc::clone(&replica.id),
+            replica: Some(Arc::clone(&replica.id)),
         })
     }
 }
@@ -205,7 +232,7 @@
 }
 
 /// Chooses the available replica with the fewest requests of this router, at random among equals.
-fn choose_least_loaded(pool: &PoolView, excluded: &[usize]) -> Option<usize> {
+pub(crate) fn choose_least_loaded(pool: &PoolView, excluded: &[usize]) -> Option<usize> {
     let count = pool.replicas.len();
     if count == 0 {
         return None;
@@ -240,36 +267,14 @@
     }
 }
 
-fn idempotency_key(request: &Request) -> Result<uuid::Uuid, Reply> {
-    let value = request
-        .headers()
-        .get(HEADER_IDEMPOTENCY_KEY)
-        .ok_or_else(|| bad_key("the header is missing, and this call may not be repeated"))?;
-    let text = value
-        .to_str()
-        .map_err(|_| bad_key("the value is not text"))?;
-    let key = uuid::Uuid::try_parse(text).map_err(|_| bad_key(&format!("{text:?} is no UUID")))?;
-    if key.get_version_num() == 7 {
-        return Ok(key);
-    }
-    Err(bad_key(&format!(
-        "{text:?} is no UUID of version 7, whose time is needed"
-    )))
-}
-
-fn bad_key(reason: &str) -> Reply {
-    bad_request(
-        HEADER_IDEMPOTENCY_KEY,
-        format!("{HEADER_IDEMPOTENCY_KEY}: {reason}"),
-    )
-}
-
 fn write_answer(res: &mut Response, answer: PlainAnswer) {
     res.status_code(answer.status);
     for (name, value) in &answer.headers {
         res.headers_mut().append(name, value.clone());
     }
-    set_header(res, HEADER_REPLICA, &answer.replica);
+    if let Some(replica) = &answer.replica {
+        set_header(res, HEADER_REPLICA, replica);
+    }
     set_header(res, HEADER_RUN, RunState::Completed.as_str());
     res.body(answer.body);
 }
@@ -285,17 +290,6 @@
     }
 }
 
-fn outcome_unknown() -> Reply {
-    Reply {
-        status: StatusCode::BAD_GATEWAY,
-        code: "outcome_unknown",
-        message: "the replica may have run the call, and its answer was lost".to_owned(),
-        param: None,
-        ran: RunState::Unknown,
-        retry_after: None,
-    }
-}
-
 fn unknown_pool(name: &str) -> Reply {
     Reply {
         status: StatusCode::SERVICE_UNAVAILABLE,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,8 +17,8 @@
 mod preference;
 mod prefix;
 mod protocol;
-mod router;
 mod request;
+mod router;
 mod service;
 mod settings;
 mod store;
@@ -60,11 +60,11 @@
     HEADER_OPENING, HEADER_PRIORITY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN,
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
-pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::request::message as request_message;
 pub use crate::request::{
     claim, claim_service, drain, ejection, event_id, hedge, refusal, retry, stream,
 };
+pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
 pub use crate::settings::{
     Bounds, Listen, LogSettings, RouterSettings, Times, parse_json, read_json,
--- a/src/request/claim_service/worker.rs
+++ b/src/request/claim_service/worker.rs
@@ -77,11 +77,13 @@
     }
 
     fn next_wake(&self) -> Duration {
-        let wakes = self.slots.values().map(|slot| {
+        let idle_wake = self.now() + IDLE_LIMIT;
+        let wakes = self.slots.values().filter_map(|slot| {
             let idle_at = slot.used_at + IDLE_LIMIT;
-            slot.writer.next_poll().unwrap_or(idle_at)
+            let is_idle = slot.writer.is_idle();
+            slot.writer.next_poll().or(is_idle.then_some(idle_at))
         });
-        wakes.min().unwrap_or_else(|| self.now() + IDLE_LIMIT)
+        wakes.min().unwrap_or(idle_wake)
     }
 
     fn submit(&mut self, command: Command) {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -71,7 +71,7 @@
             weight: 1,
         };
         let traffic = traffic_runtime(&settings)?;
-        let (shared, events) = Shared::new(settings)?;
+        let (shared, events) = Shared::new(settings, traffic.handle())?;
         let shared = Arc::new(shared);
         let control = ControlThread::start(Arc::clone(&shared), events, own_entry)?;
         entry::serve_callers(&traffic, callers, &shared)?;
@@ -115,7 +115,7 @@
     }
 
     async fn wait_for_requests(&self) {
-        while self.shared.open_requests() > 0 {
+        while self.shared.open_requests() > 0 || self.shared.claims.open_calls() > 0 {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
     }
