--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -17,9 +17,10 @@
 use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
-use crate::membership::Heartbeat;
-use crate::peer::{Inbound, PeerEvent};
+use crate::membership::{Heartbeat, Liveness, Member};
+use crate::peer::{Inbound, Kind, Links, PeerEvent};
 use crate::protocol::{LoadReport, Vm};
+use crate::request::claim_service::{ClaimMember, ClaimPeers};
 use crate::service::ServiceKind;
 
 /// What the control thread reacts to.
@@ -157,6 +158,9 @@
     }
 
     fn receive(&mut self, event: PeerEvent) {
+        if event.body.kind == Kind::Claim {
+            return self.shared.claims.receive(event);
+        }
         let change = self.peers.receive(event);
         self.take_change(change);
     }
@@ -164,7 +168,10 @@
     fn take_change(&mut self, change: PeerChange) {
         if change.members {
             let directory = self.peers.plan_directory();
-            self.publisher.set_members(self.peers.members(), directory);
+            let members = self.peers.members();
+            let claim_peers = claim_peers(self.peers.links(), &members);
+            self.shared.claims.set_peers(Some(claim_peers));
+            self.publisher.set_members(members, directory);
         }
         if change.leaving_vms {
             self.publisher.set_leaving_vms(self.peers.leaving_vms());
@@ -273,3 +280,19 @@
         }
     }
 }
+
+/// Returns the routers among which buckets of claims are shared out: those that run and don't leave.
+fn claim_peers(links: &Links, members: &[Member]) -> ClaimPeers {
+    let members = members
+        .iter()
+        .filter(|member| member.liveness == Liveness::Alive && !member.leaving)
+        .map(|member| ClaimMember {
+            router: Arc::clone(&member.router),
+            address: member.peers,
+        })
+        .collect();
+    ClaimPeers {
+        links: links.clone(),
+        members,
+    }
+}
