Ask a second cell where the first is busy, and charge a placement for what it evicts

Cause: at 1,600 replicas hot cells queued for 23 s; the load 1.0 ignored the copies that hot openings need.

Change: an owner's answer tells its cost; where the wait is above 300 ms a second cell is asked as a probe, and the cheaper one takes the request. An opening's rate lowers its price three times as fast. Load 1.0 counts copies.

--- a/src/policy/cache.rs
+++ b/src/policy/cache.rs
@@ -19,6 +19,7 @@
 /// The entries that one replica is expected to hold.
 #[derive(Clone, Debug)]
 pub(crate) struct CacheModel {
+    /// The entries from the least to the most recently used; of a chain used at once, the end stands first.
     entries: Vec<CacheEntry>,
     held_tokens: u64,
     configured_tokens: u64,
@@ -70,13 +71,13 @@
     ///
     /// `rest_tokens` are those after the last level, which take room too.
     pub(crate) fn place(&mut self, levels: &[Level], rest_tokens: u32, now: Duration) {
-        let mut start = 0;
-        for level in levels {
-            self.hold(level.key, start, level.end_tokens, now);
-            start = level.end_tokens;
-        }
+        let leveled = levels.last().map_or(0, |l| l.end_tokens);
         if rest_tokens > 0 {
-            self.hold(0, start, start + rest_tokens, now);
+            self.hold(0, leveled, leveled + rest_tokens, now);
+        }
+        for (index, level) in levels.iter().enumerate().rev() {
+            let start = index.checked_sub(1).map_or(0, |i| levels[i].end_tokens);
+            self.hold(level.key, start, level.end_tokens, now);
         }
         self.shrink();
     }
@@ -114,18 +115,18 @@
             self.drop_tokens(index, u32::MAX);
         }
         self.held_tokens += u64::from(entry.held_tokens);
-        self.entries.push(entry);
+        let at = |e: &CacheEntry| e.last_used <= entry.last_used;
+        let index = self.entries.partition_point(at);
+        self.entries.insert(index, entry);
         self.shrink();
     }
 
     fn hold(&mut self, key: LevelKey, start: u32, end: u32, now: Duration) {
         let tokens = end.saturating_sub(start);
-        let found = self.entries.iter_mut().find(|e| e.key == key && key != 0);
-        if let Some(entry) = found {
-            self.held_tokens += u64::from(tokens.saturating_sub(entry.held_tokens));
-            entry.held_tokens = entry.held_tokens.max(tokens);
-            entry.last_used = entry.last_used.max(now);
-            return;
+        let found = self.entries.iter().position(|e| e.key == key && key != 0);
+        if let Some(index) = found {
+            let old = self.entries.remove(index);
+            self.held_tokens -= u64::from(old.held_tokens);
         }
         self.held_tokens += u64::from(tokens);
         self.entries.push(CacheEntry {
@@ -137,6 +138,18 @@
         });
     }
 
+    /// Returns the entries that would be dropped, whole or in part, to make room for `tokens` more.
+    pub(crate) fn victims(&self, tokens: u32) -> impl Iterator<Item = (LevelKey, u32)> {
+        let after = self.held_tokens + u64::from(tokens);
+        let mut excess = after.saturating_sub(self.capacity_tokens());
+        self.entries.iter().map_while(move |entry| {
+            let dropped = excess.min(entry.held_tokens.into());
+            excess -= dropped;
+            let dropped = u32::try_from(dropped).unwrap_or(u32::MAX);
+            (dropped > 0).then_some((entry.key, dropped))
+        })
+    }
+
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
@@ -158,13 +171,7 @@
         while self.held_tokens > capacity || self.entries.len() > MAX_ENTRIES {
             let excess = self.held_tokens.saturating_sub(capacity);
             let pieces = excess.div_ceil(PIECE_TOKENS as u64).max(1) * PIECE_TOKENS as u64;
-            let oldest = (0..self.entries.len())
-                .min_by_key(|&i| {
-                    let entry = &self.entries[i];
-                    (entry.last_used, std::cmp::Reverse(entry.start_tokens))
-                })
-                .expect("a cache over its capacity holds an entry");
-            self.drop_tokens(oldest, u32::try_from(pieces).unwrap_or(u32::MAX));
+            self.drop_tokens(0, u32::try_from(pieces).unwrap_or(u32::MAX));
         }
     }
 
@@ -175,7 +182,7 @@
         entry.held_tokens -= dropped;
         self.held_tokens -= u64::from(dropped);
         if entry.held_tokens == 0 {
-            self.entries.swap_remove(index);
+            self.entries.remove(index);
         }
         assert!(
             self.entries.is_empty() == (self.held_tokens == 0),
--- a/src/policy/message.rs
+++ b/src/policy/message.rs
@@ -43,6 +43,9 @@
     /// A replica that has just failed this request; zero for none.
     #[prost(fixed64, tag = "10")]
     pub excluded: u64,
+    /// Whether the owner only informs.
+    #[prost(bool, tag = "11")]
+    pub is_probe: bool,
 }
 
 /// The owner's answer.
@@ -57,6 +60,12 @@
     /// The mean wait over the cell in milliseconds.
     #[prost(uint32, tag = "3")]
     pub pressure_ms: u32,
+    /// The cost of the first candidate in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub cost_ms: u32,
+    /// The price of recomputation in hundredths.
+    #[prost(uint32, tag = "5")]
+    pub price_hundredths: u32,
 }
 
 /// One candidate of an owner's answer.
@@ -149,11 +158,6 @@
 impl LookupMessage {
     /// Makes the frame of a question about the pool with the hash `pool`.
     #[must_use]
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a price in hundredths is small and positive"
-    )]
     pub fn new(pool: u32, lookup: &Lookup) -> Self {
         Self {
             pool,
@@ -163,9 +167,10 @@
             level_tokens: steps_of(&lookup.levels),
             shared_level: saturate(lookup.shared_level),
             prompt_tokens: lookup.prompt_tokens,
-            price_hundredths: (lookup.recomputation_price * HUNDREDTHS) as u32,
+            price_hundredths: hundredths(lookup.recomputation_price),
             zone: saturate(lookup.zone),
             excluded: lookup.excluded.unwrap_or(0),
+            is_probe: lookup.is_probe,
         }
     }
 
@@ -181,6 +186,7 @@
             recomputation_price: f64::from(self.price_hundredths) / HUNDREDTHS,
             zone: self.zone as usize,
             excluded: Some(self.excluded).filter(|&e| e != 0),
+            is_probe: self.is_probe,
         }
     }
 }
@@ -198,6 +204,8 @@
             request: reply.request,
             candidates: candidates.collect(),
             pressure_ms: millis(reply.pressure),
+            cost_ms: millis(reply.cost),
+            price_hundredths: hundredths(reply.price),
         }
     }
 
@@ -213,6 +221,8 @@
             request: self.request,
             candidates: candidates.collect(),
             pressure: Duration::from_millis(self.pressure_ms.into()),
+            cost: Duration::from_millis(self.cost_ms.into()),
+            price: f64::from(self.price_hundredths) / HUNDREDTHS,
         }
     }
 }
@@ -329,6 +339,15 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a price in hundredths is small and positive"
+)]
+fn hundredths(price: f64) -> u32 {
+    (price * HUNDREDTHS).round() as u32
+}
+
 fn steps_of(levels: &[Level]) -> Vec<u32> {
     let mut before = 0;
     levels
--- a/src/policy/observation.rs
+++ b/src/policy/observation.rs
@@ -29,6 +29,8 @@
     pub zone: usize,
     /// A replica that has just failed this request.
     pub excluded: Option<InstanceTag>,
+    /// Whether the owner only informs, and the asking router places.
+    pub is_probe: bool,
 }
 
 impl Lookup {
@@ -56,6 +58,7 @@
             recomputation_price,
             zone,
             excluded: None,
+            is_probe: false,
         }
     }
 }
@@ -71,17 +74,46 @@
     pub wait: Duration,
 }
 
-/// An owner's answer; it has placed the request at the first candidate.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+/// An owner's answer; it has placed the request at the first candidate, but for a probe.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct OwnerReply {
     /// The request.
     pub request: RequestTag,
     /// The candidates, the best first; none where the cell has no replica that may take the request.
     pub candidates: SmallVec<[Candidate; 3]>,
+    /// The cost of the first candidate, by which answers of two cells are compared.
+    pub cost: Duration,
+    /// The price of recomputation at which the owner compared; the next cell asked compares at the same.
+    pub price: f64,
     /// The mean wait over the cell.
     pub pressure: Duration,
 }
 
+/// The expected wait from which a second cell is asked.
+const BUSY_WAIT: Duration = Duration::from_millis(300);
+/// The price below which an opening is so hot that it may go to more than two cells.
+const HOT_PRICE: f64 = 1.3;
+/// The cells that a hot opening may go to.
+const HOT_CELLS: usize = 8;
+
+impl OwnerReply {
+    /// Tells how many of an opening's cells may be asked after this answer; one means that it stands.
+    #[must_use]
+    pub fn cells_to_consider(&self) -> usize {
+        match self.candidates.first() {
+            Some(first) if first.wait < BUSY_WAIT => 1,
+            Some(_) if self.price < HOT_PRICE => HOT_CELLS,
+            _ => 2,
+        }
+    }
+
+    /// Tells whether this answer is better than that of another cell.
+    #[must_use]
+    pub fn is_better_than(&self, other: &Self) -> bool {
+        !self.candidates.is_empty() && (other.candidates.is_empty() || self.cost < other.cost)
+    }
+}
+
 /// What a router learns of a cell. All times are the observing router's own.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Observation {
--- a/src/policy/owner.rs
+++ b/src/policy/owner.rs
@@ -20,6 +20,14 @@
 const STEP_TIME: Duration = Duration::from_millis(5);
 /// The time over which an opening's rate is measured.
 const RATE_WINDOW_SECS: f64 = 4.0;
+/// The time over which the worth of what a placement evicts is measured.
+const WORTH_WINDOW_SECS: f64 = 60.0;
+/// The time for which an entry stays cached once it is placed, as far as the worth of others goes.
+const RESIDENCE_SECS: f64 = 20.0;
+/// The part of that worth which a placement pays.
+const WORTH_WEIGHT: f64 = 0.3;
+/// How fast an opening's requests per second lower its price.
+const WIDTH_PER_RATE: f64 = 3.0;
 /// The most openings whose rate is kept.
 const MAX_RATES: usize = 4_096;
 /// The most placements of one replica that await their answer.
@@ -46,6 +54,8 @@
     pub price: bool,
     /// Whether an opening's own rate lowers its price, so that it gets more replicas.
     pub width: bool,
+    /// Whether a placement pays for what it evicts.
+    pub worth: bool,
     /// Whether near-equals are chosen at random.
     pub randomness: bool,
 }
@@ -57,6 +67,7 @@
             events: true,
             price: true,
             width: true,
+            worth: true,
             randomness: true,
         }
     }
@@ -90,22 +101,30 @@
     expected_warm_tokens: u32,
 }
 
-/// An opening's rate, as a sum that decays.
+/// An opening's rate, over a short and a long time, as sums that decay.
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
-    sum: f64,
+    short_sum: f64,
+    long_sum: f64,
     at: Duration,
 }
 
 impl Rate {
-    fn per_sec(self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.sum * (-age / RATE_WINDOW_SECS).exp() / RATE_WINDOW_SECS
+    fn age_secs(self, now: Duration) -> f64 {
+        now.saturating_sub(self.at).as_secs_f64()
+    }
+
+    fn short_per_sec(self, now: Duration) -> f64 {
+        self.short_sum * (-self.age_secs(now) / RATE_WINDOW_SECS).exp() / RATE_WINDOW_SECS
+    }
+
+    fn long_per_sec(self, now: Duration) -> f64 {
+        self.long_sum * (-self.age_secs(now) / WORTH_WINDOW_SECS).exp() / WORTH_WINDOW_SECS
     }
 
     fn count(&mut self, now: Duration) {
-        let rate = self.per_sec(now);
-        self.sum = rate * RATE_WINDOW_SECS + 1.0;
+        self.short_sum = self.short_per_sec(now) * RATE_WINDOW_SECS + 1.0;
+        self.long_sum = self.long_per_sec(now) * WORTH_WINDOW_SECS + 1.0;
         self.at = self.at.max(now);
     }
 }
@@ -279,7 +298,7 @@
         Some(&mut self.replicas[index])
     }
 
-    /// Chooses replicas for a prompt and records it as placed at the first of them.
+    /// Chooses replicas for a prompt and records it as placed at the first of them, unless it is a probe.
     pub fn answer(&mut self, lookup: &Lookup, now: Duration, rng: &mut impl Rng) -> OwnerReply {
         let price = self.price(lookup, now);
         let homes = self.cells.homes_of(lookup.cell, lookup.owner_key(), 2);
@@ -295,6 +314,9 @@
             waits += candidate.wait;
             count += 1;
             let mut cost = cost_of(model, lookup, &candidate, price);
+            if self.learning.worth {
+                cost += self.eviction_secs(model, lookup, &candidate, now);
+            }
             if !homes.contains(&index) {
                 cost += AWAY_FROM_HOME_SECS;
             }
@@ -307,11 +329,13 @@
                 best.truncate(CANDIDATES);
             }
         }
-        if let Some(&(_, index, _)) = best.first() {
+        if let Some(&(_, index, _)) = best.first().filter(|_| !lookup.is_probe) {
             self.place(index, lookup, now);
         }
         OwnerReply {
             request: lookup.request,
+            cost: Duration::from_secs_f64(best.first().map_or(0.0, |b| b.0)),
+            price,
             candidates: best.into_iter().map(|b| b.2).collect(),
             pressure: waits / count.max(1),
         }
@@ -391,7 +415,7 @@
     fn count(&mut self, levels: &[Level], now: Duration) {
         if self.rates.len() >= MAX_RATES {
             self.rates
-                .retain(|_, r| r.at + Duration::from_secs(10) > now);
+                .retain(|_, r| r.at + Duration::from_secs(120) > now);
             if self.rates.len() >= MAX_RATES {
                 self.rates.clear();
             }
@@ -401,6 +425,24 @@
         }
     }
 
+    /// Returns the expected time to compute again what a placement evicts.
+    ///
+    /// This keeps rare openings together on replicas whose oldest entries are rare as well, and away from hot ones.
+    fn eviction_secs(
+        &self,
+        model: &ReplicaModel,
+        lookup: &Lookup,
+        candidate: &Candidate,
+        now: Duration,
+    ) -> f64 {
+        let cold = lookup.prompt_tokens - candidate.warm_tokens;
+        let lost = model.cache.victims(cold).map(|(key, tokens)| {
+            let rate = self.rates.get(&key).map_or(0.0, |r| r.long_per_sec(now));
+            (1.0 - (-rate * RESIDENCE_SECS).exp()) * f64::from(tokens)
+        });
+        WORTH_WEIGHT * lost.sum::<f64>() / model.view.prefill_tokens_per_second
+    }
+
     /// Returns the price of recomputation for an opening: the more often it is asked for, the more a copy pays.
     fn price(&self, lookup: &Lookup, now: Duration) -> f64 {
         if !self.learning.price {
@@ -413,8 +455,8 @@
         let rate = self
             .rates
             .get(&lookup.owner_key())
-            .map_or(0.0, |r| r.per_sec(now));
-        1.0 + (price - 1.0) / (1.0 + rate)
+            .map_or(0.0, |r| r.short_per_sec(now));
+        1.0 + (price - 1.0) / (1.0 + WIDTH_PER_RATE * rate)
     }
 }
 
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -36,7 +36,6 @@
     at: Duration,
     cost: Duration,
     end: Duration,
-    is_finished: bool,
 }
 
 impl QueueModel {
@@ -61,10 +60,12 @@
 
     /// Returns when a slot is expected to be free for one more request.
     fn slot_free_at(&self, now: Duration) -> Duration {
+        if self.dispatches.len() < self.slots {
+            return now;
+        }
         let mut finishes: SmallVec<[Duration; 64]> = self
             .dispatches
             .iter()
-            .filter(|d| !d.is_finished)
             .map(|d| d.end + self.decode_time)
             .filter(|&finish| finish > now)
             .collect();
@@ -80,8 +81,9 @@
         let Some(index) = self.position(request) else {
             return;
         };
-        let dispatch = &mut self.dispatches[index];
-        dispatch.is_finished = true;
+        let Some(dispatch) = self.dispatches.remove(index) else {
+            return;
+        };
         let took = at.saturating_sub(dispatch.end).as_secs_f64();
         let mean = self.decode_time.as_secs_f64();
         let mean = mean + DECODE_TIME_STEP * (took - mean);
@@ -99,7 +101,7 @@
             || self
                 .dispatches
                 .front()
-                .is_some_and(|d| d.is_finished || d.end + DISPATCH_LIFE < at)
+                .is_some_and(|d| d.end + DISPATCH_LIFE < at)
         {
             self.dispatches.pop_front();
         }
@@ -110,7 +112,6 @@
             at,
             cost,
             end,
-            is_finished: false,
         });
     }
 
--- a/standin/src/compare/mod.rs
+++ b/standin/src/compare/mod.rs
@@ -66,7 +66,7 @@
     /// the price of recomputation at which the oracle decides; the deployment's own where absent
     #[argh(option)]
     oracle_price: Option<f64>,
-    /// leave out parts of the policy, comma separated: owner, answers, events, price, width, randomness, reports
+    /// leave out parts of the policy, comma separated: owner, answers, events, price, width, worth, randomness, reports
     #[argh(option, default = "String::new()")]
     without: String,
 }
@@ -136,6 +136,7 @@
                 "answers" => ablation.learning.answers = false,
                 "events" => ablation.learning.events = false,
                 "price" => ablation.learning.price = false,
+                "worth" => ablation.learning.worth = false,
                 "width" => ablation.learning.width = false,
                 "randomness" => ablation.learning.randomness = false,
                 _ => anyhow::bail!("without: {part} is no part of the policy"),
--- a/standin/src/compare/routers.rs
+++ b/standin/src/compare/routers.rs
@@ -1,6 +1,6 @@
 //! The routers of the compared policy: they run the library's own decisions and frames over modelled links.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crocuswharf::{
     Cells, Choice, Deciding, InstanceTag, LevelKey, Lookup, LookupMessage, Observation,
@@ -32,6 +32,8 @@
 const FRAME_BYTES: u64 = 6;
 /// The owners that are asked, one after another.
 const OWNERS: usize = 2;
+/// The number of the first attempt at a second cell.
+const SECOND_CELL: u32 = 100;
 const POOL: u32 = 1;
 
 /// What happens between routers, later.
@@ -87,6 +89,8 @@
     excluded: Option<InstanceTag>,
     attempt: u32,
     placed: Option<InstanceTag>,
+    /// The answer of the first cell, while the second is asked.
+    first: Option<(usize, OwnerReply)>,
 }
 
 /// All routers of one run.
@@ -105,7 +109,8 @@
     pending: std::collections::HashMap<usize, Pending>,
     events: Vec<(Duration, RouterEvent)>,
     outcomes: Vec<Outcome>,
-    has_decided: bool,
+    decisions_us: Vec<f64>,
+    answer_us: f64,
     frame_loss: f64,
     rng: ChaCha8Rng,
     lookups: u64,
@@ -162,7 +167,8 @@
             pending: std::collections::HashMap::new(),
             events: Vec::new(),
             outcomes: Vec::new(),
-            has_decided: false,
+            decisions_us: Vec::new(),
+            answer_us: 0.0,
             frame_loss: loss,
             rng: ChaCha8Rng::seed_from_u64(seed ^ 0x0c0c),
             lookups: 0,
@@ -190,9 +196,9 @@
         std::mem::take(&mut self.outcomes)
     }
 
-    /// Tells whether a decision was made since the last call.
-    pub(crate) fn take_decided(&mut self) -> bool {
-        std::mem::take(&mut self.has_decided)
+    /// Returns the times that decisions took since the last call.
+    pub(crate) fn take_decisions_us(&mut self) -> Vec<f64> {
+        std::mem::take(&mut self.decisions_us)
     }
 
     /// Begins the choice for a request.
@@ -212,6 +218,7 @@
             excluded: excluded.map(|e| self.instance(e)),
             attempt: 0,
             placed: None,
+            first: None,
         };
         self.pending.insert(request, pending);
         if self.ablation.without_owner {
@@ -222,14 +229,17 @@
     }
 
     fn lookup_of(&self, request: usize, pending: &Pending) -> Lookup {
+        let first = pending.first.as_ref();
+        let price = first.map_or(self.preference.recomputation_price, |f| f.1.price);
         let mut lookup = Lookup::new(
             request as u32,
             pending.cell,
             &pending.opening,
-            self.preference.recomputation_price,
+            price,
             pending.entry % ZONES,
         );
         lookup.excluded = pending.excluded;
+        lookup.is_probe = first.is_some();
         lookup
     }
 
@@ -238,18 +248,24 @@
         let (entry, attempt) = (pending.entry, pending.attempt);
         let key = pending.opening.owner_key();
         let owners = self.pool_view.cells().owners_of(pending.cell, key, OWNERS);
-        let Some(&owner) = owners.get(attempt as usize) else {
+        let is_second = pending.first.is_some();
+        let try_number = if is_second {
+            attempt - SECOND_CELL
+        } else {
+            attempt
+        };
+        let Some(&owner) = owners.get(try_number as usize) else {
             return self.decide_here(request, now);
         };
         let owner = self.members[owner];
         let lookup = self.lookup_of(request, pending);
         if owner == entry {
             let reply = self.answer(owner, &lookup, now);
-            return self.conclude(request, Some(&reply), now);
+            return self.consider(request, reply, now);
         }
         let message = LookupMessage::new(POOL, &lookup);
         self.lookups += 1;
-        self.second_asks += u64::from(attempt > 0);
+        self.second_asks += u64::from(try_number > 0);
         self.lookup_bytes += message.encoded_len() as u64 + FRAME_BYTES;
         if !self.is_lost() {
             let at = now + delay_between(entry % ZONES, owner % ZONES);
@@ -271,9 +287,10 @@
 
     /// Answers at `owner` and tells the other routers of the cell.
     fn answer(&mut self, owner: usize, lookup: &Lookup, now: Duration) -> OwnerReply {
-        self.has_decided = true;
+        let started = Instant::now();
         let reply = self.views[owner].answer(lookup, now, &mut self.rng);
-        if let Some(first) = reply.candidates.first() {
+        self.answer_us = micros_since(started);
+        if let Some(first) = reply.candidates.first().filter(|_| !lookup.is_probe) {
             let placed = Observation::Placed {
                 request: lookup.request,
                 levels: lookup.levels.clone(),
@@ -288,12 +305,19 @@
 
     /// Decides by the entry router's own view, or by homes where it knows nothing of the cell.
     fn decide_here(&mut self, request: usize, now: Duration) {
+        let pending = self
+            .pending
+            .get_mut(&request)
+            .expect("the request is pending");
+        if let Some((cell, reply)) = pending.first.take() {
+            pending.cell = cell;
+            return self.conclude(request, Some(&reply), now);
+        }
         self.fallbacks += u64::from(!self.ablation.without_owner);
         let pending = &self.pending[&request];
         let (entry, cell) = (pending.entry, pending.cell);
         let lookup = self.lookup_of(request, pending);
         if self.ablation.without_owner {
-            self.has_decided = true;
             let reply = self.views[entry].answer(&lookup, now, &mut self.rng);
             return self.conclude(request, Some(&reply), now);
         }
@@ -302,6 +326,51 @@
         self.conclude(request, reply.as_ref(), now);
     }
 
+    /// Takes a cell's answer, and asks another cell where this one is busy.
+    fn consider(&mut self, request: usize, reply: OwnerReply, now: Duration) {
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        let Some((first_cell, first)) = pending.first.take() else {
+            let count = reply.cells_to_consider();
+            let cells = self.pool_view.cells();
+            let cells = cells.cells_of(pending.opening.owner_key(), count);
+            if cells.len() < 2 {
+                return self.conclude(request, Some(&reply), now);
+            }
+            let second = cells[self.rng.random_range(1..cells.len())];
+            pending.first = Some((pending.cell, reply));
+            pending.cell = second;
+            pending.attempt = SECOND_CELL;
+            return self.ask(request, now);
+        };
+        let (entry, second_cell) = (pending.entry, pending.cell);
+        if !reply.is_better_than(&first) {
+            pending.cell = first_cell;
+            return self.conclude(request, Some(&first), now);
+        }
+        self.spills += 1;
+        let (tag, levels) = (request as u32, pending.opening.levels.clone());
+        let prompt_tokens = pending.opening.prompt_tokens;
+        if let Some(candidate) = first.candidates.first() {
+            let instance = candidate.instance;
+            let withdrawn = Observation::Withdrawn {
+                request: tag,
+                instance,
+            };
+            self.share(entry, first_cell, &[withdrawn], now);
+        }
+        let placed = Observation::Placed {
+            request: tag,
+            levels,
+            prompt_tokens,
+            instance: reply.candidates[0].instance,
+            at: now,
+        };
+        self.share(entry, second_cell, &[placed], now);
+        self.conclude(request, Some(&reply), now);
+    }
+
     fn conclude(&mut self, request: usize, reply: Option<&OwnerReply>, now: Duration) {
         let Some(pending) = self.pending.get_mut(&request) else {
             return;
@@ -312,6 +381,7 @@
             cell: pending.cell,
             excluded: pending.excluded,
         };
+        let started = Instant::now();
         let choice = choose(
             &self.pool_view,
             &pending.opening,
@@ -321,6 +391,8 @@
             now,
             &mut self.rng,
         );
+        self.decisions_us
+            .push(self.answer_us + micros_since(started));
         let Choice::Replica(placement) = choice else {
             self.outcomes.push(Outcome::Failed { request });
             return;
@@ -464,7 +536,7 @@
             return;
         };
         if pending.attempt == attempt {
-            return self.conclude(request, Some(&reply), now);
+            return self.consider(request, reply, now);
         }
         let (entry, cell, placed) = (pending.entry, pending.cell, pending.placed);
         let late = reply.candidates.first().map(|c| c.instance);
@@ -689,6 +761,10 @@
     }
 }
 
+fn micros_since(started: Instant) -> f64 {
+    started.elapsed().as_secs_f64() * 1e6
+}
+
 fn replica_view(scenario: &Scenario, index: usize) -> ReplicaView {
     ReplicaView {
         id: format!("replica-{index}").into(),
--- a/standin/src/compare/scenario.rs
+++ b/standin/src/compare/scenario.rs
@@ -117,7 +117,8 @@
     /// Works out the arrivals per second that keep an ideal pool just busy.
     ///
     /// The ideal pool is one LRU cache of the replicas' total size; its hit rate under independent arrivals follows
-    /// from Che's approximation. The pool is busy when prefill, or else the decode slots, are.
+    /// from Che's approximation. An opening with a share of the requests has at least that share of the replicas hold
+    /// it, and a preamble lies beside each of its manuals. The pool is busy when prefill, or else the decode slots, are.
     fn full_load_per_second(&self) -> f64 {
         let question = mean(self.question_tokens);
         let answer = mean(self.answer_tokens);
@@ -130,13 +131,10 @@
 
     /// Returns the opening tokens per request that even the ideal pool computes again.
     fn ideal_cold_tokens(&self, private_tokens: f64) -> f64 {
-        let items = self.items();
+        let accounts = self.account_items();
         let capacity = self.replicas as f64 * self.cache_tokens as f64;
         let held = |window: f64| -> f64 {
-            let shared: f64 = items
-                .iter()
-                .map(|(share, tokens)| tokens * (1.0 - (-share * window).exp()))
-                .sum();
+            let shared: f64 = accounts.iter().map(|a| self.held_tokens(a, window)).sum();
             shared + private_tokens * window
         };
         let (mut low, mut high) = (0.0, capacity / private_tokens);
@@ -148,28 +146,60 @@
                 high = middle;
             }
         }
-        items
+        let items = accounts
             .iter()
+            .flat_map(|a| a.manuals.iter().copied().chain([a.preamble]));
+        items
             .map(|(share, tokens)| share * tokens * (-share * low).exp())
             .sum()
     }
 
-    /// Returns each preamble's and manual's share of requests and tokens.
-    fn items(&self) -> Vec<(f64, f64)> {
-        let accounts = zipf(self.accounts, self.account_exponent);
-        let mut items = Vec::new();
-        for (account, share) in accounts.iter().enumerate() {
-            items.push((*share, f64::from(self.preamble_tokens)));
-            let manuals = zipf(self.manuals_of(account), self.manual_exponent);
-            for (manual, part) in manuals.iter().enumerate() {
+    /// Returns the tokens that an account's openings hold if each stays for `window` requests after its last use.
+    fn held_tokens(&self, account: &AccountItems, window: f64) -> f64 {
+        let replicas = self.replicas as f64;
+        let in_cache = |share: f64| 1.0 - (-share * window).exp();
+        let copies = |share: f64| (share * replicas).max(1.0);
+        let manuals: f64 = account
+            .manuals
+            .iter()
+            .map(|&(share, tokens)| tokens * in_cache(share) * copies(share))
+            .sum();
+        let beside: f64 = account
+            .manuals
+            .iter()
+            .map(|&(share, _)| in_cache(share) * copies(share))
+            .sum();
+        let (share, tokens) = account.preamble;
+        manuals + tokens * in_cache(share) * beside.max(1.0).min(replicas)
+    }
+
+    /// Returns each account's preamble and manuals with their shares of requests and tokens.
+    fn account_items(&self) -> Vec<AccountItems> {
+        let of = |count| zipf(count, self.manual_exponent);
+        let (large, small) = (of(self.manuals), of(self.manuals_of(self.accounts - 1)));
+        let shares = zipf(self.accounts, self.account_exponent);
+        let items = shares.iter().enumerate().map(|(account, share)| {
+            let is_large = self.manuals_of(account) == self.manuals;
+            let parts = if is_large { &large } else { &small };
+            let manuals = parts.iter().enumerate().map(|(manual, part)| {
                 let tokens = f64::from(self.pieces_of(account, manual)) * 2_000.0;
-                items.push((share * part * (1.0 - self.quick_share), tokens));
+                (share * part * (1.0 - self.quick_share), tokens)
+            });
+            AccountItems {
+                preamble: (*share, f64::from(self.preamble_tokens)),
+                manuals: manuals.collect(),
             }
-        }
-        items
+        });
+        items.collect()
     }
 }
 
+/// The shares of requests and the tokens of one account's openings.
+struct AccountItems {
+    preamble: (f64, f64),
+    manuals: Vec<(f64, f64)>,
+}
+
 /// Returns the shares of `count` ranks under a Zipf distribution.
 pub(crate) fn zipf(count: usize, exponent: f64) -> Vec<f64> {
     let weights: Vec<f64> = (1..=count)
--- a/standin/src/compare/simulation.rs
+++ b/standin/src/compare/simulation.rs
@@ -307,9 +307,7 @@
                 self.routers.members_learnt(&up, self.now);
             }
             Event::Router(event) => {
-                let started = Instant::now();
                 self.routers.handle(event, self.now);
-                self.count_decision(started);
             }
         }
     }
@@ -346,7 +344,6 @@
         if self.kind == PolicyKind::Crocuswharf {
             self.routers
                 .begin(request, router, opening, excluded, self.now);
-            self.count_decision(started);
             return;
         }
         let question = Question {
@@ -370,13 +367,12 @@
     }
 
     fn count_decision(&mut self, started: Instant) {
-        if self.routers.take_decided() || self.kind != PolicyKind::Crocuswharf {
-            self.decisions_us
-                .push(started.elapsed().as_secs_f64() * 1e6);
-        }
+        self.decisions_us
+            .push(started.elapsed().as_secs_f64() * 1e6);
     }
 
     fn drain_routers(&mut self) {
+        self.decisions_us.extend(self.routers.take_decisions_us());
         for (at, event) in self.routers.take_events() {
             self.schedule(at, Event::Router(event));
         }
