--- a/standin/src/compare/mod.rs
+++ b/standin/src/compare/mod.rs
@@ -29,7 +29,7 @@
 /// compare the routing policy with baselines in virtual time
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "compare")]
-pub(crate) struct CompareArgs {
+pub struct CompareArgs {
     /// the modelled deployment: shinewell or cedarbunk
     #[argh(option, default = "DeploymentName::Shinewell")]
     deployment: DeploymentName,
@@ -72,7 +72,7 @@
 }
 
 /// Runs the comparison and prints it.
-pub(crate) fn run(args: &CompareArgs) -> anyhow::Result<()> {
+pub fn run(args: &CompareArgs) -> anyhow::Result<()> {
     let kinds = PolicyKind::parse_list(args.only.as_deref())?;
     let ablation = Ablation::parse(&args.without)?;
     if let Some(path) = &args.plot {
