--- a/standin/src/compare/mod.rs
+++ b/standin/src/compare/mod.rs
@@ -95,6 +95,7 @@
     ablation: Ablation,
 ) -> anyhow::Result<Comparison> {
     anyhow::ensure!(load > 0.0, "load: {load} is not above zero");
+    anyhow::ensure!(args.requests > 0, "requests: 0 is not above zero");
     anyhow::ensure!(args.routers > 0, "routers: 0 is not above zero");
     anyhow::ensure!(args.replicas != Some(0), "replicas: 0 is not above zero");
     let mut scenario = Scenario::new(args.deployment, args.routers, args.replicas, load);
--- a/standin/src/compare/simulation.rs
+++ b/standin/src/compare/simulation.rs
@@ -206,7 +206,7 @@
         for (index, engine) in self.engines.iter_mut().enumerate() {
             engine.instance = self.routers.instance(index);
         }
-        self.schedule(Duration::ZERO, Event::Arrive(0));
+        self.schedule(self.arrivals.arrivals[0].at, Event::Arrive(0));
         self.schedule(REPORT_INTERVAL, Event::ReportsDue);
         self.schedule_faults();
         while let Some(next) = self.heap.pop() {
