--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -3,35 +3,36 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::snapshot::{KeyDigest, PoolView, ReplicaView, Snapshot};
-use crate::account::NamedAccount;
+use super::snapshot::{PoolView, ReplicaView, Snapshot};
+use crate::account::AccountKeys;
+use crate::backend::{Availability, Backend};
 use crate::configuration::Configuration;
+use crate::directory::Directory;
 use crate::id::{PoolName, ReplicaId};
+use crate::membership::{LeavingVms, Member};
 use crate::pool::{Pool, Replica};
-use crate::protocol::{Entries, LoadReport};
-
-/// The bytes of a SHA-256 digest.
-const DIGEST_BYTES: usize = 32;
+use crate::protocol::LoadReport;
 
 /// The control state from which snapshots are built.
 #[derive(Debug, Default)]
 pub(crate) struct Publisher {
     configuration: Arc<Configuration>,
-    accounts: Arc<HashMap<KeyDigest, NamedAccount>>,
+    keys: Arc<AccountKeys>,
     replicas: HashMap<(PoolName, ReplicaId), ReplicaView>,
-    entries: Option<Arc<Entries>>,
+    members: Arc<[Member]>,
+    directory: Option<Arc<Directory>>,
 }
 
 impl Publisher {
-    /// Takes over a configuration with a higher revision; a lower one is ignored, so that nothing reverts.
-    pub(crate) fn adopt(&mut self, configuration: Arc<Configuration>) -> bool {
-        if configuration.revision <= self.configuration.revision {
-            return false;
-        }
-        self.accounts = Arc::new(index_accounts(&configuration));
+    /// Takes over the configuration that is in force now, and its keys.
+    pub(crate) fn adopt(&mut self, configuration: Arc<Configuration>, keys: Arc<AccountKeys>) {
+        assert!(
+            configuration.revision > self.configuration.revision,
+            "what traffic sees never reverts"
+        );
+        self.keys = keys;
         self.replicas = self.carry_replicas(&configuration);
         self.configuration = configuration;
-        true
     }
 
     /// Returns the configuration in force.
@@ -39,9 +40,19 @@
         &self.configuration
     }
 
-    /// Takes over the answer of the entry directory.
-    pub(crate) fn set_entries(&mut self, entries: Entries) {
-        self.entries = Some(Arc::new(entries));
+    /// Takes over the members and the plan of the entry directory's answers.
+    pub(crate) fn set_members(&mut self, members: Arc<[Member]>, directory: Directory) {
+        self.members = members;
+        self.directory = Some(Arc::new(directory));
+    }
+
+    /// Takes over which VMs leave.
+    pub(crate) fn set_leaving_vms(&mut self, leaving: &LeavingVms) {
+        for view in self.replicas.values_mut() {
+            let leaves = leaving.contains(view.replica.address);
+            view.backend.set_leaving_by_vm_list(leaves);
+            view.available = view.backend.availability() == Availability::Available;
+        }
     }
 
     /// Takes a load report, or its absence, for one replica.
@@ -55,12 +66,16 @@
         let Some(view) = self.replicas.get_mut(&key) else {
             return;
         };
-        view.available = load.as_ref().is_some_and(|load| !load.leaving);
-        if let Some(load) = &load {
-            view.incarnation = load.incarnation;
-            view.weights_version = load.weights_version;
+        match load {
+            Some(load) => {
+                view.backend.take_report(load);
+            }
+            None => view.backend.miss_report(),
         }
-        view.load = load;
+        view.available = view.backend.availability() == Availability::Available;
+        view.incarnation = view.backend.incarnation();
+        view.weights_version = view.backend.weights_version();
+        view.load = view.backend.load().cloned();
     }
 
     /// Builds the snapshot of the present state.
@@ -73,9 +88,10 @@
             .collect();
         Snapshot {
             configuration: Arc::clone(&self.configuration),
-            accounts: Arc::clone(&self.accounts),
+            keys: Arc::clone(&self.keys),
             pools,
-            entries: self.entries.clone(),
+            members: Arc::clone(&self.members),
+            directory: self.directory.clone(),
         }
     }
 
@@ -120,36 +136,8 @@
         incarnation: 0,
         weights_version: 0,
         load: None,
+        backend: Backend::default(),
         available: true,
         in_flight: Arc::default(),
     }
 }
-
-fn index_accounts(configuration: &Configuration) -> HashMap<KeyDigest, NamedAccount> {
-    let mut accounts = HashMap::with_capacity(configuration.accounts.len());
-    for (id, account) in &configuration.accounts {
-        for digest in account
-            .key_sha256
-            .iter()
-            .filter_map(|text| parse_digest(text))
-        {
-            let named = NamedAccount {
-                id: Arc::clone(id),
-                account: Arc::clone(account),
-            };
-            accounts.insert(digest, named);
-        }
-    }
-    accounts
-}
-
-fn parse_digest(text: &str) -> Option<KeyDigest> {
-    if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
-        return None;
-    }
-    let mut digest = [0; DIGEST_BYTES];
-    for (index, byte) in digest.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
-    }
-    Some(digest)
-}
