--- a/src/request/claim_service/peer.rs
+++ b/src/request/claim_service/peer.rs
@@ -144,7 +144,10 @@
                     handle.send(Body::encode(Kind::Claim, &reply));
                 }
             }
-            None => log::warn!("request: A claim from {} is not understood.", event.from.router),
+            None => log::warn!(
+                "request: A claim from {} is not understood.",
+                event.from.router
+            ),
         }
     }
 
--- a/standin/src/capacity/mod.rs
+++ b/standin/src/capacity/mod.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 
+mod configuration;
 mod fit;
 mod membership;
 mod peers;
@@ -32,10 +33,11 @@
 type Measure = fn() -> anyhow::Result<Vec<report::Figure>>;
 
 /// The roles in the order of the report.
-const ROLES: [(&str, Measure); 3] = [
+const ROLES: [(&str, Measure); 4] = [
     ("peers", peers::measure),
     ("records", records::measure),
     ("membership", membership::measure),
+    ("configuration", configuration::measure),
 ];
 
 /// Measures and prints.
@@ -44,19 +46,26 @@
 ///
 /// Fails where a role can't be measured on this machine.
 pub fn run(args: &CapacityArgs) -> anyhow::Result<()> {
+    let only = args.only.clone();
+    // A thread of its own, because some roles drive a runtime and the program stands in one already.
+    let measured = std::thread::spawn(move || measure_roles(only.as_deref())).join();
+    let report = measured.map_err(|_| anyhow::anyhow!("a measurement has panicked"))??;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{}", report.render());
+    }
+    Ok(())
+}
+
+fn measure_roles(only: Option<&str>) -> anyhow::Result<Report> {
     let mut report = Report::default();
     for (name, measure) in ROLES {
-        let is_wanted = args.only.as_ref().is_none_or(|only| name.contains(&**only));
-        if !is_wanted {
+        if only.is_some_and(|only| !name.contains(only)) {
             continue;
         }
         eprintln!("measuring {name}");
         report.figures.extend(measure()?);
     }
-    if args.json {
-        println!("{}", serde_json::to_string_pretty(&report)?);
-    } else {
-        print!("{}", report.render());
-    }
-    Ok(())
+    Ok(report)
 }
--- a/standin/src/capacity/report.rs
+++ b/standin/src/capacity/report.rs
@@ -17,6 +17,8 @@
     Memory { copies: f64 },
     /// The value is bytes on the network for each of so many messages a second from one node.
     Network { messages_per_second: f64 },
+    /// The value is a count of calls; it adds up to nothing here.
+    Count,
     /// The value is milliseconds that an operator or a caller waits; it adds up to nothing.
     Wait,
 }
@@ -75,7 +77,7 @@
             Cost::Network {
                 messages_per_second,
             } => totals.bytes_per_second += value * messages_per_second,
-            Cost::Wait => {}
+            Cost::Count | Cost::Wait => {}
         }
     }
 
@@ -95,6 +97,7 @@
                 let bytes = totals.bytes_per_second;
                 format!("{bytes:.0} B/s at {messages_per_second:.2}/s")
             }
+            Cost::Count => format!("{:.1} calls", self.projected()),
             Cost::Wait => format!("{:.1} ms", self.projected()),
         }
     }
@@ -103,6 +106,7 @@
         match self.cost {
             Cost::Processor { .. } => "µs",
             Cost::Memory { .. } | Cost::Network { .. } => "B",
+            Cost::Count => "calls",
             Cost::Wait => "ms",
         }
     }
--- a/standin/src/capacity/target.rs
+++ b/standin/src/capacity/target.rs
@@ -8,6 +8,8 @@
 pub(super) const ACCOUNTS: f64 = 41_000.0;
 /// Models in steady use.
 pub(super) const MODELS: f64 = 7.0;
+/// Changes of configuration a day.
+pub(super) const CHANGES_PER_DAY: f64 = 1_200.0;
 /// What control may take of a core at each node, per hundred.
 pub(super) const CORE_PERCENT: f64 = 2.3;
 /// The memory that control may take at each node, in bytes.
