--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use crocuswharf_standin::{capacity, demo, engine, plain, platform, serve};
+use crocuswharf_standin::{capacity, compare, demo, engine, plain, platform, serve};
 
 /// The exit code for what was refused or failed.
 const EXIT_FAILED: u8 = 1;
@@ -24,6 +24,7 @@
 #[argh(subcommand)]
 enum Command {
     Capacity(capacity::CapacityArgs),
+    Compare(compare::CompareArgs),
     Demo(demo::DemoArgs),
     Engine(EngineArgs),
     Plain(PlainArgs),
@@ -82,6 +83,7 @@
 async fn run(command: Command) -> anyhow::Result<bool> {
     match command {
         Command::Capacity(args) => capacity::run(&args).map(|()| true),
+        Command::Compare(args) => compare::run(&args).map(|()| true),
         Command::Demo(args) => demo::run(&args).await,
         Command::Engine(args) => {
             let settings: engine::EngineSettings = crocuswharf::read_json(&args.settings)?;
