Wire burn, explanations, status and metrics into the router

The operators' interface joins the members' parts and names the missing.

Left: candidates of the choice, and attempts within plain calls, are not in explanations yet.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,7 +17,8 @@
 use crate::configuration::StoredState;
 use crate::engine::EngineClient;
 use crate::error::Error;
-use crate::id::Incarnation;
+use crate::explain::{RouterTag, new_request_id, router_tag};
+use crate::id::{Incarnation, RequestId};
 use crate::peer::Links;
 use crate::settings::RouterSettings;
 use crate::store::{self, StoreSettings};
@@ -27,10 +28,11 @@
 mod loads;
 mod peers;
 mod publisher;
+mod reports;
 mod snapshot;
 mod thread;
 
-pub(crate) use self::snapshot::{InFlight, PoolView, Snapshot};
+pub(crate) use self::snapshot::{InFlight, PoolView, ReplicaView, Snapshot};
 pub(crate) use self::thread::{ControlThread, Event};
 
 /// The events that may wait for the control thread.
@@ -57,6 +59,7 @@
     pub(crate) draining: AtomicBool,
     open_requests: Arc<AtomicUsize>,
     events: mpsc::Sender<Event>,
+    tag: RouterTag,
 }
 
 impl Shared {
@@ -67,6 +70,7 @@
         let engines = EngineClient::new(settings.times.connect_timeout())?;
         let store = store::Client::new(&store_settings(&settings))?;
         let (events, receiver) = mpsc::channel(EVENT_QUEUE);
+        let tag = router_tag(&settings.router);
         let shared = Self {
             settings,
             incarnation: new_incarnation(),
@@ -78,6 +82,7 @@
             open_requests: Arc::default(),
             stored: ArcSwap::default(),
             events,
+            tag,
         };
         Ok((shared, receiver))
     }
@@ -87,6 +92,21 @@
         &self.events
     }
 
+    /// Makes the id of a request that this router takes.
+    pub(crate) fn new_request_id(&self) -> RequestId {
+        let unix_now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        new_request_id(self.tag, unix_now, &mut rand::rng())
+    }
+
+    /// Tells the control thread what was observed; where its queue is full, the observation is dropped and counted.
+    pub(crate) fn observe(&self, event: Event) {
+        if self.events.try_send(event).is_err() {
+            metrics::counter!("crocuswharf_observations_dropped_total").increment(1);
+        }
+    }
+
     /// Offers a configuration to the control thread, which takes it if it is newer.
     pub(crate) async fn offer_configuration(&self, state: Arc<StoredState>) {
         // A closed queue means that the router is stopping.
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -8,7 +8,7 @@
 use crate::backend::{Availability, Backend};
 use crate::configuration::Configuration;
 use crate::directory::Directory;
-use crate::id::{PoolName, ReplicaId};
+use crate::id::{Incarnation, PoolName, ReplicaId};
 use crate::membership::{LeavingVms, Member};
 use crate::pool::{Pool, Replica};
 use crate::protocol::LoadReport;
@@ -58,6 +58,13 @@
         }
     }
 
+    /// Returns the incarnation of a replica and whether it gets new work.
+    pub(crate) fn seen(&self, pool: &PoolName, replica: &ReplicaId) -> Option<(Incarnation, bool)> {
+        let key = (Arc::clone(pool), Arc::clone(replica));
+        let view = self.replicas.get(&key)?;
+        Some((view.incarnation, view.available))
+    }
+
     /// Takes a load report, or its absence, for one replica.
     pub(crate) fn set_load(
         &mut self,
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -13,13 +13,16 @@
 use super::loads::poll_load;
 use super::peers::{PeerChange, Peers, TICK_INTERVAL};
 use super::publisher::Publisher;
+use super::reports::Reports;
 use crate::configuration::StoredState;
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
 use crate::membership::Heartbeat;
-use crate::peer::{Inbound, PeerEvent};
+use crate::peer::{Inbound, Kind, PeerEvent};
 use crate::protocol::{LoadReport, Vm};
 use crate::service::ServiceKind;
+use crate::status::{AskedReport, ReportReply};
+use crate::telemetry::JournalEntry;
 
 /// What the control thread reacts to.
 #[derive(Debug)]
@@ -41,6 +44,12 @@
     Vms(Vec<Vm>),
     /// A fetch of a peer's configuration has ended.
     FetchEnded,
+    /// A request has ended.
+    Ended(Box<JournalEntry>),
+    /// An operator asks for this router's part of a report.
+    Report(AskedReport, oneshot::Sender<ReportReply>),
+    /// A scrape is about to read the metrics.
+    Scrape(oneshot::Sender<()>),
 }
 
 /// The running control thread; dropping it stops the thread.
@@ -130,6 +139,7 @@
     publisher: Publisher,
     peers: Peers,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
+    reports: Reports,
 }
 
 impl Control {
@@ -137,6 +147,7 @@
         // Set once here, so that an earlier value is impossible.
         let _ = shared.links.set(peers.links().clone());
         let mut control = Self {
+            reports: Reports::new(&shared),
             shared,
             publisher: Publisher::default(),
             peers,
@@ -155,6 +166,9 @@
     }
 
     fn receive(&mut self, event: PeerEvent) {
+        if event.body.kind == Kind::Status {
+            return self.reports.answer_peer(event, &self.shared);
+        }
         let change = self.peers.receive(event);
         self.take_change(change);
     }
@@ -180,8 +194,11 @@
                 replica,
                 load,
             } => {
+                let before = self.publisher.seen(&pool, &replica);
                 self.publisher
                     .set_load(&pool, &replica, load.map(|load| *load));
+                let after = self.publisher.seen(&pool, &replica);
+                self.reports.compare_replica(&replica, before, after);
             }
             Event::Heartbeat(heartbeat) => {
                 let change = self.peers.take_heartbeat(&heartbeat, None);
@@ -192,6 +209,20 @@
                 return self.take_change(change);
             }
             Event::FetchEnded => return self.peers.end_fetch(),
+            Event::Ended(entry) => {
+                let configuration = self.publisher.configuration();
+                return self.reports.record(*entry, configuration);
+            }
+            Event::Report(asked, reply) => {
+                // A dropped receiver means that the operator has gone.
+                let _ = reply.send(self.reports.answer(asked, &self.shared));
+                return;
+            }
+            Event::Scrape(done) => {
+                self.reports.update_gauges(self.publisher.configuration());
+                let _ = done.send(());
+                return;
+            }
         }
         self.publish();
     }
@@ -203,6 +234,7 @@
         }
         self.shared.stored.store(Arc::clone(state));
         log::info!("config: Revision is in force. revision={revision}");
+        self.reports.adopt(self.publisher.configuration());
         self.peers.announce();
         self.follow_engines();
     }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -10,6 +10,7 @@
 use super::body::ChatBody;
 use super::caller::{authenticate, bad_request, find_service, too_large};
 use super::dispatch::{Dispatch, DispatchRequest, Placed};
+use super::record::Record;
 use super::relay::Relay;
 use super::reply::{Reply, RunState, set_header};
 use crate::account::NamedAccount;
@@ -35,7 +36,7 @@
     }
 
     async fn answer(&self, request: &mut Request, res: &mut Response) -> Result<(), Reply> {
-        let request_id = RequestId::now_v7();
+        let request_id = self.shared.new_request_id();
         set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
         let snapshot = self.shared.snapshot.load_full();
         let account = authenticate(request, &snapshot)?;
@@ -76,10 +77,15 @@
             adapter: pool.pool.adapter.as_deref(),
             weights_version: pool.pool.weights_version,
         };
+        let opening = Opening::of_messages(root, body.texts());
+        let revision = snapshot.configuration.revision;
+        let mut record = Record::begin(&self.shared, request_id, revision, &body.model, account);
+        record.set_opening(&opening);
         let request = DispatchRequest {
             request_id,
             priority: account.account.priority,
-            opening: Opening::of_messages(root, body.texts()),
+            opening,
+            record,
             body: bytes.clone(),
             deadline: Instant::now() + Duration::from_millis(service.request_timeout_ms),
             open: self.shared.open_request(),
@@ -130,7 +136,7 @@
     for _ in 0..MAX_WHOLE_ATTEMPTS {
         let status = answer.response.status();
         if let Ok(bytes) = answer.response.bytes().await {
-            dispatch.record_end(true);
+            dispatch.record_whole(status.as_u16());
             res.status_code(status);
             set_header(res, "content-type", "application/json");
             res.body(bytes);
@@ -140,8 +146,9 @@
         (placed, answer) = dispatch.place(dispatch.body().clone()).await?;
         describe(res, &placed, &answer);
     }
-    dispatch.record_end(false);
-    Err(broken_off())
+    let reply = broken_off();
+    dispatch.record_failure(&reply);
+    Err(reply)
 }
 
 fn broken_off() -> Reply {
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -9,9 +9,11 @@
 use smallvec::SmallVec;
 
 use super::choice::choose;
+use super::record::Record;
 use super::reply::{Reply, RunState};
 use crate::control::{InFlight, OpenRequest, PoolView, Shared};
 use crate::engine::{CallError, ChatAnswer, ChatCall};
+use crate::explain::AttemptCause;
 use crate::id::{Incarnation, RequestId};
 use crate::pool::Replica;
 use crate::prefix::Opening;
@@ -32,6 +34,7 @@
     deadline: Instant,
     excluded: SmallVec<[usize; 4]>,
     in_flight: Option<InFlight>,
+    record: Record,
     // Keeps the drain waiting until the last byte is on its way.
     _open: OpenRequest,
 }
@@ -59,6 +62,8 @@
     pub(crate) body: Bytes,
     /// When the whole answer must be there.
     pub(crate) deadline: Instant,
+    /// Follows the request for operators.
+    pub(crate) record: Record,
     /// Counts the request as open.
     pub(crate) open: OpenRequest,
 }
@@ -76,6 +81,7 @@
             deadline: request.deadline,
             excluded: SmallVec::new(),
             in_flight: None,
+            record: request.record,
             _open: request.open,
         }
     }
@@ -112,7 +118,9 @@
                 }
             }
         }
-        Err(no_replica(ran))
+        let reply = no_replica(ran);
+        self.record_failure(&reply);
+        Err(reply)
     }
 
     async fn attempt(
@@ -122,6 +130,8 @@
     ) -> Result<(Placed, ChatAnswer), CallError> {
         let view = &self.pool.replicas[index];
         let in_flight = InFlight::new(&view.in_flight);
+        let cause = self.record.next_cause();
+        self.record.begin_attempt(&view.replica, cause);
         let call = ChatCall {
             request_id: self.request_id,
             priority: self.priority,
@@ -149,6 +159,10 @@
                 answer.weights_version
             );
         }
+        self.record.answered_by(answer.incarnation);
+        if let Some(warm_tokens) = answer.warm_tokens {
+            self.record.found_warm(warm_tokens);
+        }
         let placed = Placed {
             index,
             replica: Arc::clone(&view.replica),
@@ -159,7 +173,9 @@
     }
 
     /// Resumes the answer at the engine that had it; `None` where it can't or where the engine has restarted.
-    pub(crate) async fn resume(&self, placed: &Placed, sequence: u64) -> Option<ChatAnswer> {
+    pub(crate) async fn resume(&mut self, placed: &Placed, sequence: u64) -> Option<ChatAnswer> {
+        self.record
+            .begin_attempt(&placed.replica, AttemptCause::Resume);
         let answer = self
             .shared
             .engines
@@ -183,11 +199,31 @@
         format!("{}.{replica}.{incarnation}.{sequence}", self.request_id)
     }
 
-    /// Notes that the first token has come.
-    pub(crate) fn record_first_token(&self) {}
+    /// Notes that a token goes to the caller.
+    pub(crate) fn record_token(&mut self) {
+        self.record.token();
+    }
+
+    /// Notes that a whole answer goes to the caller.
+    pub(crate) fn record_whole(&mut self, status: u16) {
+        self.in_flight = None;
+        self.record.token();
+        self.record.complete(status);
+    }
+
+    /// Notes that the caller gets `reply` in place of the answer or of its rest.
+    pub(crate) fn record_failure(&mut self, reply: &Reply) {
+        self.in_flight = None;
+        self.record.refused(reply);
+    }
+
+    /// Notes why the answer at the present replica broke off.
+    pub(crate) fn record_broken(&mut self, reason: &str) {
+        self.record.end_attempt(reason);
+    }
 
     /// Learns from the usage in an engine's last chunk.
-    pub(crate) fn read_usage(&self, data: &str) {
+    pub(crate) fn read_usage(&mut self, data: &str) {
         if !data.contains("cached_tokens") {
             return;
         }
@@ -195,6 +231,9 @@
             return;
         };
         let cached = &chunk["usage"]["prompt_tokens_details"]["cached_tokens"];
+        if let Some(tokens) = cached.as_u64().and_then(|count| u32::try_from(count).ok()) {
+            self.record.found_warm(tokens);
+        }
         log::debug!(
             "request: Engine told its usage. request={} cached_tokens={cached}",
             self.request_id
@@ -202,12 +241,10 @@
     }
 
     /// Notes how the answer ended.
-    pub(crate) fn record_end(&mut self, complete: bool) {
+    pub(crate) fn record_end(&mut self) {
         self.in_flight = None;
-        log::debug!(
-            "request: Ended. request={} complete={complete}",
-            self.request_id
-        );
+        self.record.complete(StatusCode::OK.as_u16());
+        log::debug!("request: Ended. request={}", self.request_id);
     }
 
     fn remaining(&self) -> Duration {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -24,8 +24,10 @@
 mod dispatch;
 mod health;
 mod plain;
+mod record;
 mod relay;
 mod reply;
+mod reports;
 mod tickets;
 
 /// Serves callers on `listener`.
@@ -58,6 +60,7 @@
 ) -> Result<(), Error> {
     let routes = Router::new()
         .push(Router::with_path("tickets").post(tickets::TicketHandler::new(Arc::clone(shared))))
+        .push(reports::routes(shared)?)
         .push(Router::with_path("healthz").get(health::LiveHandler))
         .push(Router::with_path("readyz").get(health::ReadyHandler::new(Arc::clone(shared))));
     serve(runtime, listener, shared, routes)
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -16,9 +16,11 @@
 
 use super::caller::{authenticate, bad_request, find_service};
 use super::chat::read_body;
+use super::record::Record;
 use super::reply::{Reply, RunState, set_header};
-use crate::control::{InFlight, PoolView, Shared};
+use crate::control::{InFlight, PoolView, ReplicaView, Shared};
 use crate::engine::{CallError, PlainCall};
+use crate::explain::AttemptCause;
 use crate::id::RequestId;
 use crate::protocol::{HEADER_IDEMPOTENCY_KEY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN};
 use crate::service::{Service, ServiceKind};
@@ -67,7 +69,7 @@
     }
 
     async fn answer(&self, request: &mut Request, res: &mut Response) -> Result<(), Reply> {
-        let request_id = RequestId::now_v7();
+        let request_id = self.shared.new_request_id();
         set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
         let snapshot = self.shared.snapshot.load_full();
         let account = authenticate(request, &snapshot)?;
@@ -81,15 +83,20 @@
             .body_limit_bytes
             .min(self.shared.settings.bounds.body_limit_bytes);
         let body = read_body(request, limit_bytes).await?;
+        let revision = snapshot.configuration.revision;
+        let mut record = Record::begin(&self.shared, request_id, revision, &name, &account);
         let call = plain_call(request, &service, body);
         let path = call.path.split('?').next().unwrap_or_default();
         let answer = if service.is_idempotent(call.method.as_str(), path) {
-            self.repeatable(request_id, pool, &call).await?
+            self.repeatable(request_id, pool, &call).await
         } else {
-            idempotency_key(request)?;
-            self.once(request_id, pool, &call).await?
+            match idempotency_key(request) {
+                Ok(_) => self.once(request_id, pool, &call).await,
+                Err(reply) => Err(reply),
+            }
         };
-        write_answer(res, answer);
+        record_plain(&mut record, pool, answer.as_ref());
+        write_answer(res, answer?);
         Ok(())
     }
 
@@ -240,6 +247,21 @@
     }
 }
 
+/// Tells operators how the call ended.
+fn record_plain(record: &mut Record, pool: &PoolView, answer: Result<&PlainAnswer, &Reply>) {
+    match answer {
+        Ok(answer) => {
+            let is_placed = |view: &&ReplicaView| view.replica.id == answer.replica;
+            if let Some(view) = pool.replicas.iter().find(is_placed) {
+                record.begin_attempt(&view.replica, AttemptCause::First);
+            }
+            record.token();
+            record.complete(answer.status.as_u16());
+        }
+        Err(reply) => record.refused(reply),
+    }
+}
+
 fn idempotency_key(request: &Request) -> Result<uuid::Uuid, Reply> {
     let value = request
         .headers()
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -119,28 +119,26 @@
         }
         self.engine_sequence = sequence;
         self.caller_sequence += 1;
-        if self.caller_sequence == 1 {
-            self.dispatch.record_first_token();
-        }
         Step::Send(self.forward(event))
     }
 
     fn forward(&mut self, event: Event) -> SseEvent {
         let id = self.dispatch.event_id(&self.placed, self.caller_sequence);
         if event.data == TERMINAL_DATA {
-            self.finish(true);
+            self.finish();
+            self.dispatch.record_end();
         } else {
+            self.dispatch.record_token();
             self.dispatch.read_usage(&event.data);
             self.sent.push(event.data.clone());
         }
         SseEvent::default().id(id).text(event.data)
     }
 
-    fn finish(&mut self, complete: bool) {
+    fn finish(&mut self) {
         assert!(!self.finished, "a stream ended twice");
         self.finished = true;
         self.upstream = None;
-        self.dispatch.record_end(complete);
     }
 
     /// Finds a new connection for the rest of the answer; returns the error event where there is none.
@@ -151,6 +149,7 @@
             self.placed.replica.id,
             self.engine_sequence,
         );
+        self.dispatch.record_broken(reason);
         self.upstream = None;
         self.resumptions += 1;
         if self.resumptions > MAX_RESUMPTIONS {
@@ -205,7 +204,8 @@
             ran: RunState::Completed,
             retry_after: Some(Duration::from_secs(1)),
         };
-        self.finish(false);
+        self.finish();
+        self.dispatch.record_failure(&reply);
         SseEvent::default().name("error").text(reply.to_json())
     }
 }
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -79,6 +79,13 @@
         &["router", "service", "objective", "window"],
         "Burn rate of an objective at this router alone; 1 spends exactly the budget.",
     ),
+    metric(
+        "crocuswharf_observations_dropped_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &[],
+        "Observations that traffic threads dropped because the control thread's queue was full.",
+    ),
     metric(
         "crocuswharf_opening_tokens_total",
         MetricKind::Counter,
--- a/standin/src/capacity/mod.rs
+++ b/standin/src/capacity/mod.rs
@@ -32,11 +32,11 @@
 
 type Measure = fn() -> anyhow::Result<Vec<report::Figure>>;
 
-/// The roles in the order of the report.
+/// The roles in the order of the report; those that measure memory come before those that free much of it.
 const ROLES: [(&str, Measure); 4] = [
+    ("membership", membership::measure),
     ("peers", peers::measure),
     ("records", records::measure),
-    ("membership", membership::measure),
     ("configuration", configuration::measure),
 ];
 
