--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -14,6 +14,7 @@
 use super::loads::poll_load;
 use super::peers::{PeerChange, Peers, TICK_INTERVAL};
 use super::publisher::Publisher;
+use super::reports::Reports;
 use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
@@ -22,6 +23,8 @@
 use crate::protocol::{LoadReport, Vm};
 use crate::request::claim_service::{ClaimMember, ClaimPeers};
 use crate::service::ServiceKind;
+use crate::status::{AskedReport, ReportReply};
+use crate::telemetry::JournalEntry;
 
 /// What the control thread reacts to.
 #[derive(Debug)]
@@ -43,6 +46,12 @@
     Vms(Vec<Vm>),
     /// A fetch of a peer's configuration has ended.
     FetchEnded,
+    /// A request has ended.
+    Ended(Box<JournalEntry>),
+    /// An operator asks for this router's part of a report.
+    Report(AskedReport, oneshot::Sender<ReportReply>),
+    /// A scrape is about to read the metrics.
+    Scrape(oneshot::Sender<()>),
 }
 
 /// The running control thread; dropping it stops the thread.
@@ -131,6 +140,7 @@
     publisher: Publisher,
     peers: Peers,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
+    reports: Reports,
 }
 
 impl Control {
@@ -138,6 +148,7 @@
         // Set once here, so that an earlier value is impossible.
         let _ = shared.links.set(peers.links().clone());
         let mut control = Self {
+            reports: Reports::new(&shared),
             shared,
             started: Instant::now(),
             in_force: InForce::new(),
@@ -161,6 +172,9 @@
         if event.body.kind == Kind::Claim {
             return self.shared.claims.receive(event);
         }
+        if event.body.kind == Kind::Status {
+            return self.reports.answer_peer(event, &self.shared);
+        }
         let change = self.peers.receive(event);
         self.take_change(change);
     }
@@ -189,8 +203,11 @@
                 replica,
                 load,
             } => {
+                let before = self.publisher.seen(&pool, &replica);
                 self.publisher
                     .set_load(&pool, &replica, load.map(|load| *load));
+                let after = self.publisher.seen(&pool, &replica);
+                self.reports.compare_replica(&replica, before, after);
             }
             Event::Heartbeat(heartbeat) => {
                 let change = self.peers.take_heartbeat(&heartbeat, None);
@@ -201,6 +218,20 @@
                 return self.take_change(change);
             }
             Event::FetchEnded => return self.peers.end_fetch(),
+            Event::Ended(entry) => {
+                let configuration = self.publisher.configuration();
+                return self.reports.record(*entry, configuration);
+            }
+            Event::Report(asked, reply) => {
+                // A dropped receiver means that the operator has gone.
+                let _ = reply.send(self.reports.answer(asked, &self.shared));
+                return;
+            }
+            Event::Scrape(done) => {
+                self.reports.update_gauges(self.publisher.configuration());
+                let _ = done.send(());
+                return;
+            }
         }
         self.publish();
     }
@@ -232,6 +263,7 @@
         self.publisher
             .adopt(configuration, Arc::clone(self.in_force.keys()));
         self.shared.stored.store(Arc::clone(self.in_force.state()));
+        self.reports.adopt(self.publisher.configuration());
         self.peers.announce();
         self.follow_engines();
     }
