--- a/src/configuration/watch.rs
+++ b/src/configuration/watch.rs
@@ -27,7 +27,7 @@
 /// `members` are the routers of all zones; `own` counts whether or not it is among them. Where routers know other
 /// members, one watch more or less is held for a while, which costs a call and never correctness.
 #[must_use]
-pub fn is_watcher<'a>(
+pub(crate) fn is_watcher<'a>(
     own: &'a RouterId,
     zone: &ZoneName,
     members: impl IntoIterator<Item = (&'a RouterId, &'a ZoneName)>,
--- a/src/control/feed.rs
+++ b/src/control/feed.rs
@@ -7,8 +7,8 @@
 
 use super::Shared;
 use crate::configuration::{
-    ROOT_KEY, RootWatch, StateSource, StoredState, WATCH_WAIT, WatchEvent, WatchStep, load,
-    load_root,
+    ROOT_KEY, RootWatch, StateSource, StoredState, WATCH_WAIT, WatchEvent, WatchStep, is_watcher,
+    load, load_root,
 };
 use crate::error::Error;
 use crate::store::Versioned;
@@ -21,7 +21,7 @@
         if let Some(version) = shared.stored.load().root_version() {
             watch.raise(version);
         }
-        let step = watch.next(event, true, &mut rand::rng());
+        let step = watch.next(event, watches(&shared), &mut rand::rng());
         event = carry_out(&shared, step).await.unwrap_or_else(|error| {
             log::warn!("config: The platform did not answer. error={error}");
             WatchEvent::Failed
@@ -29,6 +29,14 @@
     }
 }
 
+/// Tells whether this router is among the few of its availability zone that watch.
+fn watches(shared: &Shared) -> bool {
+    let snapshot = shared.snapshot.load();
+    let members = snapshot.members.iter();
+    let members = members.map(|member| (&member.router, &member.zone));
+    is_watcher(&shared.settings.router, &shared.settings.zone, members)
+}
+
 async fn carry_out(shared: &Shared, step: WatchStep) -> Result<WatchEvent, Error> {
     match step {
         WatchStep::Poll(after) => match shared.store.watch(ROOT_KEY, after, WATCH_WAIT).await? {
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -8,10 +8,13 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use crate::account::{AccountKeys, NamedAccount};
+use crate::backend::Backend;
 use crate::configuration::Configuration;
+use crate::directory::Directory;
 use crate::id::{Incarnation, PoolName, WeightsVersion};
+use crate::membership::Member;
 use crate::pool::{Pool, Replica};
-use crate::protocol::{Entries, LoadReport};
+use crate::protocol::LoadReport;
 
 /// Everything that a traffic thread reads.
 #[derive(Debug, Default)]
@@ -22,8 +25,10 @@
     pub(crate) keys: Arc<AccountKeys>,
     /// The pools with what is known of their replicas.
     pub(crate) pools: HashMap<PoolName, Arc<PoolView>>,
-    /// The answer of the entry directory.
-    pub(crate) entries: Option<Arc<Entries>>,
+    /// The members, suspected ones and this router included.
+    pub(crate) members: Arc<[Member]>,
+    /// The plan of the entry directory's answers.
+    pub(crate) directory: Option<Arc<Directory>>,
 }
 
 /// A pool with what is known of its replicas.
@@ -46,6 +51,8 @@
     pub(crate) weights_version: WeightsVersion,
     /// The last load report.
     pub(crate) load: Option<LoadReport>,
+    /// What all sources together say of it.
+    pub(crate) backend: Backend,
     /// Whether new work may be sent.
     pub(crate) available: bool,
     /// The requests that this router has in flight there.
--- a/src/entry/tickets.rs
+++ b/src/entry/tickets.rs
@@ -1,8 +1,10 @@
 //! Mounts the operators' routes for tickets and the revision in force behind the operators' keys.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use futures_util::stream::{self, StreamExt};
 use salvo::http::StatusCode;
 use salvo::writing::Json;
 use salvo::{Depot, FlowCtrl, Request, Response, Router, async_trait};
@@ -10,10 +12,18 @@
 
 use super::caller::bearer_key;
 use crate::account::key_matches;
-use crate::configuration::{StateSource, StoredState};
+use crate::configuration::{Fetch, StateSource, StoredState, UpdatePart};
 use crate::control::Shared;
+use crate::id::Revision;
+use crate::membership::Member;
+use crate::peer::{Body, Kind};
 use crate::ticket::{MemberRevision, TicketDesk, ticket_routes};
 
+/// How many members are asked at once for the revision in force.
+const MEMBERS_AT_ONCE: usize = 32;
+/// How long a member may take to tell the revision in force.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Returns the routes for tickets; the guard stands before all of them.
 pub(crate) fn routes(shared: &Arc<Shared>) -> Router {
     Router::new()
@@ -45,7 +55,7 @@
         store: shared.store.clone(),
         in_force: Arc::new(move || known.stored.load_full()),
         accepted: Arc::new(move |state| accept(Arc::clone(&taker), state)),
-        members: Arc::new(move || members(Arc::clone(&asked))),
+        members: Arc::new(move || Box::pin(members(Arc::clone(&asked)))),
     }
 }
 
@@ -55,13 +65,38 @@
     })
 }
 
-fn members(shared: Arc<Shared>) -> BoxFuture<'static, Vec<MemberRevision>> {
-    let own = MemberRevision {
-        router: Arc::clone(&shared.settings.router),
-        zone: Arc::clone(&shared.settings.zone),
-        revision: shared.stored.load().revision(),
+/// Asks every member which revision it has in force; one that does not answer counts as lagging.
+async fn members(shared: Arc<Shared>) -> Vec<MemberRevision> {
+    let members: Vec<Member> = shared.snapshot.load().members.to_vec();
+    let asked = members
+        .into_iter()
+        .map(|member| member_revision(Arc::clone(&shared), member));
+    stream::iter(asked)
+        .buffered(MEMBERS_AT_ONCE)
+        .collect()
+        .await
+}
+
+async fn member_revision(shared: Arc<Shared>, member: Member) -> MemberRevision {
+    let revision = revision_at(&shared, &member).await;
+    MemberRevision {
+        router: member.router,
+        zone: member.zone,
+        revision,
+    }
+}
+
+async fn revision_at(shared: &Shared, member: &Member) -> Revision {
+    if member.router == shared.settings.router {
+        return shared.stored.load().revision();
+    }
+    let Some(links) = shared.links.get() else {
+        return 0;
     };
-    Box::pin(std::future::ready(vec![own]))
+    let body = Body::encode(Kind::Configuration, &Fetch::revision_only());
+    let answer = links.request(member.peers, body, ANSWER_TIMEOUT).await;
+    let part = answer.and_then(|answer| answer.decode::<UpdatePart>().ok());
+    part.map_or(0, |part| part.revision)
 }
 
 /// Answers 401 unless the request carries an operator's key.
--- a/standin/tests/configuration.rs
+++ b/standin/tests/configuration.rs
@@ -144,3 +144,38 @@
         bench.wait_for(2).await
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn ticket_spreads_by_peers_when_the_platform_goes_down_right_after_acceptance() {
+    let bench = Bench::start().await;
+    bench.fleet.platform.set_faults(PlatformFaults {
+        silent_watches: true,
+        ..PlatformFaults::default()
+    });
+    assert_eq!(bench.submit(0, &preference(2, 3)).await.0, 200);
+    bench.fleet.platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    println!(
+        "in force at 9 routers with the platform down {:?} after acceptance",
+        bench.wait_for(2).await
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn status_counts_the_members_where_a_ticket_is_in_force() {
+    let bench = Bench::start().await;
+    let address = bench.fleet.addresses()[4].operators;
+    let url = format!("http://{address}/tickets/1/status");
+    let started = Instant::now();
+    loop {
+        let request = bench.http.get(&url).bearer_auth(OPERATOR_KEY);
+        let status: Value = request.send().await.unwrap().json().await.unwrap();
+        if status["in_force"] == 9 && status["members"] == 9 {
+            break;
+        }
+        assert!(started.elapsed() < DEADLINE, "{status}");
+        tokio::time::sleep(POLL).await;
+    }
+}
