Roll new weights out from the control thread

The rollout's core had no shell.

The control thread makes the calls that lease and rollout ask for, sends orders to engines, and passes notices of drained replicas on with announcements; traffic threads see a drained replica as unavailable. The test of bad input names the announcement's new field.

--- a/src/configuration/message.rs
+++ b/src/configuration/message.rs
@@ -5,12 +5,17 @@
 
 use bytes::Bytes;
 
-/// Says which revision a router has in force; it wants no reply.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+use crate::rollout::DrainNotice;
+
+/// Says which revision a router has in force, and which replicas are drained for orders; it wants no reply.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Announce {
     /// The revision.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
+    /// The notices that are news.
+    #[prost(message, repeated, tag = "2")]
+    pub drains: Vec<DrainNotice>,
 }
 
 /// Asks for one part of what was written after a revision.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -27,6 +27,7 @@
 mod loads;
 mod peers;
 mod publisher;
+mod rollouts;
 mod snapshot;
 mod thread;
 
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -22,6 +22,7 @@
     ReplyHandle,
 };
 use crate::protocol::Vm;
+use crate::rollout::DrainNotice;
 
 /// How often the control thread looks at the time.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -44,6 +45,7 @@
     leaving_vms: LeavingVms,
     updates: UpdateServer,
     is_fetching: bool,
+    heard_notices: Vec<DrainNotice>,
     activity: f64,
     next_plan: Duration,
     planned_generation: u64,
@@ -99,6 +101,7 @@
             leaving_vms: LeavingVms::default(),
             updates: UpdateServer::default(),
             is_fetching: false,
+            heard_notices: Vec::new(),
             activity: 0.0,
             next_plan: Duration::ZERO,
             planned_generation: 0,
@@ -203,8 +206,14 @@
 
     /// Tells the routers that this one probes which revision is in force here.
     pub(crate) fn announce(&self) {
+        self.tell(Vec::new());
+    }
+
+    /// Passes notices of drained replicas on to the routers that this one probes.
+    pub(crate) fn tell(&self, drains: Vec<DrainNotice>) {
         let announce = Announce {
             revision: self.shared.stored.load().revision(),
+            drains,
         };
         let own = &self.membership.own().router;
         for router in self.membership.ring().fingers(own) {
@@ -215,6 +224,11 @@
         }
     }
 
+    /// Returns the notices of drained replicas that were heard since the last call.
+    pub(crate) fn take_notices(&mut self) -> Vec<DrainNotice> {
+        std::mem::take(&mut self.heard_notices)
+    }
+
     /// Notes that a fetch from a peer has ended.
     pub(crate) const fn end_fetch(&mut self) {
         self.is_fetching = false;
@@ -290,6 +304,7 @@
         let Some(reply) = reply else {
             let announce: Announce = body.decode()?;
             self.hear_revision(announce.revision, from.address);
+            self.heard_notices.extend(announce.drains);
             return Ok(());
         };
         let fetch: Fetch = body.decode()?;
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -1,6 +1,6 @@
 //! Builds snapshots from control state.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use super::snapshot::{PoolView, ReplicaView, Snapshot};
@@ -21,6 +21,7 @@
     replicas: HashMap<(PoolName, ReplicaId), ReplicaView>,
     members: Arc<[Member]>,
     directory: Option<Arc<Directory>>,
+    drained: BTreeSet<(PoolName, ReplicaId)>,
 }
 
 impl Publisher {
@@ -55,6 +56,11 @@
         }
     }
 
+    /// Takes over which replicas get no new work because they are drained for an order.
+    pub(crate) fn set_drained(&mut self, drained: BTreeSet<(PoolName, ReplicaId)>) {
+        self.drained = drained;
+    }
+
     /// Takes a load report, or its absence, for one replica.
     pub(crate) fn set_load(
         &mut self,
@@ -101,7 +107,9 @@
             .iter()
             .filter_map(|replica| {
                 let key = (Arc::clone(name), Arc::clone(&replica.id));
-                self.replicas.get(&key).cloned()
+                let mut view = self.replicas.get(&key).cloned()?;
+                view.available &= !self.drained.contains(&key);
+                Some(view)
             })
             .collect();
         PoolView {
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -14,6 +14,7 @@
 use super::loads::poll_load;
 use super::peers::{PeerChange, Peers, TICK_INTERVAL};
 use super::publisher::Publisher;
+use super::rollouts::{RolloutEvent, Rollouts};
 use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
@@ -42,6 +43,8 @@
     Vms(Vec<Vm>),
     /// A fetch of a peer's configuration has ended.
     FetchEnded,
+    /// A call of a rollout has ended.
+    Rollout(RolloutEvent),
 }
 
 /// The running control thread; dropping it stops the thread.
@@ -129,6 +132,7 @@
     in_force: InForce,
     publisher: Publisher,
     peers: Peers,
+    rollouts: Rollouts,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
 }
 
@@ -137,6 +141,7 @@
         // Set once here, so that an earlier value is impossible.
         let _ = shared.links.set(peers.links().clone());
         let mut control = Self {
+            rollouts: Rollouts::new(Arc::clone(&shared)),
             shared,
             started: Instant::now(),
             in_force: InForce::new(),
@@ -154,11 +159,30 @@
     fn tick(&mut self) {
         let change = self.peers.tick();
         self.take_change(change);
+        let configuration = Arc::clone(self.publisher.configuration());
+        let notices = self.rollouts.tick(&configuration, &self.peers.members());
+        if !notices.is_empty() {
+            self.peers.tell(notices);
+        }
+        self.take_drains();
+    }
+
+    fn take_drains(&mut self) {
+        if let Some(drained) = self.rollouts.changed_drains() {
+            self.publisher.set_drained(drained);
+            self.publish();
+        }
     }
 
     fn receive(&mut self, event: PeerEvent) {
         let change = self.peers.receive(event);
         self.take_change(change);
+        let mut notices = self.peers.take_notices();
+        notices.retain(|notice| self.rollouts.take_notice(notice));
+        if !notices.is_empty() {
+            self.peers.tell(notices);
+            self.take_drains();
+        }
     }
 
     fn take_change(&mut self, change: PeerChange) {
@@ -182,6 +206,9 @@
                 replica,
                 load,
             } => {
+                if let Some(load) = &load {
+                    self.rollouts.observe(&pool, &replica, load);
+                }
                 self.publisher
                     .set_load(&pool, &replica, load.map(|load| *load));
             }
@@ -194,6 +221,9 @@
                 return self.take_change(change);
             }
             Event::FetchEnded => return self.peers.end_fetch(),
+            Event::Rollout(event) => {
+                return self.rollouts.handle(event, &self.peers.members());
+            }
         }
         self.publish();
     }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -7,14 +7,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use reqwest::{Method, Response};
+use reqwest::{Method, Response, StatusCode};
 
 use crate::error::{Error, ErrorKind};
 use crate::id::{Incarnation, RequestId, WeightsVersion};
 use crate::prefix::Opening;
 use crate::protocol::{
-    HEADER_DEADLINE_MS, HEADER_INCARNATION, HEADER_OPENING, HEADER_PRIORITY, HEADER_REQUEST_ID,
-    HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport,
+    EngineOrder, HEADER_DEADLINE_MS, HEADER_INCARNATION, HEADER_OPENING, HEADER_PRIORITY,
+    HEADER_REQUEST_ID, HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport,
 };
 
 mod opening_header;
@@ -69,6 +69,17 @@
     pub(crate) response: Response,
 }
 
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OrderAnswer {
+    /// The engine took it.
+    Taken,
+    /// The engine has seen a higher fencing number.
+    Fenced,
+    /// No usable answer came; the engine may have taken it.
+    Lost,
+}
+
 impl EngineClient {
     /// Makes a client whose connections must stand within `connect_timeout`.
     pub(crate) fn new(connect_timeout: Duration) -> Result<Self, Error> {
@@ -138,6 +149,21 @@
         response.json().await.map_err(|error| call_error(&error))
     }
 
+    /// Gives an engine an order; the answer comes once the engine has reached the state.
+    pub(crate) async fn order(
+        &self,
+        address: SocketAddr,
+        order: &EngineOrder,
+        timeout: Duration,
+    ) -> OrderAnswer {
+        let request = self.http.post(format!("http://{address}/orders"));
+        match request.json(order).timeout(timeout).send().await {
+            Ok(answer) if answer.status().is_success() => OrderAnswer::Taken,
+            Ok(answer) if answer.status() == StatusCode::CONFLICT => OrderAnswer::Fenced,
+            _ => OrderAnswer::Lost,
+        }
+    }
+
     /// Sends a call to a plain service and returns once the answer's head is there.
     pub(crate) async fn plain(
         &self,
--- a/src/rollout/notice.rs
+++ b/src/rollout/notice.rs
@@ -65,4 +65,15 @@
         let drains = self.pools.get(pool);
         drains.is_some_and(|drains| now < drains.until && drains.replicas.contains(replica))
     }
+
+    /// Returns all replicas that get no new work because they are drained for an order.
+    #[must_use]
+    pub fn drained(&self, now: Duration) -> BTreeSet<(PoolName, ReplicaId)> {
+        let holding = self.pools.iter().filter(|(_, drains)| now < drains.until);
+        let replicas = holding.flat_map(|(pool, drains)| {
+            let ids = drains.replicas.iter();
+            ids.map(|replica| (pool.clone(), replica.clone()))
+        });
+        replicas.collect()
+    }
 }
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -289,6 +289,11 @@
         true
     }
 
+    /// Returns the orders that took effect, in order.
+    pub fn applied_orders(&self) -> Vec<EngineOrder> {
+        self.lock().applied_orders.clone()
+    }
+
     /// Returns the pieces of a prompt, as the router labelled them or else by the engine's own count.
     pub(crate) fn pieces(&self, header: Option<&str>, prompt: &Prompt) -> Vec<PromptPiece> {
         match header.and_then(http::parse_opening) {
--- a/standin/tests/configuration.rs
+++ b/standin/tests/configuration.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use crocuswharf_standin::demo::{self, Fleet, OPERATOR_KEY, SHINEWELL};
+use crocuswharf_standin::demo::{self, Deployment, Fleet, OPERATOR_KEY, SHINEWELL};
 use crocuswharf_standin::platform::PlatformFaults;
 use serde_json::{Value, json};
 
@@ -20,7 +20,11 @@
 
 impl Bench {
     async fn start() -> Self {
-        let fleet = Fleet::start(SHINEWELL).await.unwrap();
+        Self::start_with(SHINEWELL).await
+    }
+
+    async fn start_with(deployment: Deployment) -> Self {
+        let fleet = Fleet::start(deployment).await.unwrap();
         demo::submit_ticket(&fleet).await.unwrap();
         let http = reqwest::Client::builder().no_proxy().build().unwrap();
         let bench = Self { fleet, http };
@@ -179,3 +183,33 @@
         tokio::time::sleep(POLL).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn new_weights_roll_over_a_pool_under_one_lease() {
+    let deployment = Deployment {
+        engines: 6,
+        ..SHINEWELL
+    };
+    let bench = Bench::start_with(deployment).await;
+    let mut ticket = bench.fleet.ticket(2);
+    ticket["pools"]["engines"]["weights_version"] = json!(2);
+    let ticket = json!({"ticket": 2, "pools": {"engines": ticket["pools"]["engines"]}});
+    let started = Instant::now();
+    assert_eq!(bench.submit(0, &ticket).await.0, 200);
+    let engines = || bench.fleet.engines.iter().map(|running| &running.engine);
+    while engines().any(|engine| engine.load().weights_version != 2) {
+        assert!(started.elapsed() < DEADLINE, "the weights do not arrive");
+        tokio::time::sleep(POLL).await;
+    }
+    println!(
+        "new weights at 6 engines {:?} after the ticket was sent",
+        started.elapsed()
+    );
+    for engine in engines() {
+        let orders = engine.applied_orders();
+        let numbers: Vec<u64> = orders.iter().map(|order| order.fencing_number).collect();
+        assert!(numbers.is_sorted(), "{numbers:?}");
+        let loads = orders.iter().filter(|order| order.weights_version == 2);
+        assert_eq!(loads.count(), 1, "{orders:?}");
+    }
+}
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -162,7 +162,13 @@
 
 #[test]
 fn frames_damaged() {
-    let announce = Body::encode(Kind::Configuration, &Announce { revision: 7 });
+    let announce = Body::encode(
+        Kind::Configuration,
+        &Announce {
+            revision: 7,
+            drains: Vec::new(),
+        },
+    );
     run(10, &announce.payload, frame::<Announce>);
     run(11, &[8, 7, 16, 3, 24, 1], frame::<Fetch>);
     run(12, &[8, 7, 16, 3, 24, 1, 34, 2, 9, 9], frame::<UpdatePart>);
