--- a/src/configuration/message.rs
+++ b/src/configuration/message.rs
@@ -5,12 +5,17 @@
 
 use bytes::Bytes;
 
-/// Says which revision a router has in force; it wants no reply.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+use crate::rollout::DrainNotice;
+
+/// Says which revision a router has in force, and which replicas are drained for orders; it wants no reply.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Announce {
     /// The revision.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
+    /// The notices that are news.
+    #[prost(message, repeated, tag = "2")]
+    pub drains: Vec<DrainNotice>,
 }
 
 /// Asks for one part of what was written after a revision.
@@ -75,13 +80,15 @@
     pub(crate) bytes: Bytes,
 }
 
-/// What a router tells operators about its configuration.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct ConfigurationStatus {
-    /// The revision in force.
-    #[prost(uint64, tag = "1")]
-    pub revision: u64,
-    /// The milliseconds since it came into force there.
-    #[prost(uint64, tag = "2")]
-    pub age_ms: u64,
+impl Fetch {
+    /// Asks only which revision is in force: nothing is ever written after the highest number.
+    #[must_use]
+    pub const fn revision_only() -> Self {
+        Self {
+            base: u64::MAX,
+            revision: 0,
+            part: 0,
+            whole: false,
+        }
+    }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -31,6 +31,7 @@
 mod peers;
 mod publisher;
 mod reports;
+mod rollouts;
 mod snapshot;
 mod thread;
 
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -15,6 +15,7 @@
 use super::peers::{PeerChange, Peers, TICK_INTERVAL};
 use super::publisher::Publisher;
 use super::reports::Reports;
+use super::rollouts::{RolloutEvent, Rollouts};
 use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
@@ -52,6 +53,8 @@
     Report(AskedReport, oneshot::Sender<ReportReply>),
     /// A scrape is about to read the metrics.
     Scrape(oneshot::Sender<()>),
+    /// A call of a rollout has ended.
+    Rollout(RolloutEvent),
 }
 
 /// The running control thread; dropping it stops the thread.
@@ -139,6 +142,7 @@
     in_force: InForce,
     publisher: Publisher,
     peers: Peers,
+    rollouts: Rollouts,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
     reports: Reports,
 }
@@ -149,6 +153,7 @@
         let _ = shared.links.set(peers.links().clone());
         let mut control = Self {
             reports: Reports::new(&shared),
+            rollouts: Rollouts::new(Arc::clone(&shared)),
             shared,
             started: Instant::now(),
             in_force: InForce::new(),
@@ -166,6 +171,19 @@
     fn tick(&mut self) {
         let change = self.peers.tick();
         self.take_change(change);
+        let configuration = Arc::clone(self.publisher.configuration());
+        let notices = self.rollouts.tick(&configuration, &self.peers.members());
+        if !notices.is_empty() {
+            self.peers.tell(notices);
+        }
+        self.take_drains();
+    }
+
+    fn take_drains(&mut self) {
+        if let Some(drained) = self.rollouts.changed_drains() {
+            self.publisher.set_drained(drained);
+            self.publish();
+        }
     }
 
     fn receive(&mut self, event: PeerEvent) {
@@ -177,6 +195,12 @@
         }
         let change = self.peers.receive(event);
         self.take_change(change);
+        let mut notices = self.peers.take_notices();
+        notices.retain(|notice| self.rollouts.take_notice(notice));
+        if !notices.is_empty() {
+            self.peers.tell(notices);
+            self.take_drains();
+        }
     }
 
     fn take_change(&mut self, change: PeerChange) {
@@ -204,6 +228,9 @@
                 load,
             } => {
                 let before = self.publisher.seen(&pool, &replica);
+                if let Some(load) = &load {
+                    self.rollouts.observe(&pool, &replica, load);
+                }
                 self.publisher
                     .set_load(&pool, &replica, load.map(|load| *load));
                 let after = self.publisher.seen(&pool, &replica);
@@ -232,6 +259,9 @@
                 let _ = done.send(());
                 return;
             }
+            Event::Rollout(event) => {
+                return self.rollouts.handle(event, &self.peers.members());
+            }
         }
         self.publish();
     }
