--- a/src/bin/crocuswharf-router.rs
+++ b/src/bin/crocuswharf-router.rs
@@ -5,8 +5,7 @@
 
 use anyhow::Context;
 use argh::FromArgs;
-use crocuswharf::{Router, RouterSettings};
-use simplelog::{ColorChoice, Config, TermLogger, TerminalMode};
+use crocuswharf::{Router, RouterSettings, start_logs};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Route language-model traffic; settings come from a JSON file.
@@ -50,13 +49,7 @@
         println!("settings are valid");
         return Ok(());
     }
-    let level = settings.log_level()?;
-    TermLogger::init(
-        level,
-        Config::default(),
-        TerminalMode::Stderr,
-        ColorChoice::Auto,
-    )?;
+    start_logs(settings.log)?;
     let drain_limit = settings.times.drain_limit();
     let router = Router::start(settings)?;
     let signals = tokio::runtime::Builder::new_current_thread()
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,7 @@
 //! See docs/ARCHITECTURE.md.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -18,12 +19,15 @@
 use crate::engine::EngineClient;
 use crate::error::Error;
 use crate::id::Incarnation;
+use crate::peer::Links;
 use crate::request::claim_service::{ClaimOptions, ClaimService};
 use crate::settings::RouterSettings;
 use crate::store::{self, StoreSettings};
 
 mod feed;
+mod fetch;
 mod loads;
+mod peers;
 mod publisher;
 mod snapshot;
 mod thread;
@@ -39,6 +43,8 @@
 pub(crate) struct Shared {
     /// The settings of this router.
     pub(crate) settings: RouterSettings,
+    /// This life of the process.
+    pub(crate) incarnation: Incarnation,
     /// What traffic threads know.
     pub(crate) snapshot: ArcSwap<Snapshot>,
     /// The client towards backend servers.
@@ -49,6 +55,8 @@
     pub(crate) claims: ClaimService,
     /// The configuration in force as the platform holds it.
     pub(crate) stored: ArcSwap<StoredState>,
+    /// The connections to other routers, once the control thread has opened them.
+    pub(crate) links: OnceLock<Links>,
     /// Whether the router is leaving.
     pub(crate) draining: AtomicBool,
     open_requests: Arc<AtomicUsize>,
@@ -65,9 +73,10 @@
     ) -> Result<(Self, mpsc::Receiver<Event>), Error> {
         let engines = EngineClient::new(settings.times.connect_timeout())?;
         let store = store::Client::new(&store_settings(&settings))?;
+        let incarnation = new_incarnation();
         let claims = ClaimOptions {
             router: Arc::clone(&settings.router),
-            incarnation: new_incarnation(),
+            incarnation,
             store: store.clone(),
             claim_timeout: settings.times.platform_timeout() / 2,
         };
@@ -75,10 +84,12 @@
         let (events, receiver) = mpsc::channel(EVENT_QUEUE);
         let shared = Self {
             settings,
+            incarnation,
             snapshot: ArcSwap::default(),
             engines,
             store,
             claims,
+            links: OnceLock::new(),
             draining: AtomicBool::new(false),
             open_requests: Arc::default(),
             stored: ArcSwap::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,39 +2,65 @@
 
 mod account;
 mod admission;
+mod backend;
+mod burn;
+mod command;
 mod configuration;
 mod control;
 mod directory;
 mod engine;
 mod entry;
 mod error;
+mod explain;
 mod fault;
 mod id;
 mod listener;
 mod membership;
 mod peer;
+mod policy;
 mod pool;
 mod preference;
 mod prefix;
 mod protocol;
 mod request;
+mod rollout;
 mod router;
 mod service;
 mod settings;
+mod status;
 mod store;
+mod telemetry;
 mod ticket;
 mod usage;
 
 pub use crate::account::{Account, AccountKeys, AccountLimits, NamedAccount, key_matches};
-pub use crate::admission::{queue, shed};
+pub use crate::admission::{
+    LimitDecision, LimitKind, Limiter, Usage, UsageEntry, UsageTree, queue, shed,
+};
+pub use crate::backend::{Availability, Backend, BackendChange};
+pub use crate::burn::{
+    Alarm as BurnAlarm, Burn, BurnRate, BurnerFigure, BurnerReport, Ending as BurnEnding,
+    HistogramFigures, LatencyReport, MAX_SERVICES, MemberAnswer, MemberFigures, MissingMember,
+    ObjectiveBurners, ObjectiveKind, ObjectiveReport, Observation as BurnObservation,
+    Report as BurnReport, ServiceFigures, ServiceReport, Tally, TallyFigures, Window as BurnWindow,
+    render_html, render_table,
+};
+pub use crate::command::run as run_command;
+pub use crate::command::{BurnArgs, ExplainArgs, StatusArgs, burn, explain, status};
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
-    ROOT_KEY, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart, UpdateReader,
-    UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
+    ROOT_KEY, ROOT_TOPIC, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart,
+    UpdateReader, UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep,
     load as load_configuration, load_root as load_configuration_root,
 };
 pub use crate::directory::Directory;
 pub use crate::error::{Error, ErrorKind};
+pub use crate::explain::{
+    Attempt as ExplainedAttempt, AttemptCause, Candidate as ExplainedCandidate,
+    Choice as ExplainedChoice, Claim as ExplainedClaim, End as ExplainedEnd, Explanation,
+    Explanations, MAX_ATTEMPTS, MAX_CANDIDATES, MAX_REASON_BYTES, RouterTag, Run as ExplainedRun,
+    View as ExplainedView, new_request_id, render_explanation, router_tag, tag_of,
+};
 pub use crate::fault::Fault;
 pub use crate::id::{
     AccountId, AdapterName, Incarnation, PoolName, PreferenceName, ReplicaId, RequestId, Revision,
@@ -42,17 +68,24 @@
 };
 pub use crate::listener::bind_listener;
 pub use crate::membership::{
-    Heartbeat, Liveness, LoadLevel, Member, MemberRecord, Membership, MembershipOptions,
-    Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
+    Heartbeat, LeavingVm, LeavingVms, Liveness, LoadLevel, Member, MemberRecord, Membership,
+    MembershipOptions, Outcome as MembershipOutcome, Ring, Stage, owner_of, watchers_of,
 };
 pub use crate::peer::{
     Body, Inbound, Kind, LinkOptions, LinkTimes, Links, MAX_PAYLOAD_BYTES, PeerEvent, PeerIdentity,
     PeerKeys, ReplyHandle, Traffic, TrafficByKind, wire_bytes,
 };
+pub use crate::policy::{
+    Candidate, CandidateMessage, Cells, Choice, Considered, Deciding, InstanceTag, KeptBudget,
+    KeptPlan, Learning, Lookup, LookupMessage, Observation, ObservationMessage,
+    ObservationsMessage, OwnerReply, OwnerReplyMessage, OwnerView, Placement, PoolView,
+    ReplicaView, RequestTag, ViewChunkMessage, choose,
+};
 pub use crate::pool::{KeptCache, Pool, Replica, ReplicaRole};
 pub use crate::preference::Preference;
 pub use crate::prefix::{
-    BYTES_PER_TOKEN, MAX_PIECES, Opening, OpeningRoot, PIECE_TOKENS, Piece, PieceHash,
+    BYTES_PER_TOKEN, Level, LevelKey, MAX_PIECES, MIN_LEVEL_TOKENS, Opening, OpeningRoot,
+    PIECE_TOKENS, Piece, PieceHash, level_key,
 };
 pub use crate::protocol::{
     CacheEvent, CacheEventKind, CacheEvents, EngineIdentity, EngineOrder, Entries, Entry,
@@ -64,16 +97,29 @@
 pub use crate::request::{
     claim, claim_service, drain, ejection, event_id, hedge, refusal, retry, stream,
 };
+pub use crate::rollout::{
+    DrainNotice, Drains, LEASE_LIFE, Lease, LeaseAction, LeaseEvent, LeaseRecord, ORDER_TIMEOUT,
+    ObservedReplica, OrderEnd, Rollout, RolloutAction,
+};
 pub use crate::router::{DrainReport, Router, RouterAddresses};
 pub use crate::service::{Objectives, Operation, Service, ServiceKind};
-pub use crate::settings::{
-    Bounds, Listen, LogSettings, RouterSettings, Times, parse_json, read_json,
+pub use crate::settings::{Bounds, Listen, RouterSettings, Times, parse_json, read_json};
+pub use crate::status::{
+    AskedReport, FleetStatus, Heat, MemberStatus, OpeningHeat, Repair, Repairs, ReplicaStatus,
+    ReportReply, ReportRequest, StoreCalls, opening_name, render_status,
 };
 pub use crate::store::{
     Backoff, Budget, BudgetLimits, CallCounts, CallKind, Client as StoreClient, MAX_VALUE_BYTES,
     ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
 };
+pub use crate::telemetry::{
+    Journal, JournalCapacity, JournalEntry, LogLevel, LogSettings, LogTarget, METRICS,
+    MetricDescription, MetricKind, RequestMetrics, install_recorder, log_config,
+    render_metrics_page, start_logs,
+};
 pub use crate::ticket::{
-    NewState, Ticket, TicketOutcome, check as check_ticket, submit as submit_ticket,
+    MemberRevision, NewState, Ticket, TicketDesk, TicketOutcome, TicketReply, TicketShown,
+    TicketStatus, check as check_ticket, check_against as check_ticket_against,
+    submit as submit_ticket, ticket_routes,
 };
 pub use crate::usage::{EXIT_USAGE, parse_args};
--- a/src/request/claim_service/mod.rs
+++ b/src/request/claim_service/mod.rs
@@ -120,7 +120,7 @@
             let is_recorded = service.settle_at_owner(&change).await
                 || service.decide_here(change, SETTLE_TIMEOUT).await != Decision::Unavailable;
             if !is_recorded {
-                log::warn!("claim: An outcome could not be recorded.");
+                log::warn!("request: A claim's outcome could not be recorded.");
             }
             service.inner.unrecorded.fetch_sub(1, Ordering::Relaxed);
         });
--- a/src/request/claim_service/peer.rs
+++ b/src/request/claim_service/peer.rs
@@ -132,7 +132,7 @@
         let request: Option<ClaimRequest> = event.body.decode().ok();
         let Some(request) = request.and_then(|request| request.body) else {
             let router = &event.from.router;
-            log::warn!("claim: A peer's request is not understood. router={router}");
+            log::warn!("request: A peer's request is not understood. router={router}");
             return;
         };
         let service = self.clone();
--- a/src/request/claim_service/worker.rs
+++ b/src/request/claim_service/worker.rs
@@ -177,7 +177,7 @@
         Ok(Some(found)) => ReadOutcome::Found(found),
         Ok(None) => ReadOutcome::Absent,
         Err(error) => {
-            log::warn!("claim: A bucket can't be read. bucket={bucket} error={error}");
+            log::warn!("request: A bucket of claims can't be read. bucket={bucket} error={error}");
             ReadOutcome::Unavailable
         }
     };
