Resume answers through any router by authenticated event ids

Cause: a caller whose router died could not go on with its answer, and event ids could be made up by callers. An engine that sent no head held its request for ever. Change: event ids are authenticated with the client account; a chat request with Last-Event-ID goes on at the replica that keeps the stream; a chat call without a head ends at the request's deadline; a stream that the engine has lost is no longer taken for an answer. Conclusion: streams survive the loss of their router while their replica lives.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -21,6 +21,7 @@
 use crate::id::Incarnation;
 use crate::peer::Links;
 use crate::request::claim_service::{ClaimOptions, ClaimService};
+use crate::request::event_id::EventIdKey;
 use crate::settings::RouterSettings;
 use crate::store::{self, StoreSettings};
 
@@ -51,6 +52,8 @@
     pub(crate) engines: EngineClient,
     /// The client of the platform's object API.
     pub(crate) store: store::Client,
+    /// The keys of event ids; the first signs, each is accepted.
+    pub(crate) event_id_keys: Vec<EventIdKey>,
     /// Claims calls that may not be repeated.
     pub(crate) claims: ClaimService,
     /// The configuration in force as the platform holds it.
@@ -74,6 +77,10 @@
         let engines = EngineClient::new(settings.times.connect_timeout())?;
         let store = store::Client::new(&store_settings(&settings))?;
         let incarnation = new_incarnation();
+        let secrets = settings.peer_keys.iter();
+        let event_id_keys = secrets
+            .map(|secret| EventIdKey::derive(secret.as_bytes()))
+            .collect();
         let claims = ClaimOptions {
             router: Arc::clone(&settings.router),
             incarnation,
@@ -88,6 +95,7 @@
             snapshot: ArcSwap::default(),
             engines,
             store,
+            event_id_keys,
             claims,
             links: OnceLock::new(),
             draining: AtomicBool::new(false),
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -18,8 +18,11 @@
 use crate::id::RequestId;
 use crate::prefix::{Opening, OpeningRoot};
 use crate::protocol::{HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_WARM_TOKENS};
+use crate::request::event_id::EventId;
 use crate::service::ServiceKind;
 
+/// Names the last event that a caller got, as browsers and SSE clients send it.
+const HEADER_LAST_EVENT_ID: &str = "last-event-id";
 /// How often a whole answer is fetched before it is given up.
 const MAX_WHOLE_ATTEMPTS: usize = 3;
 
@@ -35,13 +38,18 @@
     }
 
     async fn answer(&self, request: &mut Request, res: &mut Response) -> Result<(), Reply> {
-        let request_id = RequestId::now_v7();
-        set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
         let snapshot = self.shared.snapshot.load_full();
         let account = authenticate(request, &snapshot)?;
+        let last_event = self.last_event(request, &account)?;
+        let stream = last_event.as_ref().map(|id| id.stream);
+        let request_id = stream.unwrap_or_else(RequestId::now_v7);
+        set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
         let limit_bytes = self.shared.settings.bounds.body_limit_bytes;
         let body = read_body(request, limit_bytes).await?;
         let (mut dispatch, stream) = self.prepare(request_id, &snapshot, &account, &body)?;
+        if let Some(id) = last_event {
+            return self.resume(res, dispatch, &id).await;
+        }
         let (placed, answer) = dispatch.place(body).await?;
         describe(res, &placed, &answer);
         if !stream || !answer.response.status().is_success() {
@@ -53,6 +61,39 @@
         Ok(())
     }
 
+    /// Reads the id of the last event that the caller got, where it resumes an answer.
+    fn last_event(
+        &self,
+        request: &Request,
+        account: &NamedAccount,
+    ) -> Result<Option<EventId>, Reply> {
+        let Some(value) = request.headers().get(HEADER_LAST_EVENT_ID) else {
+            return Ok(None);
+        };
+        let text = value.to_str().unwrap_or_default();
+        let mut keys = self.shared.event_id_keys.iter();
+        let id = keys.find_map(|key| EventId::decode(text, &account.id, key));
+        let reason = || format!("{HEADER_LAST_EVENT_ID}: {text:?} is no event of this account");
+        id.map(Some)
+            .ok_or_else(|| bad_request(HEADER_LAST_EVENT_ID, reason()))
+    }
+
+    /// Goes on with an answer whose router the caller has lost.
+    async fn resume(
+        &self,
+        res: &mut Response,
+        mut dispatch: Dispatch,
+        id: &EventId,
+    ) -> Result<(), Reply> {
+        let found = dispatch.find_stream(id).await;
+        let (placed, answer) = found.ok_or_else(stream_lost)?;
+        describe(res, &placed, &answer);
+        let silence = self.shared.settings.times.stream_silence();
+        let relay = Relay::new(dispatch, placed, answer, silence).resume_after(id);
+        salvo::sse::stream(res, relay.into_events());
+        Ok(())
+    }
+
     fn prepare(
         &self,
         request_id: RequestId,
@@ -78,6 +119,7 @@
         };
         let request = DispatchRequest {
             request_id,
+            account: Arc::clone(&account.id),
             priority: account.account.priority,
             opening: Opening::of_messages(root, body.texts()),
             body: bytes.clone(),
@@ -155,6 +197,18 @@
     }
 }
 
+fn stream_lost() -> Reply {
+    Reply {
+        status: StatusCode::GONE,
+        code: "stream_lost",
+        message: "the answer can't be resumed; send the request again without last-event-id"
+            .to_owned(),
+        param: Some(HEADER_LAST_EVENT_ID),
+        ran: RunState::Unknown,
+        retry_after: None,
+    }
+}
+
 fn no_pool(model: &str) -> Reply {
     Reply {
         status: StatusCode::SERVICE_UNAVAILABLE,
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -12,12 +12,15 @@
 use super::reply::{Reply, RunState};
 use crate::control::{InFlight, OpenRequest, PoolView, Shared};
 use crate::engine::{CallError, ChatAnswer, ChatCall};
-use crate::id::{Incarnation, RequestId};
+use crate::id::{AccountId, Incarnation, RequestId};
 use crate::pool::Replica;
 use crate::prefix::Opening;
+use crate::request::event_id::EventId;
 
 /// The replicas that are tried for one request before it is refused.
 const MAX_ATTEMPTS: usize = 3;
+/// How long an engine may take to find a stream that is resumed.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(5);
 /// The time after which a caller may come back when no replica could take its request.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -26,6 +29,7 @@
     shared: Arc<Shared>,
     pool: Arc<PoolView>,
     request_id: RequestId,
+    account: AccountId,
     priority: u8,
     opening: Opening,
     body: Bytes,
@@ -51,6 +55,8 @@
 pub(crate) struct DispatchRequest {
     /// The request's id.
     pub(crate) request_id: RequestId,
+    /// The client account.
+    pub(crate) account: AccountId,
     /// The client account's priority.
     pub(crate) priority: u8,
     /// The prompt's opening.
@@ -70,6 +76,7 @@
             shared,
             pool,
             request_id: request.request_id,
+            account: request.account,
             priority: request.priority,
             opening: request.opening,
             body: request.body,
@@ -128,11 +135,14 @@
             remaining: self.remaining(),
             opening: &self.opening,
         };
-        let answer = self
-            .shared
-            .engines
-            .chat(view.replica.address, call, body)
+        let chat = self.shared.engines.chat(view.replica.address, call, body);
+        let answer = tokio::time::timeout(self.remaining(), chat)
             .await
+            .unwrap_or_else(|_| {
+                Err(CallError::Lost(
+                    "the engine sent no head in time".to_owned(),
+                ))
+            })
             .and_then(accept_status)
             .inspect_err(|error| {
                 log::warn!(
@@ -167,7 +177,9 @@
             .await
             .and_then(accept_status)
             .ok()?;
-        (answer.incarnation == placed.incarnation).then_some(answer)
+        let is_same = answer.incarnation == placed.incarnation;
+        let is_found = answer.response.status().is_success();
+        (is_same && is_found).then_some(answer)
     }
 
     /// Cancels the answer at its engine without waiting for the confirmation.
@@ -177,10 +189,33 @@
         tokio::spawn(async move { engines.cancel(replica.address, request_id).await });
     }
 
-    /// Returns the id of the caller's event `sequence`, by which any router can resume the answer.
-    pub(crate) fn event_id(&self, placed: &Placed, sequence: u64) -> String {
-        let (replica, incarnation) = (&placed.replica.id, placed.incarnation);
-        format!("{}.{replica}.{incarnation}.{sequence}", self.request_id)
+    /// Returns the id of the caller's event at `position`, by which any router can resume the answer.
+    pub(crate) fn event_id(&self, placed: &Placed, sequence: u64, position: u64) -> String {
+        let id = EventId {
+            replica: Arc::clone(&placed.replica.id),
+            incarnation: placed.incarnation,
+            stream: self.request_id,
+            sequence,
+            position,
+        };
+        id.encode(&self.account, &self.shared.event_id_keys[0])
+    }
+
+    /// Finds the stream that `id` names, for a caller that resumes it through this router.
+    pub(crate) async fn find_stream(&mut self, id: &EventId) -> Option<(Placed, ChatAnswer)> {
+        let mut views = self.pool.replicas.iter();
+        let index = views.position(|view| view.replica.id == id.replica)?;
+        let view = &self.pool.replicas[index];
+        let placed = Placed {
+            index,
+            replica: Arc::clone(&view.replica),
+            incarnation: id.incarnation,
+        };
+        let in_flight = InFlight::new(&view.in_flight);
+        let resumed = self.resume(&placed, id.sequence);
+        let answer = tokio::time::timeout(RESUME_TIMEOUT, resumed).await.ok()??;
+        self.in_flight = Some(in_flight);
+        Some((placed, answer))
     }
 
     /// Notes that the first token has come.
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -17,6 +17,7 @@
 use super::dispatch::{Dispatch, Placed};
 use super::reply::{Reply, RunState};
 use crate::engine::ChatAnswer;
+use crate::request::event_id::EventId;
 
 /// The data of the event that ends a stream.
 const TERMINAL_DATA: &str = "[DONE]";
@@ -36,6 +37,8 @@
     caller_sequence: u64,
     /// The data of the events that were sent on, from which an answer is continued elsewhere.
     sent: Vec<String>,
+    /// Whether `sent` holds the answer from its beginning; not so where the caller came from another router.
+    has_whole_text: bool,
     resumptions: u32,
     silence: Duration,
     finished: bool,
@@ -63,12 +66,21 @@
             engine_sequence: 0,
             caller_sequence: 0,
             sent: Vec::new(),
+            has_whole_text: true,
             resumptions: 0,
             silence,
             finished: false,
         }
     }
 
+    /// Goes on after the event `id`, which the caller has got through another router.
+    pub(crate) fn resume_after(mut self, id: &EventId) -> Self {
+        self.engine_sequence = id.sequence;
+        self.caller_sequence = id.position;
+        self.has_whole_text = false;
+        self
+    }
+
     /// Returns the caller's events; dropping them before the end cancels the answer at the engine.
     pub(crate) fn into_events(
         self,
@@ -126,7 +138,7 @@
     }
 
     fn forward(&mut self, event: Event) -> SseEvent {
-        let id = self.dispatch.event_id(&self.placed, self.caller_sequence);
+        let id = self.event_id();
         if event.data == TERMINAL_DATA {
             self.finish(true);
         } else {
@@ -136,6 +148,11 @@
         SseEvent::default().id(id).text(event.data)
     }
 
+    fn event_id(&self) -> String {
+        let (sequence, position) = (self.engine_sequence, self.caller_sequence);
+        self.dispatch.event_id(&self.placed, sequence, position)
+    }
+
     fn finish(&mut self, complete: bool) {
         assert!(!self.finished, "a stream ended twice");
         self.finished = true;
@@ -181,6 +198,9 @@
             self.upstream = Some(terminal_event(self.engine_sequence + 1));
             return true;
         }
+        if !self.has_whole_text {
+            return false;
+        }
         let Some(body) = continue_body(self.dispatch.body(), &self.sent) else {
             return false;
         };
--- a/src/request/event_id.rs
+++ b/src/request/event_id.rs
@@ -23,14 +23,22 @@
     pub incarnation: Incarnation,
     /// The request whose answer the stream is.
     pub stream: RequestId,
-    /// The event's sequence in the stream.
+    /// The event's sequence in the engine's stream.
     pub sequence: u64,
+    /// The event's position in the caller's stream, which a change of replica does not restart.
+    pub position: u64,
 }
 
 /// The key that all routers of a deployment share for event ids.
 #[derive(Clone)]
 pub struct EventIdKey(Hmac<Sha256>);
 
+impl std::fmt::Debug for EventIdKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("EventIdKey")
+    }
+}
+
 impl EventIdKey {
     /// Derives the key from the secret that the routers share.
     ///
@@ -62,8 +70,9 @@
     #[must_use]
     pub fn encode(&self, account: &AccountId, key: &EventIdKey) -> String {
         let stream = self.stream.simple();
-        let (replica, incarnation, sequence) = (&self.replica, self.incarnation, self.sequence);
-        let mut text = format!("{replica}.{incarnation:x}.{stream}.{sequence:x}");
+        let (replica, incarnation) = (&self.replica, self.incarnation);
+        let (sequence, position) = (self.sequence, self.position);
+        let mut text = format!("{replica}.{incarnation}.{stream}.{sequence}.{position}");
         let mac = key.mac(account, &text);
         text.push('.');
         for byte in mac {
@@ -85,16 +94,18 @@
     }
 
     fn parse(signed: &str) -> Option<Self> {
-        let mut parts = signed.rsplitn(4, '.');
-        let sequence = u64::from_str_radix(parts.next()?, 16).ok()?;
+        let mut parts = signed.rsplitn(5, '.');
+        let position = parts.next()?.parse().ok()?;
+        let sequence = parts.next()?.parse().ok()?;
         let stream = uuid::Uuid::try_parse(parts.next()?).ok()?;
-        let incarnation = u64::from_str_radix(parts.next()?, 16).ok()?;
+        let incarnation = parts.next()?.parse().ok()?;
         let replica = parts.next()?.into();
         Some(Self {
             replica,
             incarnation,
             stream,
             sequence,
+            position,
         })
     }
 }
--- a/src/request/tests/stream.rs
+++ b/src/request/tests/stream.rs
@@ -131,7 +131,7 @@
     same_account = { "shinewell", None, true },
     other_account = { "cedarbunk", None, false },
     changed_first_byte = { "shinewell", Some(0), false },
-    changed_sequence = { "shinewell", Some(44), false },
+    changed_sequence = { "shinewell", Some(43), false },
 )]
 fn event_id_decode(account: &str, changed_byte: Option<usize>, is_accepted: bool) {
     let id = EventId {
@@ -139,6 +139,7 @@
         incarnation: 17,
         stream: REQUEST,
         sequence: 5,
+        position: 9,
     };
     let key = EventIdKey::derive(b"secret");
     let mut text = id.encode(&"shinewell".into(), &key).into_bytes();
--- a/standin/src/demo/caller.rs
+++ b/standin/src/demo/caller.rs
@@ -301,7 +301,7 @@
 }
 
 fn sequence_of(event_id: &str) -> Option<u64> {
-    event_id.rsplit('.').next()?.parse().ok()
+    event_id.rsplit('.').nth(1)?.parse().ok()
 }
 
 fn delta_of(data: &str) -> Result<String, Trouble> {
