--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -22,6 +22,7 @@
 use crate::id::{Incarnation, RequestId};
 use crate::peer::Links;
 use crate::request::claim_service::{ClaimOptions, ClaimService};
+use crate::request::event_id::EventIdKey;
 use crate::settings::RouterSettings;
 use crate::store::{self, StoreSettings};
 
@@ -54,6 +55,8 @@
     pub(crate) engines: EngineClient,
     /// The client of the platform's object API.
     pub(crate) store: store::Client,
+    /// The keys of event ids; the first signs, each is accepted.
+    pub(crate) event_id_keys: Vec<EventIdKey>,
     /// Claims calls that may not be repeated.
     pub(crate) claims: ClaimService,
     /// The configuration in force as the platform holds it.
@@ -78,6 +81,10 @@
         let engines = EngineClient::new(settings.times.connect_timeout())?;
         let store = store::Client::new(&store_settings(&settings))?;
         let incarnation = new_incarnation();
+        let secrets = settings.peer_keys.iter();
+        let event_id_keys = secrets
+            .map(|secret| EventIdKey::derive(secret.as_bytes()))
+            .collect();
         let claims = ClaimOptions {
             router: Arc::clone(&settings.router),
             incarnation,
@@ -95,6 +102,7 @@
             store,
             links: OnceLock::new(),
             claims,
+            event_id_keys,
             draining: AtomicBool::new(false),
             open_requests: Arc::default(),
             stored: ArcSwap::default(),
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -22,6 +22,7 @@
     ReplyHandle,
 };
 use crate::protocol::Vm;
+use crate::request::claim_service::{ClaimMember, ClaimPeers};
 use crate::rollout::DrainNotice;
 
 /// How often the control thread looks at the time.
@@ -120,6 +121,21 @@
         self.membership.members().cloned().collect()
     }
 
+    /// Returns the routers among which the claims' buckets are shared out.
+    pub(crate) fn claim_peers(&self) -> ClaimPeers {
+        let is_up = |member: &&Member| !member.leaving && member.liveness == Liveness::Alive;
+        let members = self.membership.members().filter(is_up);
+        ClaimPeers {
+            links: self.links.clone(),
+            members: members
+                .map(|member| ClaimMember {
+                    router: Arc::clone(&member.router),
+                    address: member.peers,
+                })
+                .collect(),
+        }
+    }
+
     /// Returns the VMs that leave.
     pub(crate) const fn leaving_vms(&self) -> &LeavingVms {
         &self.leaving_vms
@@ -162,6 +178,7 @@
                     log_refused(&event.from, &error);
                 }
             }
+            Kind::Claim => self.shared.claims.receive(event),
             kind => log::debug!("peer: No part takes this kind. kind={}", kind.label()),
         }
         PeerChange::default()
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -19,10 +19,9 @@
 use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
-use crate::membership::{Heartbeat, Liveness, Member};
-use crate::peer::{Inbound, Kind, Links, PeerEvent};
+use crate::membership::Heartbeat;
+use crate::peer::{Inbound, Kind, PeerEvent};
 use crate::protocol::{LoadReport, Vm};
-use crate::request::claim_service::{ClaimMember, ClaimPeers};
 use crate::service::ServiceKind;
 use crate::status::{AskedReport, ReportReply};
 use crate::telemetry::JournalEntry;
@@ -187,9 +186,6 @@
     }
 
     fn receive(&mut self, event: PeerEvent) {
-        if event.body.kind == Kind::Claim {
-            return self.shared.claims.receive(event);
-        }
         if event.body.kind == Kind::Status {
             return self.reports.answer_peer(event, &self.shared);
         }
@@ -206,10 +202,8 @@
     fn take_change(&mut self, change: PeerChange) {
         if change.members {
             let directory = self.peers.plan_directory();
-            let members = self.peers.members();
-            let claim_peers = claim_peers(self.peers.links(), &members);
-            self.shared.claims.set_peers(Some(claim_peers));
-            self.publisher.set_members(members, directory);
+            self.publisher.set_members(self.peers.members(), directory);
+            self.shared.claims.set_peers(Some(self.peers.claim_peers()));
         }
         if change.leaving_vms {
             self.publisher.set_leaving_vms(self.peers.leaving_vms());
@@ -342,19 +336,3 @@
         }
     }
 }
-
-/// Returns the routers among which buckets of claims are shared out: those that run and don't leave.
-fn claim_peers(links: &Links, members: &[Member]) -> ClaimPeers {
-    let members = members
-        .iter()
-        .filter(|member| member.liveness == Liveness::Alive && !member.leaving)
-        .map(|member| ClaimMember {
-            router: Arc::clone(&member.router),
-            address: member.peers,
-        })
-        .collect();
-    ClaimPeers {
-        links: links.clone(),
-        members,
-    }
-}
