--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,7 +50,7 @@
 pub use crate::configuration::{
     Acceptance, Adoption, Announce, Configuration, ConfigurationStatus, Fetch, InForce, ObjectKind,
     ROOT_KEY, ROOT_TOPIC, ReadStep, Root, RootWatch, StateSource, StoredState, UpdatePart,
-    UpdateReader, UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep,
+    UpdateReader, UpdateServer, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep, is_watcher,
     load as load_configuration, load_root as load_configuration_root,
 };
 pub use crate::directory::Directory;
--- a/standin/src/capacity/mod.rs
+++ b/standin/src/capacity/mod.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod records;
 mod report;
+mod router;
 mod target;
 #[cfg(test)]
 mod tests;
@@ -33,11 +34,12 @@
 type Measure = fn() -> anyhow::Result<Vec<report::Figure>>;
 
 /// The roles in the order of the report; those that measure memory come before those that free much of it.
-const ROLES: [(&str, Measure); 4] = [
+const ROLES: [(&str, Measure); 5] = [
     ("membership", membership::measure),
     ("peers", peers::measure),
     ("records", records::measure),
     ("configuration", configuration::measure),
+    ("router", router::measure),
 ];
 
 /// Measures and prints.
