--- a/standin/src/capacity/mod.rs
+++ b/standin/src/capacity/mod.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod fit;
 mod membership;
+mod owner;
 mod peers;
 mod records;
 mod report;
@@ -34,8 +35,9 @@
 type Measure = fn() -> anyhow::Result<Vec<report::Figure>>;
 
 /// The roles in the order of the report; those that measure memory come before those that free much of it.
-const ROLES: [(&str, Measure); 5] = [
+const ROLES: [(&str, Measure); 6] = [
     ("membership", membership::measure),
+    ("owner", owner::measure),
     ("peers", peers::measure),
     ("records", records::measure),
     ("configuration", configuration::measure),
--- a/standin/src/capacity/router.rs
+++ b/standin/src/capacity/router.rs
@@ -3,16 +3,19 @@
 //! Threads are told apart by their names, so that engines, platform and callers in the same process are left out.
 
 use std::fs;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
+use crocuswharf::BurnReport;
 use futures_util::future::join_all;
 use serde_json::json;
 
 use super::fit::Point;
 use super::report::{Cost, Figure};
 use super::target;
-use crate::demo::{Deployment, Fleet, SHINEWELL, account_key, submit_ticket, wait_until_ready};
+use crate::demo::{
+    Deployment, Fleet, OPERATOR_KEY, SHINEWELL, account_key, submit_ticket, wait_until_ready,
+};
 
 const REPLICA_SIZES: [usize; 3] = [18, 54, 162];
 const IDLE_TIME: Duration = Duration::from_secs(4);
@@ -20,6 +23,9 @@
 /// The answers that are streamed at once, and how often.
 const STREAMS: usize = 8;
 const ROUNDS: usize = 12;
+const ROUTER_SIZES: [usize; 3] = [3, 6, 9];
+const BURN_REPORTS: u32 = 10;
+const MEMBERS_TIMEOUT: Duration = Duration::from_secs(60);
 const CONTROL: &str = "control-";
 const TRAFFIC: &str = "traffic-";
 
@@ -27,15 +33,21 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(async { Ok(vec![control_time().await?, traffic_time().await?]) })
+    runtime.block_on(async {
+        Ok(vec![
+            control_time().await?,
+            traffic_time().await?,
+            burn_time().await?,
+        ])
+    })
 }
 
-async fn start(engines: usize) -> anyhow::Result<Fleet> {
+async fn start(engines: usize, routers: usize) -> anyhow::Result<Fleet> {
     let deployment = Deployment {
         engines,
         ..SHINEWELL
     };
-    let fleet = Fleet::start_with(deployment, 1, |engine| {
+    let fleet = Fleet::start_with(deployment, routers, |engine| {
         engine.prefill_tokens_per_second = 1e12;
         engine.token_interval_ms = 0;
     })
@@ -76,7 +88,7 @@
 async fn control_time() -> anyhow::Result<Figure> {
     let mut points = Vec::new();
     for engines in REPLICA_SIZES {
-        let fleet = start(engines).await?;
+        let fleet = start(engines, 1).await?;
         let before = time_of_threads(CONTROL)?;
         tokio::time::sleep(IDLE_TIME).await;
         let spent = time_of_threads(CONTROL)?.saturating_sub(before);
@@ -99,9 +111,57 @@
     })
 }
 
+/// Measures how long an operator waits for a burn report over all routers, which know each other.
+async fn burn_time() -> anyhow::Result<Figure> {
+    let mut points = Vec::new();
+    for routers in ROUTER_SIZES {
+        let fleet = start(4, routers).await?;
+        wait_for_members(&fleet, routers).await?;
+        let mut slowest = Duration::ZERO;
+        for _ in 0..BURN_REPORTS {
+            let began = Instant::now();
+            let report = burn_report(&fleet).await?;
+            slowest = slowest.max(began.elapsed());
+            anyhow::ensure!(report.missing.is_empty(), "a router did not answer");
+        }
+        stop(fleet).await?;
+        points.push(Point {
+            size: f64::from(u32::try_from(routers)?),
+            value: slowest.as_secs_f64() * 1e3,
+        });
+    }
+    Ok(Figure {
+        role: "burn, explain",
+        name: "slowest of ten reports asked for at one router",
+        along: "router",
+        is_control: false,
+        points,
+        target_size: 9.0,
+        cost: Cost::Wait,
+    })
+}
+
+async fn burn_report(fleet: &Fleet) -> anyhow::Result<BurnReport> {
+    let address = fleet.addresses()[0].operators;
+    let http = reqwest::Client::builder().no_proxy().build()?;
+    let request = http
+        .get(format!("http://{address}/burn?window=1h"))
+        .bearer_auth(OPERATOR_KEY);
+    Ok(request.send().await?.error_for_status()?.json().await?)
+}
+
+async fn wait_for_members(fleet: &Fleet, routers: usize) -> anyhow::Result<()> {
+    let deadline = Instant::now() + MEMBERS_TIMEOUT;
+    while burn_report(fleet).await?.members.len() < routers {
+        anyhow::ensure!(Instant::now() < deadline, "the routers did not meet");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
+
 /// Measures whole streamed answers; the slope is the cost of a token and the fixed part that of a request.
 async fn traffic_time() -> anyhow::Result<Figure> {
-    let fleet = start(4).await?;
+    let fleet = start(4, 1).await?;
     let http = reqwest::Client::builder().no_proxy().build()?;
     let mut points = Vec::new();
     for tokens in TOKEN_SIZES {
--- a/standin/src/capacity/target.rs
+++ b/standin/src/capacity/target.rs
@@ -8,6 +8,8 @@
 pub(super) const REQUESTS_PER_SECOND: f64 = 6_600.0;
 /// Generated tokens a second at the peak, over all routers.
 pub(super) const TOKENS_PER_SECOND: f64 = 3_200_000.0;
+/// Cached blocks over all replicas.
+pub(super) const CACHED_BLOCKS: f64 = 35_000_000.0;
 /// Client accounts.
 pub(super) const ACCOUNTS: f64 = 41_000.0;
 /// Models in steady use.
