--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,6 +12,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
 use crate::configuration::{StateSource, StoredState};
@@ -20,6 +21,7 @@
 use crate::explain::{RouterTag, new_request_id, router_tag};
 use crate::id::{Incarnation, RequestId};
 use crate::peer::Links;
+use crate::request::claim_service::{ClaimOptions, ClaimService};
 use crate::settings::RouterSettings;
 use crate::store::{self, StoreSettings};
 
@@ -51,6 +53,8 @@
     pub(crate) engines: EngineClient,
     /// The client of the platform's object API.
     pub(crate) store: store::Client,
+    /// Claims calls that may not be repeated.
+    pub(crate) claims: ClaimService,
     /// The configuration in force as the platform holds it.
     pub(crate) stored: ArcSwap<StoredState>,
     /// The connections to other routers, once the control thread has opened them.
@@ -66,18 +70,30 @@
     /// Makes the shared part of a router that knows nothing yet.
     ///
     /// The second value is the control thread's end of the queue of events.
-    pub(crate) fn new(settings: RouterSettings) -> Result<(Self, mpsc::Receiver<Event>), Error> {
+    pub(crate) fn new(
+        settings: RouterSettings,
+        traffic: &Handle,
+    ) -> Result<(Self, mpsc::Receiver<Event>), Error> {
         let engines = EngineClient::new(settings.times.connect_timeout())?;
         let store = store::Client::new(&store_settings(&settings))?;
+        let incarnation = new_incarnation();
+        let claims = ClaimOptions {
+            router: Arc::clone(&settings.router),
+            incarnation,
+            store: store.clone(),
+            claim_timeout: settings.times.platform_timeout() / 2,
+        };
+        let claims = ClaimService::start(claims, traffic);
         let (events, receiver) = mpsc::channel(EVENT_QUEUE);
         let tag = router_tag(&settings.router);
         let shared = Self {
             settings,
-            incarnation: new_incarnation(),
+            incarnation,
             snapshot: ArcSwap::default(),
             engines,
             store,
             links: OnceLock::new(),
+            claims,
             draining: AtomicBool::new(false),
             open_requests: Arc::default(),
             stored: ArcSwap::default(),
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -7,7 +7,7 @@
 use crate::account::NamedAccount;
 use crate::burn::{Ending, Observation};
 use crate::control::{Event, Shared};
-use crate::explain::{Attempt, AttemptCause, End, Explanation, Run};
+use crate::explain::{Attempt, AttemptCause, Claim, End, Explanation, Run};
 use crate::id::{Incarnation, ReplicaId, RequestId, Revision, ServiceName, ZoneName};
 use crate::pool::Replica;
 use crate::prefix::Opening;
@@ -149,6 +149,11 @@
         self.explanation.warm_tokens_found = Some(tokens);
     }
 
+    /// Notes that the call had run before, and that its kept answer is returned.
+    pub(crate) fn answer_kept(&mut self) {
+        self.explanation.claim = Some(Claim::AnswerKept);
+    }
+
     /// Notes that the caller got the whole answer, with `status`.
     pub(crate) fn complete(&mut self, status: u16) {
         self.end_attempt("answered");
