--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -59,6 +59,7 @@
     call: PlainCall,
     /// What is claimed, for a call that may not be repeated.
     once: Option<(ClaimKey, [u8; 16], Option<u32>)>,
+    /// Follows the call for operators.
     record: Record,
 }
 
@@ -89,8 +90,9 @@
     async fn answer(&self, request: &mut Request, res: &mut Response) -> Result<(), Reply> {
         let request_id = self.shared.new_request_id();
         set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
-        let prepared = self.prepare(request_id, request).await;
-        let mut prepared = prepared.map_err(|reply| before_claim(reply, request))?;
+        let prepared = self.prepare(request, request_id).await;
+        let prepared = prepared.map_err(|reply| before_claim(reply, request))?;
+        let mut record = prepared.record;
         let pool = Arc::clone(&prepared.pool);
         let answer = match prepared.once {
             None => self.repeatable(request_id, &pool, &prepared.call).await,
@@ -107,15 +109,15 @@
                 claimed.run().await
             }
         };
-        record_plain(&mut prepared.record, &pool, answer.as_ref());
+        record_plain(&mut record, &pool, answer.as_ref());
         write_answer(res, answer?);
         Ok(())
     }
 
     async fn prepare(
         &self,
-        request_id: RequestId,
         request: &mut Request,
+        request_id: RequestId,
     ) -> Result<Prepared, Reply> {
         let snapshot = self.shared.snapshot.load_full();
         let account = authenticate(request, &snapshot)?;
@@ -280,8 +282,11 @@
 fn record_plain(record: &mut Record, pool: &PoolView, answer: Result<&PlainAnswer, &Reply>) {
     match answer {
         Ok(answer) => {
-            let replica = answer.replica.as_ref();
-            let is_placed = |view: &&ReplicaView| Some(&view.replica.id) == replica;
+            let Some(replica) = &answer.replica else {
+                record.answer_kept();
+                return record.complete(answer.status.as_u16());
+            };
+            let is_placed = |view: &&ReplicaView| view.replica.id == *replica;
             if let Some(view) = pool.replicas.iter().find(is_placed) {
                 record.begin_attempt(&view.replica, AttemptCause::First);
             }
