--- a/src/control/feed.rs
+++ b/src/control/feed.rs
@@ -29,12 +29,15 @@
     }
 }
 
-/// Tells whether this router is among the few of its availability zone that watch.
+/// Tells whether this router is one of the few of its zone that watch.
 fn watches(shared: &Shared) -> bool {
+    let settings = &shared.settings;
     let snapshot = shared.snapshot.load();
-    let members = snapshot.members.iter();
-    let members = members.map(|member| (&member.router, &member.zone));
-    is_watcher(&shared.settings.router, &shared.settings.zone, members)
+    let members = snapshot
+        .members
+        .iter()
+        .map(|member| (&member.router, &member.zone));
+    is_watcher(&settings.router, &settings.zone, members)
 }
 
 async fn carry_out(shared: &Shared, step: WatchStep) -> Result<WatchEvent, Error> {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,13 +12,17 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
 use crate::configuration::{StateSource, StoredState};
 use crate::engine::EngineClient;
 use crate::error::Error;
-use crate::id::Incarnation;
+use crate::explain::{RouterTag, new_request_id, router_tag};
+use crate::id::{Incarnation, RequestId};
 use crate::peer::Links;
+use crate::request::claim_service::{ClaimOptions, ClaimService};
+use crate::request::event_id::EventIdKey;
 use crate::settings::RouterSettings;
 use crate::store::{self, StoreSettings};
 
@@ -27,11 +31,12 @@
 mod loads;
 mod peers;
 mod publisher;
+mod reports;
 mod rollouts;
 mod snapshot;
 mod thread;
 
-pub(crate) use self::snapshot::{InFlight, PoolView, Snapshot};
+pub(crate) use self::snapshot::{InFlight, PoolView, ReplicaView, Snapshot};
 pub(crate) use self::thread::{ControlThread, Event};
 
 /// The events that may wait for the control thread.
@@ -50,6 +55,10 @@
     pub(crate) engines: EngineClient,
     /// The client of the platform's object API.
     pub(crate) store: store::Client,
+    /// The keys of event ids; the first signs, each is accepted.
+    pub(crate) event_id_keys: Vec<EventIdKey>,
+    /// Claims calls that may not be repeated.
+    pub(crate) claims: ClaimService,
     /// The configuration in force as the platform holds it.
     pub(crate) stored: ArcSwap<StoredState>,
     /// The connections to other routers, once the control thread has opened them.
@@ -58,27 +67,47 @@
     pub(crate) draining: AtomicBool,
     open_requests: Arc<AtomicUsize>,
     events: mpsc::Sender<Event>,
+    tag: RouterTag,
 }
 
 impl Shared {
     /// Makes the shared part of a router that knows nothing yet.
     ///
     /// The second value is the control thread's end of the queue of events.
-    pub(crate) fn new(settings: RouterSettings) -> Result<(Self, mpsc::Receiver<Event>), Error> {
+    pub(crate) fn new(
+        settings: RouterSettings,
+        traffic: &Handle,
+    ) -> Result<(Self, mpsc::Receiver<Event>), Error> {
         let engines = EngineClient::new(settings.times.connect_timeout())?;
         let store = store::Client::new(&store_settings(&settings))?;
+        let incarnation = new_incarnation();
+        let secrets = settings.peer_keys.iter();
+        let event_id_keys = secrets
+            .map(|secret| EventIdKey::derive(secret.as_bytes()))
+            .collect();
+        let claims = ClaimOptions {
+            router: Arc::clone(&settings.router),
+            incarnation,
+            store: store.clone(),
+            claim_timeout: settings.times.platform_timeout() / 2,
+        };
+        let claims = ClaimService::start(claims, traffic);
         let (events, receiver) = mpsc::channel(EVENT_QUEUE);
+        let tag = router_tag(&settings.router);
         let shared = Self {
             settings,
-            incarnation: new_incarnation(),
+            incarnation,
             snapshot: ArcSwap::default(),
             engines,
             store,
             links: OnceLock::new(),
+            claims,
+            event_id_keys,
             draining: AtomicBool::new(false),
             open_requests: Arc::default(),
             stored: ArcSwap::default(),
             events,
+            tag,
         };
         Ok((shared, receiver))
     }
@@ -88,6 +117,21 @@
         &self.events
     }
 
+    /// Makes the id of a request that this router takes.
+    pub(crate) fn new_request_id(&self) -> RequestId {
+        let unix_now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        new_request_id(self.tag, unix_now, &mut rand::rng())
+    }
+
+    /// Tells the control thread what was observed; where its queue is full, the observation is dropped and counted.
+    pub(crate) fn observe(&self, event: Event) {
+        if self.events.try_send(event).is_err() {
+            metrics::counter!("crocuswharf_observations_dropped_total").increment(1);
+        }
+    }
+
     /// Offers a configuration to the control thread, which takes it if it is newer.
     pub(crate) async fn offer_configuration(&self, source: StateSource, state: StoredState) {
         let event = Event::Configuration(source, Box::new(state));
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -8,7 +8,7 @@
 use crate::backend::{Availability, Backend};
 use crate::configuration::Configuration;
 use crate::directory::Directory;
-use crate::id::{PoolName, ReplicaId};
+use crate::id::{Incarnation, PoolName, ReplicaId};
 use crate::membership::{LeavingVms, Member};
 use crate::pool::{Pool, Replica};
 use crate::protocol::LoadReport;
@@ -56,6 +56,13 @@
         }
     }
 
+    /// Returns the incarnation of a replica and whether it gets new work.
+    pub(crate) fn seen(&self, pool: &PoolName, replica: &ReplicaId) -> Option<(Incarnation, bool)> {
+        let key = (Arc::clone(pool), Arc::clone(replica));
+        let view = self.replicas.get(&key)?;
+        Some((view.incarnation, view.available))
+    }
+
     /// Takes over which replicas get no new work because they are drained for an order.
     pub(crate) fn set_drained(&mut self, drained: BTreeSet<(PoolName, ReplicaId)>) {
         self.drained = drained;
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -14,14 +14,17 @@
 use super::loads::poll_load;
 use super::peers::{PeerChange, Peers, TICK_INTERVAL};
 use super::publisher::Publisher;
+use super::reports::Reports;
 use super::rollouts::{RolloutEvent, Rollouts};
 use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
 use crate::membership::Heartbeat;
-use crate::peer::{Inbound, PeerEvent};
+use crate::peer::{Inbound, Kind, PeerEvent};
 use crate::protocol::{LoadReport, Vm};
 use crate::service::ServiceKind;
+use crate::status::{AskedReport, ReportReply};
+use crate::telemetry::JournalEntry;
 
 /// What the control thread reacts to.
 #[derive(Debug)]
@@ -43,6 +46,12 @@
     Vms(Vec<Vm>),
     /// A fetch of a peer's configuration has ended.
     FetchEnded,
+    /// A request has ended.
+    Ended(Box<JournalEntry>),
+    /// An operator asks for this router's part of a report.
+    Report(AskedReport, oneshot::Sender<ReportReply>),
+    /// A scrape is about to read the metrics.
+    Scrape(oneshot::Sender<()>),
     /// A call of a rollout has ended.
     Rollout(RolloutEvent),
 }
@@ -134,6 +143,7 @@
     peers: Peers,
     rollouts: Rollouts,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
+    reports: Reports,
 }
 
 impl Control {
@@ -141,6 +151,7 @@
         // Set once here, so that an earlier value is impossible.
         let _ = shared.links.set(peers.links().clone());
         let mut control = Self {
+            reports: Reports::new(&shared),
             rollouts: Rollouts::new(Arc::clone(&shared)),
             shared,
             started: Instant::now(),
@@ -175,6 +186,9 @@
     }
 
     fn receive(&mut self, event: PeerEvent) {
+        if event.body.kind == Kind::Status {
+            return self.reports.answer_peer(event, &self.shared);
+        }
         let change = self.peers.receive(event);
         self.take_change(change);
         let mut notices = self.peers.take_notices();
@@ -189,6 +203,7 @@
         if change.members {
             let directory = self.peers.plan_directory();
             self.publisher.set_members(self.peers.members(), directory);
+            self.shared.claims.set_peers(Some(self.peers.claim_peers()));
         }
         if change.leaving_vms {
             self.publisher.set_leaving_vms(self.peers.leaving_vms());
@@ -206,11 +221,14 @@
                 replica,
                 load,
             } => {
+                let before = self.publisher.seen(&pool, &replica);
                 if let Some(load) = &load {
                     self.rollouts.observe(&pool, &replica, load);
                 }
                 self.publisher
                     .set_load(&pool, &replica, load.map(|load| *load));
+                let after = self.publisher.seen(&pool, &replica);
+                self.reports.compare_replica(&replica, before, after);
             }
             Event::Heartbeat(heartbeat) => {
                 let change = self.peers.take_heartbeat(&heartbeat, None);
@@ -221,6 +239,20 @@
                 return self.take_change(change);
             }
             Event::FetchEnded => return self.peers.end_fetch(),
+            Event::Ended(entry) => {
+                let configuration = self.publisher.configuration();
+                return self.reports.record(*entry, configuration);
+            }
+            Event::Report(asked, reply) => {
+                // A dropped receiver means that the operator has gone.
+                let _ = reply.send(self.reports.answer(asked, &self.shared));
+                return;
+            }
+            Event::Scrape(done) => {
+                self.reports.update_gauges(self.publisher.configuration());
+                let _ = done.send(());
+                return;
+            }
             Event::Rollout(event) => {
                 return self.rollouts.handle(event, &self.peers.members());
             }
@@ -255,6 +287,7 @@
         self.publisher
             .adopt(configuration, Arc::clone(self.in_force.keys()));
         self.shared.stored.store(Arc::clone(self.in_force.state()));
+        self.reports.adopt(self.publisher.configuration());
         self.peers.announce();
         self.follow_engines();
     }
--- a/standin/src/capacity/mod.rs
+++ b/standin/src/capacity/mod.rs
@@ -5,11 +5,14 @@
 
 use argh::FromArgs;
 
+mod configuration;
 mod fit;
 mod membership;
+mod owner;
 mod peers;
 mod records;
 mod report;
+mod router;
 mod target;
 #[cfg(test)]
 mod tests;
@@ -31,11 +34,14 @@
 
 type Measure = fn() -> anyhow::Result<Vec<report::Figure>>;
 
-/// The roles in the order of the report.
-const ROLES: [(&str, Measure); 3] = [
+/// The roles in the order of the report; those that measure memory come before those that free much of it.
+const ROLES: [(&str, Measure); 6] = [
+    ("membership", membership::measure),
+    ("owner", owner::measure),
     ("peers", peers::measure),
     ("records", records::measure),
-    ("membership", membership::measure),
+    ("configuration", configuration::measure),
+    ("router", router::measure),
 ];
 
 /// Measures and prints.
@@ -44,19 +50,26 @@
 ///
 /// Fails where a role can't be measured on this machine.
 pub fn run(args: &CapacityArgs) -> anyhow::Result<()> {
+    let only = args.only.clone();
+    // A thread of its own, because some roles drive a runtime and the program stands in one already.
+    let measured = std::thread::spawn(move || measure_roles(only.as_deref())).join();
+    let report = measured.map_err(|_| anyhow::anyhow!("a measurement has panicked"))??;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{}", report.render());
+    }
+    Ok(())
+}
+
+fn measure_roles(only: Option<&str>) -> anyhow::Result<Report> {
     let mut report = Report::default();
     for (name, measure) in ROLES {
-        let is_wanted = args.only.as_ref().is_none_or(|only| name.contains(&**only));
-        if !is_wanted {
+        if only.is_some_and(|only| !name.contains(only)) {
             continue;
         }
         eprintln!("measuring {name}");
         report.figures.extend(measure()?);
     }
-    if args.json {
-        println!("{}", serde_json::to_string_pretty(&report)?);
-    } else {
-        print!("{}", report.render());
-    }
-    Ok(())
+    Ok(report)
 }
