--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -10,7 +10,7 @@
 use super::Shared;
 use super::fetch::fetch_configuration;
 use super::thread::Event;
-use crate::configuration::{Announce, Fetch, UpdateServer};
+use crate::configuration::{Announce, Fetch, StateSource, UpdateServer};
 use crate::directory::Directory;
 use crate::error::Error;
 use crate::membership::{
@@ -22,7 +22,6 @@
     ReplyHandle,
 };
 use crate::protocol::Vm;
-use crate::request::claim_service::{ClaimMember, ClaimPeers};
 
 /// How often the control thread looks at the time.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -118,21 +117,6 @@
         self.membership.members().cloned().collect()
     }
 
-    /// Returns the routers among which the claims' buckets are shared out.
-    pub(crate) fn claim_peers(&self) -> ClaimPeers {
-        let is_up = |member: &&Member| !member.leaving && member.liveness == Liveness::Alive;
-        let members = self.membership.members().filter(is_up);
-        ClaimPeers {
-            links: self.links.clone(),
-            members: members
-                .map(|member| ClaimMember {
-                    router: Arc::clone(&member.router),
-                    address: member.peers,
-                })
-                .collect(),
-        }
-    }
-
     /// Returns the VMs that leave.
     pub(crate) const fn leaving_vms(&self) -> &LeavingVms {
         &self.leaving_vms
@@ -175,7 +159,6 @@
                     log_refused(&event.from, &error);
                 }
             }
-            Kind::Claim => self.shared.claims.receive(event),
             kind => log::debug!("peer: No part takes this kind. kind={}", kind.label()),
         }
         PeerChange::default()
@@ -327,7 +310,8 @@
         tokio::spawn(async move {
             match fetch_configuration(&links, from, known).await {
                 Ok(Some(state)) => {
-                    pass_on(&events, Event::Configuration(Arc::new(state)));
+                    let event = Event::Configuration(StateSource::Peer, Box::new(state));
+                    pass_on(&events, event);
                 }
                 Ok(None) => {}
                 Err(error) => log::info!("config: A peer's configuration failed. error={error}"),
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Instant;
 
 use tokio::sync::{mpsc, oneshot};
 
@@ -13,19 +14,23 @@
 use super::loads::poll_load;
 use super::peers::{PeerChange, Peers, TICK_INTERVAL};
 use super::publisher::Publisher;
-use crate::configuration::StoredState;
+use super::reports::Reports;
+use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
-use crate::membership::Heartbeat;
-use crate::peer::{Inbound, PeerEvent};
+use crate::membership::{Heartbeat, Liveness, Member};
+use crate::peer::{Inbound, Kind, Links, PeerEvent};
 use crate::protocol::{LoadReport, Vm};
+use crate::request::claim_service::{ClaimMember, ClaimPeers};
 use crate::service::ServiceKind;
+use crate::status::{AskedReport, ReportReply};
+use crate::telemetry::JournalEntry;
 
 /// What the control thread reacts to.
 #[derive(Debug)]
 pub(crate) enum Event {
-    /// A configuration was loaded.
-    Configuration(Arc<StoredState>),
+    /// A configuration was loaded or accepted.
+    Configuration(StateSource, Box<StoredState>),
     /// An engine was asked for its load.
     Load {
         /// The pool of the replica.
@@ -41,6 +46,12 @@
     Vms(Vec<Vm>),
     /// A fetch of a peer's configuration has ended.
     FetchEnded,
+    /// A request has ended.
+    Ended(Box<JournalEntry>),
+    /// An operator asks for this router's part of a report.
+    Report(AskedReport, oneshot::Sender<ReportReply>),
+    /// A scrape is about to read the metrics.
+    Scrape(oneshot::Sender<()>),
 }
 
 /// The running control thread; dropping it stops the thread.
@@ -101,10 +112,7 @@
     mut inbound: Inbound,
     mut stopped: oneshot::Receiver<()>,
 ) {
-    let feed = tokio::spawn(follow_configuration(
-        Arc::clone(&shared),
-        shared.events().clone(),
-    ));
+    let feed = tokio::spawn(follow_configuration(Arc::clone(&shared)));
     let vms = tokio::spawn(follow_vms(Arc::clone(&shared)));
     let mut control = Control::new(shared, peers);
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
@@ -127,9 +135,12 @@
 /// The control state.
 struct Control {
     shared: Arc<Shared>,
+    started: Instant,
+    in_force: InForce,
     publisher: Publisher,
     peers: Peers,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
+    reports: Reports,
 }
 
 impl Control {
@@ -137,7 +148,10 @@
         // Set once here, so that an earlier value is impossible.
         let _ = shared.links.set(peers.links().clone());
         let mut control = Self {
+            reports: Reports::new(&shared),
             shared,
+            started: Instant::now(),
+            in_force: InForce::new(),
             publisher: Publisher::default(),
             peers,
             polls: HashMap::new(),
@@ -155,6 +169,12 @@
     }
 
     fn receive(&mut self, event: PeerEvent) {
+        if event.body.kind == Kind::Claim {
+            return self.shared.claims.receive(event);
+        }
+        if event.body.kind == Kind::Status {
+            return self.reports.answer_peer(event, &self.shared);
+        }
         let change = self.peers.receive(event);
         self.take_change(change);
     }
@@ -162,8 +182,10 @@
     fn take_change(&mut self, change: PeerChange) {
         if change.members {
             let directory = self.peers.plan_directory();
-            self.publisher.set_members(self.peers.members(), directory);
-            self.shared.claims.set_peers(Some(self.peers.claim_peers()));
+            let members = self.peers.members();
+            let claim_peers = claim_peers(self.peers.links(), &members);
+            self.shared.claims.set_peers(Some(claim_peers));
+            self.publisher.set_members(members, directory);
         }
         if change.leaving_vms {
             self.publisher.set_leaving_vms(self.peers.leaving_vms());
@@ -175,14 +197,17 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Configuration(state) => self.adopt(&state),
+            Event::Configuration(source, state) => self.adopt(source, *state),
             Event::Load {
                 pool,
                 replica,
                 load,
             } => {
+                let before = self.publisher.seen(&pool, &replica);
                 self.publisher
                     .set_load(&pool, &replica, load.map(|load| *load));
+                let after = self.publisher.seen(&pool, &replica);
+                self.reports.compare_replica(&replica, before, after);
             }
             Event::Heartbeat(heartbeat) => {
                 let change = self.peers.take_heartbeat(&heartbeat, None);
@@ -193,17 +218,52 @@
                 return self.take_change(change);
             }
             Event::FetchEnded => return self.peers.end_fetch(),
+            Event::Ended(entry) => {
+                let configuration = self.publisher.configuration();
+                return self.reports.record(*entry, configuration);
+            }
+            Event::Report(asked, reply) => {
+                // A dropped receiver means that the operator has gone.
+                let _ = reply.send(self.reports.answer(asked, &self.shared));
+                return;
+            }
+            Event::Scrape(done) => {
+                self.reports.update_gauges(self.publisher.configuration());
+                let _ = done.send(());
+                return;
+            }
         }
         self.publish();
     }
 
-    fn adopt(&mut self, state: &Arc<StoredState>) {
+    fn adopt(&mut self, source: StateSource, state: StoredState) {
+        let source = source.label();
         let revision = state.revision();
-        if !self.publisher.adopt(Arc::new(state.configuration())) {
-            return;
+        match self.in_force.offer(state, self.started.elapsed()) {
+            Adoption::Adopted { before } => {
+                log::info!(
+                    "config: Revision is in force. revision={revision} before={before} source={source}"
+                );
+                self.take_over();
+            }
+            Adoption::Same => self.shared.stored.store(Arc::clone(self.in_force.state())),
+            Adoption::Older => log::debug!(
+                "config: Older revision was ignored. revision={revision} source={source}"
+            ),
+            Adoption::Diverged => {
+                log::error!(
+                    "config: Other content of the revision in force was ignored. revision={revision} source={source}"
+                );
+            }
         }
-        self.shared.stored.store(Arc::clone(state));
-        log::info!("config: Revision is in force. revision={revision}");
+    }
+
+    fn take_over(&mut self) {
+        let configuration = Arc::clone(self.in_force.configuration());
+        self.publisher
+            .adopt(configuration, Arc::clone(self.in_force.keys()));
+        self.shared.stored.store(Arc::clone(self.in_force.state()));
+        self.reports.adopt(self.publisher.configuration());
         self.peers.announce();
         self.follow_engines();
     }
@@ -252,3 +312,19 @@
         }
     }
 }
+
+/// Returns the routers among which buckets of claims are shared out: those that run and don't leave.
+fn claim_peers(links: &Links, members: &[Member]) -> ClaimPeers {
+    let members = members
+        .iter()
+        .filter(|member| member.liveness == Liveness::Alive && !member.leaving)
+        .map(|member| ClaimMember {
+            router: Arc::clone(&member.router),
+            address: member.peers,
+        })
+        .collect();
+    ClaimPeers {
+        links: links.clone(),
+        members,
+    }
+}
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -10,6 +10,7 @@
 use super::body::ChatBody;
 use super::caller::{authenticate, bad_request, find_service, too_large};
 use super::dispatch::{Dispatch, DispatchRequest, Placed};
+use super::record::Record;
 use super::relay::Relay;
 use super::reply::{Reply, RunState, set_header};
 use crate::account::NamedAccount;
@@ -42,7 +43,7 @@
         let account = authenticate(request, &snapshot)?;
         let last_event = self.last_event(request, &account)?;
         let stream = last_event.as_ref().map(|id| id.stream);
-        let request_id = stream.unwrap_or_else(RequestId::now_v7);
+        let request_id = stream.unwrap_or_else(|| self.shared.new_request_id());
         set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
         let limit_bytes = self.shared.settings.bounds.body_limit_bytes;
         let body = read_body(request, limit_bytes).await?;
@@ -85,8 +86,11 @@
         mut dispatch: Dispatch,
         id: &EventId,
     ) -> Result<(), Reply> {
-        let found = dispatch.find_stream(id).await;
-        let (placed, answer) = found.ok_or_else(stream_lost)?;
+        let Some((placed, answer)) = dispatch.find_stream(id).await else {
+            let reply = stream_lost();
+            dispatch.record_failure(&reply);
+            return Err(reply);
+        };
         describe(res, &placed, &answer);
         let silence = self.shared.settings.times.stream_silence();
         let relay = Relay::new(dispatch, placed, answer, silence).resume_after(id);
@@ -117,11 +121,16 @@
             adapter: pool.pool.adapter.as_deref(),
             weights_version: pool.pool.weights_version,
         };
+        let opening = Opening::of_messages(root, body.texts());
+        let revision = snapshot.configuration.revision;
+        let mut record = Record::begin(&self.shared, request_id, revision, &body.model, account);
+        record.set_opening(&opening);
         let request = DispatchRequest {
             request_id,
             account: Arc::clone(&account.id),
             priority: account.account.priority,
-            opening: Opening::of_messages(root, body.texts()),
+            opening,
+            record,
             body: bytes.clone(),
             deadline: Instant::now() + Duration::from_millis(service.request_timeout_ms),
             open: self.shared.open_request(),
@@ -172,7 +181,7 @@
     for _ in 0..MAX_WHOLE_ATTEMPTS {
         let status = answer.response.status();
         if let Ok(bytes) = answer.response.bytes().await {
-            dispatch.record_end(true);
+            dispatch.record_whole(status.as_u16());
             res.status_code(status);
             set_header(res, "content-type", "application/json");
             res.body(bytes);
@@ -182,8 +191,9 @@
         (placed, answer) = dispatch.place(dispatch.body().clone()).await?;
         describe(res, &placed, &answer);
     }
-    dispatch.record_end(false);
-    Err(broken_off())
+    let reply = broken_off();
+    dispatch.record_failure(&reply);
+    Err(reply)
 }
 
 fn broken_off() -> Reply {
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -17,9 +17,11 @@
 use super::caller::{authenticate, find_service};
 use super::chat::read_body;
 use super::claimed::{ClaimedRequest, SendHead, before_claim, content_digest};
+use super::record::Record;
 use super::reply::{Reply, RunState, set_header};
-use crate::control::{InFlight, PoolView, Shared};
+use crate::control::{InFlight, PoolView, ReplicaView, Shared};
 use crate::engine::{CallError, PlainCall};
+use crate::explain::AttemptCause;
 use crate::id::RequestId;
 use crate::protocol::{HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN};
 use crate::request::claim::ClaimKey;
@@ -57,6 +59,7 @@
     call: PlainCall,
     /// What is claimed, for a call that may not be repeated.
     once: Option<(ClaimKey, [u8; 16], Option<u32>)>,
+    record: Record,
 }
 
 /// A whole answer of a plain service.
@@ -84,15 +87,13 @@
     }
 
     async fn answer(&self, request: &mut Request, res: &mut Response) -> Result<(), Reply> {
-        let request_id = RequestId::now_v7();
+        let request_id = self.shared.new_request_id();
         set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
-        let prepared = self.prepare(request).await;
-        let prepared = prepared.map_err(|reply| before_claim(reply, request))?;
+        let prepared = self.prepare(request_id, request).await;
+        let mut prepared = prepared.map_err(|reply| before_claim(reply, request))?;
+        let pool = Arc::clone(&prepared.pool);
         let answer = match prepared.once {
-            None => {
-                self.repeatable(request_id, &prepared.pool, &prepared.call)
-                    .await?
-            }
+            None => self.repeatable(request_id, &pool, &prepared.call).await,
             Some((key, digest, send_number)) => {
                 let claimed = ClaimedRequest {
                     handler: self.clone(),
@@ -103,14 +104,19 @@
                     send_number,
                     _open: self.shared.open_request(),
                 };
-                claimed.run().await?
+                claimed.run().await
             }
         };
-        write_answer(res, answer);
+        record_plain(&mut prepared.record, &pool, answer.as_ref());
+        write_answer(res, answer?);
         Ok(())
     }
 
-    async fn prepare(&self, request: &mut Request) -> Result<Prepared, Reply> {
+    async fn prepare(
+        &self,
+        request_id: RequestId,
+        request: &mut Request,
+    ) -> Result<Prepared, Reply> {
         let snapshot = self.shared.snapshot.load_full();
         let account = authenticate(request, &snapshot)?;
         let name = request.param::<String>("name").unwrap_or_default();
@@ -123,6 +129,8 @@
             .body_limit_bytes
             .min(self.shared.settings.bounds.body_limit_bytes);
         let body = read_body(request, limit_bytes).await?;
+        let revision = snapshot.configuration.revision;
+        let record = Record::begin(&self.shared, request_id, revision, &name, &account);
         let call = plain_call(request, &service, body);
         let path = call.path.split('?').next().unwrap_or_default();
         let once = match service.is_idempotent(call.method.as_str(), path) {
@@ -137,6 +145,7 @@
             pool: Arc::clone(pool),
             call,
             once,
+            record,
         })
     }
 
@@ -267,6 +276,22 @@
     }
 }
 
+/// Tells operators how the call ended.
+fn record_plain(record: &mut Record, pool: &PoolView, answer: Result<&PlainAnswer, &Reply>) {
+    match answer {
+        Ok(answer) => {
+            let replica = answer.replica.as_ref();
+            let is_placed = |view: &&ReplicaView| Some(&view.replica.id) == replica;
+            if let Some(view) = pool.replicas.iter().find(is_placed) {
+                record.begin_attempt(&view.replica, AttemptCause::First);
+            }
+            record.token();
+            record.complete(answer.status.as_u16());
+        }
+        Err(reply) => record.refused(reply),
+    }
+}
+
 fn write_answer(res: &mut Response, answer: PlainAnswer) {
     res.status_code(answer.status);
     for (name, value) in &answer.headers {
