--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -86,8 +86,11 @@
         mut dispatch: Dispatch,
         id: &EventId,
     ) -> Result<(), Reply> {
-        let found = dispatch.find_stream(id).await;
-        let (placed, answer) = found.ok_or_else(stream_lost)?;
+        let Some((placed, answer)) = dispatch.find_stream(id).await else {
+            let reply = stream_lost();
+            dispatch.record_failure(&reply);
+            return Err(reply);
+        };
         describe(res, &placed, &answer);
         let silence = self.shared.settings.times.stream_silence();
         let relay = Relay::new(dispatch, placed, answer, silence).resume_after(id);
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -230,6 +230,7 @@
         let in_flight = InFlight::new(&view.in_flight);
         let resumed = self.resume(&placed, id.sequence);
         let answer = tokio::time::timeout(RESUME_TIMEOUT, resumed).await.ok()??;
+        self.record.answered_by(answer.incarnation);
         self.in_flight = Some(in_flight);
         Some((placed, answer))
     }
