Let the router choose by the policy: owners over the peer links

Cause: the thin path chose among rendezvous homes and knew nothing of caches.

Change: the control thread holds a view for each pool, answers look-ups of peers and of its own traffic threads, and tells the cell what it placed; the entry asks the opening's owner, then the next, then itself; first tokens, cached tokens and ends go back as observations. The replicas that failed a request are excluded from its further choices.

Conclusion: the real path runs the policy. Hand-over of views between routers is not wired yet.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -25,11 +25,13 @@
 mod feed;
 mod fetch;
 mod loads;
+mod owners;
 mod peers;
 mod publisher;
 mod snapshot;
 mod thread;
 
+pub(crate) use self::owners::Routing;
 pub(crate) use self::snapshot::{InFlight, PoolView, Snapshot};
 pub(crate) use self::thread::{ControlThread, Event};
 
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use super::owners::{Owners, Routing};
 use super::snapshot::{PoolView, ReplicaView, Snapshot};
 use crate::account::AccountKeys;
 use crate::backend::{Availability, Backend};
@@ -21,6 +22,7 @@
     replicas: HashMap<(PoolName, ReplicaId), ReplicaView>,
     members: Arc<[Member]>,
     directory: Option<Arc<Directory>>,
+    routing: HashMap<PoolName, Arc<Routing>>,
 }
 
 impl Publisher {
@@ -78,6 +80,25 @@
         view.load = view.backend.load().cloned();
     }
 
+    /// Hands the pools' replicas to the policy, and takes over what traffic threads need of it.
+    pub(crate) fn route(&mut self, owners: &mut Owners) {
+        owners.set_members(&self.members);
+        let pools = self.configuration.pools.iter();
+        self.routing = pools
+            .map(|(name, pool)| {
+                let view = self.pool_view(name, pool);
+                let routing = owners.set_pool(name, pool, &view.replicas);
+                (Arc::clone(name), routing)
+            })
+            .collect();
+    }
+
+    /// Returns the position of a replica in its pool.
+    pub(crate) fn position_of(&self, pool: &PoolName, replica: &ReplicaId) -> Option<usize> {
+        let pool = self.configuration.pools.get(pool)?;
+        pool.replicas.iter().position(|r| r.id == *replica)
+    }
+
     /// Builds the snapshot of the present state.
     pub(crate) fn snapshot(&self) -> Snapshot {
         let pools = self
@@ -107,6 +128,7 @@
         PoolView {
             pool: Arc::clone(pool),
             replicas,
+            routing: self.routing.get(name).cloned(),
         }
     }
 
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use super::owners::Routing;
 use crate::account::{AccountKeys, NamedAccount};
 use crate::backend::Backend;
 use crate::configuration::Configuration;
@@ -38,6 +39,8 @@
     pub(crate) pool: Arc<Pool>,
     /// The replicas in the order of the configuration.
     pub(crate) replicas: Vec<ReplicaView>,
+    /// What it takes to ask an opening's owner.
+    pub(crate) routing: Option<Arc<Routing>>,
 }
 
 /// What is known of one replica.
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -12,13 +12,15 @@
 use super::feed::follow_configuration;
 use super::fetch::follow_vms;
 use super::loads::poll_load;
+use super::owners::Owners;
 use super::peers::{PeerChange, Peers, TICK_INTERVAL};
 use super::publisher::Publisher;
 use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
 use crate::membership::Heartbeat;
-use crate::peer::{Inbound, PeerEvent};
+use crate::peer::{Inbound, Kind, PeerEvent};
+use crate::policy::{Lookup, Observation, OwnerReply};
 use crate::protocol::{LoadReport, Vm};
 use crate::service::ServiceKind;
 
@@ -42,6 +44,24 @@
     Vms(Vec<Vm>),
     /// A fetch of a peer's configuration has ended.
     FetchEnded,
+    /// A traffic thread asks where a prompt should go, by this router's own view.
+    Lookup {
+        /// The pool's tag.
+        pool: u32,
+        /// The question.
+        lookup: Box<Lookup>,
+        /// Takes the answer.
+        reply: oneshot::Sender<OwnerReply>,
+    },
+    /// A traffic thread saw something of a replica.
+    Observed {
+        /// The pool's tag.
+        pool: u32,
+        /// The cell that was asked.
+        cell: usize,
+        /// What it saw.
+        observation: Box<Observation>,
+    },
 }
 
 /// The running control thread; dropping it stops the thread.
@@ -129,6 +149,7 @@
     in_force: InForce,
     publisher: Publisher,
     peers: Peers,
+    owners: Owners,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
 }
 
@@ -136,9 +157,17 @@
     fn new(shared: Arc<Shared>, peers: Peers) -> Self {
         // Set once here, so that an earlier value is impossible.
         let _ = shared.links.set(peers.links().clone());
+        let started = Instant::now();
+        let owners = Owners::new(
+            Arc::clone(&shared.settings.router),
+            Arc::clone(&shared.settings.zone),
+            peers.links().clone(),
+            started,
+        );
         let mut control = Self {
             shared,
-            started: Instant::now(),
+            started,
+            owners,
             in_force: InForce::new(),
             publisher: Publisher::default(),
             peers,
@@ -152,15 +181,38 @@
     }
 
     fn tick(&mut self) {
+        self.owners.flush();
         let change = self.peers.tick();
         self.take_change(change);
     }
 
     fn receive(&mut self, event: PeerEvent) {
+        match event.body.kind {
+            Kind::Lookup => return self.take_lookup(event),
+            Kind::Observation => return self.take_observations(&event),
+            _ => {}
+        }
         let change = self.peers.receive(event);
         self.take_change(change);
     }
 
+    fn take_lookup(&mut self, event: PeerEvent) {
+        match self.owners.take_lookup(&event.body) {
+            Ok(answer) => {
+                if let Some(reply) = event.reply {
+                    reply.send(answer);
+                }
+            }
+            Err(error) => log::warn!("peer: A lookup was refused. error={error}"),
+        }
+    }
+
+    fn take_observations(&mut self, event: &PeerEvent) {
+        if let Err(error) = self.owners.take_observations(&event.body) {
+            log::warn!("peer: Observations were refused. error={error}");
+        }
+    }
+
     fn take_change(&mut self, change: PeerChange) {
         if change.members {
             let directory = self.peers.plan_directory();
@@ -182,6 +234,11 @@
                 replica,
                 load,
             } => {
+                if let Some(load) = &load
+                    && let Some(position) = self.publisher.position_of(&pool, &replica)
+                {
+                    self.owners.take_load(&pool, position, load);
+                }
                 self.publisher
                     .set_load(&pool, &replica, load.map(|load| *load));
             }
@@ -194,6 +251,20 @@
                 return self.take_change(change);
             }
             Event::FetchEnded => return self.peers.end_fetch(),
+            Event::Lookup {
+                pool,
+                lookup,
+                reply,
+            } => {
+                // A closed channel means that the asker did not wait.
+                let _ = reply.send(self.owners.answer(pool, &lookup));
+                return;
+            }
+            Event::Observed {
+                pool,
+                cell,
+                observation,
+            } => return self.owners.observe(pool, cell, *observation),
         }
         self.publish();
     }
@@ -259,7 +330,8 @@
         }
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
+        self.publisher.route(&mut self.owners);
         self.shared
             .snapshot
             .store(Arc::new(self.publisher.snapshot()));
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -82,6 +82,7 @@
             opening: Opening::of_messages(root, body.texts()),
             body: bytes.clone(),
             deadline: Instant::now() + Duration::from_millis(service.request_timeout_ms),
+            preference: snapshot.configuration.preference_of(&service),
             open: self.shared.open_request(),
         };
         let dispatch = Dispatch::new(Arc::clone(&self.shared), Arc::clone(pool), request);
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -1,45 +1,189 @@
-//! A first choice of replica: rendezvous homes with bounded load.
-//!
-//! It stands in until the routing policy decides; it needs no state but the router's own requests in flight.
+//! The choice of a replica: asks the opening's owner, and decides by this router's own view where none answers.
 
-use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
 
-use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use tokio::sync::oneshot;
 
-use crate::control::PoolView;
+use crate::control::{Event, PoolView, Routing, Shared};
+use crate::id::RequestId;
+use crate::peer::{Body, Kind};
+use crate::policy::{
+    Choice, Deciding, InstanceTag, Lookup, LookupMessage, Observation, OwnerReply,
+    OwnerReplyMessage, ReplicaView, RequestTag, choose,
+};
+use crate::preference::Preference;
 use crate::prefix::Opening;
 
-/// The number of homes that an opening has.
-const HOMES: usize = 3;
+/// The time that an owner has for its answer.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(5);
+/// The owners that are asked, one after another.
+const OWNERS: usize = 2;
 
-/// Chooses among the available replicas not in `excluded`, and returns the index.
-pub(crate) fn choose(pool: &PoolView, opening: &Opening, excluded: &[usize]) -> Option<usize> {
-    let homes = rank(pool, opening, excluded);
-    homes
-        .into_iter()
-        .min_by_key(|&index| pool.replicas[index].in_flight.load(Ordering::Relaxed))
+/// One request's way to a replica.
+pub(crate) struct Chooser {
+    shared: Arc<Shared>,
+    routing: Option<Arc<Routing>>,
+    preference: Arc<Preference>,
+    request: RequestTag,
+    cell: usize,
+    instance: Option<InstanceTag>,
 }
 
-fn rank(pool: &PoolView, opening: &Opening, excluded: &[usize]) -> SmallVec<[usize; HOMES]> {
-    let level = opening.pieces.len().saturating_sub(2).min(1);
-    let hash = opening.pieces.get(level).map_or(0, |piece| piece.hash);
-    let mut ranked: Vec<(u64, usize)> = pool
-        .replicas
-        .iter()
-        .enumerate()
-        .filter(|(index, view)| view.available && !excluded.contains(index))
-        .map(|(index, view)| (score(hash, &view.replica.id), index))
-        .collect();
-    ranked.sort_unstable_by(|one, two| two.cmp(one));
-    ranked
-        .into_iter()
-        .take(HOMES)
-        .map(|(_, index)| index)
-        .collect()
-}
+impl Chooser {
+    /// Makes the chooser of one request.
+    #[expect(
+        clippy::cast_possible_truncation,
+        reason = "the low bits of the request's id are its tag"
+    )]
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        pool: &PoolView,
+        preference: Arc<Preference>,
+        request_id: RequestId,
+    ) -> Self {
+        Self {
+            shared,
+            routing: pool.routing.clone(),
+            preference,
+            request: request_id.as_u128() as RequestTag,
+            cell: 0,
+            instance: None,
+        }
+    }
+
+    /// Chooses a replica, but for those in `excluded`.
+    pub(crate) async fn choose(&mut self, opening: &Opening, excluded: &[usize]) -> Choice {
+        let Some(routing) = self.routing.clone() else {
+            return Choice::NoReplica;
+        };
+        let key = opening.owner_key();
+        let cells = routing.pool.cells().cells_of(key, 1);
+        self.cell = cells.first().copied().unwrap_or(0);
+        let price = self.preference.recomputation_price;
+        let mut lookup = Lookup::new(self.request, self.cell, opening, price, routing.zone);
+        let failed = excluded
+            .iter()
+            .filter_map(|&i| routing.pool.replicas().get(i));
+        lookup.excluded = failed.map(ReplicaView::instance).collect();
+        let reply = self.ask(&routing, &lookup).await;
+        let deciding = Deciding {
+            zone: routing.zone,
+            cell: self.cell,
+            excluded: lookup.excluded.clone(),
+        };
+        let choice = choose(
+            &routing.pool,
+            opening,
+            reply.as_ref(),
+            &self.preference,
+            deciding,
+            routing.started.elapsed(),
+            &mut rand::rng(),
+        );
+        self.note(&routing, opening, &choice);
+        choice
+    }
+
+    async fn ask(&self, routing: &Routing, lookup: &Lookup) -> Option<OwnerReply> {
+        let cells = routing.pool.cells();
+        for owner in cells.owners_of(lookup.cell, lookup.owner_key(), OWNERS) {
+            let member = routing.members.get(owner)?;
+            if member.router == self.shared.settings.router {
+                break;
+            }
+            let links = self.shared.links.get()?;
+            let body = Body::encode(Kind::Lookup, &LookupMessage::new(routing.tag, lookup));
+            let answer = links.request(member.peers, body, LOOKUP_TIMEOUT).await;
+            let reply = answer.and_then(|b| b.decode::<OwnerReplyMessage>().ok());
+            if let Some(reply) = reply {
+                return Some(reply.reply());
+            }
+            log::debug!("policy: An owner did not answer. owner={}", member.router);
+        }
+        self.ask_here(routing, lookup).await
+    }
+
+    /// Asks this router's own control thread.
+    async fn ask_here(&self, routing: &Routing, lookup: &Lookup) -> Option<OwnerReply> {
+        let (reply, answer) = oneshot::channel();
+        let event = Event::Lookup {
+            pool: routing.tag,
+            lookup: Box::new(lookup.clone()),
+            reply,
+        };
+        self.shared.events().try_send(event).ok()?;
+        tokio::time::timeout(LOOKUP_TIMEOUT, answer)
+            .await
+            .ok()?
+            .ok()
+    }
+
+    /// Remembers the placement, and tells of it where it is not the owner's own.
+    fn note(&mut self, routing: &Routing, opening: &Opening, choice: &Choice) {
+        let Choice::Replica(placement) = choice else {
+            return;
+        };
+        self.instance = Some(placement.instance);
+        if !placement.is_owners {
+            self.observe(Observation::Placed {
+                request: self.request,
+                levels: opening.levels.clone(),
+                prompt_tokens: opening.prompt_tokens,
+                instance: placement.instance,
+                at: routing.started.elapsed(),
+            });
+        }
+    }
+
+    /// Tells that the first token came, or how many tokens the engine found warm.
+    pub(crate) fn answered(&self, cached_tokens: Option<u32>) {
+        if let Some((instance, at)) = self.placed() {
+            self.observe(Observation::Answered {
+                request: self.request,
+                instance,
+                cached_tokens,
+                at,
+            });
+        }
+    }
+
+    /// Tells that the attempt at the chosen replica failed.
+    pub(crate) fn withdrawn(&self) {
+        if let Some((instance, _)) = self.placed() {
+            let request = self.request;
+            self.observe(Observation::Withdrawn { request, instance });
+        }
+    }
+
+    /// Tells that the answer ended.
+    pub(crate) fn finished(&self) {
+        if let Some((instance, at)) = self.placed() {
+            self.observe(Observation::Finished {
+                request: self.request,
+                instance,
+                at,
+            });
+        }
+    }
+
+    fn placed(&self) -> Option<(InstanceTag, Duration)> {
+        let routing = self.routing.as_ref()?;
+        Some((self.instance?, routing.started.elapsed()))
+    }
 
-fn score(hash: u128, replica: &str) -> u64 {
-    let seed = (hash ^ (hash >> 64)) as u64;
-    xxh3_64_with_seed(replica.as_bytes(), seed)
+    /// Hands an observation to the control thread, and drops it where the queue is full.
+    fn observe(&self, observation: Observation) {
+        let Some(routing) = &self.routing else {
+            return;
+        };
+        let event = Event::Observed {
+            pool: routing.tag,
+            cell: self.cell,
+            observation: Box::new(observation),
+        };
+        if self.shared.events().try_send(event).is_err() {
+            log::debug!("policy: The queue is full, and an observation was dropped.");
+        }
+    }
 }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -8,12 +8,14 @@
 use serde_json::Value;
 use smallvec::SmallVec;
 
-use super::choice::choose;
+use super::choice::Chooser;
 use super::reply::{Reply, RunState};
 use crate::control::{InFlight, OpenRequest, PoolView, Shared};
 use crate::engine::{CallError, ChatAnswer, ChatCall};
 use crate::id::{Incarnation, RequestId};
+use crate::policy::Choice;
 use crate::pool::Replica;
+use crate::preference::Preference;
 use crate::prefix::Opening;
 
 /// The replicas that are tried for one request before it is refused.
@@ -32,6 +34,7 @@
     deadline: Instant,
     excluded: SmallVec<[usize; 4]>,
     in_flight: Option<InFlight>,
+    chooser: Chooser,
     // Keeps the drain waiting until the last byte is on its way.
     _open: OpenRequest,
 }
@@ -59,6 +62,8 @@
     pub(crate) body: Bytes,
     /// When the whole answer must be there.
     pub(crate) deadline: Instant,
+    /// The routing preference of the service.
+    pub(crate) preference: Arc<Preference>,
     /// Counts the request as open.
     pub(crate) open: OpenRequest,
 }
@@ -66,7 +71,14 @@
 impl Dispatch {
     /// Makes the dispatch of `request` to the replicas of `pool`.
     pub(crate) fn new(shared: Arc<Shared>, pool: Arc<PoolView>, request: DispatchRequest) -> Self {
+        let chooser = Chooser::new(
+            Arc::clone(&shared),
+            &pool,
+            request.preference,
+            request.request_id,
+        );
         Self {
+            chooser,
             shared,
             pool,
             request_id: request.request_id,
@@ -101,13 +113,16 @@
     pub(crate) async fn place(&mut self, body: Bytes) -> Result<(Placed, ChatAnswer), Reply> {
         let mut ran = RunState::NotRun;
         for _ in 0..MAX_ATTEMPTS {
-            let Some(index) = choose(&self.pool, &self.opening, &self.excluded) else {
-                break;
+            let choice = self.chooser.choose(&self.opening, &self.excluded).await;
+            let index = match choice {
+                Choice::Replica(placement) => placement.position,
+                Choice::Shed { .. } | Choice::NoReplica => break,
             };
             match self.attempt(index, body.clone()).await {
                 Ok(placed) => return Ok(placed),
                 Err(error) => {
                     ran = worse(ran, &error);
+                    self.chooser.withdrawn();
                     self.excluded.push(index);
                 }
             }
@@ -184,7 +199,9 @@
     }
 
     /// Notes that the first token has come.
-    pub(crate) fn record_first_token(&self) {}
+    pub(crate) fn record_first_token(&self) {
+        self.chooser.answered(None);
+    }
 
     /// Learns from the usage in an engine's last chunk.
     pub(crate) fn read_usage(&self, data: &str) {
@@ -194,16 +211,17 @@
         let Ok(chunk) = serde_json::from_str::<Value>(data) else {
             return;
         };
-        let cached = &chunk["usage"]["prompt_tokens_details"]["cached_tokens"];
-        log::debug!(
-            "request: Engine told its usage. request={} cached_tokens={cached}",
-            self.request_id
-        );
+        let tokens = &chunk["usage"]["prompt_tokens_details"]["cached_tokens"];
+        let cached = tokens.as_u64().and_then(|t| u32::try_from(t).ok());
+        if cached.is_some() {
+            self.chooser.answered(cached);
+        }
     }
 
     /// Notes how the answer ended.
     pub(crate) fn record_end(&mut self, complete: bool) {
         self.in_flight = None;
+        self.chooser.finished();
         log::debug!(
             "request: Ended. request={} complete={complete}",
             self.request_id
--- a/src/policy/choose.rs
+++ b/src/policy/choose.rs
@@ -16,14 +16,14 @@
 const HOME_WARM_SHARE: f64 = 0.5;
 
 /// What the choice knows of the deciding router and the request besides its opening.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Deciding {
     /// The position of the router's availability zone among those of the pool, in the order of their names.
     pub zone: usize,
     /// The cell that was or would have been asked.
     pub cell: usize,
-    /// A replica that has just failed this request.
-    pub excluded: Option<InstanceTag>,
+    /// The replicas that have failed this request.
+    pub excluded: SmallVec<[InstanceTag; 2]>,
 }
 
 /// Where a request goes.
@@ -185,9 +185,8 @@
     }
 
     fn is_excluded(&self, replica: &ReplicaView) -> bool {
-        self.deciding
-            .excluded
-            .is_some_and(|instance| replica.instance() == instance)
+        let excluded = &self.deciding.excluded;
+        !excluded.is_empty() && excluded.contains(&replica.instance())
     }
 
     fn zone_penalty(&self, replica: &ReplicaView) -> Duration {
--- a/src/policy/message.rs
+++ b/src/policy/message.rs
@@ -40,9 +40,9 @@
     /// The position of the asking router's availability zone.
     #[prost(uint32, tag = "9")]
     pub zone: u32,
-    /// A replica that has just failed this request; zero for none.
-    #[prost(fixed64, tag = "10")]
-    pub excluded: u64,
+    /// The replicas that have failed this request.
+    #[prost(fixed64, repeated, tag = "10")]
+    pub excluded: Vec<u64>,
     /// Whether the owner only informs.
     #[prost(bool, tag = "11")]
     pub is_probe: bool,
@@ -169,7 +169,7 @@
             prompt_tokens: lookup.prompt_tokens,
             price_hundredths: hundredths(lookup.recomputation_price),
             zone: saturate(lookup.zone),
-            excluded: lookup.excluded.unwrap_or(0),
+            excluded: lookup.excluded.to_vec(),
             is_probe: lookup.is_probe,
         }
     }
@@ -185,7 +185,7 @@
             prompt_tokens: self.prompt_tokens,
             recomputation_price: f64::from(self.price_hundredths) / HUNDREDTHS,
             zone: self.zone as usize,
-            excluded: Some(self.excluded).filter(|&e| e != 0),
+            excluded: self.excluded.iter().copied().collect(),
             is_probe: self.is_probe,
         }
     }
--- a/src/policy/observation.rs
+++ b/src/policy/observation.rs
@@ -27,8 +27,8 @@
     pub recomputation_price: f64,
     /// The position of the asking router's availability zone among those of the pool, in the order of their names.
     pub zone: usize,
-    /// A replica that has just failed this request.
-    pub excluded: Option<InstanceTag>,
+    /// The replicas that have failed this request.
+    pub excluded: SmallVec<[InstanceTag; 2]>,
     /// Whether the owner only informs, and the asking router places.
     pub is_probe: bool,
 }
@@ -40,7 +40,7 @@
         self.levels.get(self.shared_level).map_or(0, |l| l.key)
     }
 
-    /// Makes the question for `opening`, without an excluded replica.
+    /// Makes the question for `opening`, without excluded replicas.
     #[must_use]
     pub fn new(
         request: RequestTag,
@@ -57,7 +57,7 @@
             prompt_tokens: opening.prompt_tokens,
             recomputation_price,
             zone,
-            excluded: None,
+            excluded: SmallVec::new(),
             is_probe: false,
         }
     }
--- a/src/policy/owner.rs
+++ b/src/policy/owner.rs
@@ -175,8 +175,9 @@
 
     fn answered(&mut self, request: RequestTag, cached_tokens: Option<u32>, at: Duration) {
         self.queue.first_token(request, at);
-        let awaited = self.take_awaited(request);
-        if let (Some(awaited), Some(cached)) = (awaited, cached_tokens) {
+        if let Some(cached) = cached_tokens
+            && let Some(awaited) = self.take_awaited(request)
+        {
             self.learn_cached(awaited.expected_warm_tokens, cached);
         }
     }
@@ -243,7 +244,9 @@
 
     /// Learns that the replica at `position` began a new life or serves other weights: all entries of the old go.
     pub fn set_identity(&mut self, position: usize, incarnation: u64, weights_version: u64) {
-        let model = &mut self.replicas[position];
+        let Some(model) = self.replicas.get_mut(position) else {
+            return;
+        };
         model.view.incarnation = incarnation;
         model.view.weights_version = weights_version;
         let instance = model.view.instance();
@@ -255,6 +258,12 @@
         *model = ReplicaModel::new(model.view.clone());
     }
 
+    /// Returns the tag of the present life and weights of the replica at `position`.
+    #[must_use]
+    pub fn instance(&self, position: usize) -> Option<InstanceTag> {
+        self.replicas.get(position).map(|m| m.instance)
+    }
+
     /// Makes the snapshot that traffic threads read.
     #[must_use]
     pub fn pool_view(&self) -> PoolView {
@@ -307,7 +316,7 @@
         let mut count = 0;
         for &index in self.cells.replicas(lookup.cell) {
             let model = &self.replicas[index];
-            if !model.view.takes_prompts() || lookup.excluded == Some(model.instance) {
+            if !model.view.takes_prompts() || lookup.excluded.contains(&model.instance) {
                 continue;
             }
             let candidate = candidate_of(model, lookup, now);
--- a/standin/src/compare/routers.rs
+++ b/standin/src/compare/routers.rs
@@ -238,7 +238,7 @@
             price,
             pending.entry % ZONES,
         );
-        lookup.excluded = pending.excluded;
+        lookup.excluded = pending.excluded.into_iter().collect();
         lookup.is_probe = first.is_some();
         lookup
     }
@@ -379,7 +379,7 @@
         let deciding = Deciding {
             zone: pending.entry % ZONES,
             cell: pending.cell,
-            excluded: pending.excluded,
+            excluded: pending.excluded.into_iter().collect(),
         };
         let started = Instant::now();
         let choice = choose(
