--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -1,6 +1,6 @@
 //! Builds snapshots from control state.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use super::owners::{Owners, Routing};
@@ -9,7 +9,7 @@
 use crate::backend::{Availability, Backend};
 use crate::configuration::Configuration;
 use crate::directory::Directory;
-use crate::id::{PoolName, ReplicaId};
+use crate::id::{Incarnation, PoolName, ReplicaId};
 use crate::membership::{LeavingVms, Member};
 use crate::pool::{Pool, Replica};
 use crate::protocol::LoadReport;
@@ -23,6 +23,7 @@
     members: Arc<[Member]>,
     directory: Option<Arc<Directory>>,
     routing: HashMap<PoolName, Arc<Routing>>,
+    drained: BTreeSet<(PoolName, ReplicaId)>,
 }
 
 impl Publisher {
@@ -57,6 +58,18 @@
         }
     }
 
+    /// Returns the incarnation of a replica and whether it gets new work.
+    pub(crate) fn seen(&self, pool: &PoolName, replica: &ReplicaId) -> Option<(Incarnation, bool)> {
+        let key = (Arc::clone(pool), Arc::clone(replica));
+        let view = self.replicas.get(&key)?;
+        Some((view.incarnation, view.available))
+    }
+
+    /// Takes over which replicas get no new work because they are drained for an order.
+    pub(crate) fn set_drained(&mut self, drained: BTreeSet<(PoolName, ReplicaId)>) {
+        self.drained = drained;
+    }
+
     /// Takes a load report, or its absence, for one replica.
     pub(crate) fn set_load(
         &mut self,
@@ -122,7 +135,9 @@
             .iter()
             .filter_map(|replica| {
                 let key = (Arc::clone(name), Arc::clone(&replica.id));
-                self.replicas.get(&key).cloned()
+                let mut view = self.replicas.get(&key).cloned()?;
+                view.available &= !self.drained.contains(&key);
+                Some(view)
             })
             .collect();
         PoolView {
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -15,6 +15,8 @@
 use super::owners::Owners;
 use super::peers::{PeerChange, Peers, TICK_INTERVAL};
 use super::publisher::Publisher;
+use super::reports::Reports;
+use super::rollouts::{RolloutEvent, Rollouts};
 use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
@@ -23,6 +25,8 @@
 use crate::policy::{Lookup, Observation, OwnerReply};
 use crate::protocol::{LoadReport, Vm};
 use crate::service::ServiceKind;
+use crate::status::{AskedReport, ReportReply};
+use crate::telemetry::JournalEntry;
 
 /// What the control thread reacts to.
 #[derive(Debug)]
@@ -62,6 +66,14 @@
         /// What it saw.
         observation: Box<Observation>,
     },
+    /// A request has ended.
+    Ended(Box<JournalEntry>),
+    /// An operator asks for this router's part of a report.
+    Report(AskedReport, oneshot::Sender<ReportReply>),
+    /// A scrape is about to read the metrics.
+    Scrape(oneshot::Sender<()>),
+    /// A call of a rollout has ended.
+    Rollout(RolloutEvent),
 }
 
 /// The running control thread; dropping it stops the thread.
@@ -150,7 +162,9 @@
     publisher: Publisher,
     peers: Peers,
     owners: Owners,
+    rollouts: Rollouts,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
+    reports: Reports,
 }
 
 impl Control {
@@ -165,6 +179,8 @@
             started,
         );
         let mut control = Self {
+            reports: Reports::new(&shared),
+            rollouts: Rollouts::new(Arc::clone(&shared)),
             shared,
             started,
             owners,
@@ -184,16 +200,36 @@
         self.owners.flush();
         let change = self.peers.tick();
         self.take_change(change);
+        let configuration = Arc::clone(self.publisher.configuration());
+        let notices = self.rollouts.tick(&configuration, &self.peers.members());
+        if !notices.is_empty() {
+            self.peers.tell(notices);
+        }
+        self.take_drains();
+    }
+
+    fn take_drains(&mut self) {
+        if let Some(drained) = self.rollouts.changed_drains() {
+            self.publisher.set_drained(drained);
+            self.publish();
+        }
     }
 
     fn receive(&mut self, event: PeerEvent) {
         match event.body.kind {
+            Kind::Status => return self.reports.answer_peer(event, &self.shared),
             Kind::Lookup => return self.take_lookup(event),
             Kind::Observation => return self.take_observations(&event),
             _ => {}
         }
         let change = self.peers.receive(event);
         self.take_change(change);
+        let mut notices = self.peers.take_notices();
+        notices.retain(|notice| self.rollouts.take_notice(notice));
+        if !notices.is_empty() {
+            self.peers.tell(notices);
+            self.take_drains();
+        }
     }
 
     fn take_lookup(&mut self, event: PeerEvent) {
@@ -217,6 +253,7 @@
         if change.members {
             let directory = self.peers.plan_directory();
             self.publisher.set_members(self.peers.members(), directory);
+            self.shared.claims.set_peers(Some(self.peers.claim_peers()));
         }
         if change.leaving_vms {
             self.publisher.set_leaving_vms(self.peers.leaving_vms());
@@ -234,13 +271,17 @@
                 replica,
                 load,
             } => {
-                if let Some(load) = &load
-                    && let Some(position) = self.publisher.position_of(&pool, &replica)
-                {
-                    self.owners.take_load(&pool, position, load);
+                let before = self.publisher.seen(&pool, &replica);
+                if let Some(load) = &load {
+                    if let Some(position) = self.publisher.position_of(&pool, &replica) {
+                        self.owners.take_load(&pool, position, load);
+                    }
+                    self.rollouts.observe(&pool, &replica, load);
                 }
                 self.publisher
                     .set_load(&pool, &replica, load.map(|load| *load));
+                let after = self.publisher.seen(&pool, &replica);
+                self.reports.compare_replica(&replica, before, after);
             }
             Event::Heartbeat(heartbeat) => {
                 let change = self.peers.take_heartbeat(&heartbeat, None);
@@ -265,6 +306,23 @@
                 cell,
                 observation,
             } => return self.owners.observe(pool, cell, *observation),
+            Event::Ended(entry) => {
+                let configuration = self.publisher.configuration();
+                return self.reports.record(*entry, configuration);
+            }
+            Event::Report(asked, reply) => {
+                // A dropped receiver means that the operator has gone.
+                let _ = reply.send(self.reports.answer(asked, &self.shared));
+                return;
+            }
+            Event::Scrape(done) => {
+                self.reports.update_gauges(self.publisher.configuration());
+                let _ = done.send(());
+                return;
+            }
+            Event::Rollout(event) => {
+                return self.rollouts.handle(event, &self.peers.members());
+            }
         }
         self.publish();
     }
@@ -296,6 +354,7 @@
         self.publisher
             .adopt(configuration, Arc::clone(self.in_force.keys()));
         self.shared.stored.store(Arc::clone(self.in_force.state()));
+        self.reports.adopt(self.publisher.configuration());
         self.peers.announce();
         self.follow_engines();
     }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -10,6 +10,7 @@
 use super::body::ChatBody;
 use super::caller::{authenticate, bad_request, find_service, too_large};
 use super::dispatch::{Dispatch, DispatchRequest, Placed};
+use super::record::Record;
 use super::relay::Relay;
 use super::reply::{Reply, RunState, set_header};
 use crate::account::NamedAccount;
@@ -18,8 +19,11 @@
 use crate::id::RequestId;
 use crate::prefix::{Opening, OpeningRoot};
 use crate::protocol::{HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_WARM_TOKENS};
+use crate::request::event_id::EventId;
 use crate::service::ServiceKind;
 
+/// Names the last event that a caller got, as browsers and SSE clients send it.
+const HEADER_LAST_EVENT_ID: &str = "last-event-id";
 /// How often a whole answer is fetched before it is given up.
 const MAX_WHOLE_ATTEMPTS: usize = 3;
 
@@ -35,13 +39,18 @@
     }
 
     async fn answer(&self, request: &mut Request, res: &mut Response) -> Result<(), Reply> {
-        let request_id = RequestId::now_v7();
-        set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
         let snapshot = self.shared.snapshot.load_full();
         let account = authenticate(request, &snapshot)?;
+        let last_event = self.last_event(request, &account)?;
+        let stream = last_event.as_ref().map(|id| id.stream);
+        let request_id = stream.unwrap_or_else(|| self.shared.new_request_id());
+        set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
         let limit_bytes = self.shared.settings.bounds.body_limit_bytes;
         let body = read_body(request, limit_bytes).await?;
         let (mut dispatch, stream) = self.prepare(request_id, &snapshot, &account, &body)?;
+        if let Some(id) = last_event {
+            return self.resume(res, dispatch, &id).await;
+        }
         let (placed, answer) = dispatch.place(body).await?;
         describe(res, &placed, &answer);
         if !stream || !answer.response.status().is_success() {
@@ -53,6 +62,39 @@
         Ok(())
     }
 
+    /// Reads the id of the last event that the caller got, where it resumes an answer.
+    fn last_event(
+        &self,
+        request: &Request,
+        account: &NamedAccount,
+    ) -> Result<Option<EventId>, Reply> {
+        let Some(value) = request.headers().get(HEADER_LAST_EVENT_ID) else {
+            return Ok(None);
+        };
+        let text = value.to_str().unwrap_or_default();
+        let mut keys = self.shared.event_id_keys.iter();
+        let id = keys.find_map(|key| EventId::decode(text, &account.id, key));
+        let reason = || format!("{HEADER_LAST_EVENT_ID}: {text:?} is no event of this account");
+        id.map(Some)
+            .ok_or_else(|| bad_request(HEADER_LAST_EVENT_ID, reason()))
+    }
+
+    /// Goes on with an answer whose router the caller has lost.
+    async fn resume(
+        &self,
+        res: &mut Response,
+        mut dispatch: Dispatch,
+        id: &EventId,
+    ) -> Result<(), Reply> {
+        let found = dispatch.find_stream(id).await;
+        let (placed, answer) = found.ok_or_else(stream_lost)?;
+        describe(res, &placed, &answer);
+        let silence = self.shared.settings.times.stream_silence();
+        let relay = Relay::new(dispatch, placed, answer, silence).resume_after(id);
+        salvo::sse::stream(res, relay.into_events());
+        Ok(())
+    }
+
     fn prepare(
         &self,
         request_id: RequestId,
@@ -76,10 +118,16 @@
             adapter: pool.pool.adapter.as_deref(),
             weights_version: pool.pool.weights_version,
         };
+        let opening = Opening::of_messages(root, body.texts());
+        let revision = snapshot.configuration.revision;
+        let mut record = Record::begin(&self.shared, request_id, revision, &body.model, account);
+        record.set_opening(&opening);
         let request = DispatchRequest {
             request_id,
+            account: Arc::clone(&account.id),
             priority: account.account.priority,
-            opening: Opening::of_messages(root, body.texts()),
+            opening,
+            record,
             body: bytes.clone(),
             deadline: Instant::now() + Duration::from_millis(service.request_timeout_ms),
             preference: snapshot.configuration.preference_of(&service),
@@ -131,7 +179,7 @@
     for _ in 0..MAX_WHOLE_ATTEMPTS {
         let status = answer.response.status();
         if let Ok(bytes) = answer.response.bytes().await {
-            dispatch.record_end(true);
+            dispatch.record_whole(status.as_u16());
             res.status_code(status);
             set_header(res, "content-type", "application/json");
             res.body(bytes);
@@ -141,8 +189,9 @@
         (placed, answer) = dispatch.place(dispatch.body().clone()).await?;
         describe(res, &placed, &answer);
     }
-    dispatch.record_end(false);
-    Err(broken_off())
+    let reply = broken_off();
+    dispatch.record_failure(&reply);
+    Err(reply)
 }
 
 fn broken_off() -> Reply {
@@ -156,6 +205,18 @@
     }
 }
 
+fn stream_lost() -> Reply {
+    Reply {
+        status: StatusCode::GONE,
+        code: "stream_lost",
+        message: "the answer can't be resumed; send the request again without last-event-id"
+            .to_owned(),
+        param: Some(HEADER_LAST_EVENT_ID),
+        ran: RunState::Unknown,
+        retry_after: None,
+    }
+}
+
 fn no_pool(model: &str) -> Reply {
     Reply {
         status: StatusCode::SERVICE_UNAVAILABLE,
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -9,17 +9,22 @@
 use smallvec::SmallVec;
 
 use super::choice::Chooser;
+use super::record::Record;
 use super::reply::{Reply, RunState};
 use crate::control::{InFlight, OpenRequest, PoolView, Shared};
 use crate::engine::{CallError, ChatAnswer, ChatCall};
-use crate::id::{Incarnation, RequestId};
+use crate::explain::AttemptCause;
+use crate::id::{AccountId, Incarnation, RequestId};
 use crate::policy::Choice;
 use crate::pool::Replica;
 use crate::preference::Preference;
 use crate::prefix::Opening;
+use crate::request::event_id::EventId;
 
 /// The replicas that are tried for one request before it is refused.
 const MAX_ATTEMPTS: usize = 3;
+/// How long an engine may take to find a stream that is resumed.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(5);
 /// The time after which a caller may come back when no replica could take its request.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -28,6 +33,7 @@
     shared: Arc<Shared>,
     pool: Arc<PoolView>,
     request_id: RequestId,
+    account: AccountId,
     priority: u8,
     opening: Opening,
     body: Bytes,
@@ -35,6 +41,8 @@
     excluded: SmallVec<[usize; 4]>,
     in_flight: Option<InFlight>,
     chooser: Chooser,
+    has_token: bool,
+    record: Record,
     // Keeps the drain waiting until the last byte is on its way.
     _open: OpenRequest,
 }
@@ -54,6 +62,8 @@
 pub(crate) struct DispatchRequest {
     /// The request's id.
     pub(crate) request_id: RequestId,
+    /// The client account.
+    pub(crate) account: AccountId,
     /// The client account's priority.
     pub(crate) priority: u8,
     /// The prompt's opening.
@@ -64,6 +74,8 @@
     pub(crate) deadline: Instant,
     /// The routing preference of the service.
     pub(crate) preference: Arc<Preference>,
+    /// Follows the request for operators.
+    pub(crate) record: Record,
     /// Counts the request as open.
     pub(crate) open: OpenRequest,
 }
@@ -79,15 +91,18 @@
         );
         Self {
             chooser,
+            has_token: false,
             shared,
             pool,
             request_id: request.request_id,
+            account: request.account,
             priority: request.priority,
             opening: request.opening,
             body: request.body,
             deadline: request.deadline,
             excluded: SmallVec::new(),
             in_flight: None,
+            record: request.record,
             _open: request.open,
         }
     }
@@ -127,7 +142,9 @@
                 }
             }
         }
-        Err(no_replica(ran))
+        let reply = no_replica(ran);
+        self.record_failure(&reply);
+        Err(reply)
     }
 
     async fn attempt(
@@ -137,17 +154,22 @@
     ) -> Result<(Placed, ChatAnswer), CallError> {
         let view = &self.pool.replicas[index];
         let in_flight = InFlight::new(&view.in_flight);
+        let cause = self.record.next_cause();
+        self.record.begin_attempt(&view.replica, cause);
         let call = ChatCall {
             request_id: self.request_id,
             priority: self.priority,
             remaining: self.remaining(),
             opening: &self.opening,
         };
-        let answer = self
-            .shared
-            .engines
-            .chat(view.replica.address, call, body)
+        let chat = self.shared.engines.chat(view.replica.address, call, body);
+        let answer = tokio::time::timeout(self.remaining(), chat)
             .await
+            .unwrap_or_else(|_| {
+                Err(CallError::Lost(
+                    "the engine sent no head in time".to_owned(),
+                ))
+            })
             .and_then(accept_status)
             .inspect_err(|error| {
                 log::warn!(
@@ -164,6 +186,10 @@
                 answer.weights_version
             );
         }
+        self.record.answered_by(answer.incarnation);
+        if let Some(warm_tokens) = answer.warm_tokens {
+            self.record.found_warm(warm_tokens);
+        }
         let placed = Placed {
             index,
             replica: Arc::clone(&view.replica),
@@ -174,7 +200,9 @@
     }
 
     /// Resumes the answer at the engine that had it; `None` where it can't or where the engine has restarted.
-    pub(crate) async fn resume(&self, placed: &Placed, sequence: u64) -> Option<ChatAnswer> {
+    pub(crate) async fn resume(&mut self, placed: &Placed, sequence: u64) -> Option<ChatAnswer> {
+        self.record
+            .begin_attempt(&placed.replica, AttemptCause::Resume);
         let answer = self
             .shared
             .engines
@@ -182,7 +210,9 @@
             .await
             .and_then(accept_status)
             .ok()?;
-        (answer.incarnation == placed.incarnation).then_some(answer)
+        let is_same = answer.incarnation == placed.incarnation;
+        let is_found = answer.response.status().is_success();
+        (is_same && is_found).then_some(answer)
     }
 
     /// Cancels the answer at its engine without waiting for the confirmation.
@@ -192,40 +222,89 @@
         tokio::spawn(async move { engines.cancel(replica.address, request_id).await });
     }
 
-    /// Returns the id of the caller's event `sequence`, by which any router can resume the answer.
-    pub(crate) fn event_id(&self, placed: &Placed, sequence: u64) -> String {
-        let (replica, incarnation) = (&placed.replica.id, placed.incarnation);
-        format!("{}.{replica}.{incarnation}.{sequence}", self.request_id)
+    /// Returns the id of the caller's event at `position`, by which any router can resume the answer.
+    pub(crate) fn event_id(&self, placed: &Placed, sequence: u64, position: u64) -> String {
+        let id = EventId {
+            replica: Arc::clone(&placed.replica.id),
+            incarnation: placed.incarnation,
+            stream: self.request_id,
+            sequence,
+            position,
+        };
+        id.encode(&self.account, &self.shared.event_id_keys[0])
+    }
+
+    /// Finds the stream that `id` names, for a caller that resumes it through this router.
+    pub(crate) async fn find_stream(&mut self, id: &EventId) -> Option<(Placed, ChatAnswer)> {
+        let mut views = self.pool.replicas.iter();
+        let index = views.position(|view| view.replica.id == id.replica)?;
+        let view = &self.pool.replicas[index];
+        let placed = Placed {
+            index,
+            replica: Arc::clone(&view.replica),
+            incarnation: id.incarnation,
+        };
+        let in_flight = InFlight::new(&view.in_flight);
+        let resumed = self.resume(&placed, id.sequence);
+        let answer = tokio::time::timeout(RESUME_TIMEOUT, resumed).await.ok()??;
+        self.in_flight = Some(in_flight);
+        Some((placed, answer))
     }
 
-    /// Notes that the first token has come.
-    pub(crate) fn record_first_token(&self) {
-        self.chooser.answered(None);
+    /// Notes that a token goes to the caller.
+    pub(crate) fn record_token(&mut self) {
+        if !self.has_token {
+            self.has_token = true;
+            self.chooser.answered(None);
+        }
+        self.record.token();
+    }
+
+    /// Notes that a whole answer goes to the caller.
+    pub(crate) fn record_whole(&mut self, status: u16) {
+        self.in_flight = None;
+        self.chooser.finished();
+        self.record.token();
+        self.record.complete(status);
+    }
+
+    /// Notes that the caller gets `reply` in place of the answer or of its rest.
+    pub(crate) fn record_failure(&mut self, reply: &Reply) {
+        self.in_flight = None;
+        self.chooser.finished();
+        self.record.refused(reply);
+    }
+
+    /// Notes why the answer at the present replica broke off.
+    pub(crate) fn record_broken(&mut self, reason: &str) {
+        self.record.end_attempt(reason);
     }
 
     /// Learns from the usage in an engine's last chunk.
-    pub(crate) fn read_usage(&self, data: &str) {
+    pub(crate) fn read_usage(&mut self, data: &str) {
         if !data.contains("cached_tokens") {
             return;
         }
         let Ok(chunk) = serde_json::from_str::<Value>(data) else {
             return;
         };
-        let tokens = &chunk["usage"]["prompt_tokens_details"]["cached_tokens"];
-        let cached = tokens.as_u64().and_then(|t| u32::try_from(t).ok());
-        if cached.is_some() {
-            self.chooser.answered(cached);
+        let cached = &chunk["usage"]["prompt_tokens_details"]["cached_tokens"];
+        if let Some(tokens) = cached.as_u64().and_then(|count| u32::try_from(count).ok()) {
+            self.record.found_warm(tokens);
+            self.chooser.answered(Some(tokens));
         }
+        log::debug!(
+            "request: Engine told its usage. request={} cached_tokens={cached}",
+            self.request_id
+        );
     }
 
     /// Notes how the answer ended.
-    pub(crate) fn record_end(&mut self, complete: bool) {
+    pub(crate) fn record_end(&mut self) {
         self.in_flight = None;
         self.chooser.finished();
-        log::debug!(
-            "request: Ended. request={} complete={complete}",
-            self.request_id
-        );
+        self.record.complete(StatusCode::OK.as_u16());
+        log::debug!("request: Ended. request={}", self.request_id);
     }
 
     fn remaining(&self) -> Duration {
--- a/standin/src/capacity/target.rs
+++ b/standin/src/capacity/target.rs
@@ -2,12 +2,20 @@
 
 /// Routers.
 pub(super) const NODES: f64 = 400.0;
+/// Replicas of model engines.
+pub(super) const REPLICAS: f64 = 1_600.0;
 /// Requests a second at the peak, over all routers.
 pub(super) const REQUESTS_PER_SECOND: f64 = 6_600.0;
+/// Generated tokens a second at the peak, over all routers.
+pub(super) const TOKENS_PER_SECOND: f64 = 3_200_000.0;
+/// Cached blocks over all replicas.
+pub(super) const CACHED_BLOCKS: f64 = 35_000_000.0;
 /// Client accounts.
 pub(super) const ACCOUNTS: f64 = 41_000.0;
 /// Models in steady use.
 pub(super) const MODELS: f64 = 7.0;
+/// Changes of configuration a day.
+pub(super) const CHANGES_PER_DAY: f64 = 1_200.0;
 /// What control may take of a core at each node, per hundred.
 pub(super) const CORE_PERCENT: f64 = 2.3;
 /// The memory that control may take at each node, in bytes.
