--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -29,6 +29,7 @@
 mod feed;
 mod fetch;
 mod loads;
+mod owners;
 mod peers;
 mod publisher;
 mod reports;
@@ -36,6 +37,7 @@
 mod snapshot;
 mod thread;
 
+pub(crate) use self::owners::Routing;
 pub(crate) use self::snapshot::{InFlight, PoolView, ReplicaView, Snapshot};
 pub(crate) use self::thread::{ControlThread, Event};
 
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -133,6 +133,7 @@
             record,
             body: bytes.clone(),
             deadline: Instant::now() + Duration::from_millis(service.request_timeout_ms),
+            preference: snapshot.configuration.preference_of(&service),
             open: self.shared.open_request(),
         };
         let dispatch = Dispatch::new(Arc::clone(&self.shared), Arc::clone(pool), request);
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -8,14 +8,16 @@
 use serde_json::Value;
 use smallvec::SmallVec;
 
-use super::choice::choose;
+use super::choice::Chooser;
 use super::record::Record;
 use super::reply::{Reply, RunState};
 use crate::control::{InFlight, OpenRequest, PoolView, Shared};
 use crate::engine::{CallError, ChatAnswer, ChatCall};
 use crate::explain::AttemptCause;
 use crate::id::{AccountId, Incarnation, RequestId};
+use crate::policy::Choice;
 use crate::pool::Replica;
+use crate::preference::Preference;
 use crate::prefix::Opening;
 use crate::request::event_id::EventId;
 
@@ -38,6 +40,8 @@
     deadline: Instant,
     excluded: SmallVec<[usize; 4]>,
     in_flight: Option<InFlight>,
+    chooser: Chooser,
+    has_token: bool,
     record: Record,
     // Keeps the drain waiting until the last byte is on its way.
     _open: OpenRequest,
@@ -68,6 +72,8 @@
     pub(crate) body: Bytes,
     /// When the whole answer must be there.
     pub(crate) deadline: Instant,
+    /// The routing preference of the service.
+    pub(crate) preference: Arc<Preference>,
     /// Follows the request for operators.
     pub(crate) record: Record,
     /// Counts the request as open.
@@ -77,7 +83,15 @@
 impl Dispatch {
     /// Makes the dispatch of `request` to the replicas of `pool`.
     pub(crate) fn new(shared: Arc<Shared>, pool: Arc<PoolView>, request: DispatchRequest) -> Self {
+        let chooser = Chooser::new(
+            Arc::clone(&shared),
+            &pool,
+            request.preference,
+            request.request_id,
+        );
         Self {
+            chooser,
+            has_token: false,
             shared,
             pool,
             request_id: request.request_id,
@@ -114,13 +128,16 @@
     pub(crate) async fn place(&mut self, body: Bytes) -> Result<(Placed, ChatAnswer), Reply> {
         let mut ran = RunState::NotRun;
         for _ in 0..MAX_ATTEMPTS {
-            let Some(index) = choose(&self.pool, &self.opening, &self.excluded) else {
-                break;
+            let choice = self.chooser.choose(&self.opening, &self.excluded).await;
+            let index = match choice {
+                Choice::Replica(placement) => placement.position,
+                Choice::Shed { .. } | Choice::NoReplica => break,
             };
             match self.attempt(index, body.clone()).await {
                 Ok(placed) => return Ok(placed),
                 Err(error) => {
                     ran = worse(ran, &error);
+                    self.chooser.withdrawn();
                     self.excluded.push(index);
                 }
             }
@@ -237,12 +254,17 @@
 
     /// Notes that a token goes to the caller.
     pub(crate) fn record_token(&mut self) {
+        if !self.has_token {
+            self.has_token = true;
+            self.chooser.answered(None);
+        }
         self.record.token();
     }
 
     /// Notes that a whole answer goes to the caller.
     pub(crate) fn record_whole(&mut self, status: u16) {
         self.in_flight = None;
+        self.chooser.finished();
         self.record.token();
         self.record.complete(status);
     }
@@ -250,6 +272,7 @@
     /// Notes that the caller gets `reply` in place of the answer or of its rest.
     pub(crate) fn record_failure(&mut self, reply: &Reply) {
         self.in_flight = None;
+        self.chooser.finished();
         self.record.refused(reply);
     }
 
@@ -269,6 +292,7 @@
         let cached = &chunk["usage"]["prompt_tokens_details"]["cached_tokens"];
         if let Some(tokens) = cached.as_u64().and_then(|count| u32::try_from(count).ok()) {
             self.record.found_warm(tokens);
+            self.chooser.answered(Some(tokens));
         }
         log::debug!(
             "request: Engine told its usage. request={} cached_tokens={cached}",
@@ -279,6 +303,7 @@
     /// Notes how the answer ended.
     pub(crate) fn record_end(&mut self) {
         self.in_flight = None;
+        self.chooser.finished();
         self.record.complete(StatusCode::OK.as_u16());
         log::debug!("request: Ended. request={}", self.request_id);
     }
