--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -113,6 +113,27 @@
         Availability::Available
     }
 
+    /// Tells whether the present incarnation itself has said that it leaves.
+    #[must_use]
+    pub fn has_said_it_leaves(&self) -> bool {
+        self.leaving_incarnation.is_some() && self.leaving_incarnation == Some(self.incarnation)
+    }
+
+    /// Takes what a peer knows, which this router's own knowledge overrules.
+    pub fn take_hearsay(
+        &mut self,
+        incarnation: Incarnation,
+        weights_version: WeightsVersion,
+        leaving: bool,
+    ) {
+        if self.incarnation == 0 {
+            self.take_identity(incarnation, weights_version);
+        }
+        if leaving && incarnation == self.incarnation {
+            self.leaving_incarnation = Some(incarnation);
+        }
+    }
+
     /// Returns the incarnation last seen, zero before the first answer.
     #[must_use]
     pub const fn incarnation(&self) -> Incarnation {
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -91,3 +91,14 @@
         }
     }
 }
+
+#[test]
+fn take_hearsay_own_knowledge_overrules() {
+    let mut backend = Backend::default();
+    backend.take_hearsay(5, 1, true);
+    assert_eq!(backend.availability(), Availability::Leaving);
+    backend.take_report(report(6, 1, false));
+    backend.take_hearsay(5, 1, true);
+    assert_eq!(backend.incarnation(), 6);
+    assert_eq!(backend.availability(), Availability::Available);
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -28,6 +28,7 @@
 mod peers;
 mod publisher;
 mod snapshot;
+mod state;
 mod thread;
 
 pub(crate) use self::snapshot::{InFlight, PoolView, Snapshot};
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -5,23 +5,27 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use prost::Message;
 use tokio::sync::mpsc;
 
 use super::Shared;
 use super::fetch::fetch_configuration;
+use super::publisher::Publisher;
+use super::state::{HealthItem, StateExchange, health_items};
 use super::thread::Event;
 use crate::configuration::{Announce, Fetch, UpdateServer};
 use crate::directory::Directory;
 use crate::error::Error;
 use crate::membership::{
-    Heartbeat, LeavingVms, Liveness, LoadLevel, Member, Membership, MembershipOptions, Outcome,
-    Stage,
+    Heartbeat, LeavingVms, Liveness, LoadLevel, Member, MemberRecord, Membership,
+    MembershipOptions, Outcome, Stage,
 };
 use crate::peer::{
     Body, Inbound, Kind, LinkOptions, LinkTimes, Links, PeerEvent, PeerIdentity, PeerKeys,
     ReplyHandle,
 };
 use crate::protocol::Vm;
+use crate::recovery::{Section, StateChunk, StateRequest};
 
 /// How often the control thread looks at the time.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -29,6 +33,8 @@
 const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 /// How long the acknowledgement of a heartbeat is waited for; the core has given up long before.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a peer may take for a chunk of its state.
+const STATE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The connections that peers may hold open here.
 const MAX_ACCEPTED_CONNECTIONS: usize = 1_024;
 /// The part by which a tick's requests in flight enter the average that is told as activity.
@@ -44,6 +50,7 @@
     leaving_vms: LeavingVms,
     updates: UpdateServer,
     is_fetching: bool,
+    state: StateExchange,
     activity: f64,
     next_plan: Duration,
     planned_generation: u64,
@@ -99,6 +106,7 @@
             leaving_vms: LeavingVms::default(),
             updates: UpdateServer::default(),
             is_fetching: false,
+            state: StateExchange::new(Duration::ZERO),
             activity: 0.0,
             next_plan: Duration::ZERO,
             planned_generation: 0,
@@ -137,6 +145,7 @@
             self.act(outcome, None);
         }
         self.leaving_vms.expire(now);
+        self.ask_for_state();
         let is_due = self.next_plan <= now;
         if is_due {
             self.next_plan = now + PLAN_INTERVAL;
@@ -148,8 +157,13 @@
     }
 
     /// Takes a body that a peer sent.
-    pub(crate) fn receive(&mut self, event: PeerEvent) -> PeerChange {
+    pub(crate) fn receive(&mut self, event: PeerEvent, publisher: &Publisher) -> PeerChange {
         match event.body.kind {
+            Kind::State => {
+                if let Err(error) = self.serve_state(&event.body, event.reply, publisher) {
+                    log_refused(&event.from, &error);
+                }
+            }
             Kind::Heartbeat => match event.body.decode::<Heartbeat>() {
                 Ok(heartbeat) => return self.take_heartbeat(&heartbeat, event.reply),
                 Err(error) => log_refused(&event.from, &error),
@@ -215,6 +229,91 @@
         }
     }
 
+    /// Notes that there is a configuration, so that what belongs to it can be recovered.
+    pub(crate) fn note_configuration(&mut self) {
+        self.state.note_configuration(self.now());
+        self.ask_for_state();
+    }
+
+    /// Takes a chunk of a peer's state, and returns what it says of replicas.
+    pub(crate) fn take_state(
+        &mut self,
+        from: SocketAddr,
+        section: Section,
+        chunk: &StateChunk,
+    ) -> Vec<HealthItem> {
+        let now = self.now();
+        let items = self.state.take(from, section, chunk, now);
+        let mut health = Vec::new();
+        if section == Section::Members {
+            let records = items
+                .into_iter()
+                .filter_map(|item| MemberRecord::decode(item).ok());
+            self.membership.merge_records(records.collect(), now);
+        } else {
+            health.extend(
+                items
+                    .into_iter()
+                    .filter_map(|item| HealthItem::decode(item).ok()),
+            );
+        }
+        self.ask_for_state();
+        health
+    }
+
+    fn ask_for_state(&mut self) {
+        let now = self.now();
+        let own = self.membership.own().clone();
+        for ask in self.state.next(&own, self.membership.members(), now) {
+            let Ok(section) = Section::try_from(ask.request.section) else {
+                continue;
+            };
+            let links = self.links.clone();
+            let events = self.shared.events().clone();
+            let body = Body::encode(Kind::State, &ask.request);
+            tokio::spawn(async move {
+                let answer = links.request(ask.to, body, STATE_TIMEOUT).await;
+                if let Some(Ok(chunk)) = answer.map(|body| body.decode::<StateChunk>()) {
+                    let from = ask.to;
+                    pass_on(
+                        &events,
+                        Event::State {
+                            from,
+                            section,
+                            chunk,
+                        },
+                    );
+                }
+            });
+        }
+    }
+
+    fn serve_state(
+        &mut self,
+        body: &Body,
+        reply: Option<ReplyHandle>,
+        publisher: &Publisher,
+    ) -> Result<(), Error> {
+        let request: StateRequest = body.decode()?;
+        let now = self.now();
+        let membership = &self.membership;
+        let encode = |section| match section {
+            Section::Members => {
+                let records = membership.records();
+                records
+                    .iter()
+                    .map(|record| record.encode_to_vec().into())
+                    .collect()
+            }
+            _ => health_items(publisher),
+        };
+        let chunk = self.state.serve(request, encode, now);
+        if let Some(reply) = reply {
+            reply.send(Body::encode(Kind::State, &chunk));
+        }
+        Ok(())
+    }
+
     /// Notes that a fetch from a peer has ended.
     pub(crate) const fn end_fetch(&mut self) {
         self.is_fetching = false;
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use super::snapshot::{KeyDigest, PoolView, ReplicaView, Snapshot};
+use super::state::HealthItem;
 use crate::account::NamedAccount;
-use crate::backend::{Availability, Backend};
+use crate::backend::Backend;
 use crate::configuration::Configuration;
 use crate::directory::Directory;
 use crate::id::{PoolName, ReplicaId};
@@ -54,7 +55,24 @@
         for view in self.replicas.values_mut() {
             let leaves = leaving.contains(view.replica.address);
             view.backend.set_leaving_by_vm_list(leaves);
-            view.available = view.backend.availability() == Availability::Available;
+            view.refresh();
+        }
+    }
+
+    /// Returns what is known of each replica.
+    pub(crate) fn backends(&self) -> impl Iterator<Item = (&PoolName, &ReplicaId, &Backend)> {
+        self.replicas
+            .iter()
+            .map(|((pool, replica), view)| (pool, replica, &view.backend))
+    }
+
+    /// Takes what a peer knows of one replica.
+    pub(crate) fn take_health(&mut self, item: &HealthItem) {
+        let key = (item.pool.as_str().into(), item.replica.as_str().into());
+        if let Some(view) = self.replicas.get_mut(&key) {
+            view.backend
+                .take_hearsay(item.incarnation, item.weights_version, item.leaving);
+            view.refresh();
         }
     }
 
@@ -75,10 +93,7 @@
             }
             None => view.backend.miss_report(),
         }
-        view.available = view.backend.availability() == Availability::Available;
-        view.incarnation = view.backend.incarnation();
-        view.weights_version = view.backend.weights_version();
-        view.load = view.backend.load().cloned();
+        view.refresh();
     }
 
     /// Builds the snapshot of the present state.
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -10,7 +10,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::account::NamedAccount;
-use crate::backend::Backend;
+use crate::backend::{Availability, Backend};
 use crate::configuration::Configuration;
 use crate::directory::Directory;
 use crate::id::{Incarnation, PoolName, WeightsVersion};
@@ -64,6 +64,16 @@
     pub(crate) in_flight: Arc<AtomicU32>,
 }
 
+impl ReplicaView {
+    /// Brings what traffic threads read into line with what all sources say.
+    pub(crate) fn refresh(&mut self) {
+        self.available = self.backend.availability() == Availability::Available;
+        self.incarnation = self.backend.incarnation();
+        self.weights_version = self.backend.weights_version();
+        self.load = self.backend.load().cloned();
+    }
+}
+
 impl Snapshot {
     /// Finds the account to which `key` belongs.
     ///
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -19,6 +19,7 @@
 use crate::membership::Heartbeat;
 use crate::peer::{Inbound, PeerEvent};
 use crate::protocol::{LoadReport, Vm};
+use crate::recovery::{Section, StateChunk};
 use crate::service::ServiceKind;
 
 /// What the control thread reacts to.
@@ -39,6 +40,15 @@
     Heartbeat(Box<Heartbeat>),
     /// The platform's VM list was read.
     Vms(Vec<Vm>),
+    /// A peer has answered with a chunk of its state.
+    State {
+        /// The peer.
+        from: SocketAddr,
+        /// The part of the state.
+        section: Section,
+        /// The answer.
+        chunk: StateChunk,
+    },
     /// A fetch of a peer's configuration has ended.
     FetchEnded,
 }
@@ -155,7 +165,7 @@
     }
 
     fn receive(&mut self, event: PeerEvent) {
-        let change = self.peers.receive(event);
+        let change = self.peers.receive(event, &self.publisher);
         self.take_change(change);
     }
 
@@ -191,6 +201,15 @@
                 let change = self.peers.take_vms(&vms);
                 return self.take_change(change);
             }
+            Event::State {
+                from,
+                section,
+                chunk,
+            } => {
+                for item in self.peers.take_state(from, section, &chunk) {
+                    self.publisher.take_health(&item);
+                }
+            }
             Event::FetchEnded => return self.peers.end_fetch(),
         }
         self.publish();
@@ -204,6 +223,7 @@
         self.shared.stored.store(Arc::clone(state));
         log::info!("config: Revision is in force. revision={revision}");
         self.peers.announce();
+        self.peers.note_configuration();
         self.follow_engines();
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 mod preference;
 mod prefix;
 mod protocol;
+mod recovery;
 mod request;
 mod rollout;
 mod router;
@@ -93,6 +94,10 @@
     HEADER_OPENING, HEADER_PRIORITY, HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN,
     HEADER_WARM_TOKENS, HEADER_WEIGHTS_VERSION, LoadReport, ObjectListing, Vm, VmState,
 };
+pub use crate::recovery::{
+    Ask as RecoveryAsk, MAX_CHUNK_BYTES, Recovery, RecoveryPeer, Section, StateChunk, StateRequest,
+    StateServer,
+};
 pub use crate::request::message as request_message;
 pub use crate::request::{
     claim, claim_service, drain, ejection, event_id, hedge, refusal, retry, stream,
