--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -21,8 +21,9 @@
 mod watch;
 
 pub use self::adoption::{Adoption, InForce, StateSource};
-pub use self::message::{Announce, ConfigurationStatus, Fetch, UpdatePart};
+pub use self::message::{Announce, Fetch, UpdatePart};
 pub use self::transfer::{ReadStep, UpdateReader, UpdateServer};
+pub(crate) use self::watch::is_watcher;
 pub use self::watch::{ROOT_TOPIC, RootWatch, WATCH_WAIT, WATCHERS_A_ZONE, WatchEvent, WatchStep};
 
 pub(crate) use self::load::{LoadStep, Loading};
--- a/src/configuration/watch.rs
+++ b/src/configuration/watch.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::id::{RouterId, ZoneName};
+use crate::membership::watchers_of;
 use crate::store::{Backoff, ObjectVersion};
 use rand::{Rng, RngExt};
 
@@ -14,12 +16,29 @@
 /// The topic under which rendezvous hashing chooses who watches the root.
 pub const ROOT_TOPIC: u64 = 0x726f_6f74;
 /// How long one poll of a watch waits.
-pub const WATCH_WAIT: Duration = Duration::from_secs(5);
+pub const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// How often a router that does not watch reads the root's version.
 const IDLE_CHECK: Duration = Duration::from_secs(300);
 /// How often a router looks for the root before the first ticket; a watch of an absent object returns at once.
 const NO_ROOT_CHECK: Duration = Duration::from_secs(2);
 
+/// Tells whether `own` is among the routers of its availability zone that watch.
+///
+/// `members` are the routers of all zones; `own` counts whether or not it is among them. Where routers know other
+/// members, one watch more or less is held for a while, which costs a call and never correctness.
+#[must_use]
+pub(crate) fn is_watcher<'a>(
+    own: &'a RouterId,
+    zone: &ZoneName,
+    members: impl IntoIterator<Item = (&'a RouterId, &'a ZoneName)>,
+) -> bool {
+    let others = members
+        .into_iter()
+        .filter(|(id, other)| *other == zone && *id != own)
+        .map(|(id, _)| id);
+    watchers_of(ROOT_TOPIC, others.chain([own]), WATCHERS_A_ZONE).contains(&own)
+}
+
 /// The next call towards the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchStep {
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -13,7 +13,7 @@
 use super::publisher::Publisher;
 use super::state::{HealthItem, StateExchange, health_items};
 use super::thread::Event;
-use crate::configuration::{Announce, Fetch, UpdateServer};
+use crate::configuration::{Announce, Fetch, StateSource, UpdateServer};
 use crate::directory::Directory;
 use crate::error::Error;
 use crate::membership::{
@@ -26,6 +26,8 @@
 };
 use crate::protocol::Vm;
 use crate::recovery::{Section, StateChunk, StateRequest};
+use crate::request::claim_service::{ClaimMember, ClaimPeers};
+use crate::rollout::DrainNotice;
 
 /// How often the control thread looks at the time.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -51,6 +53,7 @@
     updates: UpdateServer,
     is_fetching: bool,
     state: StateExchange,
+    heard_notices: Vec<DrainNotice>,
     activity: f64,
     next_plan: Duration,
     planned_generation: u64,
@@ -107,6 +110,7 @@
             updates: UpdateServer::default(),
             is_fetching: false,
             state: StateExchange::new(Duration::ZERO),
+            heard_notices: Vec::new(),
             activity: 0.0,
             next_plan: Duration::ZERO,
             planned_generation: 0,
@@ -125,6 +129,21 @@
         self.membership.members().cloned().collect()
     }
 
+    /// Returns the routers among which the claims' buckets are shared out.
+    pub(crate) fn claim_peers(&self) -> ClaimPeers {
+        let is_up = |member: &&Member| !member.leaving && member.liveness == Liveness::Alive;
+        let members = self.membership.members().filter(is_up);
+        ClaimPeers {
+            links: self.links.clone(),
+            members: members
+                .map(|member| ClaimMember {
+                    router: Arc::clone(&member.router),
+                    address: member.peers,
+                })
+                .collect(),
+        }
+    }
+
     /// Returns the VMs that leave.
     pub(crate) const fn leaving_vms(&self) -> &LeavingVms {
         &self.leaving_vms
@@ -173,6 +192,7 @@
                     log_refused(&event.from, &error);
                 }
             }
+            Kind::Claim => self.shared.claims.receive(event),
             kind => log::debug!("peer: No part takes this kind. kind={}", kind.label()),
         }
         PeerChange::default()
@@ -217,8 +237,14 @@
 
     /// Tells the routers that this one probes which revision is in force here.
     pub(crate) fn announce(&self) {
+        self.tell(Vec::new());
+    }
+
+    /// Passes notices of drained replicas on to the routers that this one probes.
+    pub(crate) fn tell(&self, drains: Vec<DrainNotice>) {
         let announce = Announce {
             revision: self.shared.stored.load().revision(),
+            drains,
         };
         let own = &self.membership.own().router;
         for router in self.membership.ring().fingers(own) {
@@ -314,6 +340,11 @@
         Ok(())
     }
 
+    /// Returns the notices of drained replicas that were heard since the last call.
+    pub(crate) fn take_notices(&mut self) -> Vec<DrainNotice> {
+        std::mem::take(&mut self.heard_notices)
+    }
+
     /// Notes that a fetch from a peer has ended.
     pub(crate) const fn end_fetch(&mut self) {
         self.is_fetching = false;
@@ -389,6 +420,7 @@
         let Some(reply) = reply else {
             let announce: Announce = body.decode()?;
             self.hear_revision(announce.revision, from.address);
+            self.heard_notices.extend(announce.drains);
             return Ok(());
         };
         let fetch: Fetch = body.decode()?;
@@ -409,7 +441,8 @@
         tokio::spawn(async move {
             match fetch_configuration(&links, from, known).await {
                 Ok(Some(state)) => {
-                    pass_on(&events, Event::Configuration(Arc::new(state)));
+                    let event = Event::Configuration(StateSource::Peer, Box::new(state));
+                    pass_on(&events, event);
                 }
                 Ok(None) => {}
                 Err(error) => log::info!("config: A peer's configuration failed. error={error}"),
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Instant;
 
 use tokio::sync::{mpsc, oneshot};
 
@@ -13,20 +14,24 @@
 use super::loads::poll_load;
 use super::peers::{PeerChange, Peers, TICK_INTERVAL};
 use super::publisher::Publisher;
-use crate::configuration::StoredState;
+use super::reports::Reports;
+use super::rollouts::{RolloutEvent, Rollouts};
+use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
 use crate::membership::Heartbeat;
-use crate::peer::{Inbound, PeerEvent};
+use crate::peer::{Inbound, Kind, PeerEvent};
 use crate::protocol::{LoadReport, Vm};
 use crate::recovery::{Section, StateChunk};
 use crate::service::ServiceKind;
+use crate::status::{AskedReport, ReportReply};
+use crate::telemetry::JournalEntry;
 
 /// What the control thread reacts to.
 #[derive(Debug)]
 pub(crate) enum Event {
-    /// A configuration was loaded.
-    Configuration(Arc<StoredState>),
+    /// A configuration was loaded or accepted.
+    Configuration(StateSource, Box<StoredState>),
     /// An engine was asked for its load.
     Load {
         /// The pool of the replica.
@@ -51,6 +56,14 @@
     },
     /// A fetch of a peer's configuration has ended.
     FetchEnded,
+    /// A request has ended.
+    Ended(Box<JournalEntry>),
+    /// An operator asks for this router's part of a report.
+    Report(AskedReport, oneshot::Sender<ReportReply>),
+    /// A scrape is about to read the metrics.
+    Scrape(oneshot::Sender<()>),
+    /// A call of a rollout has ended.
+    Rollout(RolloutEvent),
 }
 
 /// The running control thread; dropping it stops the thread.
@@ -111,10 +124,7 @@
     mut inbound: Inbound,
     mut stopped: oneshot::Receiver<()>,
 ) {
-    let feed = tokio::spawn(follow_configuration(
-        Arc::clone(&shared),
-        shared.events().clone(),
-    ));
+    let feed = tokio::spawn(follow_configuration(Arc::clone(&shared)));
     let vms = tokio::spawn(follow_vms(Arc::clone(&shared)));
     let mut control = Control::new(shared, peers);
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
@@ -137,9 +147,13 @@
 /// The control state.
 struct Control {
     shared: Arc<Shared>,
+    started: Instant,
+    in_force: InForce,
     publisher: Publisher,
     peers: Peers,
+    rollouts: Rollouts,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
+    reports: Reports,
 }
 
 impl Control {
@@ -147,7 +161,11 @@
         // Set once here, so that an earlier value is impossible.
         let _ = shared.links.set(peers.links().clone());
         let mut control = Self {
+            reports: Reports::new(&shared),
+            rollouts: Rollouts::new(Arc::clone(&shared)),
             shared,
+            started: Instant::now(),
+            in_force: InForce::new(),
             publisher: Publisher::default(),
             peers,
             polls: HashMap::new(),
@@ -162,17 +180,40 @@
     fn tick(&mut self) {
         let change = self.peers.tick();
         self.take_change(change);
+        let configuration = Arc::clone(self.publisher.configuration());
+        let notices = self.rollouts.tick(&configuration, &self.peers.members());
+        if !notices.is_empty() {
+            self.peers.tell(notices);
+        }
+        self.take_drains();
+    }
+
+    fn take_drains(&mut self) {
+        if let Some(drained) = self.rollouts.changed_drains() {
+            self.publisher.set_drained(drained);
+            self.publish();
+        }
     }
 
     fn receive(&mut self, event: PeerEvent) {
+        if event.body.kind == Kind::Status {
+            return self.reports.answer_peer(event, &self.shared);
+        }
         let change = self.peers.receive(event, &self.publisher);
         self.take_change(change);
+        let mut notices = self.peers.take_notices();
+        notices.retain(|notice| self.rollouts.take_notice(notice));
+        if !notices.is_empty() {
+            self.peers.tell(notices);
+            self.take_drains();
+        }
     }
 
     fn take_change(&mut self, change: PeerChange) {
         if change.members {
             let directory = self.peers.plan_directory();
             self.publisher.set_members(self.peers.members(), directory);
+            self.shared.claims.set_peers(Some(self.peers.claim_peers()));
         }
         if change.leaving_vms {
             self.publisher.set_leaving_vms(self.peers.leaving_vms());
@@ -184,14 +225,20 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Configuration(state) => self.adopt(&state),
+            Event::Configuration(source, state) => self.adopt(source, *state),
             Event::Load {
                 pool,
                 replica,
                 load,
             } => {
+                let before = self.publisher.seen(&pool, &replica);
+                if let Some(load) = &load {
+                    self.rollouts.observe(&pool, &replica, load);
+                }
                 self.publisher
                     .set_load(&pool, &replica, load.map(|load| *load));
+                let after = self.publisher.seen(&pool, &replica);
+                self.reports.compare_replica(&replica, before, after);
             }
             Event::Heartbeat(heartbeat) => {
                 let change = self.peers.take_heartbeat(&heartbeat, None);
@@ -211,17 +258,55 @@
                 }
             }
             Event::FetchEnded => return self.peers.end_fetch(),
+            Event::Ended(entry) => {
+                let configuration = self.publisher.configuration();
+                return self.reports.record(*entry, configuration);
+            }
+            Event::Report(asked, reply) => {
+                // A dropped receiver means that the operator has gone.
+                let _ = reply.send(self.reports.answer(asked, &self.shared));
+                return;
+            }
+            Event::Scrape(done) => {
+                self.reports.update_gauges(self.publisher.configuration());
+                let _ = done.send(());
+                return;
+            }
+            Event::Rollout(event) => {
+                return self.rollouts.handle(event, &self.peers.members());
+            }
         }
         self.publish();
     }
 
-    fn adopt(&mut self, state: &Arc<StoredState>) {
+    fn adopt(&mut self, source: StateSource, state: StoredState) {
+        let source = source.label();
         let revision = state.revision();
-        if !self.publisher.adopt(Arc::new(state.configuration())) {
-            return;
+        match self.in_force.offer(state, self.started.elapsed()) {
+            Adoption::Adopted { before } => {
+                log::info!(
+                    "config: Revision is in force. revision={revision} before={before} source={source}"
+                );
+                self.take_over();
+            }
+            Adoption::Same => self.shared.stored.store(Arc::clone(self.in_force.state())),
+            Adoption::Older => log::debug!(
+                "config: Older revision was ignored. revision={revision} source={source}"
+            ),
+            Adoption::Diverged => {
+                log::error!(
+                    "config: Other content of the revision in force was ignored. revision={revision} source={source}"
+                );
+            }
         }
-        self.shared.stored.store(Arc::clone(state));
-        log::info!("config: Revision is in force. revision={revision}");
+    }
+
+    fn take_over(&mut self) {
+        let configuration = Arc::clone(self.in_force.configuration());
+        self.publisher
+            .adopt(configuration, Arc::clone(self.in_force.keys()));
+        self.shared.stored.store(Arc::clone(self.in_force.state()));
+        self.reports.adopt(self.publisher.configuration());
         self.peers.announce();
         self.peers.note_configuration();
         self.follow_engines();
--- a/standin/src/compare/mod.rs
+++ b/standin/src/compare/mod.rs
@@ -66,7 +66,7 @@
     /// the price of recomputation at which the oracle decides; the deployment's own where absent
     #[argh(option)]
     oracle_price: Option<f64>,
-    /// leave out parts of the policy, comma separated: owner, answers, events, price, width, randomness, reports
+    /// leave out parts of the policy, comma separated: owner, answers, events, price, width, worth, randomness, reports
     #[argh(option, default = "String::new()")]
     without: String,
 }
@@ -95,6 +95,7 @@
     ablation: Ablation,
 ) -> anyhow::Result<Comparison> {
     anyhow::ensure!(load > 0.0, "load: {load} is not above zero");
+    anyhow::ensure!(args.requests > 0, "requests: 0 is not above zero");
     anyhow::ensure!(args.routers > 0, "routers: 0 is not above zero");
     anyhow::ensure!(args.replicas != Some(0), "replicas: 0 is not above zero");
     let mut scenario = Scenario::new(args.deployment, args.routers, args.replicas, load);
@@ -136,6 +137,7 @@
                 "answers" => ablation.learning.answers = false,
                 "events" => ablation.learning.events = false,
                 "price" => ablation.learning.price = false,
+                "worth" => ablation.learning.worth = false,
                 "width" => ablation.learning.width = false,
                 "randomness" => ablation.learning.randomness = false,
                 _ => anyhow::bail!("without: {part} is no part of the policy"),
