--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -35,6 +35,7 @@
 mod reports;
 mod rollouts;
 mod snapshot;
+mod state;
 mod thread;
 
 pub(crate) use self::owners::Routing;
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -24,6 +24,7 @@
 use crate::peer::{Inbound, Kind, PeerEvent};
 use crate::policy::{Lookup, Observation, OwnerReply};
 use crate::protocol::{LoadReport, Vm};
+use crate::recovery::{Section, StateChunk};
 use crate::service::ServiceKind;
 use crate::status::{AskedReport, ReportReply};
 use crate::telemetry::JournalEntry;
@@ -46,6 +47,15 @@
     Heartbeat(Box<Heartbeat>),
     /// The platform's VM list was read.
     Vms(Vec<Vm>),
+    /// A peer has answered with a chunk of its state.
+    State {
+        /// The peer.
+        from: SocketAddr,
+        /// The part of the state.
+        section: Section,
+        /// The answer.
+        chunk: StateChunk,
+    },
     /// A fetch of a peer's configuration has ended.
     FetchEnded,
     /// A traffic thread asks where a prompt should go, by this router's own view.
@@ -222,7 +232,7 @@
             Kind::Observation => return self.take_observations(&event),
             _ => {}
         }
-        let change = self.peers.receive(event);
+        let change = self.peers.receive(event, &self.publisher);
         self.take_change(change);
         let mut notices = self.peers.take_notices();
         notices.retain(|notice| self.rollouts.take_notice(notice));
@@ -291,6 +301,15 @@
                 let change = self.peers.take_vms(&vms);
                 return self.take_change(change);
             }
+            Event::State {
+                from,
+                section,
+                chunk,
+            } => {
+                for item in self.peers.take_state(from, section, &chunk) {
+                    self.publisher.take_health(&item);
+                }
+            }
             Event::FetchEnded => return self.peers.end_fetch(),
             Event::Lookup {
                 pool,
@@ -356,6 +375,7 @@
         self.shared.stored.store(Arc::clone(self.in_force.state()));
         self.reports.adopt(self.publisher.configuration());
         self.peers.announce();
+        self.peers.note_configuration();
         self.follow_engines();
     }
 
