Put limits, retry budgets and ejections into the path; explain the choice; publish loads by the tick

Change: requests are admitted within their account's limits and counted until their last byte; usage goes over the peer links; tries beyond the first come out of the service's budget; replicas that keep failing are held back and return slowly; a shed request says so with a time to come back; a load report alone waits for the next tick of 100 ms. Conclusion: the path keeps its limits; fair queueing, hedges and the hand-over of warm views still stand beside it.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -26,8 +26,11 @@
 use crate::settings::RouterSettings;
 use crate::store::{self, StoreSettings};
 
+mod budgets;
+mod ejections;
 mod feed;
 mod fetch;
+mod limits;
 mod loads;
 mod owners;
 mod peers;
@@ -38,6 +41,9 @@
 mod state;
 mod thread;
 
+use self::budgets::RetryBudgets;
+use self::limits::Limits;
+pub(crate) use self::limits::{Admitted, LimitReached};
 pub(crate) use self::owners::Routing;
 pub(crate) use self::snapshot::{InFlight, PoolView, ReplicaView, Snapshot};
 pub(crate) use self::thread::{ControlThread, Event};
@@ -60,6 +66,10 @@
     pub(crate) store: store::Client,
     /// The keys of event ids; the first signs, each is accepted.
     pub(crate) event_id_keys: Vec<EventIdKey>,
+    /// The limits of client accounts.
+    pub(crate) limits: Arc<Limits>,
+    /// The retry budgets of services.
+    pub(crate) budgets: RetryBudgets,
     /// Claims calls that may not be repeated.
     pub(crate) claims: ClaimService,
     /// The configuration in force as the platform holds it.
@@ -106,6 +116,8 @@
             links: OnceLock::new(),
             claims,
             event_id_keys,
+            limits: Arc::new(Limits::new()),
+            budgets: RetryBudgets::default(),
             draining: AtomicBool::new(false),
             open_requests: Arc::default(),
             stored: ArcSwap::default(),
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -16,9 +16,10 @@
 use crate::configuration::{Announce, Fetch, StateSource, UpdateServer};
 use crate::directory::Directory;
 use crate::error::Error;
+use crate::id::RouterId;
 use crate::membership::{
     Heartbeat, LeavingVms, Liveness, LoadLevel, Member, MemberRecord, Membership,
-    MembershipOptions, Outcome, Stage,
+    MembershipOptions, Outcome, Ring, Stage,
 };
 use crate::peer::{
     Body, Inbound, Kind, LinkOptions, LinkTimes, Links, PeerEvent, PeerIdentity, PeerKeys,
@@ -144,6 +145,18 @@
         }
     }
 
+    /// Returns the order of the routers.
+    pub(crate) const fn ring(&self) -> &Ring {
+        self.membership.ring()
+    }
+
+    /// Sends `body` to a router, if it is a member.
+    pub(crate) fn send(&self, to: &RouterId, body: Body) {
+        if let Some(member) = self.membership.get(to) {
+            self.links.send(member.peers, body);
+        }
+    }
+
     /// Returns the VMs that leave.
     pub(crate) const fn leaving_vms(&self) -> &LeavingVms {
         &self.leaving_vms
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
+use super::ejections::PoolEjections;
 use super::owners::{Owners, Routing};
 use super::snapshot::{PoolView, ReplicaView, Snapshot};
 use super::state::HealthItem;
@@ -24,6 +25,7 @@
     members: Arc<[Member]>,
     directory: Option<Arc<Directory>>,
     routing: HashMap<PoolName, Arc<Routing>>,
+    ejections: HashMap<PoolName, Arc<PoolEjections>>,
     drained: BTreeSet<(PoolName, ReplicaId)>,
 }
 
@@ -36,6 +38,7 @@
         );
         self.keys = keys;
         self.replicas = self.carry_replicas(&configuration);
+        self.ejections = self.carry_ejections(&configuration);
         self.configuration = configuration;
     }
 
@@ -158,10 +161,27 @@
         PoolView {
             pool: Arc::clone(pool),
             replicas,
+            ejections: Arc::clone(&self.ejections[name]),
             routing: self.routing.get(name).cloned(),
         }
     }
 
+    /// Keeps the ejections of the pools that stay.
+    fn carry_ejections(
+        &self,
+        configuration: &Configuration,
+    ) -> HashMap<PoolName, Arc<PoolEjections>> {
+        let carry = |(name, pool): (&PoolName, &Arc<Pool>)| {
+            let ejections = match self.ejections.get(name) {
+                Some(known) => Arc::clone(known),
+                None => Arc::new(PoolEjections::new(pool)),
+            };
+            ejections.set_pool(pool);
+            (Arc::clone(name), ejections)
+        };
+        configuration.pools.iter().map(carry).collect()
+    }
+
     /// Keeps what is known of the replicas that stay, and begins anew for others.
     fn carry_replicas(
         &self,
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use super::ejections::PoolEjections;
 use super::owners::Routing;
 use crate::account::{AccountKeys, NamedAccount};
 use crate::backend::{Availability, Backend};
@@ -39,6 +40,8 @@
     pub(crate) pool: Arc<Pool>,
     /// The replicas in the order of the configuration.
     pub(crate) replicas: Vec<ReplicaView>,
+    /// The replicas that keep failing here.
+    pub(crate) ejections: Arc<PoolEjections>,
     /// What it takes to ask an opening's owner.
     pub(crate) routing: Option<Arc<Routing>>,
 }
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -17,11 +17,12 @@
 use super::publisher::Publisher;
 use super::reports::Reports;
 use super::rollouts::{RolloutEvent, Rollouts};
+use crate::admission::{Usage, UsageTree};
 use crate::configuration::{Adoption, InForce, StateSource, StoredState};
 use crate::error::{Error, ErrorKind};
 use crate::id::{PoolName, ReplicaId};
 use crate::membership::Heartbeat;
-use crate::peer::{Inbound, Kind, PeerEvent};
+use crate::peer::{Body, Inbound, Kind, PeerEvent};
 use crate::policy::{Lookup, Observation, OwnerReply};
 use crate::protocol::{LoadReport, Vm};
 use crate::recovery::{Section, StateChunk};
@@ -175,6 +176,9 @@
     rollouts: Rollouts,
     polls: HashMap<(PoolName, ReplicaId), tokio::task::JoinHandle<()>>,
     reports: Reports,
+    usage: UsageTree,
+    // Whether loads were reported since the last snapshot.
+    has_new_loads: bool,
 }
 
 impl Control {
@@ -197,6 +201,8 @@
             in_force: InForce::new(),
             publisher: Publisher::default(),
             peers,
+            usage: UsageTree::default(),
+            has_new_loads: false,
             polls: HashMap::new(),
         };
         control.take_change(PeerChange {
@@ -216,6 +222,31 @@
             self.peers.tell(notices);
         }
         self.take_drains();
+        self.exchange_usage();
+        if self.has_new_loads {
+            self.publish();
+        }
+    }
+
+    /// Tells other routers of the heavy accounts' usage here, and takes in theirs.
+    fn exchange_usage(&mut self) {
+        let own = &self.shared.settings.router;
+        let ring = self.peers.ring();
+        let limits = &self.shared.limits;
+        let messages = limits.exchange(&mut self.usage, own, ring, ring.len());
+        for (to, usage) in messages {
+            self.peers.send(&to, Body::encode(Kind::Usage, &usage));
+        }
+    }
+
+    fn take_usage(&mut self, event: &PeerEvent) {
+        match event.body.decode::<Usage>() {
+            Ok(usage) => {
+                let limits = &self.shared.limits;
+                limits.receive(&mut self.usage, &event.from.router, &usage);
+            }
+            Err(error) => log::warn!("peer: Usage was refused. error={error}"),
+        }
     }
 
     fn take_drains(&mut self) {
@@ -230,6 +261,7 @@
             Kind::Status => return self.reports.answer_peer(event, &self.shared),
             Kind::Lookup => return self.take_lookup(event),
             Kind::Observation => return self.take_observations(&event),
+            Kind::Usage => return self.take_usage(&event),
             _ => {}
         }
         let change = self.peers.receive(event, &self.publisher);
@@ -292,6 +324,11 @@
                     .set_load(&pool, &replica, load.map(|load| *load));
                 let after = self.publisher.seen(&pool, &replica);
                 self.reports.compare_replica(&replica, before, after);
+                // A figure alone waits for the next tick; a change of availability or life does not.
+                if before == after {
+                    self.has_new_loads = true;
+                    return;
+                }
             }
             Event::Heartbeat(heartbeat) => {
                 let change = self.peers.take_heartbeat(&heartbeat, None);
@@ -410,6 +447,7 @@
     }
 
     fn publish(&mut self) {
+        self.has_new_loads = false;
         self.publisher.route(&mut self.owners);
         self.shared
             .snapshot
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -5,7 +5,8 @@
 
 use super::reply::{Reply, RunState};
 use crate::account::NamedAccount;
-use crate::control::Snapshot;
+use crate::admission::LimitKind;
+use crate::control::{Admitted, LimitReached, Shared, Snapshot};
 use crate::service::{Service, ServiceKind};
 
 /// Finds the client account by the bearer key of `request`.
@@ -43,6 +44,34 @@
     Err(forbidden(name, param))
 }
 
+/// Admits a request with `prompt_tokens` within the limits of its account.
+pub(crate) fn admit(
+    shared: &Shared,
+    account: &NamedAccount,
+    prompt_tokens: u32,
+) -> Result<Admitted, Reply> {
+    shared
+        .limits
+        .admit(account, prompt_tokens)
+        .map_err(limit_reached)
+}
+
+fn limit_reached(reached: LimitReached) -> Reply {
+    let limit = match reached.limit {
+        LimitKind::Requests => "requests_per_second",
+        LimitKind::Tokens => "tokens_per_second",
+        LimitKind::Concurrency => "concurrent_requests",
+    };
+    Reply {
+        status: StatusCode::TOO_MANY_REQUESTS,
+        code: "account_limit",
+        message: format!("the client account has reached its limit {limit}"),
+        param: None,
+        ran: RunState::NotRun,
+        retry_after: Some(reached.retry_after),
+    }
+}
+
 /// Returns the key in the header `Authorization: Bearer KEY`.
 pub(crate) fn bearer_key(request: &Request) -> Option<&str> {
     let value = request.headers().get("authorization")?.to_str().ok()?;
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -8,7 +8,7 @@
 use salvo::{Depot, FlowCtrl, Request, Response, async_trait};
 
 use super::body::ChatBody;
-use super::caller::{authenticate, bad_request, find_service, too_large};
+use super::caller::{admit, authenticate, bad_request, find_service, too_large};
 use super::dispatch::{Dispatch, DispatchRequest, Placed};
 use super::record::Record;
 use super::relay::Relay;
@@ -16,7 +16,7 @@
 use crate::account::NamedAccount;
 use crate::control::{Shared, Snapshot};
 use crate::engine::ChatAnswer;
-use crate::id::RequestId;
+use crate::id::{RequestId, ServiceName};
 use crate::prefix::{Opening, OpeningRoot};
 use crate::protocol::{HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_WARM_TOKENS};
 use crate::request::event_id::EventId;
@@ -122,11 +122,15 @@
             weights_version: pool.pool.weights_version,
         };
         let opening = Opening::of_messages(root, body.texts());
+        let admitted = admit(&self.shared, account, opening.prompt_tokens)?;
         let revision = snapshot.configuration.revision;
         let mut record = Record::begin(&self.shared, request_id, revision, &body.model, account);
         record.set_opening(&opening);
         let request = DispatchRequest {
             request_id,
+            admitted,
+            service: ServiceName::from(&*body.model),
+            retry_budget_of: Arc::clone(&service),
             account: Arc::clone(&account.id),
             priority: account.account.priority,
             opening,
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -6,6 +6,7 @@
 use tokio::sync::oneshot;
 
 use crate::control::{Event, PoolView, Routing, Shared};
+use crate::explain::View;
 use crate::id::RequestId;
 use crate::peer::{Body, Kind};
 use crate::policy::{
@@ -28,6 +29,7 @@
     request: RequestTag,
     cell: usize,
     instance: Option<InstanceTag>,
+    view: View,
 }
 
 impl Chooser {
@@ -49,9 +51,15 @@
             request: request_id.as_u128() as RequestTag,
             cell: 0,
             instance: None,
+            view: View::Own,
         }
     }
 
+    /// Returns whose view the last choice rests on.
+    pub(crate) const fn view(&self) -> &View {
+        &self.view
+    }
+
     /// Chooses a replica, but for those in `excluded`.
     pub(crate) async fn choose(&mut self, opening: &Opening, excluded: &[usize]) -> Choice {
         let Some(routing) = self.routing.clone() else {
@@ -85,11 +93,12 @@
         choice
     }
 
-    async fn ask(&self, routing: &Routing, lookup: &Lookup) -> Option<OwnerReply> {
+    async fn ask(&mut self, routing: &Routing, lookup: &Lookup) -> Option<OwnerReply> {
         let cells = routing.pool.cells();
         for owner in cells.owners_of(lookup.cell, lookup.owner_key(), OWNERS) {
             let member = routing.members.get(owner)?;
             if member.router == self.shared.settings.router {
+                self.view = View::Own;
                 break;
             }
             let links = self.shared.links.get()?;
@@ -97,8 +106,10 @@
             let answer = links.request(member.peers, body, LOOKUP_TIMEOUT).await;
             let reply = answer.and_then(|b| b.decode::<OwnerReplyMessage>().ok());
             if let Some(reply) = reply {
+                self.view = View::Owner(Arc::clone(&member.router));
                 return Some(reply.reply());
             }
+            self.view = View::OwnerSilent(Arc::clone(&member.router));
             log::debug!("policy: An owner did not answer. owner={}", member.router);
         }
         self.ask_here(routing, lookup).await
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -11,28 +11,32 @@
 use super::choice::Chooser;
 use super::record::Record;
 use super::reply::{Reply, RunState};
-use crate::control::{InFlight, OpenRequest, PoolView, Shared};
+use crate::control::{Admitted, InFlight, OpenRequest, PoolView, Shared};
 use crate::engine::{CallError, ChatAnswer, ChatCall};
 use crate::explain::AttemptCause;
-use crate::id::{AccountId, Incarnation, RequestId};
+use crate::id::{AccountId, Incarnation, RequestId, ServiceName};
 use crate::policy::Choice;
 use crate::pool::Replica;
 use crate::preference::Preference;
 use crate::prefix::Opening;
 use crate::request::event_id::EventId;
+use crate::request::retry::{RetryDecision, TryFailure, TryState};
+use crate::service::Service;
 
-/// The replicas that are tried for one request before it is refused.
-const MAX_ATTEMPTS: usize = 3;
 /// How long an engine may take to find a stream that is resumed.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(5);
 /// The time after which a caller may come back when no replica could take its request.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The longest time after which a caller is told to come back.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
 /// One chat request and what has been done with it.
 pub(crate) struct Dispatch {
     shared: Arc<Shared>,
     pool: Arc<PoolView>,
     request_id: RequestId,
+    admitted: Admitted,
+    service: ServiceName,
     account: AccountId,
     priority: u8,
     opening: Opening,
@@ -62,6 +66,12 @@
 pub(crate) struct DispatchRequest {
     /// The request's id.
     pub(crate) request_id: RequestId,
+    /// Counts the request against its account's limits.
+    pub(crate) admitted: Admitted,
+    /// The service's name.
+    pub(crate) service: ServiceName,
+    /// The service, whose configuration says how many retries it may have.
+    pub(crate) retry_budget_of: Arc<Service>,
     /// The client account.
     pub(crate) account: AccountId,
     /// The client account's priority.
@@ -89,12 +99,17 @@
             request.preference,
             request.request_id,
         );
+        shared
+            .budgets
+            .first_try(&request.service, &request.retry_budget_of);
         Self {
             chooser,
             has_token: false,
             shared,
             pool,
             request_id: request.request_id,
+            admitted: request.admitted,
+            service: request.service,
             account: request.account,
             priority: request.priority,
             opening: request.opening,
@@ -122,29 +137,79 @@
         self.excluded.push(placed.index);
     }
 
-    /// Chooses replicas until one answers, each on a new connection where the last one failed.
+    /// Chooses replicas until one answers, within the service's retry budget.
     ///
     /// A chat call is idempotent, so a call that may have reached an engine can be repeated elsewhere.
     pub(crate) async fn place(&mut self, body: Bytes) -> Result<(Placed, ChatAnswer), Reply> {
         let mut ran = RunState::NotRun;
-        for _ in 0..MAX_ATTEMPTS {
-            let choice = self.chooser.choose(&self.opening, &self.excluded).await;
-            let index = match choice {
-                Choice::Replica(placement) => placement.position,
-                Choice::Shed { .. } | Choice::NoReplica => break,
+        for tries in 1.. {
+            let index = match self.choose().await {
+                Choice::Replica(placement) => {
+                    let view = self.chooser.view();
+                    self.record.chosen(&self.pool, &placement, view);
+                    placement.position
+                }
+                Choice::Shed { expected_ttft } => return Err(self.refuse(shed(ran, expected_ttft))),
+                Choice::NoReplica => break,
             };
-            match self.attempt(index, body.clone()).await {
-                Ok(placed) => return Ok(placed),
-                Err(error) => {
-                    ran = worse(ran, &error);
-                    self.chooser.withdrawn();
-                    self.excluded.push(index);
+            let failure = match self.attempt(index, body.clone()).await {
+                Ok(placed) => {
+                    self.pool.ejections.succeeded(&placed.0.replica.id);
+                    return Ok(placed);
                 }
+                Err(error) => error,
+            };
+            let replica = &self.pool.replicas[index].replica.id;
+            self.pool.ejections.failed(replica);
+            ran = worse(ran, &failure);
+            self.chooser.withdrawn();
+            self.excluded.push(index);
+            let Some(wait) = self.next_try(tries, &failure) else {
+                break;
+            };
+            tokio::time::sleep(wait).await;
+        }
+        Err(self.refuse(no_replica(ran)))
+    }
+
+    /// Chooses a replica that was not tried and is not ejected; an ejected one only where no other is left.
+    async fn choose(&mut self) -> Choice {
+        let mut excluded = self.pool.ejections.held_back(&self.pool.replicas);
+        if !excluded.is_empty() {
+            excluded.extend_from_slice(&self.excluded);
+            let choice = self.chooser.choose(&self.opening, &excluded).await;
+            if choice != Choice::NoReplica {
+                return choice;
+            }
+        }
+        self.chooser.choose(&self.opening, &self.excluded).await
+    }
+
+    /// Returns how long to wait before the next try, or nothing where there shall be none.
+    fn next_try(&self, tries: u32, error: &CallError) -> Option<Duration> {
+        let state = TryState {
+            tries,
+            is_idempotent: true,
+            // Text that the caller has is part of the next try's prompt, so that no byte is repeated.
+            has_answered: false,
+            remaining: self.remaining(),
+        };
+        let budgets = &self.shared.budgets;
+        match budgets.decide(&self.service, state, try_failure(error)) {
+            RetryDecision::Retry(wait) => Some(wait),
+            RetryDecision::Stop(reason) => {
+                log::info!(
+                    "request: No further try is made. request={} reason={reason:?}",
+                    self.request_id
+                );
+                None
             }
         }
-        let reply = no_replica(ran);
+    }
+
+    fn refuse(&mut self, reply: Reply) -> Reply {
         self.record_failure(&reply);
-        Err(reply)
+        reply
     }
 
     async fn attempt(
@@ -258,6 +323,7 @@
             self.has_token = true;
             self.chooser.answered(None);
         }
+        self.admitted.count_token();
         self.record.token();
     }
 
@@ -328,6 +394,28 @@
     }
 }
 
+/// Tells what a failed call means for another try.
+pub(crate) const fn try_failure(error: &CallError) -> TryFailure {
+    match error {
+        CallError::NotConnected(_) => TryFailure::ConnectFailed,
+        CallError::Lost(_) => TryFailure::AnswerLost,
+    }
+}
+
+fn shed(ran: RunState, expected_ttft: Duration) -> Reply {
+    Reply {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        code: "overloaded",
+        message: format!(
+            "the first token is expected after {} ms, past the service's deadline",
+            expected_ttft.as_millis()
+        ),
+        param: None,
+        ran,
+        retry_after: Some(expected_ttft.clamp(RETRY_AFTER, MAX_RETRY_AFTER)),
+    }
+}
+
 fn no_replica(ran: RunState) -> Reply {
     Reply {
         status: StatusCode::SERVICE_UNAVAILABLE,
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -14,18 +14,20 @@
 use salvo::{Depot, FlowCtrl, Request, Response, async_trait};
 use smallvec::SmallVec;
 
-use super::caller::{authenticate, find_service};
+use super::caller::{admit, authenticate, find_service};
 use super::chat::read_body;
 use super::claimed::{ClaimedRequest, SendHead, before_claim, content_digest};
+use super::dispatch::try_failure;
 use super::record::Record;
 use super::reply::{Reply, RunState, set_header};
-use crate::control::{InFlight, PoolView, ReplicaView, Shared};
+use crate::control::{Admitted, InFlight, PoolView, ReplicaView, Shared};
 use crate::engine::{CallError, PlainCall};
 use crate::explain::AttemptCause;
-use crate::id::RequestId;
+use crate::id::{RequestId, ServiceName};
 use crate::protocol::{HEADER_REPLICA, HEADER_REQUEST_ID, HEADER_RUN};
 use crate::request::claim::ClaimKey;
 use crate::request::claim_service::ClaimService;
+use crate::request::retry::{RetryDecision, TryState};
 use crate::service::{Service, ServiceKind};
 
 /// The replicas that are tried for one call before it is refused.
@@ -61,6 +63,8 @@
     once: Option<(ClaimKey, [u8; 16], Option<u32>)>,
     /// Follows the call for operators.
     record: Record,
+    service: (ServiceName, Arc<Service>),
+    _admitted: Admitted,
 }
 
 /// A whole answer of a plain service.
@@ -95,7 +99,12 @@
         let mut record = prepared.record;
         let pool = Arc::clone(&prepared.pool);
         let answer = match prepared.once {
-            None => self.repeatable(request_id, &pool, &prepared.call).await,
+            None => {
+                let (name, service) = &prepared.service;
+                self.shared.budgets.first_try(name, service);
+                self.repeatable(request_id, name, &pool, &prepared.call)
+                    .await
+            }
             Some((key, digest, send_number)) => {
                 let claimed = ClaimedRequest {
                     handler: self.clone(),
@@ -131,6 +140,7 @@
             .body_limit_bytes
             .min(self.shared.settings.bounds.body_limit_bytes);
         let body = read_body(request, limit_bytes).await?;
+        let admitted = admit(&self.shared, &account, 0)?;
         let revision = snapshot.configuration.revision;
         let record = Record::begin(&self.shared, request_id, revision, &name, &account);
         let call = plain_call(request, &service, body);
@@ -148,27 +158,48 @@
             call,
             once,
             record,
+            service: (name.as_str().into(), service),
+            _admitted: admitted,
         })
     }
 
+    /// Tries replicas until one answers, within the service's retry budget.
     async fn repeatable(
         &self,
         request_id: RequestId,
+        service: &ServiceName,
         pool: &PoolView,
         call: &PlainCall,
     ) -> Result<PlainAnswer, Reply> {
-        let mut excluded = SmallVec::<[usize; MAX_ATTEMPTS]>::new();
+        let deadline = Instant::now() + call.remaining;
+        let mut excluded = SmallVec::<[usize; 4]>::new();
         let mut ran = RunState::NotRun;
-        while excluded.len() < MAX_ATTEMPTS {
+        for tries in 1.. {
             let Some(index) = choose_least_loaded(pool, &excluded) else {
                 break;
             };
-            match self.attempt(request_id, pool, index, call).await {
+            let error = match self.attempt(request_id, pool, index, call).await {
                 Ok(answer) => return Ok(answer),
-                Err(CallError::NotConnected(_)) => {}
-                Err(CallError::Lost(_)) => ran = RunState::Unknown,
+                Err(error) => error,
+            };
+            if matches!(error, CallError::Lost(_)) {
+                ran = RunState::Unknown;
             }
             excluded.push(index);
+            let state = TryState {
+                tries,
+                is_idempotent: true,
+                has_answered: false,
+                remaining: deadline.saturating_duration_since(Instant::now()),
+            };
+            let decision = self
+                .shared
+                .budgets
+                .decide(service, state, try_failure(&error));
+            let RetryDecision::Retry(wait) = decision else {
+                break;
+            };
+            tokio::time::sleep(wait).await;
         }
         Err(no_replica(ran))
     }
@@ -185,6 +216,10 @@
         let _in_flight = InFlight::new(&view.in_flight);
         let started = Instant::now();
         let result = self.call(&view.replica, call).await;
+        match &result {
+            Ok(_) => pool.ejections.succeeded(&view.replica.id),
+            Err(_) => pool.ejections.failed(&view.replica.id),
+        }
         match &result {
             Ok(answer) => log::debug!(
                 "request: Plain call answered. request={request_id} replica={} status={} took_ms={}",
@@ -243,7 +278,20 @@
 }
 
 /// Chooses the available replica with the fewest requests of this router, at random among equals.
+///
+/// An ejected replica is chosen only where no other is left.
 pub(crate) fn choose_least_loaded(pool: &PoolView, excluded: &[usize]) -> Option<usize> {
+    let mut held_back = pool.ejections.held_back(&pool.replicas);
+    if !held_back.is_empty() {
+        held_back.extend_from_slice(excluded);
+        if let Some(index) = least_loaded(pool, &held_back) {
+            return Some(index);
+        }
+    }
+    least_loaded(pool, excluded)
+}
+
+fn least_loaded(pool: &PoolView, excluded: &[usize]) -> Option<usize> {
     let count = pool.replicas.len();
     if count == 0 {
         return None;
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -6,9 +6,12 @@
 use super::reply::{Reply, RunState};
 use crate::account::NamedAccount;
 use crate::burn::{Ending, Observation};
-use crate::control::{Event, Shared};
-use crate::explain::{Attempt, AttemptCause, Claim, End, Explanation, Run};
+use crate::control::{Event, PoolView, Shared};
+use crate::explain::{
+    Attempt, AttemptCause, Candidate, Choice, Claim, End, Explanation, Run, View,
+};
 use crate::id::{Incarnation, ReplicaId, RequestId, Revision, ServiceName, ZoneName};
+use crate::policy::{Considered, Placement};
 use crate::pool::Replica;
 use crate::prefix::Opening;
 use crate::status::opening_name;
@@ -91,6 +94,20 @@
         ));
     }
 
+    /// Notes how a replica of `pool` was chosen, by whose view.
+    pub(crate) fn chosen(&mut self, pool: &PoolView, placement: &Placement, view: &View) {
+        let candidates = placement
+            .considered
+            .iter()
+            .filter_map(|considered| candidate(pool, considered));
+        self.explanation.choice = Some(Choice {
+            view: view.clone(),
+            candidates: candidates.collect(),
+            considered: u32::try_from(placement.considered.len()).unwrap_or(u32::MAX),
+            reason: "least expected cost".into(),
+        });
+    }
+
     /// Notes that the request goes to `replica`; an attempt still open ends as given up.
     pub(crate) fn begin_attempt(&mut self, replica: &Replica, cause: AttemptCause) {
         self.end_attempt("given up");
@@ -220,6 +237,19 @@
     }
 }
 
+fn candidate(pool: &PoolView, considered: &Considered) -> Option<Candidate> {
+    let replica = &pool.replicas.get(considered.position)?.replica;
+    let milliseconds = |duration: Duration| duration.as_secs_f64() * 1_000.0;
+    Some(Candidate {
+        replica: Arc::clone(&replica.id),
+        zone: Arc::clone(&replica.zone),
+        queue_ms: milliseconds(considered.wait),
+        ttft_ms: milliseconds(considered.expected_ttft),
+        cost_ms: milliseconds(considered.cost),
+        warm_tokens: considered.warm_tokens,
+    })
+}
+
 impl Drop for Record {
     fn drop(&mut self) {
         self.end_attempt("the caller went away");
--- a/src/request/ejection.rs
+++ b/src/request/ejection.rs
@@ -78,6 +78,14 @@
             .map_or(1.0, |record| record.weight(now))
     }
 
+    /// Returns the replicas that are out or returning, each with its weight below one.
+    pub fn reduced(&self, now: Duration) -> impl Iterator<Item = (&ReplicaId, f64)> {
+        self.records
+            .iter()
+            .map(move |(id, record)| (id, record.weight(now)))
+            .filter(|(_, weight)| *weight < 1.0)
+    }
+
     /// Takes in a try that succeeded.
     pub fn succeeded(&mut self, replica: &ReplicaId, now: Duration) {
         let Some(record) = self.records.get_mut(replica) else {
--- a/standin/src/demo/fleet.rs
+++ b/standin/src/demo/fleet.rs
@@ -104,6 +104,25 @@
             .collect()
     }
 
+    /// Asks the first router for the explanation of a request, until it is there.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the router can't be asked.
+    pub async fn explain(&self, request_id: &str) -> anyhow::Result<Value> {
+        let address = self.addresses()[0].operators;
+        let http = reqwest::Client::builder().no_proxy().build()?;
+        loop {
+            let request = http.get(format!("http://{address}/explain/{request_id}"));
+            let answer = request.bearer_auth(OPERATOR_KEY).send().await?;
+            if answer.status() != reqwest::StatusCode::NOT_FOUND {
+                return Ok(answer.error_for_status()?.json().await?);
+            }
+            // The record of a request is told to the control thread after its last byte.
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Returns the change ticket that sets the deployment up.
     pub fn ticket(&self, number: u64) -> Value {
         let deployment = &self.deployment;
--- a/standin/src/demo/mod.rs
+++ b/standin/src/demo/mod.rs
@@ -89,13 +89,22 @@
 ///
 /// Fails where the ticket can't be sent or is refused.
 pub async fn submit_ticket(fleet: &Fleet) -> anyhow::Result<()> {
+    submit_document(fleet, &fleet.ticket(1)).await
+}
+
+/// Files the ticket `document` over the operators' interface.
+///
+/// # Errors
+///
+/// Fails where the ticket can't be sent or is refused.
+pub async fn submit_document(fleet: &Fleet, document: &serde_json::Value) -> anyhow::Result<()> {
     let address = fleet.addresses()[0].operators;
     let response = reqwest::Client::builder()
         .no_proxy()
         .build()?
         .post(format!("http://{address}/tickets"))
         .bearer_auth(OPERATOR_KEY)
-        .json(&fleet.ticket(1))
+        .json(document)
         .send()
         .await
         .context("the ticket could not be sent")?;
