--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -332,6 +332,8 @@
         Ok(answer) => {
             let Some(replica) = &answer.replica else {
                 record.answer_kept();
+                // A replay is an answer like any other: its first byte counts towards the objective.
+                record.token();
                 return record.complete(answer.status.as_u16());
             };
             let is_placed = |view: &&ReplicaView| view.replica.id == *replica;
--- a/standin/tests/reports.rs
+++ b/standin/tests/reports.rs
@@ -6,7 +6,7 @@
 use crocuswharf_standin::demo::{
     Fleet, OPERATOR_KEY, SHINEWELL, account_key, submit_ticket, wait_until_ready,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 
 const ROUTERS: usize = 3;
 const PROMPT: &str = "a prompt that no log may hold";
@@ -200,3 +200,33 @@
         .await
         .unwrap();
 }
+
+/// Sends one payment twice under one key, and returns the ids of both requests.
+async fn pay_twice(fleet: &Fleet) -> Vec<String> {
+    let address = fleet.addresses()[0].callers;
+    let service = fleet.deployment.plain_service;
+    let key = uuid::Uuid::now_v7().to_string();
+    let mut ids = Vec::new();
+    for _ in 0..2 {
+        let answer = http()
+            .post(format!("http://{address}/services/{service}/payments"))
+            .bearer_auth(account_key(0))
+            .header("idempotency-key", &key)
+            .send()
+            .await
+            .unwrap();
+        assert!(answer.status().is_success());
+        let id = answer.headers()["x-crocuswharf-request-id"].to_str();
+        ids.push(id.unwrap().to_owned());
+    }
+    ids
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn explain_kept_answer_has_a_first_byte() {
+    let fleet = start().await;
+    let ids = pay_twice(&fleet).await;
+    let kept = fleet.explain(&ids[1]).await.unwrap();
+    assert_eq!(kept["claim"], "answer_kept");
+    assert_ne!(kept["ttft_ms"], Value::Null);
+}
