Digest the demonstration's keys in one place

Cause: reading the whole change once more found the same digest of a key written out for accounts and for operators. Change: one function in the stand-in's fleet; behaviour as before. Conclusion: one place says how a key is named in settings and tickets.

--- a/standin/src/demo/fleet.rs
+++ b/standin/src/demo/fleet.rs
@@ -157,10 +157,8 @@
     }
 
     fn account(&self, index: usize) -> Value {
-        let digest = Sha256::digest(account_key(index).as_bytes());
-        let digest: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
         json!({
-            "key_sha256": [digest],
+            "key_sha256": [key_digest(&account_key(index))],
             "limits": {
                 "requests_per_second": 10_000,
                 "tokens_per_second": 1_000_000_000,
@@ -242,6 +240,12 @@
     (Ipv4Addr::LOCALHOST, 0).into()
 }
 
+/// Returns the digest under which settings and tickets name a key.
+fn key_digest(key: &str) -> String {
+    let digest = Sha256::digest(key.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 fn zone_of(deployment: &Deployment, index: usize) -> &'static str {
     deployment.zones[index % deployment.zones.len()]
 }
@@ -294,8 +298,6 @@
     seeds: &[SocketAddr],
 ) -> RouterSettings {
     let zone = zone_of(deployment, index);
-    let digest = Sha256::digest(OPERATOR_KEY.as_bytes());
-    let digest: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
     RouterSettings {
         router: format!("{zone}-{}", index / deployment.zones.len() + 1).into(),
         zone: zone.into(),
@@ -307,7 +309,7 @@
         platform,
         seeds: seeds.to_vec(),
         peer_keys: vec![PEER_KEY.into()],
-        operator_key_sha256: vec![digest.into()],
+        operator_key_sha256: vec![key_digest(OPERATOR_KEY).into()],
         times: Times {
             directory_life_ms: DIRECTORY_LIFE_MS,
             ..Times::default()
