--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,704 @@
+//! One request on its way: what it asks for, and the tries that were made for it.
+//!
+//! [`Call::read`] turns the head of a request into what the gateway has to know, or into an answer of its own.
+//! [`Running::next_answer`] tries replicas until one of them answers or nothing more may be tried. The decisions are those
+//! of [`super::placement`] and [`super::attempt`]; here is the I/O around them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::{Method, Request, Response, StatusCode, Uri, request, response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::answer::OwnAnswer;
+use super::attempt::{CallProgress, NextStep, TryEnd};
+use super::clock::boot_time;
+use super::dialect::{Dialect, listed_in_connection, text_of};
+use super::placement::{Candidate, Need, NoReplica, WeightsStanding, choose};
+use super::prompt::{Prompt, cache_scope};
+use super::route::{CallKind, GatewayAccount, Route};
+use super::shared::{LoadGuard, Observation, Replica, Shared, Snapshot};
+use super::upstream::{Link, RequestBody, SendFailure};
+use crate::id::{ReplicaId, ServiceName};
+
+/// When a caller may come back to a router that knows no configuration yet, or can't confirm it.
+const RETURN_TO_UNREADY: Duration = Duration::from_millis(300);
+/// When a caller may come back after all replicas refused or failed; a load of weights takes about this long.
+const RETURN_TO_BUSY: Duration = Duration::from_millis(250);
+/// How long a connection may have been idle for a call that may not be repeated: one closed meanwhile loses the call.
+const MAX_IDLE_ONCE: Duration = Duration::from_millis(1_500);
+/// How long a connection may have been idle for other calls.
+const MAX_IDLE: Duration = Duration::from_secs(10);
+/// The share of the objective after which an idempotent call goes to another replica.
+const PATIENCE_SHARE: f64 = 0.7;
+/// The share of the objective after which a stream goes to another replica, if its replica answers nobody.
+const STREAM_PATIENCE_SHARE: f64 = 0.5;
+/// The largest whole answer that is held back until it is complete; a longer one is passed on as it comes.
+const MAX_HELD_BYTES: u64 = 256 << 10;
+/// The lowest rank that the gateway gives to requests at a replica; a route of priority 0 gets it.
+const FIRST_RANK: u8 = 3;
+/// The last rank that a replica knows.
+const LAST_RANK: u8 = 9;
+
+/// What a request asks for.
+#[derive(Debug)]
+pub(crate) struct Call {
+    /// The id of the caller's attempt.
+    pub(crate) id: HeaderValue,
+    /// The route.
+    pub(crate) route: Route,
+    /// The service that was picked among the route's.
+    pub(crate) service: ServiceName,
+    /// The account whose key the caller showed.
+    pub(crate) account: Option<GatewayAccount>,
+    /// The prompt, if the request has one.
+    pub(crate) prompt: Option<Prompt>,
+    /// What placing it needs.
+    pub(crate) need: Need,
+    /// When it arrived.
+    pub(crate) arrived: Duration,
+    /// When it has to be answered.
+    pub(crate) deadline: Duration,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    /// The body, read whole.
+    pub(crate) body: Bytes,
+}
+
+/// A request that is being tried.
+#[derive(Debug)]
+pub(crate) struct Running {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) call: Arc<Call>,
+    pub(crate) progress: CallProgress,
+    tried: SmallVec<[ReplicaId; 4]>,
+    sends: u32,
+}
+
+/// An answer of a replica.
+#[derive(Debug)]
+pub(crate) struct Started {
+    /// Its head.
+    pub(crate) head: response::Parts,
+    /// Its body.
+    pub(crate) body: StartedBody,
+}
+
+/// The body of an answer of a replica.
+#[derive(Debug)]
+pub(crate) enum StartedBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Still on its way.
+    Flowing(Box<Flow>),
+}
+
+/// An answer on its way.
+#[derive(Debug)]
+pub(crate) struct Flow {
+    /// The rest of the body.
+    pub(crate) body: Incoming,
+    /// The connection, which is closed where the answer is not read to its end.
+    pub(crate) link: Link,
+    /// Counts the request at the replica.
+    pub(crate) guard: LoadGuard,
+    /// The replica.
+    pub(crate) replica: Arc<Replica>,
+    /// How long the replica keeps the connection, if it says so; zero where it closes it.
+    pub(crate) kept_for: Option<Duration>,
+}
+
+/// How one try ended without an answer for the caller.
+#[derive(Debug)]
+struct Ended {
+    end: TryEnd,
+    reason: Arc<str>,
+    /// The replica's own failure, which is delivered where nothing better comes.
+    failure: Option<Started>,
+}
+
+impl Ended {
+    fn new(end: TryEnd, reason: impl Into<Arc<str>>) -> Self {
+        Self {
+            end,
+            reason: reason.into(),
+            failure: None,
+        }
+    }
+}
+
+impl Call {
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the gateway's own answer where the request can't or may not be passed on.
+    pub(crate) fn read(
+        shared: &Shared,
+        snapshot: &Snapshot,
+        head: request::Parts,
+        arrived: Duration,
+    ) -> Result<Self, OwnAnswer> {
+        let dialect = &shared.dialect;
+        let Some(table) = &snapshot.table else {
+            return Err(OwnAnswer::not_run("no configuration yet", RETURN_TO_UNREADY));
+        };
+        let freshness = shared.freshness(arrived);
+        let deny = |status, reason| {
+            if freshness.allows_denials {
+                return OwnAnswer::denied(status, reason);
+            }
+            OwnAnswer::not_run("the configuration is not confirmed", RETURN_TO_UNREADY)
+        };
+        let host = text_of(&head.headers, &http::header::HOST)
+            .or_else(|| head.uri.host())
+            .unwrap_or_default();
+        let route = table
+            .find(host, head.uri.path())
+            .ok_or_else(|| deny(StatusCode::NOT_FOUND, "no such route"))?;
+        let mut account = None;
+        if table.needs_key(route) {
+            let key = text_of(&head.headers, &dialect.caller_key).unwrap_or_default();
+            let holder = table
+                .account_of(key)
+                .ok_or_else(|| deny(StatusCode::UNAUTHORIZED, "unknown key"))?;
+            if !freshness.allows_keys {
+                let reason = "keys can't be confirmed";
+                return Err(OwnAnswer::not_run(reason, RETURN_TO_UNREADY));
+            }
+            account = Some(holder.clone());
+        }
+        let bad = |reason| OwnAnswer::denied(StatusCode::BAD_REQUEST, reason);
+        let id = head.headers.get(&dialect.request_id).cloned();
+        let id = id.ok_or_else(|| bad("the request id is missing"))?;
+        let deadline_ms = read_deadline(&head.headers, dialect).map_err(bad)?;
+        let prompt = Prompt::read(&head.headers, dialect)
+            .map_err(|_| bad("the prompt's description can't be read"))?;
+        let Some(service) = route.pick_service(&mut rand::rng()) else {
+            return Err(OwnAnswer::not_run("the route has no service", RETURN_TO_BUSY));
+        };
+        let wall = account.as_ref().filter(|account| account.is_isolated);
+        let need = prompt.as_ref().map_or(
+            Need {
+                opening: None,
+                shared_tokens: 0,
+                own_tokens: 0,
+            },
+            |prompt| prompt.need(wall),
+        );
+        let time = deadline_ms.map_or(route.timeout, |ms| route.timeout.min(Duration::from_millis(ms)));
+        Ok(Self {
+            id,
+            route: route.clone(),
+            service: Arc::clone(service),
+            prompt,
+            need,
+            arrived,
+            deadline: arrived + time,
+            method: head.method,
+            uri: path_only(&head.uri),
+            headers: passed_on(dialect, &head.headers, account.as_ref()),
+            account,
+            body: Bytes::new(),
+        })
+    }
+
+    /// Returns the account whose cache entries are kept apart, if the caller's is such.
+    fn wall(&self) -> Option<&GatewayAccount> {
+        self.account.as_ref().filter(|account| account.is_isolated)
+    }
+
+    /// Returns the request's rank at a replica.
+    fn rank(&self) -> u8 {
+        let account = self.account.as_ref().and_then(|account| account.priority);
+        let priority = account.unwrap_or(self.route.priority);
+        FIRST_RANK.saturating_add(priority).min(LAST_RANK)
+    }
+
+    /// Returns the id as text, for logs.
+    pub(crate) fn id_text(&self) -> &str {
+        self.id.to_str().unwrap_or("?")
+    }
+
+    /// Returns the time left.
+    pub(crate) fn remaining(&self) -> Duration {
+        self.deadline.saturating_sub(boot_time())
+    }
+}
+
+impl Running {
+    /// Begins to try `call`.
+    pub(crate) fn new(shared: Arc<Shared>, call: Call) -> Self {
+        let attempts = call.route.max_attempts.max(1);
+        let progress = CallProgress::new(call.route.kind, attempts, call.remaining());
+        Self {
+            shared,
+            call: Arc::new(call),
+            progress,
+            tried: SmallVec::new(),
+            sends: 0,
+        }
+    }
+
+    /// Tries replicas until one answers; a resumed stream goes on behind `last_event`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the gateway's own answer where nothing more may be tried.
+    pub(crate) async fn next_answer(&mut self, last_event: Option<&str>) -> Result<Started, OwnAnswer> {
+        loop {
+            let ended = match self.try_once(last_event).await {
+                Ok(started) => return Ok(started),
+                Err(TryStop::Ended(ended)) => ended,
+                Err(TryStop::NoReplica(reason)) => return Err(self.no_replica(reason)),
+            };
+            log::debug!(
+                "request: Try ended. id={} end={:?} reason={}",
+                self.call.id_text(),
+                ended.end,
+                ended.reason
+            );
+            let step = self.progress.try_ended(ended.end, self.call.remaining());
+            let step = self.with_budget(step, ended.end);
+            if let Some(answer) = self.after(step, ended) {
+                return answer;
+            }
+        }
+    }
+
+    /// Notes that the running answer broke; tells whether the stream may go on at another replica.
+    pub(crate) fn may_resume(&mut self) -> bool {
+        let step = self.progress.try_ended(TryEnd::Broken, self.call.remaining());
+        let step = self.with_budget(step, TryEnd::Broken);
+        step == NextStep::Resend
+    }
+
+    /// Turns a resend down that the retry budget has no try for.
+    fn with_budget(&self, step: NextStep, end: TryEnd) -> NextStep {
+        if step != NextStep::Resend {
+            return step;
+        }
+        let routers = self.shared.snapshot.load().routers;
+        if self.shared.take_resend(&self.call.service, routers) {
+            return step;
+        }
+        match end {
+            TryEnd::Failed => NextStep::Deliver,
+            TryEnd::TimedOut => NextStep::TimeOut,
+            _ => self.progress.give_up(),
+        }
+    }
+
+    /// Carries out what follows a try; `None` where the next try follows.
+    fn after(&self, step: NextStep, ended: Ended) -> Option<Result<Started, OwnAnswer>> {
+        let answer = match step {
+            NextStep::Resend | NextStep::Reconnect => return None,
+            NextStep::Deliver => match ended.failure {
+                Some(failure) => return Some(Ok(failure)),
+                None => OwnAnswer::lost("the replica's answer was lost"),
+            },
+            NextStep::Refuse => OwnAnswer::not_run("no replica took the request", RETURN_TO_BUSY),
+            NextStep::Fail => OwnAnswer::lost("the replica's answer was lost"),
+            NextStep::TimeOut => OwnAnswer::late("no answer in time"),
+        };
+        Some(Err(answer))
+    }
+
+    fn no_replica(&self, reason: NoReplica) -> OwnAnswer {
+        if self.progress.runs > 0 {
+            return OwnAnswer::lost("the replica's answer was lost");
+        }
+        let reason = match reason {
+            NoReplica::NoneOpen => "no replica takes requests",
+            NoReplica::NoneHealthy => "all replicas have failed",
+            NoReplica::OldWeights => "no replica serves the named weights",
+        };
+        OwnAnswer::not_run(reason, RETURN_TO_BUSY)
+    }
+
+    async fn try_once(&mut self, last_event: Option<&str>) -> Result<Started, TryStop> {
+        let snapshot = self.shared.snapshot.load_full();
+        let replica = self.place(&snapshot)?;
+        let record = &replica.known.record;
+        let may_repeat = self.call.route.kind.may_repeat();
+        let max_idle = if may_repeat { MAX_IDLE } else { MAX_IDLE_ONCE };
+        let mut guard = replica.load.begin(self.unread_tokens());
+        let link = tokio::time::timeout(self.call.remaining(), replica.pool.take(max_idle)).await;
+        let mut link = match link {
+            Ok(Ok(link)) => link,
+            Ok(Err(failure)) => return Err(self.unsent(&replica, &failure).into()),
+            Err(_) => return Err(Ended::new(TryEnd::Unsent, "no time left to connect").into()),
+        };
+        let now = boot_time();
+        let (request, saves) = self.request_to(&snapshot, &replica, last_event, now);
+        if self.sends == 0 {
+            self.shared.first_send(&self.call.service, snapshot.routers);
+        }
+        self.sends += 1;
+        let answer = self.send(&mut link, request, &replica, now).await;
+        let response = match answer {
+            Ok(response) => response,
+            Err(ended) => {
+                if ended.end == TryEnd::Unsent {
+                    self.sends -= 1;
+                } else {
+                    self.tried.push(Arc::clone(&record.id));
+                    self.shared.note_health(&replica, 1, boot_time());
+                }
+                return Err(ended.into());
+            }
+        };
+        guard.answer_began();
+        let flow = |body, link, guard, kept_for| Flow {
+            body,
+            link,
+            guard,
+            replica: Arc::clone(&replica),
+            kept_for,
+        };
+        let (head, body) = response.into_parts();
+        let kept_for = keep_alive(&head.headers);
+        let flow = flow(body, link, guard, kept_for);
+        let started = self.accept(head, flow).await?;
+        if let Some(opening) = saves {
+            self.shared.note_saved(opening, boot_time());
+        }
+        Ok(started)
+    }
+
+    /// Returns the tokens that the replica has yet to read, as far as is known.
+    fn unread_tokens(&self) -> u32 {
+        self.call.need.own_tokens
+    }
+
+    fn place(&self, snapshot: &Snapshot) -> Result<Arc<Replica>, TryStop> {
+        let none = TryStop::NoReplica(NoReplica::NoneOpen);
+        let Some(replicas) = snapshot.services.get(&self.call.service) else {
+            return Err(none);
+        };
+        let now = boot_time();
+        let candidates = self.candidates(snapshot, replicas, now);
+        let chosen = choose(&self.call.need, &candidates, &self.tried, &mut rand::rng());
+        match chosen {
+            Ok(index) => Ok(Arc::clone(&replicas[index])),
+            Err(reason) => Err(TryStop::NoReplica(reason)),
+        }
+    }
+
+    fn candidates<'a>(
+        &self,
+        snapshot: &Snapshot,
+        replicas: &'a [Arc<Replica>],
+        now: Duration,
+    ) -> Vec<Candidate<'a>> {
+        let bounds = self.shared.weights_bounds();
+        let model = self.call.prompt.as_ref().map(|prompt| &prompt.model);
+        let named: SmallVec<[(u64, Duration); 4]> = model
+            .and_then(|model| snapshot.named.get(model))
+            .into_iter()
+            .flatten()
+            .map(|(version, at)| (*version, now.saturating_sub(*at)))
+            .collect();
+        let standing = |replica: &Replica| {
+            let Some(model) = model else {
+                return Some(WeightsStanding::Current);
+            };
+            let version = replica.known.version_of(model)?;
+            Some(bounds.judge(version, &named))
+        };
+        let zone = &self.shared.settings.zone;
+        self.shared.with_health(&self.call.service, |health| {
+            replicas
+                .iter()
+                .map(|replica| {
+                    let record = &replica.known.record;
+                    let standing = standing(replica);
+                    Candidate {
+                        id: &record.id,
+                        is_near: record.zone == *zone,
+                        in_flight: replica.load.in_flight(),
+                        unread_tokens: replica.load.unread_tokens(),
+                        slots: record.slots,
+                        health: health.map_or(1.0, |health| health.weight(&record.id, now)),
+                        weights: standing.unwrap_or(WeightsStanding::Closed),
+                        is_open: replica.known.is_open(),
+                    }
+                })
+                .collect()
+        })
+    }
+
+    fn unsent(&self, replica: &Replica, failure: &SendFailure) -> Ended {
+        let (SendFailure::Unsent(reason) | SendFailure::Broken(reason)) = failure;
+        // A connection that can't be opened says as much as three failed requests.
+        self.shared.note_health(replica, 3, boot_time());
+        Ended::new(TryEnd::Unsent, Arc::clone(reason))
+    }
+
+    /// Makes the request for one replica; returns the opening that the replica is asked to save, if any.
+    fn request_to(
+        &self,
+        snapshot: &Snapshot,
+        replica: &Replica,
+        last_event: Option<&str>,
+        now: Duration,
+    ) -> (Request<RequestBody>, Option<u64>) {
+        let call = &self.call;
+        let dialect = &self.shared.dialect;
+        let mut headers = call.headers.clone();
+        let mut set = |name: &HeaderName, text: &str| {
+            if let Ok(value) = HeaderValue::from_str(text) {
+                headers.insert(name.clone(), value);
+            }
+        };
+        let remaining_ms = call.deadline.saturating_sub(now).as_millis();
+        set(&dialect.deadline_ms, &remaining_ms.to_string());
+        set(&dialect.expected_replica, &replica.known.record.id);
+        if let Some(id) = last_event {
+            set(&dialect.last_event_id, id);
+        }
+        let mut saves = None;
+        if let Some(prompt) = &call.prompt {
+            let version = replica.known.version_of(&prompt.model).unwrap_or_default();
+            let scope = cache_scope(version, call.wall());
+            set(&dialect.expected_weights, &version.to_string());
+            set(&dialect.cache_scope, &scope);
+            set(&dialect.priority, &call.rank().to_string());
+            let table = snapshot.table.as_ref();
+            let cache = table.and_then(|table| table.kept_cache(&replica.known.record.zone));
+            if let (Some(cache), Some(opening)) = (cache, call.need.opening) {
+                let address = cache.address.to_string();
+                set(&dialect.fetch_from, &address);
+                let key = xxh3_64_with_seed(scope.as_bytes(), opening);
+                if !self.shared.is_saved(key, now) {
+                    set(&dialect.save_to, &address);
+                    saves = Some(key);
+                }
+            }
+        }
+        let mut request = Request::new(RequestBody::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.uri.clone();
+        *request.headers_mut() = headers;
+        (request, saves)
+    }
+
+    /// Sends the request and waits for the head of the answer, for as long as that is worth while.
+    async fn send(
+        &self,
+        link: &mut Link,
+        request: Request<RequestBody>,
+        replica: &Replica,
+        sent_at: Duration,
+    ) -> Result<Response<Incoming>, Ended> {
+        let sending = link.send(request);
+        tokio::pin!(sending);
+        if let Some(patience) = self.patience() {
+            let early = tokio::time::timeout(patience, &mut sending).await;
+            if let Ok(result) = early {
+                return result.map_err(send_failed);
+            }
+            let is_stream = self.call.route.kind.is_stream();
+            let replica_lives = is_stream && replica.load.has_answered_since(sent_at);
+            if !replica_lives {
+                return Err(Ended::new(TryEnd::TimedOut, "no answer within patience"));
+            }
+        }
+        match tokio::time::timeout(self.call.remaining(), &mut sending).await {
+            Ok(result) => result.map_err(send_failed),
+            Err(_) => Err(Ended::new(TryEnd::TimedOut, "no answer within the deadline")),
+        }
+    }
+
+    /// Returns how long to wait before another replica is tried; `None` where none may be.
+    fn patience(&self) -> Option<Duration> {
+        let progress = &self.progress;
+        let is_last = progress.runs + 1 >= progress.max_attempts;
+        let share = match self.call.route.kind {
+            CallKind::Idempotent => PATIENCE_SHARE,
+            CallKind::Stream { is_resumable: true } => STREAM_PATIENCE_SHARE,
+            _ => return None,
+        };
+        let patience = self.call.route.objective.mul_f64(share);
+        (!is_last && patience < self.call.remaining()).then_some(patience)
+    }
+
+    /// Judges the head of an answer, and reads the rest where it is short.
+    async fn accept(&self, head: response::Parts, flow: Flow) -> Result<Started, Ended> {
+        let dialect = &self.shared.dialect;
+        let replica = Arc::clone(&flow.replica);
+        self.learn_weights(&head.headers, &replica);
+        if head.headers.get(&dialect.request_id) != Some(&self.call.id) {
+            self.shared.note_health(&replica, 1, boot_time());
+            return Err(Ended::new(TryEnd::Broken, "the answer belongs to another request"));
+        }
+        if head.status == StatusCode::MISDIRECTED_REQUEST || head.headers.contains_key(&dialect.not_run) {
+            return Err(self.refused(&head, flow).await);
+        }
+        let is_signed = head.headers.contains_key(&dialect.signature);
+        let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
+        if is_encoded || (head.status.is_success() && !is_signed) {
+            self.shared.note_health(&replica, 1, boot_time());
+            return Err(Ended::new(TryEnd::Broken, "the answer is not the replica's"));
+        }
+        let failures = u32::from(head.status.is_server_error());
+        self.shared.note_health(&replica, failures, boot_time());
+        let flows = self.call.route.kind.is_stream() && head.status.is_success();
+        if flows || !is_short(&flow.body) {
+            let body = StartedBody::Flowing(Box::new(flow));
+            return Ok(Started { head, body });
+        }
+        let body = tokio::time::timeout(self.call.remaining(), read_whole(flow)).await;
+        let started = match body {
+            Ok(Some(bytes)) => Started {
+                head,
+                body: StartedBody::Whole(bytes),
+            },
+            Ok(None) => return Err(Ended::new(TryEnd::Broken, "the answer broke off")),
+            Err(_) => return Err(Ended::new(TryEnd::TimedOut, "the answer took too long")),
+        };
+        if started.head.status.is_server_error() {
+            return Err(Ended {
+                end: TryEnd::Failed,
+                reason: "the replica failed".into(),
+                failure: Some(started),
+            });
+        }
+        Ok(started)
+    }
+
+    /// Takes a replica's word that the request has not run there.
+    async fn refused(&self, head: &response::Parts, flow: Flow) -> Ended {
+        let dialect = &self.shared.dialect;
+        let record = &flow.replica.known.record;
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            let named = text_of(&head.headers, &dialect.replica);
+            if named.is_some_and(|named| *named != *record.id) {
+                self.shared.observe(Observation::AddressReused {
+                    replica: Arc::clone(&record.id),
+                    born_ms: record.born_ms,
+                });
+            } else if !head.headers.contains_key(&dialect.weights) {
+                self.shared.observe(Observation::OtherWeights {
+                    replica: Arc::clone(&record.id),
+                });
+            }
+        }
+        let reason = format!("refused with {}", head.status.as_u16());
+        // The connection is kept where the rest of the refusal is read.
+        let limit = Duration::from_millis(20);
+        if tokio::time::timeout(limit, read_whole(flow)).await.is_err() {
+            log::debug!("request: A refusal had no end. id={}", self.call.id_text());
+        }
+        Ended::new(TryEnd::Refused, reason)
+    }
+
+    /// Tells the control thread where an answer names other weights than were known.
+    fn learn_weights(&self, headers: &HeaderMap, replica: &Replica) {
+        let Some(prompt) = &self.call.prompt else {
+            return;
+        };
+        let text = text_of(headers, &self.shared.dialect.weights);
+        let Some(version) = text.and_then(|text| text.trim().parse::<u64>().ok()) else {
+            return;
+        };
+        let known = replica.known.version_of(&prompt.model);
+        if known.is_none_or(|known| known < version) {
+            self.shared.observe(Observation::Weights {
+                replica: Arc::clone(&replica.known.record.id),
+                born_ms: replica.known.record.born_ms,
+                model: Arc::clone(&prompt.model),
+                version,
+            });
+        }
+    }
+}
+
+/// Why a try brought no answer.
+enum TryStop {
+    Ended(Ended),
+    NoReplica(NoReplica),
+}
+
+impl From<Ended> for TryStop {
+    fn from(ended: Ended) -> Self {
+        Self::Ended(ended)
+    }
+}
+
+fn send_failed(failure: SendFailure) -> Ended {
+    match failure {
+        SendFailure::Unsent(reason) => Ended::new(TryEnd::Unsent, reason),
+        SendFailure::Broken(reason) => Ended::new(TryEnd::Broken, reason),
+    }
+}
+
+/// Reads an answer to its end and puts the connection back; `None` where it breaks off.
+async fn read_whole(flow: Flow) -> Option<Bytes> {
+    let Flow {
+        body,
+        link,
+        kept_for,
+        ..
+    } = flow;
+    let bytes = body.collect().await.ok()?.to_bytes();
+    link.put_back(kept_for);
+    Some(bytes)
+}
+
+fn is_short(body: &Incoming) -> bool {
+    use hyper::body::Body;
+    body.size_hint().exact().is_none_or(|size| size <= MAX_HELD_BYTES)
+}
+
+fn read_deadline(headers: &HeaderMap, dialect: &Dialect) -> Result<Option<u64>, &'static str> {
+    let Some(value) = headers.get(&dialect.deadline_ms) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| "the deadline can't be read")?;
+    let milliseconds: f64 = text.trim().parse().map_err(|_| "the deadline can't be read")?;
+    if !(milliseconds >= 0.0 && milliseconds.is_finite()) {
+        return Err("the deadline can't be read");
+    }
+    Ok(Some(milliseconds as u64))
+}
+
+/// Returns the path and query alone, as they go to a replica.
+fn path_only(uri: &Uri) -> Uri {
+    uri.path_and_query()
+        .map_or_else(|| Uri::from_static("/"), |path| Uri::from(path.clone()))
+}
+
+/// Returns the headers that go to a replica whatever replica it is.
+fn passed_on(dialect: &Dialect, headers: &HeaderMap, account: Option<&GatewayAccount>) -> HeaderMap {
+    let listed = listed_in_connection(headers);
+    let mut kept = HeaderMap::with_capacity(headers.len() + 8);
+    for (name, value) in headers {
+        if dialect.is_passed_on(name) && !listed.contains(name) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    if let Some(account) = account
+        && let Ok(name) = HeaderValue::from_str(&account.name)
+    {
+        kept.insert(dialect.account.clone(), name);
+    }
+    kept
+}
+
+/// Returns how long the other side keeps a connection; zero where it closes it.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let connection = text_of(headers, &http::header::CONNECTION).unwrap_or_default();
+    if connection.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")) {
+        return Some(Duration::ZERO);
+    }
+    let text = text_of(headers, &HeaderName::from_static("keep-alive"))?;
+    let seconds = text.split(',').find_map(|word| word.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.trim().parse().ok()?))
+}
--- /dev/null
+++ b/src/gateway/clock.rs
@@ -0,0 +1,16 @@
+//! The clock by which leases, deadlines and the freshness of caller keys are judged.
+//!
+//! The monotonic clock stands still while a VM is suspended, so a lease would seem to hold after it has lapsed. Wall time
+//! jumps. Boot time does neither. See docs/design/gateway.md.
+
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Returns the time since the VM booted, suspension included.
+pub(crate) fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).expect("boot time is never negative");
+    let nanoseconds = u32::try_from(time.tv_nsec).expect("nanoseconds fit 32 bits");
+    Duration::new(seconds, nanoseconds)
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,225 @@
+//! The gateway's links to other gateways: membership, and notices on replicas.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use super::clock::boot_time;
+use super::control::Event;
+use super::notice::{ReplicaNotice, ReplicaNotices};
+use super::settings::GatewaySettings;
+use super::shared::EntryPoint;
+use crate::error::Error;
+use crate::id::RouterId;
+use crate::membership::{
+    Heartbeat, Liveness, LoadLevel, Member, Membership, MembershipOptions, Outcome, Stage,
+};
+use crate::peer::{
+    Body, Inbound, Kind, LinkOptions, LinkTimes, Links, PeerEvent, PeerIdentity, PeerKeys,
+    ReplyHandle,
+};
+
+/// How long the acknowledgement of a heartbeat is waited for; the membership core has given up long before.
+const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The connections that peers may hold open here.
+const MAX_ACCEPTED_CONNECTIONS: usize = 1_024;
+/// The times of membership: a router that went away is out of directory answers within about two seconds.
+const MEMBERSHIP: MembershipOptions = MembershipOptions {
+    probe_interval: Duration::from_millis(400),
+    probe_timeout: Duration::from_millis(300),
+    indirect_timeout: Duration::from_millis(400),
+    suspicion: Duration::from_secs(3),
+    contact_interval: Duration::from_secs(2),
+    sync_interval: Duration::from_secs(1),
+    removed_life: Duration::from_mins(2),
+    pause: Duration::from_millis(500),
+};
+
+/// The other gateways, as this one knows them.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    links: Links,
+    membership: Membership,
+    events: mpsc::Sender<Event>,
+    generation: u64,
+}
+
+impl Peers {
+    /// Listens for gateways and begins with this one alone.
+    pub(crate) fn start(
+        settings: &GatewaySettings,
+        listener: TcpListener,
+        events: mpsc::Sender<Event>,
+    ) -> Result<(Self, Inbound), Error> {
+        // Each start is a member of its own: no clock survives a restart that could order two lives of one name.
+        let life: u32 = rand::random();
+        let router: RouterId = format!("{}.{life:08x}", settings.router).into();
+        let options = LinkOptions {
+            identity: PeerIdentity {
+                router: Arc::clone(&router),
+                incarnation: 1,
+                address: settings.listen.peers,
+            },
+            keys: PeerKeys::new(&settings.peer_keys)?,
+            times: LinkTimes::default(),
+            max_accepted_connections: MAX_ACCEPTED_CONNECTIONS,
+        };
+        let (links, inbound) = Links::listen(options, listener)?;
+        let own = Member {
+            router,
+            zone: Arc::clone(&settings.zone),
+            peers: links.identity().address,
+            callers: settings.listen.callers,
+            incarnation: 1,
+            version: 1,
+            liveness: Liveness::Alive,
+            leaving: false,
+            // Not ready until there is a configuration.
+            load: LoadLevel::Full,
+            activity: 0,
+        };
+        let membership = Membership::new(own, settings.seeds.clone(), MEMBERSHIP, boot_time());
+        let peers = Self {
+            links,
+            membership,
+            events,
+            generation: u64::MAX,
+        };
+        Ok((peers, inbound))
+    }
+
+    /// Returns this gateway's name among the members.
+    pub(crate) fn own(&self) -> &RouterId {
+        &self.membership.own().router
+    }
+
+    /// Returns the routers that are believed to run, this one included.
+    pub(crate) fn alive(&self) -> impl Iterator<Item = &Member> {
+        let members = self.membership.members();
+        members.filter(|member| member.liveness == Liveness::Alive)
+    }
+
+    /// Tells whether members have changed since the last call.
+    pub(crate) fn has_changed(&mut self) -> bool {
+        let generation = self.membership.generation();
+        std::mem::replace(&mut self.generation, generation) != generation
+    }
+
+    /// Returns the routers that callers may be sent to: those that are ready, or all where none says so.
+    pub(crate) fn entries(&self) -> Vec<EntryPoint> {
+        let entry = |member: &Member| EntryPoint {
+            callers: member.callers,
+            zone: Arc::clone(&member.zone),
+        };
+        let is_ready = |member: &&Member| member.takes_new_work() && member.load != LoadLevel::Full;
+        let mut entries: Vec<_> = self.membership.members().filter(is_ready).map(entry).collect();
+        if entries.is_empty() {
+            let stays = |member: &&Member| !member.leaving;
+            entries = self.alive().filter(stays).map(entry).collect();
+        }
+        entries.sort_by_key(|entry| entry.callers);
+        entries.dedup_by_key(|entry| entry.callers);
+        entries
+    }
+
+    /// Tells the others whether this router takes callers.
+    pub(crate) fn set_ready(&mut self, is_ready: bool) {
+        let load = if is_ready { LoadLevel::Normal } else { LoadLevel::Full };
+        self.membership.set_load(load);
+    }
+
+    /// Tells all others at once that this router leaves.
+    pub(crate) fn leave(&mut self) {
+        self.membership.leave();
+        let outcomes = self.membership.tell_all();
+        self.act_all(outcomes);
+    }
+
+    /// Advances the time.
+    pub(crate) fn tick(&mut self) {
+        let outcomes = self.membership.tick(boot_time(), &mut rand::rng());
+        self.act_all(outcomes);
+    }
+
+    /// Takes a heartbeat, which `reply` answers where it came as a request.
+    pub(crate) fn take_heartbeat(&mut self, heartbeat: &Heartbeat, reply: Option<ReplyHandle>) {
+        let outcomes = self.membership.receive(heartbeat, boot_time(), &mut rand::rng());
+        let mut reply = reply;
+        for outcome in outcomes {
+            self.act(outcome, reply.take());
+        }
+    }
+
+    /// Takes a body that a peer sent; returns the notices on replicas in it.
+    pub(crate) fn receive(&mut self, event: PeerEvent) -> Option<(RouterId, ReplicaNotices)> {
+        let decoded = match event.body.kind {
+            Kind::Heartbeat => event.body.decode::<Heartbeat>().map(|heartbeat| {
+                self.take_heartbeat(&heartbeat, event.reply);
+                None
+            }),
+            Kind::Replicas => event.body.decode::<ReplicaNotices>().map(Some),
+            _ => Ok(None),
+        };
+        match decoded {
+            Ok(notices) => notices.map(|notices| (event.from.router, notices)),
+            Err(error) => {
+                let from = event.from.router;
+                log::warn!("peer: A body was refused. router={from} error={error}");
+                None
+            }
+        }
+    }
+
+    /// Tells all other routers of replicas.
+    pub(crate) fn tell(&self, notices: Vec<ReplicaNotice>, from_holder: bool) {
+        let message = ReplicaNotices {
+            notices,
+            from_holder,
+        };
+        let body = Body::encode(Kind::Replicas, &message);
+        let own = self.own();
+        for member in self.membership.members().filter(|member| member.router != *own) {
+            self.links.send(member.peers, body.clone());
+        }
+    }
+
+    fn act_all(&self, outcomes: Vec<Outcome>) {
+        for outcome in outcomes {
+            self.act(outcome, None);
+        }
+    }
+
+    fn act(&self, outcome: Outcome, reply: Option<ReplyHandle>) {
+        match outcome {
+            Outcome::Send { to, heartbeat } if heartbeat.known_stage() == Some(Stage::Probe) => {
+                self.probe(to, &heartbeat);
+            }
+            Outcome::Send { to, heartbeat } => {
+                self.links.send(to, Body::encode(Kind::Heartbeat, &heartbeat));
+            }
+            Outcome::Reply { heartbeat } => {
+                if let Some(reply) = reply {
+                    reply.send(Body::encode(Kind::Heartbeat, &heartbeat));
+                }
+            }
+        }
+    }
+
+    /// Sends a probe and passes its acknowledgement to the control thread.
+    fn probe(&self, to: SocketAddr, heartbeat: &Heartbeat) {
+        let links = self.links.clone();
+        let events = self.events.clone();
+        let body = Body::encode(Kind::Heartbeat, heartbeat);
+        tokio::spawn(async move {
+            let answer = links.request(to, body, ACKNOWLEDGE_TIMEOUT).await;
+            if let Some(Ok(heartbeat)) = answer.map(|body| body.decode::<Heartbeat>()) {
+                let event = Event::Acknowledged(Box::new(heartbeat));
+                if events.send(event).await.is_err() {
+                    log::debug!("peer: The control thread has ended.");
+                }
+            }
+        });
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 mod error;
 mod explain;
 mod fault;
+pub mod gateway;
 mod id;
 mod listener;
 mod membership;
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -203,6 +203,16 @@
         self.set_leaving(true);
     }
 
+    /// Returns what tells all members of this router's own record at once, such as before it leaves.
+    pub fn tell_all(&mut self) -> Vec<Outcome> {
+        let present = self.others.values().map(|known| known.member.clone());
+        let present: Vec<Member> = present.filter(Member::is_present).collect();
+        present
+            .iter()
+            .map(|member| self.send(member, Stage::Records))
+            .collect()
+    }
+
     /// Takes the platform's VM list, which lags: it names routers to try and routers that leave, and removes none.
     ///
     /// Returns what tells the routers concerned, which may not see the list themselves.
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -42,11 +42,13 @@
     Status = 10,
     /// Adds up the usage of heavy client accounts.
     Usage = 11,
+    /// Tells what replicas do: loads of weights, and replicas that leave.
+    Replicas = 12,
 }
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Ping,
         Self::Pong,
         Self::Heartbeat,
@@ -59,6 +61,7 @@
         Self::Handover,
         Self::Status,
         Self::Usage,
+        Self::Replicas,
     ];
 
     /// Returns the name under which metrics count the kind.
@@ -77,6 +80,7 @@
             Self::Handover => "handover",
             Self::Status => "status",
             Self::Usage => "usage",
+            Self::Replicas => "replicas",
         }
     }
 }
--- a/src/request/ejection.rs
+++ b/src/request/ejection.rs
@@ -8,13 +8,33 @@
 
 use crate::id::ReplicaId;
 
-const FAILURES_IN_A_ROW: u32 = 3;
-const FIRST_EJECTION: Duration = Duration::from_secs(5);
-const LONGEST_EJECTION: Duration = Duration::from_secs(60);
-const RETURN_TIME: Duration = Duration::from_secs(10);
 const LEAST_RETURN_WEIGHT: f64 = 0.05;
 const MAX_EJECTED_SHARE: f64 = 0.5;
 
+/// When replicas are taken out, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EjectionOptions {
+    /// The failures in a row after which a replica is taken out.
+    pub failures_in_a_row: u32,
+    /// How long it stays out the first time; each further time doubles it.
+    pub first_ejection: Duration,
+    /// The longest time that it stays out.
+    pub longest_ejection: Duration,
+    /// How long its weight takes to return to one.
+    pub return_time: Duration,
+}
+
+impl Default for EjectionOptions {
+    fn default() -> Self {
+        Self {
+            failures_in_a_row: 3,
+            first_ejection: Duration::from_secs(5),
+            longest_ejection: Duration::from_secs(60),
+            return_time: Duration::from_secs(10),
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Record {
     failures_in_a_row: u32,
@@ -25,6 +45,7 @@
 /// The ejections of one pool, as one router sees them.
 #[derive(Clone, Debug, Default)]
 pub struct Ejection {
+    options: EjectionOptions,
     records: BTreeMap<ReplicaId, Record>,
 }
 
@@ -33,27 +54,27 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
-    fn is_returning(&self, now: Duration) -> bool {
+    fn is_returning(&self, return_time: Duration, now: Duration) -> bool {
         let Some(until) = self.ejected_until else {
             return false;
         };
-        until <= now && now < until + RETURN_TIME
+        until <= now && now < until + return_time
     }
 
-    fn weight(&self, now: Duration) -> f64 {
+    fn weight(&self, return_time: Duration, now: Duration) -> f64 {
         if self.is_out(now) {
             return 0.0;
         }
         let Some(until) = self.ejected_until else {
             return 1.0;
         };
-        let progress = (now - until).as_secs_f64() / RETURN_TIME.as_secs_f64();
+        let progress = (now - until).as_secs_f64() / return_time.as_secs_f64();
         progress.clamp(LEAST_RETURN_WEIGHT, 1.0)
     }
 
-    fn eject(&mut self, now: Duration) {
+    fn eject(&mut self, options: &EjectionOptions, now: Duration) {
         let factor = 1 << self.ejections.min(8);
-        let time = (FIRST_EJECTION * factor).min(LONGEST_EJECTION);
+        let time = (options.first_ejection * factor).min(options.longest_ejection);
         self.ejections += 1;
         self.failures_in_a_row = 0;
         self.ejected_until = Some(now + time);
@@ -61,6 +82,15 @@
 }
 
 impl Ejection {
+    /// Begins without any replica.
+    #[must_use]
+    pub fn new(options: EjectionOptions) -> Self {
+        Self {
+            options,
+            records: BTreeMap::new(),
+        }
+    }
+
     /// Takes in the pool's replicas; records of others are dropped.
     pub fn set_replicas(&mut self, replicas: impl IntoIterator<Item = ReplicaId>) {
         let mut old = std::mem::take(&mut self.records);
@@ -75,14 +105,14 @@
     pub fn weight(&self, replica: &ReplicaId, now: Duration) -> f64 {
         self.records
             .get(replica)
-            .map_or(1.0, |record| record.weight(now))
+            .map_or(1.0, |record| record.weight(self.options.return_time, now))
     }
 
     /// Returns the replicas that are out or returning, each with its weight below one.
     pub fn reduced(&self, now: Duration) -> impl Iterator<Item = (&ReplicaId, f64)> {
         self.records
             .iter()
-            .map(move |(id, record)| (id, record.weight(now)))
+            .map(move |(id, record)| (id, record.weight(self.options.return_time, now)))
             .filter(|(_, weight)| *weight < 1.0)
     }
 
@@ -92,7 +122,8 @@
             return;
         };
         record.failures_in_a_row = 0;
-        let has_returned = !record.is_out(now) && !record.is_returning(now);
+        let is_returning = record.is_returning(self.options.return_time, now);
+        let has_returned = !record.is_out(now) && !is_returning;
         if has_returned {
             *record = Record::default();
         }
@@ -101,6 +132,7 @@
     /// Takes in a try that failed by the replica's fault; returns whether the replica is out from now on.
     pub fn failed(&mut self, replica: &ReplicaId, now: Duration) -> bool {
         let has_room = self.has_room(now);
+        let options = self.options;
         let Some(record) = self.records.get_mut(replica) else {
             return false;
         };
@@ -108,11 +140,11 @@
             return false;
         }
         record.failures_in_a_row += 1;
-        let is_relapse = record.is_returning(now);
-        let is_outlier = is_relapse || record.failures_in_a_row >= FAILURES_IN_A_ROW;
+        let is_relapse = record.is_returning(options.return_time, now);
+        let is_outlier = is_relapse || record.failures_in_a_row >= options.failures_in_a_row;
         let ejects = is_outlier && has_room;
         if ejects {
-            record.eject(now);
+            record.eject(&options, now);
             let is_within_limit = self.ejected(now) <= self.most_ejected();
             assert!(is_within_limit, "too many replicas are ejected");
         }
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -20,6 +20,7 @@
 pub struct RetryBudget {
     share: f64,
     tries: f64,
+    reserve: f64,
 }
 
 /// How a try failed, as far as it matters for another one.
@@ -75,9 +76,26 @@
         Self {
             share: f64::from(percent) / 100.0,
             tries: 0.0,
+            reserve: MAX_RESERVE_TRIES,
         }
     }
 
+    /// Makes a budget that allows `share` further tries for each request, and begins with `reserve` in hand.
+    #[must_use]
+    pub fn with_reserve(share: f64, reserve: f64) -> Self {
+        Self {
+            share,
+            tries: reserve,
+            reserve,
+        }
+    }
+
+    /// Takes in another bound on what may be held in reserve.
+    pub fn set_reserve(&mut self, reserve: f64) {
+        self.reserve = reserve;
+        self.tries = self.tries.min(reserve);
+    }
+
     /// Takes in a change of the service's configuration; what was saved up stays.
     pub fn set_percent(&mut self, percent: u32) {
         self.share = f64::from(percent) / 100.0;
@@ -85,7 +103,7 @@
 
     /// Takes in the first try of a request.
     pub fn first_try(&mut self) {
-        self.tries = (self.tries + self.share).min(MAX_RESERVE_TRIES);
+        self.tries = (self.tries + self.share).min(self.reserve);
     }
 
     /// Takes a further try out of the budget; returns whether there was one.
--- a/src/rollout/lease.rs
+++ b/src/rollout/lease.rs
@@ -13,14 +13,39 @@
 
 /// How long a lease holds after the write that took or renewed it was sent.
 pub const LEASE_LIFE: Duration = Duration::from_secs(15);
-/// How often a holder renews and others look.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
-/// How long a lease must be seen unchanged beyond its life before another router takes it, for clocks that run unevenly.
-const CLOCK_MARGIN: Duration = Duration::from_secs(2);
 /// The longest time that one order is under way; a holder with less time left sends none.
 pub const ORDER_TIMEOUT: Duration = Duration::from_secs(3);
-/// The pause after a call that failed.
-const FAILURE_PAUSE: Duration = Duration::from_secs(1);
+
+/// The times that a lease keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseTimes {
+    /// How long a lease holds after the write that took or renewed it was sent.
+    pub life: Duration,
+    /// How often a holder renews and others look.
+    pub renewal_interval: Duration,
+    /// How long a lease must be seen unchanged beyond its life before another router takes it, for clocks that run
+    /// unevenly.
+    pub clock_margin: Duration,
+    /// The longest time that one order is under way; a holder with less time left sends none.
+    pub order_timeout: Duration,
+    /// How long a new holder lets the orders of the old one run out.
+    pub settle: Duration,
+    /// The pause after a call that failed.
+    pub failure_pause: Duration,
+}
+
+impl Default for LeaseTimes {
+    fn default() -> Self {
+        Self {
+            life: LEASE_LIFE,
+            renewal_interval: Duration::from_secs(5),
+            clock_margin: Duration::from_secs(2),
+            order_timeout: ORDER_TIMEOUT,
+            settle: ORDER_TIMEOUT,
+            failure_pause: Duration::from_secs(1),
+        }
+    }
+}
 
 /// The value of a lease object.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,6 +84,7 @@
 /// One router's view of one pool's lease.
 #[derive(Clone, Debug)]
 pub struct Lease {
+    times: LeaseTimes,
     own: RouterId,
     incarnation: Incarnation,
     sequence: u64,
@@ -92,10 +118,17 @@
 }
 
 impl Lease {
+    /// Begins without the lease, with the default times.
+    #[must_use]
+    pub fn new(own: RouterId, incarnation: Incarnation) -> Self {
+        Self::with_times(own, incarnation, LeaseTimes::default())
+    }
+
     /// Begins without the lease.
     #[must_use]
-    pub const fn new(own: RouterId, incarnation: Incarnation) -> Self {
+    pub const fn with_times(own: RouterId, incarnation: Incarnation, times: LeaseTimes) -> Self {
         Self {
+            times,
             own,
             incarnation,
             sequence: 0,
@@ -114,7 +147,7 @@
     #[must_use]
     pub fn fencing_number(&self, now: Duration) -> Option<u64> {
         let held = self.held?;
-        let has_time = held.valid_until >= now + ORDER_TIMEOUT;
+        let has_time = held.valid_until >= now + self.times.order_timeout;
         (has_time && now >= held.orders_from).then_some(held.version)
     }
 
@@ -167,16 +200,16 @@
     ) -> Option<LeaseAction> {
         self.is_busy = false;
         let Some(found) = result else {
-            self.next_at = now + FAILURE_PAUSE;
+            self.next_at = now + self.times.failure_pause;
             return None;
         };
-        self.next_at = now + RENEWAL_INTERVAL;
+        self.next_at = now + self.times.renewal_interval;
         let Some((version, record)) = found else {
             return self.after_absent(rank, now);
         };
         if record.holder == self.own && record.incarnation == self.incarnation {
             self.recognise(version, &record, now);
-            return None;
+            return self.take_again(version, now);
         }
         self.held = None;
         self.sent = None;
@@ -190,7 +223,7 @@
             life: Duration::ZERO,
             first_at: now,
         });
-        if now < first_at.first_at + LEASE_LIFE * rank {
+        if now < first_at.first_at + self.times.life * rank {
             return None;
         }
         self.is_busy = true;
@@ -214,6 +247,15 @@
         }
     }
 
+    /// Takes this life's own lease again after it lapsed: no other router can have ordered since that version.
+    fn take_again(&mut self, version: ObjectVersion, now: Duration) -> Option<LeaseAction> {
+        if self.held.is_some() {
+            return None;
+        }
+        self.is_busy = true;
+        Some(self.write(PutCondition::Version(version), now))
+    }
+
     fn note_other(&mut self, version: ObjectVersion, record: &LeaseRecord, now: Duration) {
         if self
             .seen
@@ -231,7 +273,7 @@
 
     fn take_if_lapsed(&mut self, rank: u32, now: Duration) -> Option<LeaseAction> {
         let seen = self.seen.as_ref()?;
-        let lapses_at = seen.first_at + seen.life + CLOCK_MARGIN + LEASE_LIFE * rank;
+        let lapses_at = seen.first_at + seen.life + self.times.clock_margin + self.times.life * rank;
         if now < lapses_at {
             self.next_at = self.next_at.min(lapses_at);
             return None;
@@ -251,7 +293,7 @@
             holder: self.own.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence,
-            life_ms: LEASE_LIFE.as_millis() as u64,
+            life_ms: self.times.life.as_millis() as u64,
         };
         LeaseAction::Write(record, condition)
     }
@@ -261,7 +303,7 @@
         match outcome {
             PutOutcome::Stored(version) => {
                 let sent = self.sent.take().expect("a write that ended was sent");
-                self.next_at = now + RENEWAL_INTERVAL;
+                self.next_at = now + self.times.renewal_interval;
                 self.hold(version, sent.at, now);
             }
             PutOutcome::Conflict => {
@@ -273,9 +315,9 @@
             }
             PutOutcome::NotSent => {
                 self.sent = None;
-                self.next_at = now + FAILURE_PAUSE;
+                self.next_at = now + self.times.failure_pause;
             }
-            PutOutcome::Unknown => self.next_at = now + FAILURE_PAUSE,
+            PutOutcome::Unknown => self.next_at = now + self.times.failure_pause,
         }
     }
 
@@ -289,9 +331,9 @@
         // A new holder lets the orders of the old one run out before it gives its own.
         let orders_from = match self.held {
             Some(held) => held.orders_from,
-            None => now + ORDER_TIMEOUT,
+            None => now + self.times.settle,
         };
-        let valid_until = sent_at + LEASE_LIFE;
+        let valid_until = sent_at + self.times.life;
         let held = Held {
             version,
             valid_until,
--- a/src/store/backoff.rs
+++ b/src/store/backoff.rs
@@ -13,25 +13,44 @@
 const LAST_CEILING: Duration = Duration::from_secs(10);
 
 /// Counts failed attempts and gives the pause before the next one.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Backoff {
     failures: u32,
+    first_ceiling: Duration,
+    last_ceiling: Duration,
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl Backoff {
     /// Makes a back-off without failures.
     #[must_use]
     pub const fn new() -> Self {
-        Self { failures: 0 }
+        Self::with_ceilings(FIRST_CEILING, LAST_CEILING)
+    }
+
+    /// Makes a back-off whose first pause is at most `first_ceiling` and whose last ones are at most `last_ceiling`.
+    #[must_use]
+    pub const fn with_ceilings(first_ceiling: Duration, last_ceiling: Duration) -> Self {
+        Self {
+            failures: 0,
+            first_ceiling,
+            last_ceiling,
+        }
     }
 
     /// Notes one more failed attempt and returns how long to wait before the next.
     pub fn next_pause(&mut self, rng: &mut impl Rng) -> Duration {
         let doublings = self.failures.min(16);
         self.failures = self.failures.saturating_add(1);
-        let ceiling = FIRST_CEILING
+        let ceiling = self
+            .first_ceiling
             .saturating_mul(1 << doublings)
-            .min(LAST_CEILING);
+            .min(self.last_ceiling);
         ceiling.mul_f64(rng.random_range(0.5..1.0))
     }
 
