Ask the retry budget before a running try is given up; load the oldest weights first

Change: the budget is asked first; rollouts take replicas by the age of their weights; SIGHUP reads settings again.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -37,7 +37,7 @@
 /// The share of the objective after which an idempotent call goes to another replica.
 const PATIENCE_SHARE: f64 = 0.7;
 /// The share of the objective after which a stream goes to another replica, if its replica answers nobody.
-const STREAM_PATIENCE_SHARE: f64 = 0.5;
+const STREAM_PATIENCE_SHARE: f64 = 1.0;
 /// The largest whole answer that is held back until it is complete; a longer one is passed on as it comes.
 const MAX_HELD_BYTES: u64 = 256 << 10;
 /// The lowest rank that the gateway gives to requests at a replica; a route of priority 0 gets it.
@@ -121,6 +121,8 @@
     reason: Arc<str>,
     /// The replica's own failure, which is delivered where nothing better comes.
     failure: Option<Started>,
+    /// Whether the next send has been taken out of the retry budget already.
+    has_resend: bool,
 }
 
 impl Ended {
@@ -129,8 +131,14 @@
             end,
             reason: reason.into(),
             failure: None,
+            has_resend: false,
         }
     }
+
+    fn with_resend(mut self) -> Self {
+        self.has_resend = true;
+        self
+    }
 }
 
 impl Call {
@@ -265,7 +273,11 @@
                 ended.reason
             );
             let step = self.progress.try_ended(ended.end, self.call.remaining());
-            let step = self.with_budget(step, ended.end);
+            let step = if ended.has_resend {
+                step
+            } else {
+                self.with_budget(step, ended.end)
+            };
             if let Some(answer) = self.after(step, ended) {
                 return answer;
             }
@@ -284,8 +296,7 @@
         if step != NextStep::Resend {
             return step;
         }
-        let routers = self.shared.snapshot.load().routers;
-        if self.shared.take_resend(&self.call.service, routers) {
+        if self.take_resend() {
             return step;
         }
         match end {
@@ -295,6 +306,12 @@
         }
     }
 
+    /// Takes a further send out of the retry budget; returns whether there was one.
+    fn take_resend(&self) -> bool {
+        let routers = self.shared.snapshot.load().routers;
+        self.shared.take_resend(&self.call.service, routers)
+    }
+
     /// Carries out what follows a try; `None` where the next try follows.
     fn after(&self, step: NextStep, ended: Ended) -> Option<Result<Started, OwnAnswer>> {
         let answer = match step {
@@ -506,8 +523,10 @@
             }
             let is_stream = self.call.route.kind.is_stream();
             let replica_lives = is_stream && replica.load.has_answered_since(sent_at);
-            if !replica_lives {
-                return Err(Ended::new(TryEnd::TimedOut, "no answer within patience"));
+            // A running try is given up only where another one may follow it.
+            if !replica_lives && self.take_resend() {
+                let ended = Ended::new(TryEnd::TimedOut, "no answer within patience");
+                return Err(ended.with_resend());
             }
         }
         match tokio::time::timeout(self.call.remaining(), &mut sending).await {
@@ -568,6 +587,7 @@
                 end: TryEnd::Failed,
                 reason: "the replica failed".into(),
                 failure: Some(started),
+                has_resend: false,
             });
         }
         Ok(started)
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -696,7 +696,7 @@
 }
 
 fn lease_times(shared: &Shared) -> LeaseTimes {
-    let bounds = &shared.settings.bounds;
+    let bounds = shared.bounds();
     let lease = Duration::from_millis(bounds.lease_ms);
     if bounds.replicas_check_fencing {
         // Replicas refuse an old holder's orders, so a shorter life is safe and a new holder need not wait.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! matter: it fills in a [`Dialect`], a [`PlatformStore`] and [`ReplicaCalls`]. See docs/design/gateway.md.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -151,11 +152,24 @@
         }
     }
 
+    /// Reads the settings file again and takes over what may change while the process runs: the bounds.
+    ///
+    /// A file that can't be read or is not allowed changes nothing; the log says why.
+    pub fn reload(&self, path: &Path) {
+        match GatewaySettings::from_file(path) {
+            Ok(settings) => {
+                let changed = self.shared.set_bounds(settings.bounds);
+                log::info!("gateway: Settings read again. changed={changed}");
+            }
+            Err(error) => log::error!("gateway: Settings were not taken over. error=\"{error}\""),
+        }
+    }
+
     /// Leaves: out of the directory at once, serving callers with old answers, then ending connections one by one.
     ///
     /// Returns the requests that were still open when the time was over.
     pub async fn leave(&self) -> usize {
-        let bounds = &self.shared.settings.bounds;
+        let bounds = self.shared.bounds();
         let begun = clock::boot_time();
         log::info!("gateway: Leaving. open_requests={}", self.shared.open_requests());
         self.shared.leave();
@@ -198,7 +212,7 @@
     /// Returns how long an answer of the directory may be kept.
     #[must_use]
     pub fn directory_life(&self) -> Duration {
-        Duration::from_millis(self.shared.settings.bounds.directory_life_ms)
+        Duration::from_millis(self.shared.bounds().directory_life_ms)
     }
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -18,7 +18,7 @@
 use super::freshness::{Freshness, FreshnessBounds};
 use super::placement::WeightsBounds;
 use super::route::{ModelName, RouteTable};
-use super::settings::GatewaySettings;
+use super::settings::{GatewayBounds, GatewaySettings};
 use super::upstream::ReplicaPool;
 use crate::id::{ReplicaId, ServiceName, WeightsVersion, ZoneName};
 use crate::request::ejection::{Ejection, EjectionOptions};
@@ -30,8 +30,8 @@
 const RETRY_SLACK_USED: f64 = 0.6;
 /// From when on a run on older weights is worth less, by the users' rules.
 const WEIGHTS_PREFERRED_AFTER: Duration = Duration::from_millis(1_500);
-/// Kept back from the bound on old weights, for requests on their way to a replica.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(400);
+/// Kept back from the bound on old weights: a request may wait at a busy replica for this long before it begins.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
 /// When replicas are taken out: a failed connection or three failures in a row, for about as long as a crash lasts.
 const EJECTION: EjectionOptions = EjectionOptions {
     failures_in_a_row: 3,
@@ -120,8 +120,9 @@
 /// What traffic and the control thread share.
 #[derive(Debug)]
 pub(crate) struct Shared {
-    /// The settings.
+    /// The settings at the start; [`Shared::bounds`] has the bounds in force.
     pub(crate) settings: GatewaySettings,
+    bounds: ArcSwap<GatewayBounds>,
     /// The names of headers.
     pub(crate) dialect: Dialect,
     /// What traffic goes by.
@@ -207,6 +208,7 @@
         observations: mpsc::Sender<Observation>,
     ) -> Self {
         Self {
+            bounds: ArcSwap::from_pointee(settings.bounds),
             settings,
             dialect,
             snapshot: ArcSwap::default(),
@@ -220,6 +222,17 @@
         }
     }
 
+    /// Returns the bounds in force.
+    pub(crate) fn bounds(&self) -> GatewayBounds {
+        **self.bounds.load()
+    }
+
+    /// Takes over new bounds; returns whether they differ.
+    pub(crate) fn set_bounds(&self, bounds: GatewayBounds) -> bool {
+        let before = self.bounds.swap(Arc::new(bounds));
+        *before != bounds
+    }
+
     /// Counts a request.
     pub(crate) fn begin_request(self: &Arc<Self>) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
@@ -240,7 +253,7 @@
     /// Judges how much the configuration may be relied on.
     pub(crate) fn freshness(&self, now: Duration) -> Freshness {
         let bounds = FreshnessBounds {
-            revocation: self.settings.bounds.revocation_ms.map(Duration::from_millis),
+            revocation: self.bounds().revocation_ms.map(Duration::from_millis),
         };
         let confirmed_at = Duration::from_millis(self.confirmed_ms.load(Ordering::Relaxed));
         bounds.judge(confirmed_at, now)
@@ -265,7 +278,7 @@
 
     /// Returns the bounds on the weights that requests may begin on.
     pub(crate) fn weights_bounds(&self) -> WeightsBounds {
-        let closed_after = self.settings.bounds.weights_ms.map(|bound_ms| {
+        let closed_after = self.bounds().weights_ms.map(|bound_ms| {
             Duration::from_millis(bound_ms).saturating_sub(WEIGHTS_MARGIN)
         });
         WeightsBounds {
@@ -331,7 +344,7 @@
         routers: usize,
         act: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds();
         let reserve = bounds.retry_slack * RETRY_SLACK_USED / routers.max(1) as f64;
         let mut budgets = lock(&self.budgets);
         let budget = budgets.entry(Arc::clone(service)).or_insert_with(|| {
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -280,10 +280,14 @@
         steps: &mut Vec<WeightsStep>,
     ) {
         let most_out = (replicas.len() / REPLICAS_PER_OUTAGE).max(1);
-        for known in replicas {
-            let Some(target) = target_of(known, wanted) else {
-                continue;
-            };
+        let mut behind: Vec<_> = replicas
+            .iter()
+            .filter_map(|known| Some((known, target_of(known, wanted)?)))
+            .collect();
+        // The oldest weights first: where versions follow each other faster than a rollout ends, the replicas that the
+        // last one did not reach would otherwise fall behind for good.
+        behind.sort_by_key(|(known, target)| known.version_of(&target.model));
+        for (known, target) in behind {
             if let Some(work) = self.work.get_mut(&known.record.id) {
                 // A newer version replaces one that was not ordered yet.
                 if matches!(work.stage, Stage::Announced(_) | Stage::Paused(_)) {
@@ -305,13 +309,22 @@
             };
             self.work.insert(id, Work { target, stage });
         }
-        self.announce_paused(replicas.len(), now, steps);
+        self.announce_paused(replicas, now, steps);
     }
 
     /// Lets replicas whose orders are known by now take the free places.
-    fn announce_paused(&mut self, replicas: usize, now: Duration, steps: &mut Vec<WeightsStep>) {
-        let most_out = (replicas / REPLICAS_PER_OUTAGE).max(1);
-        let ready: Vec<ReplicaId> = self
+    fn announce_paused(
+        &mut self,
+        replicas: &[&KnownReplica],
+        now: Duration,
+        steps: &mut Vec<WeightsStep>,
+    ) {
+        let most_out = (replicas.len() / REPLICAS_PER_OUTAGE).max(1);
+        let version_of = |id: &ReplicaId, model: &ModelName| {
+            let known = replicas.iter().find(|known| known.record.id == *id);
+            known.and_then(|known| known.version_of(model))
+        };
+        let mut ready: Vec<ReplicaId> = self
             .work
             .iter()
             .filter(|(id, work)| {
@@ -319,8 +332,9 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
+        ready.sort_by_key(|id| self.work.get(id).and_then(|work| version_of(id, &work.target.model)));
         for id in ready {
-            if self.loading(now) >= at_once(replicas) || self.out() >= most_out {
+            if self.loading(now) >= at_once(replicas.len()) || self.out() >= most_out {
                 return;
             }
             if let Some(work) = self.work.get_mut(&id) {
