Load replicas through one queue, oldest weights first; test the gateway's decisions

Cause: replicas that waited after their first report were passed over by those that were known already, so under a version every 2.4 s some stayed on version 1 while 4 was named (test step_versions_in_quick_succession_leave_no_replica_behind, failed first). Change: one queue, ordered by the version that a replica serves. Tests for attempts, events, fleet, freshness, placement, prompts, routes, settings and weights.

--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,1 +1,46 @@
+//! Tests of the gateway's decisions, which need no network and no clock.
 
+mod attempt;
+mod events;
+mod fleet;
+mod freshness;
+mod placement;
+mod prompt;
+mod route;
+mod settings;
+mod weights;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::smallvec;
+
+use super::fleet::{KnownReplica, ReplicaPhase, ReplicaRecord, ReplicaState};
+
+/// Returns a duration in milliseconds.
+pub(crate) const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+/// Returns a replica that serves `version` of the model `m`.
+pub(crate) fn record(id: &str, born_ms: u64, version: u64) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.into(),
+        born_ms,
+        service: "assistant".into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        zone: "ikeja".into(),
+        slots: 12,
+        state: ReplicaState::Ready,
+        weights: smallvec![(Arc::from("m"), version)],
+    }
+}
+
+/// Returns that replica as the fleet knows it.
+pub(crate) fn known(id: &str, version: u64) -> KnownReplica {
+    KnownReplica {
+        record: record(id, 1, version),
+        phase: ReplicaPhase::Serving,
+        lapses_at: None,
+    }
+}
--- /dev/null
+++ b/src/gateway/tests/prompt.rs
@@ -0,0 +1,77 @@
+//! What a request says of its prompt, also where it says it badly.
+
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use yare::parameterized;
+
+use crate::gateway::dialect::Dialect;
+use crate::gateway::prompt::{Prompt, PromptFault, cache_scope};
+use crate::gateway::route::GatewayAccount;
+
+/// Returns headers with names of this test's own.
+pub(crate) fn dialect() -> Dialect {
+    let name = HeaderName::from_static;
+    Dialect {
+        request_id: name("x-id"),
+        deadline_ms: name("x-deadline"),
+        caller_key: name("x-key"),
+        account: name("x-account"),
+        expected_replica: name("x-expect"),
+        replica: name("x-replica"),
+        expected_weights: name("x-expect-weights"),
+        weights: name("x-weights"),
+        not_run: name("x-not-run"),
+        signature: name("x-signature"),
+        model: name("x-model"),
+        token_counts: name("x-counts"),
+        parts: name("x-parts"),
+        cache_scope: name("x-scope"),
+        fetch_from: name("x-fetch"),
+        save_to: name("x-save"),
+        priority: name("x-rank"),
+        last_event_id: name("last-event-id"),
+        reserved: vec![name("x-account"), name("x-scope")],
+    }
+}
+
+fn headers(counts: &'static str, parts: &'static str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert("x-model", HeaderValue::from_static("m"));
+    headers.insert("x-counts", HeaderValue::from_static(counts));
+    headers.insert("x-parts", HeaderValue::from_static(parts));
+    headers
+}
+
+#[test]
+fn read_shared_parts_are_all_but_the_last() {
+    let headers = headers("1460,80", "5c:800,91:410,e4:250");
+    let prompt = Prompt::read(&headers, &dialect()).unwrap().unwrap();
+    let need = prompt.need(None);
+    assert_eq!(need.shared_tokens, 1_210);
+    assert_eq!(need.own_tokens, 250);
+    assert_eq!(prompt.output_tokens, 80);
+}
+
+#[parameterized(
+    no_output = { "1460", "5c:800", PromptFault::Counts },
+    no_number = { "many,80", "5c:800", PromptFault::Counts },
+    no_tokens = { "1460,80", "5c", PromptFault::Parts },
+    negative = { "1460,80", "5c:-1", PromptFault::Parts },
+)]
+fn read_bad_input(counts: &'static str, parts: &'static str, fault: PromptFault) {
+    assert_eq!(Prompt::read(&headers(counts, parts), &dialect()), Err(fault));
+}
+
+#[test]
+fn need_isolated_account_has_an_opening_of_its_own() {
+    let headers = headers("1460,80", "5c:800,e4:250");
+    let prompt = Prompt::read(&headers, &dialect()).unwrap().unwrap();
+    let account = GatewayAccount {
+        name: "dues".into(),
+        keys: Vec::new(),
+        priority: None,
+        is_isolated: true,
+    };
+    assert_ne!(prompt.need(None).opening, prompt.need(Some(&account)).opening);
+    assert_ne!(cache_scope(1, None), cache_scope(1, Some(&account)));
+    assert_ne!(cache_scope(1, None), cache_scope(2, None));
+}
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -271,7 +271,7 @@
         self.accepted.retain(|id, orders| is_same_life(id, orders.born_ms));
     }
 
-    /// Takes replicas with old weights into work, as many as may load at once.
+    /// Takes replicas with old weights into work, and lets as many of them load as may at once.
     fn begin(
         &mut self,
         replicas: &[&KnownReplica],
@@ -279,61 +279,23 @@
         now: Duration,
         steps: &mut Vec<WeightsStep>,
     ) {
-        let most_out = (replicas.len() / REPLICAS_PER_OUTAGE).max(1);
-        let mut behind: Vec<_> = replicas
-            .iter()
-            .filter_map(|known| Some((known, target_of(known, wanted)?)))
-            .collect();
-        // The oldest weights first: where versions follow each other faster than a rollout ends, the replicas that the
-        // last one did not reach would otherwise fall behind for good.
-        behind.sort_by_key(|(known, target)| known.version_of(&target.model));
-        for (known, target) in behind {
-            if let Some(work) = self.work.get_mut(&known.record.id) {
-                // A newer version replaces one that was not ordered yet.
-                if matches!(work.stage, Stage::Announced(_) | Stage::Paused(_)) {
-                    work.target = target;
-                }
+        for known in replicas {
+            let Some(target) = target_of(known, wanted) else {
                 continue;
-            }
-            let is_known = self.accepted.contains_key(&known.record.id);
-            let has_room = self.loading(now) < at_once(replicas.len()) && self.out() < most_out;
-            if is_known && !has_room {
-                continue;
-            }
-            let id = known.record.id.clone();
-            let stage = if is_known {
-                steps.push(WeightsStep::Announce(target.clone()));
-                Stage::Announced(now + NOTICE_SPREAD)
-            } else {
-                Stage::Paused(now)
             };
-            self.work.insert(id, Work { target, stage });
+            let waiting = Work {
+                target: target.clone(),
+                stage: Stage::Paused(now),
+            };
+            let id = known.record.id.clone();
+            let work = self.work.entry(id).or_insert(waiting);
+            // A newer version replaces one that was not ordered yet.
+            if matches!(work.stage, Stage::Announced(_) | Stage::Paused(_)) {
+                work.target = target;
+            }
         }
-        self.announce_paused(replicas, now, steps);
-    }
-
-    /// Lets replicas whose orders are known by now take the free places.
-    fn announce_paused(
-        &mut self,
-        replicas: &[&KnownReplica],
-        now: Duration,
-        steps: &mut Vec<WeightsStep>,
-    ) {
         let most_out = (replicas.len() / REPLICAS_PER_OUTAGE).max(1);
-        let version_of = |id: &ReplicaId, model: &ModelName| {
-            let known = replicas.iter().find(|known| known.record.id == *id);
-            known.and_then(|known| known.version_of(model))
-        };
-        let mut ready: Vec<ReplicaId> = self
-            .work
-            .iter()
-            .filter(|(id, work)| {
-                matches!(work.stage, Stage::Paused(at) if now >= at) && self.accepted.contains_key(*id)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        ready.sort_by_key(|id| self.work.get(id).and_then(|work| version_of(id, &work.target.model)));
-        for id in ready {
+        for id in self.ready(replicas, now) {
             if self.loading(now) >= at_once(replicas.len()) || self.out() >= most_out {
                 return;
             }
@@ -344,6 +306,27 @@
         }
     }
 
+    /// Returns the replicas that can be ordered now, those with the oldest weights first.
+    ///
+    /// Where versions follow each other faster than a rollout ends, the replicas that the last one did not reach would
+    /// otherwise fall behind for good.
+    fn ready(&self, replicas: &[&KnownReplica], now: Duration) -> Vec<ReplicaId> {
+        let is_ready = |id: &ReplicaId, work: &Work| {
+            let is_due = matches!(work.stage, Stage::Paused(at) if now >= at);
+            is_due && self.accepted.contains_key(id)
+        };
+        let mut ready: Vec<_> = replicas
+            .iter()
+            .filter_map(|known| {
+                let id = &known.record.id;
+                let work = self.work.get(id).filter(|work| is_ready(id, work))?;
+                Some((known.version_of(&work.target.model), id.clone()))
+            })
+            .collect();
+        ready.sort_unstable();
+        ready.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// Returns how many replicas load at the moment, as far as is known.
     fn loading(&self, now: Duration) -> usize {
         let is_loading = |work: &&Work| match work.stage {
