Hear of the platform through few routers of each zone

Confirmations are counted from the sending of the question, less the age that the answer names. A router without news goes to the platform itself.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -8,23 +8,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use bytes::Bytes;
+use tokio::sync::{mpsc, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::clock::boot_time;
 use super::fleet::{Fleet, FleetChange, KnownReplica, ReplicaEntry, ReplicaPhase};
-use super::follow::{Followed, follow, store_backoff};
+use super::follow::{Followed, follow, store_backoff, wait_for};
 use super::notice::{NoticePhase, ReplicaNotice, ReplicaNotices};
-use super::peers::Peers;
+use super::peers::{PeerWord, Peers};
+use super::relayed::{News, NewsRequest, ReplicaNews, WeightsNews};
 use super::route::{ModelName, RouteTable};
 use super::shared::{Observation, Replica, ReplicaLoad, Shared, Snapshot};
+use super::source::{ChangeLog, Source, SourceChoice};
 use super::store::{CallFuture, ConfigurationRead, NamedWeights, PlatformStore, StoreFault};
 use super::upstream::ReplicaPool;
 use super::weights::{LoadTarget, OrderReply, WeightsReport, WeightsRollout, WeightsStep};
 use crate::error::{Error, ErrorKind};
 use crate::id::{ReplicaId, RouterId, WeightsVersion};
 use crate::membership::{Heartbeat, watchers_of};
-use crate::peer::Inbound;
+use crate::peer::{Body, Inbound, Kind, ReplyHandle};
 use crate::rollout::{Lease, LeaseAction, LeaseEvent, LeaseTimes};
 
 /// The events that may wait for the control thread.
@@ -35,6 +38,16 @@
 const ROLLOUT_TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// The pause between two readings of the configuration: half of the bound of 2 s in which one has to be in force.
 const CONFIGURATION_INTERVAL: Duration = Duration::from_secs(1);
+/// The failed readings in a row after which the platform counts as lost; one alone may be a lost packet.
+const FAILED_READS_OF_AN_OUTAGE: u32 = 2;
+/// How long a question for news waits at another router; with the interval above, a change is known well within 2 s.
+const NEWS_WAIT: Duration = Duration::from_millis(600);
+/// How much longer an answer may take before the platform is asked instead.
+const NEWS_SLACK: Duration = Duration::from_millis(300);
+/// Two tellings of one return of the platform differ by less.
+const RETURN_SLACK: Duration = Duration::from_millis(500);
+/// The largest configuration that is passed on in a frame between routers.
+const MAX_TOLD_CONFIGURATION_BYTES: usize = 768 << 10;
 /// The pause after changes of replicas; they come in groups, and each watch is priced.
 const REPLICAS_PAUSE: Duration = Duration::from_millis(600);
 /// The pause after changes of named weights.
@@ -114,6 +127,8 @@
     OrderEnded(LoadTarget, OrderReply, u64),
     /// A report ended.
     ReportEnded(ReportCall, Option<WeightsReport>),
+    /// Another router told its news, asked for at this time; `None` where it did not answer.
+    News(Duration, Option<Box<News>>),
     /// The process was told to leave.
     Leave,
 }
@@ -173,6 +188,9 @@
             () = receive(&mut inbound, &mut control) => {}
             () = tokio::time::sleep(tick) => control.tick(),
         }
+        let now = boot_time();
+        control.find_source(now);
+        control.tell_news(now);
         control.advance();
         control.publish();
     }
@@ -183,8 +201,10 @@
         // The links end with the process; without them the router serves alone.
         return std::future::pending().await;
     };
-    if let Some((from, notices)) = control.peers.receive(event) {
-        control.take_notices(&from, &notices);
+    match control.peers.receive(event) {
+        Some(PeerWord::Notices(from, notices)) => control.take_notices(&from, &notices),
+        Some(PeerWord::NewsWanted(request, reply)) => control.hold_news(request, reply),
+        None => {}
     }
 }
 
@@ -202,10 +222,37 @@
     last_holder: Option<RouterId>,
     asked: HashMap<ReplicaId, Duration>,
     runtime: HashMap<(ReplicaId, u64), (Arc<ReplicaLoad>, Arc<ReplicaPool>)>,
+    source: SourceChoice,
+    from: Source,
+    platform: PlatformState,
+    waiting: Vec<WaitingForNews>,
+    is_asking: bool,
+    reads_configuration: watch::Sender<bool>,
+    follows_lists: watch::Sender<bool>,
     next_tick: Duration,
     is_dirty: bool,
     was_ready: bool,
-    store_lost: bool,
+}
+
+/// What is known of the platform, and up to which of its revisions.
+#[derive(Debug, Default)]
+struct PlatformState {
+    configuration_revision: u64,
+    configuration: Bytes,
+    replicas_as_of: u64,
+    weights_as_of: u64,
+    changes: ChangeLog,
+    /// The readings of the configuration that failed in a row.
+    failed_reads: u32,
+    returned_at: Option<Duration>,
+}
+
+/// A router that waits for news.
+#[derive(Debug)]
+struct WaitingForNews {
+    request: NewsRequest,
+    reply: ReplyHandle,
+    until: Duration,
 }
 
 impl Control {
@@ -231,29 +278,41 @@
             last_holder: None,
             asked: HashMap::new(),
             runtime: HashMap::new(),
+            source: SourceChoice::default(),
+            from: Source::Platform,
+            platform: PlatformState::default(),
+            waiting: Vec::new(),
+            is_asking: false,
+            reads_configuration: watch::Sender::new(true),
+            follows_lists: watch::Sender::new(true),
             next_tick: Duration::ZERO,
             is_dirty: true,
             was_ready: false,
-            store_lost: false,
         }
     }
 
     /// Begins to read the configuration and to follow replicas and weights.
     fn follow_platform(&self) {
-        tokio::spawn(read_configuration(Arc::clone(&self.store), self.events.clone()));
+        tokio::spawn(read_configuration(
+            Arc::clone(&self.store),
+            self.reads_configuration.subscribe(),
+            self.events.clone(),
+        ));
+        let is_active = self.follows_lists.subscribe();
         let (store, events) = (Arc::clone(&self.store), self.events.clone());
         tokio::spawn(async move {
             let list = |after| (store.list_replicas)(after);
             let watch = |since| (store.watch_replicas)(since);
             let take = |followed| pass_on(&events, Event::Replicas(followed));
-            follow(list, watch, REPLICAS_PAUSE, take).await;
+            follow(list, watch, REPLICAS_PAUSE, is_active, take).await;
         });
+        let is_active = self.follows_lists.subscribe();
         let (store, events) = (Arc::clone(&self.store), self.events.clone());
         tokio::spawn(async move {
             let list = |after| (store.list_weights)(after);
             let watch = |since| (store.watch_weights)(since);
             let take = |followed| pass_on(&events, Event::Weights(followed));
-            follow(list, watch, WEIGHTS_PAUSE, take).await;
+            follow(list, watch, WEIGHTS_PAUSE, is_active, take).await;
         });
     }
 
@@ -298,7 +357,12 @@
     fn take(&mut self, event: Event) {
         let now = boot_time();
         match event {
-            Event::Configuration(sent_at, result) => self.take_configuration(sent_at, *result),
+            Event::Configuration(sent_at, result) => {
+                self.take_configuration(sent_at, *result, now);
+            }
+            Event::News(sent_at, news) => {
+                self.take_news(sent_at, news.map(|news| *news), now);
+            }
             Event::Replicas(followed) => self.take_replicas(followed, now),
             Event::Weights(followed) => self.take_weights(followed, now),
             Event::Acknowledged(heartbeat) => self.peers.take_heartbeat(&heartbeat, None),
@@ -322,74 +386,111 @@
         &mut self,
         sent_at: Duration,
         result: Result<Option<ConfigurationRead>, StoreFault>,
+        now: Duration,
     ) {
         let read = match result {
             Ok(read) => read,
             Err(fault) => {
-                if !std::mem::replace(&mut self.store_lost, true) {
+                self.platform.failed_reads += 1;
+                if self.platform.failed_reads == FAILED_READS_OF_AN_OUTAGE {
                     log::warn!("store: The configuration can't be read. fault=\"{fault}\"");
                 }
                 return;
             }
         };
-        if std::mem::take(&mut self.store_lost) {
-            log::info!("store: The configuration is read again.");
+        let failed = std::mem::take(&mut self.platform.failed_reads);
+        if failed >= FAILED_READS_OF_AN_OUTAGE {
+            log::info!("store: The configuration is read again. failed_reads={failed}");
+            self.platform.returned_at = Some(now);
+            self.fleet.platform_returned(now);
+        }
+        if let Some(read) = read {
+            self.adopt(read.revision, read.changed, sent_at);
         }
-        let Some(read) = read else {
+    }
+
+    /// Takes a configuration, or the word that none is newer, which was true at `confirmed_at`.
+    fn adopt(&mut self, revision: u64, changed: Option<Bytes>, confirmed_at: Duration) {
+        let known = self.platform.configuration_revision;
+        if revision < known {
+            log::warn!("config: An older revision was ignored. revision={revision} known={known}");
             return;
-        };
-        if let Some(configuration) = read.changed {
-            let known = self.table.as_ref().map_or(0, |table| table.version());
-            if configuration.version >= known {
-                log::info!(
-                    "config: Adopted. version={} before={known} revision={} routes={}",
-                    configuration.version,
-                    read.revision,
-                    configuration.routes.len()
-                );
-                let table = RouteTable::new(Arc::unwrap_or_clone(configuration));
-                self.table = Some(Arc::new(table));
-                self.is_dirty = true;
-                // Requests go by the new table before it counts as confirmed.
-                self.publish();
-            } else {
-                log::warn!(
-                    "config: An older version was ignored. version={} known={known}",
-                    configuration.version
-                );
+        }
+        if revision > known {
+            let Some(bytes) = changed else {
+                return;
+            };
+            let configuration = match (self.store.decode_configuration)(&bytes) {
+                Ok(configuration) => configuration,
+                Err(fault) => {
+                    log::error!("config: Not adopted. revision={revision} fault=\"{fault}\"");
+                    return;
+                }
+            };
+            let before = self.table.as_ref().map_or(0, |table| table.version());
+            if configuration.version < before {
+                let version = configuration.version;
+                log::error!("config: Not adopted. version={version} known={before}");
                 return;
             }
+            log::info!(
+                "config: Adopted. version={} before={before} revision={revision} routes={} age_ms={}",
+                configuration.version,
+                configuration.routes.len(),
+                boot_time().saturating_sub(confirmed_at).as_millis()
+            );
+            self.platform.configuration_revision = revision;
+            self.platform.configuration = bytes;
+            self.table = Some(Arc::new(RouteTable::new(configuration)));
+            self.is_dirty = true;
+            // Requests go by the new table before it counts as confirmed.
+            self.publish();
         }
-        self.shared.confirm(sent_at);
+        self.shared.confirm(confirmed_at);
     }
 
     fn take_replicas(&mut self, followed: Followed<ReplicaEntry>, now: Duration) {
         match followed {
-            Followed::Listed(entries) => {
-                let changes = self.fleet.take_list(entries, now);
-                self.is_dirty = true;
-                self.changed(changes);
-            }
-            Followed::Changed(entries) => {
-                let mut changes = Vec::new();
-                for entry in entries {
-                    changes.extend(self.fleet.take_entry(entry, now));
-                }
-                self.changed(changes);
-            }
+            Followed::Listed(entries, as_of) => self.replace_replicas(entries, as_of, now),
+            Followed::Changed(entries, as_of) => self.change_replicas(entries, as_of, now),
             Followed::Lost(fault) => {
                 log::warn!("store: Replicas can't be followed. fault=\"{fault}\"");
             }
             Followed::Regained(faults) => {
                 log::info!("store: Replicas are followed again. faults={faults}");
+                self.platform.returned_at = Some(now);
                 self.fleet.platform_returned(now);
             }
         }
     }
 
+    fn replace_replicas(&mut self, entries: Vec<ReplicaEntry>, as_of: u64, now: Duration) {
+        if as_of < self.platform.replicas_as_of {
+            return;
+        }
+        self.platform.replicas_as_of = as_of;
+        self.platform.changes.restart(as_of);
+        let changes = self.fleet.take_list(entries, now);
+        self.is_dirty = true;
+        self.changed(changes);
+    }
+
+    fn change_replicas(&mut self, entries: Vec<ReplicaEntry>, as_of: u64, now: Duration) {
+        if as_of <= self.platform.replicas_as_of {
+            return;
+        }
+        self.platform.replicas_as_of = as_of;
+        let mut changes = Vec::new();
+        for entry in &entries {
+            changes.extend(self.fleet.take_entry(entry.clone(), now));
+        }
+        self.platform.changes.push(as_of, entries);
+        self.changed(changes);
+    }
+
     fn take_weights(&mut self, followed: Followed<NamedWeights>, now: Duration) {
-        let entries = match followed {
-            Followed::Listed(entries) | Followed::Changed(entries) => entries,
+        let (entries, as_of) = match followed {
+            Followed::Listed(entries, as_of) | Followed::Changed(entries, as_of) => (entries, as_of),
             Followed::Lost(fault) => {
                 log::warn!("store: Named weights can't be followed. fault=\"{fault}\"");
                 return;
@@ -399,15 +500,179 @@
                 return;
             }
         };
+        self.platform.weights_as_of = self.platform.weights_as_of.max(as_of);
         for named in entries {
-            let versions = self.named.entry(Arc::clone(&named.model)).or_default();
-            let is_newer = versions.last().is_none_or(|(newest, _)| named.version > *newest);
-            if is_newer {
-                log::info!("rollout: Weights named. model={} version={}", named.model, named.version);
-                versions.push((named.version, now));
-                self.is_dirty = true;
+            self.name_weights(&named.model, named.version, now);
+        }
+    }
+
+    /// Notes that the operator named a version, which was heard of at `named_at`.
+    fn name_weights(&mut self, model: &ModelName, version: WeightsVersion, named_at: Duration) {
+        let versions = self.named.entry(Arc::clone(model)).or_default();
+        if versions.last().is_some_and(|(newest, _)| version <= *newest) {
+            return;
+        }
+        log::info!("rollout: Weights named. model={model} version={version}");
+        versions.push((version, named_at));
+        self.is_dirty = true;
+    }
+
+    /// Takes another router's news, which were asked for at `sent_at`.
+    fn take_news(&mut self, sent_at: Duration, news: Option<News>, now: Duration) {
+        self.is_asking = false;
+        let Some(news) = news.filter(|news| !news.is_lost) else {
+            log::info!("source: No news from another router. source={:?}", self.from);
+            self.source.failed(now);
+            return;
+        };
+        if let Some(age_ms) = news.returned_age_ms {
+            let at = now.saturating_sub(Duration::from_millis(age_ms));
+            if self.platform.returned_at.is_none_or(|known| known + RETURN_SLACK < at) {
+                self.platform.returned_at = Some(at);
+                self.fleet.platform_returned(at);
             }
         }
+        // The answer is younger than the question, so this is no later than the moment it tells of.
+        let confirmed_at = sent_at.saturating_sub(Duration::from_millis(news.confirmed_age_ms));
+        let changed = (!news.configuration.is_empty()).then_some(news.configuration);
+        if news.configuration_revision >= self.platform.configuration_revision {
+            self.adopt(news.configuration_revision, changed, confirmed_at);
+        }
+        let entries: Vec<_> = news.replicas.into_iter().map(ReplicaNews::into_entry).collect();
+        if news.has_all_replicas {
+            self.replace_replicas(entries, news.replicas_as_of, now);
+        } else {
+            self.change_replicas(entries, news.replicas_as_of, now);
+        }
+        self.platform.weights_as_of = self.platform.weights_as_of.max(news.weights_as_of);
+        for named in news.weights {
+            let age = Duration::from_millis(named.age_ms);
+            let model = named.model.into();
+            self.name_weights(&model, named.version, now.saturating_sub(age));
+        }
+    }
+
+    /// Keeps a router's question until there is news for it or its time is over.
+    fn hold_news(&mut self, request: NewsRequest, reply: ReplyHandle) {
+        let wait = Duration::from_millis(u64::from(request.wait_ms));
+        self.waiting.push(WaitingForNews {
+            request,
+            reply,
+            until: boot_time() + wait,
+        });
+    }
+
+    /// Answers the routers for which there is news, and those that have waited long enough.
+    fn tell_news(&mut self, now: Duration) {
+        let is_lost = !self.can_tell();
+        let is_due = |waiting: &WaitingForNews| {
+            is_lost || now >= waiting.until || self.has_news_for(&waiting.request)
+        };
+        if !self.waiting.iter().any(is_due) {
+            return;
+        }
+        let waiting = std::mem::take(&mut self.waiting);
+        for waiting in waiting {
+            if is_lost || now >= waiting.until || self.has_news_for(&waiting.request) {
+                let news = self.news_for(&waiting.request, is_lost, now);
+                waiting.reply.send(Body::encode(Kind::News, &news));
+            } else {
+                self.waiting.push(waiting);
+            }
+        }
+    }
+
+    /// Tells whether this router hears from the platform itself.
+    fn can_tell(&self) -> bool {
+        self.from == Source::Platform
+            && self.platform.failed_reads < FAILED_READS_OF_AN_OUTAGE
+            && self.fleet.is_listed()
+            && self.table.is_some()
+    }
+
+    fn has_news_for(&self, request: &NewsRequest) -> bool {
+        request.configuration_revision < self.platform.configuration_revision
+            || request.replicas_as_of < self.platform.replicas_as_of
+            || request.weights_as_of < self.platform.weights_as_of
+    }
+
+    fn news_for(&self, request: &NewsRequest, is_lost: bool, now: Duration) -> News {
+        let platform = &self.platform;
+        if is_lost {
+            return News {
+                is_lost,
+                ..News::default()
+            };
+        }
+        let age_of = |at: Duration| {
+            u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX)
+        };
+        let has_configuration = request.configuration_revision >= platform.configuration_revision
+            || platform.configuration.len() > MAX_TOLD_CONFIGURATION_BYTES;
+        let changed = platform.changes.since(request.replicas_as_of);
+        let has_all_replicas = changed.is_none();
+        let replicas = match changed {
+            Some(changed) => changed.filter_map(ReplicaNews::of).collect(),
+            None => {
+                let known = self.fleet.replicas().filter(|known| known.lapses_at.is_none());
+                known.map(|known| ReplicaNews::of_record(&known.record)).collect()
+            }
+        };
+        let named = self.named.iter().flat_map(|(model, versions)| {
+            versions.iter().map(|(version, at)| WeightsNews {
+                model: model.to_string(),
+                version: *version,
+                age_ms: age_of(*at),
+            })
+        });
+        let knows_weights = request.weights_as_of >= platform.weights_as_of;
+        News {
+            is_lost,
+            confirmed_age_ms: age_of(self.shared.confirmed_at()) + 1,
+            configuration_revision: platform.configuration_revision,
+            configuration: if has_configuration {
+                Bytes::new()
+            } else {
+                platform.configuration.clone()
+            },
+            replicas_as_of: platform.replicas_as_of,
+            has_all_replicas,
+            replicas,
+            weights_as_of: platform.weights_as_of,
+            weights: if knows_weights { Vec::new() } else { named.collect() },
+            returned_age_ms: platform.returned_at.map(age_of),
+        }
+    }
+
+    /// Decides where the news come from, and asks the other router if it is one.
+    fn find_source(&mut self, now: Duration) {
+        let zone = self.peers.zone_routers();
+        let mut source = self.source.choose(self.peers.own(), &zone, now);
+        // A configuration too large for a frame has to be read from the platform.
+        let is_large = self.platform.configuration.len() > MAX_TOLD_CONFIGURATION_BYTES;
+        if self.table.is_none() || is_large {
+            source = Source::Platform;
+        }
+        if source != self.from {
+            log::info!("source: Changed. source={source:?}");
+            self.from = source;
+        }
+        let is_direct = self.from == Source::Platform;
+        let is_reached = self.platform.failed_reads < FAILED_READS_OF_AN_OUTAGE;
+        set_flag(&self.reads_configuration, is_direct);
+        set_flag(&self.follows_lists, is_direct && is_reached);
+        if let Source::Router(router) = &self.from
+            && !self.is_asking
+        {
+            self.is_asking = true;
+            let request = NewsRequest {
+                configuration_revision: self.platform.configuration_revision,
+                replicas_as_of: self.platform.replicas_as_of,
+                weights_as_of: self.platform.weights_as_of,
+                wait_ms: NEWS_WAIT.as_millis() as u32,
+            };
+            self.peers.ask_for_news(router, &request, NEWS_WAIT + NEWS_SLACK);
+        }
     }
 
     /// Takes what traffic learned.
@@ -719,11 +984,22 @@
     }
 }
 
-/// Reads the configuration again and again; each reading confirms that what is known is current.
-async fn read_configuration(store: Arc<PlatformStore>, events: mpsc::Sender<Event>) {
+fn set_flag(flag: &watch::Sender<bool>, value: bool) {
+    flag.send_if_modified(|known| std::mem::replace(known, value) != value);
+}
+
+/// Reads the configuration again and again while `is_active`; each reading confirms that what is known is current.
+async fn read_configuration(
+    store: Arc<PlatformStore>,
+    mut is_active: watch::Receiver<bool>,
+    events: mpsc::Sender<Event>,
+) {
     let mut revision = 0;
     let mut backoff = store_backoff();
     loop {
+        if !wait_for(&mut is_active, true).await {
+            return;
+        }
         let sent_at = boot_time();
         let result = (store.read_configuration)(revision).await;
         let pause = match &result {
@@ -744,7 +1020,7 @@
 }
 
 /// Queues an event; a full queue means that the control thread is far behind.
-fn pass_on(events: &mpsc::Sender<Event>, event: Event) {
+pub(crate) fn pass_on(events: &mpsc::Sender<Event>, event: Event) {
     if events.try_send(event).is_err() {
         log::error!("control: An event was dropped because the queue is full.");
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use super::store::{ListPage, StoreFault, WatchPage};
 use crate::store::Backoff;
 
@@ -25,21 +27,32 @@
 /// What following brought.
 #[derive(Debug)]
 pub(crate) enum Followed<T> {
-    /// The whole list.
-    Listed(Vec<T>),
-    /// Entries that changed.
-    Changed(Vec<T>),
+    /// The whole list, as of a revision of the store.
+    Listed(Vec<T>, u64),
+    /// Entries that changed, up to a revision of the store.
+    Changed(Vec<T>, u64),
     /// The store can't be reached.
     Lost(StoreFault),
     /// The store answers again, after this many faults.
     Regained(u32),
 }
 
-/// Follows one kind of objects for ever; `pause` is kept after each watch that brought changes.
+impl<T> Followed<T> {
+    /// Returns the number of entries, and the revision up to which they tell.
+    fn extent(&self) -> (usize, u64) {
+        match self {
+            Self::Listed(entries, as_of) | Self::Changed(entries, as_of) => (entries.len(), *as_of),
+            Self::Lost(_) | Self::Regained(_) => (0, 0),
+        }
+    }
+}
+
+/// Follows one kind of objects for ever, while `is_active` says so; `pause` is kept after each watch with changes.
 pub(crate) async fn follow<T, L, W>(
     list: impl Fn(Option<Arc<str>>) -> L,
     watch: impl Fn((u64, Duration)) -> W,
     pause: Duration,
+    mut is_active: watch::Receiver<bool>,
     take: impl Fn(Followed<T>),
 ) where
     L: Future<Output = Result<ListPage<T>, StoreFault>>,
@@ -48,21 +61,28 @@
     let mut known: Option<u64> = None;
     let mut backoff = store_backoff();
     loop {
-        let result = match known {
-            None => read_list(&list).await.map(|(entries, as_of)| (Followed::Listed(entries), as_of)),
-            Some(as_of) => watch((as_of, WATCH_WAIT))
-                .await
-                .map(|page| (Followed::Changed(page.entries), page.as_of.max(as_of))),
+        if !wait_for(&mut is_active, true).await {
+            return;
+        }
+        let reading = read_next(&list, &watch, known);
+        let result = tokio::select! {
+            result = reading => result,
+            // What is known is out of date once another source is used.
+            _ = wait_for(&mut is_active, false) => {
+                known = None;
+                continue;
+            }
         };
         match result {
-            Ok((followed, as_of)) => {
+            Ok(followed) => {
                 if backoff.failures() > 0 {
                     take(Followed::Regained(backoff.failures()));
                     backoff.reset();
                 }
+                let (count, as_of) = followed.extent();
+                let is_list = known.is_none();
                 known = Some(as_of);
-                let has_changes = !matches!(&followed, Followed::Changed(entries) if entries.is_empty());
-                if has_changes {
+                if count > 0 || is_list {
                     take(followed);
                     tokio::time::sleep(pause).await;
                 }
@@ -79,6 +99,28 @@
     }
 }
 
+/// Waits until the flag has a value; returns false where nobody sets it any more.
+pub(crate) async fn wait_for(flag: &mut watch::Receiver<bool>, value: bool) -> bool {
+    flag.wait_for(|is_active| *is_active == value).await.is_ok()
+}
+
+async fn read_next<T, L, W>(
+    list: impl Fn(Option<Arc<str>>) -> L,
+    watch: impl Fn((u64, Duration)) -> W,
+    known: Option<u64>,
+) -> Result<Followed<T>, StoreFault>
+where
+    L: Future<Output = Result<ListPage<T>, StoreFault>>,
+    W: Future<Output = Result<WatchPage<T>, StoreFault>>,
+{
+    let Some(known) = known else {
+        let (entries, as_of) = read_list(list).await?;
+        return Ok(Followed::Listed(entries, as_of));
+    };
+    let page = watch((known, WATCH_WAIT)).await?;
+    Ok(Followed::Changed(page.entries, page.as_of.max(known)))
+}
+
 async fn read_list<T, L>(
     list: impl Fn(Option<Arc<str>>) -> L,
 ) -> Result<(Vec<T>, u64), StoreFault>
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -7,8 +7,9 @@
 use tokio::sync::mpsc;
 
 use super::clock::boot_time;
-use super::control::Event;
+use super::control::{Event, pass_on};
 use super::notice::{ReplicaNotice, ReplicaNotices};
+use super::relayed::{News, NewsRequest};
 use super::settings::GatewaySettings;
 use super::shared::EntryPoint;
 use crate::error::Error;
@@ -37,6 +38,15 @@
     pause: Duration::from_millis(500),
 };
 
+/// What a peer wants from the control thread.
+#[derive(Debug)]
+pub(crate) enum PeerWord {
+    /// Notices on replicas, from this router.
+    Notices(RouterId, ReplicaNotices),
+    /// A question what the platform has changed.
+    NewsWanted(NewsRequest, ReplyHandle),
+}
+
 /// The other gateways, as this one knows them.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -152,18 +162,25 @@
         }
     }
 
-    /// Takes a body that a peer sent; returns the notices on replicas in it.
-    pub(crate) fn receive(&mut self, event: PeerEvent) -> Option<(RouterId, ReplicaNotices)> {
+    /// Takes a body that a peer sent; returns what the control thread has to do with it.
+    pub(crate) fn receive(&mut self, event: PeerEvent) -> Option<PeerWord> {
         let decoded = match event.body.kind {
             Kind::Heartbeat => event.body.decode::<Heartbeat>().map(|heartbeat| {
                 self.take_heartbeat(&heartbeat, event.reply);
                 None
             }),
-            Kind::Replicas => event.body.decode::<ReplicaNotices>().map(Some),
+            Kind::Replicas => event.body.decode::<ReplicaNotices>().map(|notices| {
+                let from = Arc::clone(&event.from.router);
+                Some(PeerWord::Notices(from, notices))
+            }),
+            Kind::News => event.body.decode::<NewsRequest>().map(|request| {
+                let reply = event.reply?;
+                Some(PeerWord::NewsWanted(request, reply))
+            }),
             _ => Ok(None),
         };
         match decoded {
-            Ok(notices) => notices.map(|notices| (event.from.router, notices)),
+            Ok(word) => word,
             Err(error) => {
                 let from = event.from.router;
                 log::warn!("peer: A body was refused. router={from} error={error}");
@@ -185,6 +202,29 @@
         }
     }
 
+    /// Returns the routers of this one's zone that are believed to run and don't leave, this one included.
+    pub(crate) fn zone_routers(&self) -> Vec<&RouterId> {
+        let zone = &self.membership.own().zone;
+        let stays = |member: &&Member| member.zone == *zone && !member.leaving;
+        self.alive().filter(stays).map(|member| &member.router).collect()
+    }
+
+    /// Asks another router what the platform has changed; the answer comes as an event.
+    pub(crate) fn ask_for_news(&self, router: &RouterId, request: &NewsRequest, timeout: Duration) {
+        let events = self.events.clone();
+        let Some(to) = self.membership.get(router).map(|member| member.peers) else {
+            return pass_on(&events, Event::News(boot_time(), None));
+        };
+        let links = self.links.clone();
+        let body = Body::encode(Kind::News, request);
+        tokio::spawn(async move {
+            let sent_at = boot_time();
+            let answer = links.request(to, body, timeout).await;
+            let news = answer.and_then(|body| body.decode::<News>().ok());
+            pass_on(&events, Event::News(sent_at, news.map(Box::new)));
+        });
+    }
+
     fn act_all(&self, outcomes: Vec<Outcome>) {
         for outcome in outcomes {
             self.act(outcome, None);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -250,13 +250,17 @@
         self.confirmed_ms.fetch_max(sent_ms, Ordering::Relaxed);
     }
 
+    /// Returns when the configuration was last known to be current.
+    pub(crate) fn confirmed_at(&self) -> Duration {
+        Duration::from_millis(self.confirmed_ms.load(Ordering::Relaxed))
+    }
+
     /// Judges how much the configuration may be relied on.
     pub(crate) fn freshness(&self, now: Duration) -> Freshness {
         let bounds = FreshnessBounds {
             revocation: self.bounds().revocation_ms.map(Duration::from_millis),
         };
-        let confirmed_at = Duration::from_millis(self.confirmed_ms.load(Ordering::Relaxed));
-        bounds.judge(confirmed_at, now)
+        bounds.judge(self.confirmed_at(), now)
     }
 
     /// Tells whether new callers should come.
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use super::fleet::ReplicaEntry;
 use super::route::{GatewayConfiguration, ModelName};
 use crate::id::WeightsVersion;
@@ -65,12 +67,12 @@
 }
 
 /// What reading the configuration brought.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigurationRead {
     /// The object's revision.
     pub revision: u64,
-    /// The configuration, unless its revision is the one that was known.
-    pub changed: Option<Arc<GatewayConfiguration>>,
+    /// The configuration as the platform holds it, unless its revision is the one that was known.
+    pub changed: Option<Bytes>,
 }
 
 /// The weights that the operator named for a model.
@@ -86,6 +88,9 @@
 pub struct PlatformStore {
     /// Reads the configuration, given the revision that is known; `None` where there is none yet.
     pub read_configuration: StoreCall<u64, Option<ConfigurationRead>>,
+    /// Decodes a configuration as the platform holds it.
+    pub decode_configuration:
+        Box<dyn Fn(&[u8]) -> Result<GatewayConfiguration, StoreFault> + Send + Sync>,
     /// Lists the replicas from a place on.
     pub list_replicas: StoreCall<Option<Arc<str>>, ListPage<ReplicaEntry>>,
     /// Watches the replicas from a revision on, for at most a time.
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -3,11 +3,13 @@
 mod attempt;
 mod events;
 mod fleet;
+mod follow;
 mod freshness;
 mod placement;
 mod prompt;
 mod route;
 mod settings;
+mod source;
 mod weights;
 
 use std::sync::Arc;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -26,6 +26,7 @@
 pub use self::leaving::{LeavingVm, LeavingVms};
 pub use self::member::{Liveness, LoadLevel, Member};
 pub use self::message::{Heartbeat, MemberRecord, Stage};
+pub(crate) use self::message::{decode_address, encode_address};
 pub use self::rendezvous::{owner_of, watchers_of};
 pub use self::ring::Ring;
 pub use self::state::{Membership, MembershipOptions, Outcome};
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -44,11 +44,13 @@
     Usage = 11,
     /// Tells what replicas do: loads of weights, and replicas that leave.
     Replicas = 12,
+    /// Asks a router what the platform has changed.
+    News = 13,
 }
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Ping,
         Self::Pong,
         Self::Heartbeat,
@@ -62,6 +64,7 @@
         Self::Status,
         Self::Usage,
         Self::Replicas,
+        Self::News,
     ];
 
     /// Returns the name under which metrics count the kind.
@@ -81,6 +84,7 @@
             Self::Status => "status",
             Self::Usage => "usage",
             Self::Replicas => "replicas",
+            Self::News => "news",
         }
     }
 }
