Place requests by the work of all routers

Change: routers tell their work with the questions for news, the routers that are asked sum it up and tell each other, and the answers bring the others' work back.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -430,17 +430,19 @@
             Some(bounds.judge(version, &named))
         };
         let zone = &self.shared.settings.zone;
+        let others = self.shared.others_work();
         self.shared.with_health(&self.call.service, |health| {
             replicas
                 .iter()
                 .map(|replica| {
                     let record = &replica.known.record;
                     let standing = standing(replica);
+                    let others = others.get(&replica.key).copied().unwrap_or_default();
                     Candidate {
                         id: &record.id,
                         is_near: record.zone == *zone,
-                        in_flight: replica.load.in_flight(),
-                        unread_tokens: replica.load.unread_tokens(),
+                        in_flight: replica.load.in_flight() + others.in_flight,
+                        unread_tokens: replica.load.unread_tokens() + others.unread_tokens,
                         slots: record.slots,
                         health: health.map_or(1.0, |health| health.weight(&record.id, now)),
                         weights: standing.unwrap_or(WeightsStanding::Closed),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -15,6 +15,7 @@
 use super::clock::boot_time;
 use super::fleet::{Fleet, FleetChange, KnownReplica, ReplicaEntry, ReplicaPhase};
 use super::follow::{Followed, follow, store_backoff, wait_for};
+use super::loads::{Told, Work, WorkNews, Works, replica_key, without};
 use super::notice::{NoticePhase, ReplicaNotice, ReplicaNotices};
 use super::peers::{PeerWord, Peers};
 use super::relayed::{News, NewsRequest, ReplicaNews, WeightsNews};
@@ -40,8 +41,10 @@
 const CONFIGURATION_INTERVAL: Duration = Duration::from_secs(1);
 /// The failed readings in a row after which the platform counts as lost; one alone may be a lost packet.
 const FAILED_READS_OF_AN_OUTAGE: u32 = 2;
-/// How long a question for news waits at another router; with the interval above, a change is known well within 2 s.
-const NEWS_WAIT: Duration = Duration::from_millis(600);
+/// How long a question for news waits at another router; so old is what it tells of other routers' work.
+const NEWS_WAIT: Duration = Duration::from_millis(200);
+/// The pause between two sums of work told to other routers.
+const WORK_INTERVAL: Duration = Duration::from_millis(150);
 /// How much longer an answer may take before the platform is asked instead.
 const NEWS_SLACK: Duration = Duration::from_millis(300);
 /// Two tellings of one return of the platform differ by less.
@@ -191,6 +194,7 @@
         let now = boot_time();
         control.find_source(now);
         control.tell_news(now);
+        control.sum_up_work(now);
         control.advance();
         control.publish();
     }
@@ -203,7 +207,12 @@
     };
     match control.peers.receive(event) {
         Some(PeerWord::Notices(from, notices)) => control.take_notices(&from, &notices),
-        Some(PeerWord::NewsWanted(request, reply)) => control.hold_news(request, reply),
+        Some(PeerWord::NewsWanted(from, request, reply)) => {
+            control.hold_news(from, request, reply);
+        }
+        Some(PeerWord::Work(from, work)) => {
+            control.told.take_sum(from, work.into_works(), boot_time());
+        }
         None => {}
     }
 }
@@ -226,6 +235,8 @@
     from: Source,
     platform: PlatformState,
     waiting: Vec<WaitingForNews>,
+    told: Told,
+    next_sum: Duration,
     is_asking: bool,
     reads_configuration: watch::Sender<bool>,
     follows_lists: watch::Sender<bool>,
@@ -250,6 +261,7 @@
 /// A router that waits for news.
 #[derive(Debug)]
 struct WaitingForNews {
+    router: RouterId,
     request: NewsRequest,
     reply: ReplyHandle,
     until: Duration,
@@ -282,6 +294,8 @@
             from: Source::Platform,
             platform: PlatformState::default(),
             waiting: Vec::new(),
+            told: Told::default(),
+            next_sum: Duration::ZERO,
             is_asking: false,
             reads_configuration: watch::Sender::new(true),
             follows_lists: watch::Sender::new(true),
@@ -520,6 +534,10 @@
     /// Takes another router's news, which were asked for at `sent_at`.
     fn take_news(&mut self, sent_at: Duration, news: Option<News>, now: Duration) {
         self.is_asking = false;
+        let mut news = news;
+        if let Some(work) = news.as_mut().and_then(|news| news.others_work.take()) {
+            self.shared.set_others_work(work.into_works());
+        }
         let Some(news) = news.filter(|news| !news.is_lost) else {
             log::info!("source: No news from another router. source={:?}", self.from);
             self.source.failed(now);
@@ -553,9 +571,14 @@
     }
 
     /// Keeps a router's question until there is news for it or its time is over.
-    fn hold_news(&mut self, request: NewsRequest, reply: ReplyHandle) {
+    fn hold_news(&mut self, router: RouterId, mut request: NewsRequest, reply: ReplyHandle) {
         let wait = Duration::from_millis(u64::from(request.wait_ms));
+        if let Some(work) = request.work.take() {
+            let works = work.into_works();
+            self.told.take_follower(Arc::clone(&router), works, boot_time());
+        }
         self.waiting.push(WaitingForNews {
+            router,
             request,
             reply,
             until: boot_time() + wait,
@@ -571,10 +594,13 @@
         if !self.waiting.iter().any(is_due) {
             return;
         }
+        let total = self.told.total(&self.own_works());
         let waiting = std::mem::take(&mut self.waiting);
         for waiting in waiting {
             if is_lost || now >= waiting.until || self.has_news_for(&waiting.request) {
-                let news = self.news_for(&waiting.request, is_lost, now);
+                let mut news = self.news_for(&waiting.request, is_lost, now);
+                let others = self.told.others_of(&waiting.router, &total);
+                news.others_work = Some(WorkNews::of(&others));
                 waiting.reply.send(Body::encode(Kind::News, &news));
             } else {
                 self.waiting.push(waiting);
@@ -641,7 +667,34 @@
             weights_as_of: platform.weights_as_of,
             weights: if knows_weights { Vec::new() } else { named.collect() },
             returned_age_ms: platform.returned_at.map(age_of),
+            others_work: None,
+        }
+    }
+
+    /// Returns the work that this router's requests make at replicas.
+    fn own_works(&self) -> Works {
+        let replicas = self.runtime.iter();
+        let works = replicas.map(|((id, born_ms), (load, _))| {
+            let work = Work {
+                in_flight: load.in_flight(),
+                unread_tokens: load.unread_tokens(),
+            };
+            (replica_key(id, *born_ms), work)
+        });
+        works.filter(|(_, work)| !work.is_none()).collect()
+    }
+
+    /// Tells the other routers that sum up work this one's sum, and takes in what they told.
+    fn sum_up_work(&mut self, now: Duration) {
+        if self.from != Source::Platform || now < self.next_sum {
+            return;
         }
+        self.next_sum = now + WORK_INTERVAL;
+        self.told.expire(now);
+        let own = self.own_works();
+        self.peers.tell_work(&WorkNews::of(&self.told.own_sum(&own)));
+        let others = without(&self.told.total(&own), Some(&own));
+        self.shared.set_others_work(others);
     }
 
     /// Decides where the news come from, and asks the other router if it is one.
@@ -670,6 +723,7 @@
                 replicas_as_of: self.platform.replicas_as_of,
                 weights_as_of: self.platform.weights_as_of,
                 wait_ms: NEWS_WAIT.as_millis() as u32,
+                work: Some(WorkNews::of(&self.own_works())),
             };
             self.peers.ask_for_news(router, &request, NEWS_WAIT + NEWS_SLACK);
         }
@@ -953,6 +1007,7 @@
             pool.close_idle(true);
         }
         Replica {
+            key: replica_key(&record.id, record.born_ms),
             load: Arc::clone(load),
             pool: Arc::clone(pool),
             known,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod follow;
 mod freshness;
 mod front;
+mod loads;
 mod notice;
 mod peers;
 mod placement;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,5 +1,6 @@
 //! The gateway's links to other gateways: membership, and notices on replicas.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,11 +10,13 @@
 use super::clock::boot_time;
 use super::control::{Event, pass_on};
 use super::notice::{ReplicaNotice, ReplicaNotices};
+use super::loads::WorkNews;
 use super::relayed::{News, NewsRequest};
 use super::settings::GatewaySettings;
 use super::shared::EntryPoint;
+use super::source::watchers;
 use crate::error::Error;
-use crate::id::RouterId;
+use crate::id::{RouterId, ZoneName};
 use crate::membership::{
     Heartbeat, Liveness, LoadLevel, Member, Membership, MembershipOptions, Outcome, Stage,
 };
@@ -43,8 +46,10 @@
 pub(crate) enum PeerWord {
     /// Notices on replicas, from this router.
     Notices(RouterId, ReplicaNotices),
-    /// A question what the platform has changed.
-    NewsWanted(NewsRequest, ReplyHandle),
+    /// A question what the platform has changed, from this router.
+    NewsWanted(RouterId, NewsRequest, ReplyHandle),
+    /// The work at replicas, summed up by this router.
+    Work(RouterId, WorkNews),
 }
 
 /// The other gateways, as this one knows them.
@@ -175,7 +180,12 @@
             }),
             Kind::News => event.body.decode::<NewsRequest>().map(|request| {
                 let reply = event.reply?;
-                Some(PeerWord::NewsWanted(request, reply))
+                let from = Arc::clone(&event.from.router);
+                Some(PeerWord::NewsWanted(from, request, reply))
+            }),
+            Kind::Work => event.body.decode::<WorkNews>().map(|work| {
+                let from = Arc::clone(&event.from.router);
+                Some(PeerWord::Work(from, work))
             }),
             _ => Ok(None),
         };
@@ -209,6 +219,21 @@
         self.alive().filter(stays).map(|member| &member.router).collect()
     }
 
+    /// Tells the work of several routers to all others that sum up work.
+    pub(crate) fn tell_work(&self, work: &WorkNews) {
+        let mut zones: BTreeMap<&ZoneName, Vec<&RouterId>> = BTreeMap::new();
+        for member in self.alive().filter(|member| !member.leaving) {
+            zones.entry(&member.zone).or_default().push(&member.router);
+        }
+        let body = Body::encode(Kind::Work, work);
+        let summing = zones.values().flat_map(|zone| watchers(zone));
+        for router in summing.filter(|router| *router != self.own()) {
+            if let Some(member) = self.membership.get(router) {
+                self.links.send(member.peers, body.clone());
+            }
+        }
+    }
+
     /// Asks another router what the platform has changed; the answer comes as an event.
     pub(crate) fn ask_for_news(&self, router: &RouterId, request: &NewsRequest, timeout: Duration) {
         let events = self.events.clone();
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -88,9 +88,9 @@
     pub id: &'a ReplicaId,
     /// Whether it stands in this router's availability zone.
     pub is_near: bool,
-    /// This router's requests that it has in hand.
+    /// The requests of all routers that it has in hand.
     pub in_flight: u32,
-    /// The tokens of this router's requests that it has yet to read.
+    /// The tokens of those requests that it has yet to read.
     pub unread_tokens: u64,
     /// The requests that it runs at once, from all routers.
     pub slots: u32,
--- a/src/gateway/relayed.rs
+++ b/src/gateway/relayed.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 
 use super::fleet::{ReplicaEntry, ReplicaRecord, ReplicaState};
+use super::loads::WorkNews;
 use crate::membership::{decode_address, encode_address};
 
 /// What a router knows, and how long it waits for news.
@@ -27,6 +28,9 @@
     /// How long it waits for news, in milliseconds.
     #[prost(uint32, tag = "4")]
     pub(crate) wait_ms: u32,
+    /// The work that its requests make at replicas.
+    #[prost(message, optional, tag = "5")]
+    pub(crate) work: Option<WorkNews>,
 }
 
 /// What has changed since.
@@ -62,6 +66,9 @@
     /// The time since the platform came back after an outage, in milliseconds, if it did.
     #[prost(uint64, optional, tag = "10")]
     pub(crate) returned_age_ms: Option<u64>,
+    /// The work that all other routers' requests make at replicas.
+    #[prost(message, optional, tag = "11")]
+    pub(crate) others_work: Option<WorkNews>,
 }
 
 /// One replica's entry as it travels.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -16,6 +16,7 @@
 use super::dialect::Dialect;
 use super::fleet::KnownReplica;
 use super::freshness::{Freshness, FreshnessBounds};
+use super::loads::{ReplicaKey, Works};
 use super::placement::WeightsBounds;
 use super::route::{ModelName, RouteTable};
 use super::settings::{GatewayBounds, GatewaySettings};
@@ -57,6 +58,8 @@
 pub(crate) struct Replica {
     /// What is known of it.
     pub(crate) known: KnownReplica,
+    /// Its key in what other routers tell of their work.
+    pub(crate) key: ReplicaKey,
     /// This router's work at it.
     pub(crate) load: Arc<ReplicaLoad>,
     /// This router's connections to it.
@@ -132,6 +135,7 @@
     open_requests: AtomicUsize,
     health: Mutex<HashMap<ServiceName, Ejection>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    others_work: ArcSwap<Works>,
     saved: Mutex<HashMap<u64, Duration>>,
     observations: mpsc::Sender<Observation>,
 }
@@ -217,6 +221,7 @@
             open_requests: AtomicUsize::new(0),
             health: Mutex::default(),
             budgets: Mutex::default(),
+            others_work: ArcSwap::default(),
             saved: Mutex::default(),
             observations,
         }
@@ -291,6 +296,16 @@
         }
     }
 
+    /// Takes in the work of all other routers.
+    pub(crate) fn set_others_work(&self, works: Works) {
+        self.others_work.store(Arc::new(works));
+    }
+
+    /// Returns the work of all other routers, by replica.
+    pub(crate) fn others_work(&self) -> Arc<Works> {
+        self.others_work.load_full()
+    }
+
     /// Takes in the replicas of a service for the judgement of their health.
     pub(crate) fn set_health(&self, service: &ServiceName, replicas: Vec<ReplicaId>) {
         let mut health = lock(&self.health);
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -40,8 +40,7 @@
         if now < self.direct_until {
             return Source::Platform;
         }
-        let count = 1 + zone.len() / ROUTERS_PER_WATCHER;
-        let watchers = watchers_of(xxh3_64(b"platform"), zone.iter().copied(), count);
+        let watchers = watchers(zone);
         if watchers.is_empty() || watchers.contains(&own) {
             return Source::Platform;
         }
@@ -55,6 +54,12 @@
     }
 }
 
+/// Returns the routers of a zone that ask the platform themselves.
+pub(crate) fn watchers<'a>(zone: &[&'a RouterId]) -> Vec<&'a RouterId> {
+    let count = 1 + zone.len() / ROUTERS_PER_WATCHER;
+    watchers_of(xxh3_64(b"platform"), zone.iter().copied(), count)
+}
+
 /// The latest changes of the list of replicas.
 #[derive(Debug, Default)]
 pub(crate) struct ChangeLog {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod follow;
 mod freshness;
+mod loads;
 mod placement;
 mod prompt;
 mod route;
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -46,11 +46,13 @@
     Replicas = 12,
     /// Asks a router what the platform has changed.
     News = 13,
+    /// Tells the work at replicas, summed up over several routers.
+    Work = 14,
 }
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Ping,
         Self::Pong,
         Self::Heartbeat,
@@ -65,6 +67,7 @@
         Self::Usage,
         Self::Replicas,
         Self::News,
+        Self::Work,
     ];
 
     /// Returns the name under which metrics count the kind.
@@ -85,6 +88,7 @@
             Self::Usage => "usage",
             Self::Replicas => "replicas",
             Self::News => "news",
+            Self::Work => "work",
         }
     }
 }
