Let one replica at a time read a long opening; save only first readings

Cause: after new weights several routers sent first requests for one opening at once, and each replica read it; each router saved each opening for itself, which pushed other openings out of the kept cache within seconds. Change: one router answers for each opening; the first request goes on, others wait for at most a share of their objective and then go where it was read. Only first readings are saved; short openings are neither saved nor fetched.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -19,8 +19,10 @@
 use super::attempt::{CallProgress, NextStep, TryEnd};
 use super::clock::boot_time;
 use super::dialect::{Dialect, listed_in_connection, text_of};
+use super::loads::ReplicaKey;
 use super::placement::{Candidate, Need, NoReplica, WeightsStanding, choose};
 use super::prompt::{Prompt, cache_scope};
+use super::readings::{OpeningKey, ReadingWord, Told};
 use super::route::{CallKind, GatewayAccount, Route};
 use super::shared::{LoadGuard, Observation, Replica, Shared, Snapshot};
 use super::upstream::{Link, RequestBody, SendFailure};
@@ -38,6 +40,10 @@
 const PATIENCE_SHARE: f64 = 0.7;
 /// The share of the objective after which a stream goes to another replica, if its replica answers nobody.
 const STREAM_PATIENCE_SHARE: f64 = 1.0;
+/// The openings of at least so many tokens are read by one replica at a time; shorter ones cost less than the question.
+const MIN_READING_TOKENS: u32 = 1_000;
+/// The share of the objective for which a request may wait until its opening has been read.
+const READING_WAIT_SHARE: f64 = 0.8;
 /// The largest whole answer that is held back until it is complete; a longer one is passed on as it comes.
 const MAX_HELD_BYTES: u64 = 256 << 10;
 /// The lowest rank that the gateway gives to requests at a replica; a route of priority 0 gets it.
@@ -79,6 +85,15 @@
     pub(crate) progress: CallProgress,
     tried: SmallVec<[ReplicaId; 4]>,
     sends: u32,
+    /// The opening whose reading this request has to end, if it was let through to read it.
+    reading: Option<OpeningKey>,
+}
+
+/// What a request was told of its opening before a try.
+#[derive(Clone, Copy, Debug, Default)]
+struct OpeningState {
+    /// The replica that has read it.
+    read_by: Option<ReplicaKey>,
 }
 
 /// An answer of a replica.
@@ -251,6 +266,50 @@
             progress,
             tried: SmallVec::new(),
             sends: 0,
+            reading: None,
+        }
+    }
+
+    /// Waits while another request reads this one's long opening, as far as the objective allows.
+    async fn wait_for_reading(&mut self, snapshot: &Snapshot) -> OpeningState {
+        let unknown = OpeningState::default();
+        let need = self.call.need;
+        let Some(opening) = need.opening.filter(|_| need.shared_tokens >= MIN_READING_TOKENS) else {
+            return unknown;
+        };
+        self.end_reading(None);
+        let Ok(replica) = self.place(snapshot, unknown) else {
+            return unknown;
+        };
+        let key = self.reading_key(&replica, opening);
+        let limit = self.call.route.objective.mul_f64(READING_WAIT_SHARE);
+        let waited_until = (self.call.arrived + limit).saturating_sub(boot_time());
+        match self.shared.ask_reading(key, waited_until).await {
+            Some(Told::First) => {
+                self.reading = Some(key);
+                unknown
+            }
+            Some(Told::ReadBy(by)) => OpeningState { read_by: Some(by) },
+            Some(Told::Wait) | None => unknown,
+        }
+    }
+
+    /// Returns the key of this request's opening under the weights of `replica`.
+    fn reading_key(&self, replica: &Replica, opening: u64) -> OpeningKey {
+        let prompt = self.call.prompt.as_ref();
+        let version = prompt.and_then(|prompt| replica.known.version_of(&prompt.model));
+        let scope = cache_scope(version.unwrap_or_default(), self.call.wall());
+        xxh3_64_with_seed(scope.as_bytes(), opening)
+    }
+
+    /// Tells that the opening was read by a replica, or that this request will not read it.
+    fn end_reading(&mut self, read_by: Option<ReplicaKey>) {
+        if let Some(key) = self.reading.take() {
+            self.shared.end_reading(ReadingWord {
+                key,
+                read_by,
+                has_failed: read_by.is_none(),
+            });
         }
     }
 
@@ -341,7 +400,10 @@
 
     async fn try_once(&mut self, last_event: Option<&str>) -> Result<Started, TryStop> {
         let snapshot = self.shared.snapshot.load_full();
-        let replica = self.place(&snapshot)?;
+        let opening = self.wait_for_reading(&snapshot).await;
+        // Much may have changed during the wait.
+        let snapshot = self.shared.snapshot.load_full();
+        let replica = self.place(&snapshot, opening)?;
         let record = &replica.known.record;
         let may_repeat = self.call.route.kind.may_repeat();
         let max_idle = if may_repeat { MAX_IDLE } else { MAX_IDLE_ONCE };
@@ -353,7 +415,7 @@
             Err(_) => return Err(Ended::new(TryEnd::Unsent, "no time left to connect").into()),
         };
         let now = boot_time();
-        let (request, saves) = self.request_to(&snapshot, &replica, last_event, now);
+        let request = self.request_to(&snapshot, &replica, last_event, now);
         if self.sends == 0 {
             self.shared.first_send(&self.call.service, snapshot.routers);
         }
@@ -383,9 +445,7 @@
         let kept_for = keep_alive(&head.headers);
         let flow = flow(body, link, guard, kept_for);
         let started = self.accept(head, flow).await?;
-        if let Some(opening) = saves {
-            self.shared.note_saved(opening, boot_time());
-        }
+        self.end_reading(Some(replica.key));
         Ok(started)
     }
 
@@ -394,13 +454,13 @@
         self.call.need.own_tokens
     }
 
-    fn place(&self, snapshot: &Snapshot) -> Result<Arc<Replica>, TryStop> {
+    fn place(&self, snapshot: &Snapshot, opening: OpeningState) -> Result<Arc<Replica>, TryStop> {
         let none = TryStop::NoReplica(NoReplica::NoneOpen);
         let Some(replicas) = snapshot.services.get(&self.call.service) else {
             return Err(none);
         };
         let now = boot_time();
-        let candidates = self.candidates(snapshot, replicas, now);
+        let candidates = self.candidates(snapshot, replicas, opening, now);
         let chosen = choose(&self.call.need, &candidates, &self.tried, &mut rand::rng());
         match chosen {
             Ok(index) => Ok(Arc::clone(&replicas[index])),
@@ -412,6 +472,7 @@
         &self,
         snapshot: &Snapshot,
         replicas: &'a [Arc<Replica>],
+        opening: OpeningState,
         now: Duration,
     ) -> Vec<Candidate<'a>> {
         let bounds = self.shared.weights_bounds();
@@ -447,6 +508,7 @@
                         health: health.map_or(1.0, |health| health.weight(&record.id, now)),
                         weights: standing.unwrap_or(WeightsStanding::Closed),
                         is_open: replica.known.is_open(),
+                        is_warm: opening.read_by == Some(replica.key),
                     }
                 })
                 .collect()
@@ -460,14 +522,14 @@
         Ended::new(TryEnd::Unsent, Arc::clone(reason))
     }
 
-    /// Makes the request for one replica; returns the opening that the replica is asked to save, if any.
+    /// Makes the request for one replica.
     fn request_to(
         &self,
         snapshot: &Snapshot,
         replica: &Replica,
         last_event: Option<&str>,
         now: Duration,
-    ) -> (Request<RequestBody>, Option<u64>) {
+    ) -> Request<RequestBody> {
         let call = &self.call;
         let dialect = &self.shared.dialect;
         let mut headers = call.headers.clone();
@@ -482,7 +544,6 @@
         if let Some(id) = last_event {
             set(&dialect.last_event_id, id);
         }
-        let mut saves = None;
         if let Some(prompt) = &call.prompt {
             let version = replica.known.version_of(&prompt.model).unwrap_or_default();
             let scope = cache_scope(version, call.wall());
@@ -491,13 +552,12 @@
             set(&dialect.priority, &call.rank().to_string());
             let table = snapshot.table.as_ref();
             let cache = table.and_then(|table| table.kept_cache(&replica.known.record.zone));
-            if let (Some(cache), Some(opening)) = (cache, call.need.opening) {
+            if let Some(cache) = cache.filter(|_| call.need.shared_tokens >= MIN_READING_TOKENS) {
                 let address = cache.address.to_string();
                 set(&dialect.fetch_from, &address);
-                let key = xxh3_64_with_seed(scope.as_bytes(), opening);
-                if !self.shared.is_saved(key, now) {
+                // Each saving also brings the request's own part along, so that too many would push openings out.
+                if self.reading.is_some() {
                     set(&dialect.save_to, &address);
-                    saves = Some(key);
                 }
             }
         }
@@ -505,7 +565,7 @@
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = headers;
-        (request, saves)
+        request
     }
 
     /// Sends the request and waits for the head of the answer, for as long as that is worth while.
@@ -654,6 +714,13 @@
     }
 }
 
+impl Drop for Running {
+    /// Lets the next request read the opening where this one has ended without doing so.
+    fn drop(&mut self) {
+        self.end_reading(None);
+    }
+}
+
 fn send_failed(failure: SendFailure) -> Ended {
     match failure {
         SendFailure::Unsent(reason) => Ended::new(TryEnd::Unsent, reason),
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::clock::boot_time;
@@ -18,6 +18,9 @@
 use super::loads::{Told, Work, WorkNews, Works, replica_key, without};
 use super::notice::{NoticePhase, ReplicaNotice, ReplicaNotices};
 use super::peers::{PeerWord, Peers};
+use super::readings::{
+    OpeningKey, ReadingAnswer, ReadingWord, Readings, Told as ReadingTold,
+};
 use super::relayed::{News, NewsRequest, ReplicaNews, WeightsNews};
 use super::route::{ModelName, RouteTable};
 use super::shared::{Observation, Replica, ReplicaLoad, Shared, Snapshot};
@@ -43,6 +46,10 @@
 const FAILED_READS_OF_AN_OUTAGE: u32 = 2;
 /// How long a question for news waits at another router; so old is what it tells of other routers' work.
 const NEWS_WAIT: Duration = Duration::from_millis(200);
+/// How long the answer is held while another request reads an opening; most are read in less.
+const READING_HOLD: Duration = Duration::from_millis(600);
+/// How much longer the answer of another router may take.
+const READING_SLACK: Duration = Duration::from_millis(60);
 /// The pause between two sums of work told to other routers.
 const WORK_INTERVAL: Duration = Duration::from_millis(150);
 /// How much longer an answer may take before the platform is asked instead.
@@ -132,10 +139,41 @@
     ReportEnded(ReportCall, Option<WeightsReport>),
     /// Another router told its news, asked for at this time; `None` where it did not answer.
     News(Duration, Option<Box<News>>),
+    /// A request of this router asks who reads an opening.
+    ReadingAsked(OpeningKey, oneshot::Sender<ReadingTold>),
+    /// What became of a reading at this router.
+    ReadingEnded(ReadingWord),
     /// The process was told to leave.
     Leave,
 }
 
+/// Takes the answer to a question who reads an opening.
+#[derive(Debug)]
+enum ReadingReply {
+    Peer(ReplyHandle),
+    Here(oneshot::Sender<ReadingTold>),
+}
+
+/// A request that waits until an opening has been read.
+#[derive(Debug)]
+struct WaitingForReading {
+    key: OpeningKey,
+    reply: ReadingReply,
+    until: Duration,
+}
+
+impl ReadingReply {
+    fn send(self, told: ReadingTold) {
+        match self {
+            Self::Peer(reply) => {
+                reply.send(Body::encode(Kind::Reading, &ReadingAnswer::of(told)));
+            }
+            // The request may have ended meanwhile.
+            Self::Here(answer) => drop(answer.send(told)),
+        }
+    }
+}
+
 /// What the control thread needs from outside.
 pub(crate) struct ControlParts {
     pub(crate) shared: Arc<Shared>,
@@ -195,6 +233,7 @@
         control.find_source(now);
         control.tell_news(now);
         control.sum_up_work(now);
+        control.release_readings(now);
         control.advance();
         control.publish();
     }
@@ -213,6 +252,10 @@
         Some(PeerWord::Work(from, work)) => {
             control.told.take_sum(from, work.into_works(), boot_time());
         }
+        Some(PeerWord::ReadingAsked(word, reply)) => {
+            control.answer_reading(word.key, ReadingReply::Peer(reply));
+        }
+        Some(PeerWord::ReadingEnded(word)) => control.end_reading(word),
         None => {}
     }
 }
@@ -236,6 +279,8 @@
     platform: PlatformState,
     waiting: Vec<WaitingForNews>,
     told: Told,
+    readings: Readings,
+    waiting_for_readings: Vec<WaitingForReading>,
     next_sum: Duration,
     is_asking: bool,
     reads_configuration: watch::Sender<bool>,
@@ -295,6 +340,8 @@
             platform: PlatformState::default(),
             waiting: Vec::new(),
             told: Told::default(),
+            readings: Readings::default(),
+            waiting_for_readings: Vec::new(),
             next_sum: Duration::ZERO,
             is_asking: false,
             reads_configuration: watch::Sender::new(true),
@@ -392,6 +439,15 @@
                     .order_ended(&target.replica, reply, fencing_number, now);
             }
             Event::ReportEnded(call, report) => self.take_report(&call, report.as_ref(), now),
+            Event::ReadingAsked(key, answer) => self.ask_reading(key, answer),
+            Event::ReadingEnded(word) => {
+                let router = self.peers.reader_of(word.key);
+                if router == self.peers.own() {
+                    self.end_reading(word);
+                } else {
+                    self.peers.tell_reader(router, word);
+                }
+            }
             Event::Leave => self.peers.leave(),
         }
     }
@@ -671,6 +727,66 @@
         }
     }
 
+    /// Asks the router that answers for an opening, which may be this one.
+    fn ask_reading(&mut self, key: OpeningKey, answer: oneshot::Sender<ReadingTold>) {
+        let router = self.peers.reader_of(key);
+        if router == self.peers.own() {
+            self.answer_reading(key, ReadingReply::Here(answer));
+            return;
+        }
+        let word = ReadingWord {
+            key,
+            ..ReadingWord::default()
+        };
+        let timeout = READING_HOLD + READING_SLACK;
+        self.peers.ask_reader(router, word, timeout, answer);
+    }
+
+    /// Answers who reads an opening; while another request does, the answer is held for a while.
+    fn answer_reading(&mut self, key: OpeningKey, reply: ReadingReply) {
+        let now = boot_time();
+        match self.readings.ask(key, now) {
+            ReadingTold::Wait => self.waiting_for_readings.push(WaitingForReading {
+                key,
+                reply,
+                until: now + READING_HOLD,
+            }),
+            told => reply.send(told),
+        }
+    }
+
+    /// Takes what became of a reading, and answers those that wait for it.
+    fn end_reading(&mut self, word: ReadingWord) {
+        let now = boot_time();
+        match word.read_by {
+            Some(by) => self.readings.read(word.key, by, now),
+            None => self.readings.failed(word.key),
+        }
+        let waiting = std::mem::take(&mut self.waiting_for_readings);
+        for waiting in waiting {
+            if waiting.key == word.key {
+                self.answer_reading(waiting.key, waiting.reply);
+            } else {
+                self.waiting_for_readings.push(waiting);
+            }
+        }
+    }
+
+    /// Lets requests go on that have waited long enough for a reading.
+    fn release_readings(&mut self, now: Duration) {
+        if !self.waiting_for_readings.iter().any(|waiting| now >= waiting.until) {
+            return;
+        }
+        let waiting = std::mem::take(&mut self.waiting_for_readings);
+        for waiting in waiting {
+            if now >= waiting.until {
+                waiting.reply.send(ReadingTold::Wait);
+            } else {
+                self.waiting_for_readings.push(waiting);
+            }
+        }
+    }
+
     /// Returns the work that this router's requests make at replicas.
     fn own_works(&self) -> Works {
         let replicas = self.runtime.iter();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod peers;
 mod placement;
 mod prompt;
+mod readings;
 mod relay;
 mod relayed;
 mod report;
@@ -123,6 +124,7 @@
             observations,
             peers,
         })?;
+        shared.set_control(events.clone());
         let (closing, closed) = watch::channel(false);
         front::serve(traffic.handle(), callers, Arc::clone(&shared), closed)?;
         let settings = &shared.settings;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::clock::boot_time;
 use super::control::{Event, pass_on};
 use super::notice::{ReplicaNotice, ReplicaNotices};
 use super::loads::WorkNews;
+use super::readings::{OpeningKey, ReadingAnswer, ReadingWord, Told};
 use super::relayed::{News, NewsRequest};
 use super::settings::GatewaySettings;
 use super::shared::EntryPoint;
@@ -18,7 +19,7 @@
 use crate::error::Error;
 use crate::id::{RouterId, ZoneName};
 use crate::membership::{
-    Heartbeat, Liveness, LoadLevel, Member, Membership, MembershipOptions, Outcome, Stage,
+    Heartbeat, Liveness, LoadLevel, Member, Membership, MembershipOptions, Outcome, Stage, owner_of,
 };
 use crate::peer::{
     Body, Inbound, Kind, LinkOptions, LinkTimes, Links, PeerEvent, PeerIdentity, PeerKeys,
@@ -50,6 +51,10 @@
     NewsWanted(RouterId, NewsRequest, ReplyHandle),
     /// The work at replicas, summed up by this router.
     Work(RouterId, WorkNews),
+    /// A question who reads an opening.
+    ReadingAsked(ReadingWord, ReplyHandle),
+    /// What became of a reading.
+    ReadingEnded(ReadingWord),
 }
 
 /// The other gateways, as this one knows them.
@@ -187,6 +192,12 @@
                 let from = Arc::clone(&event.from.router);
                 Some(PeerWord::Work(from, work))
             }),
+            Kind::Reading => event.body.decode::<ReadingWord>().map(|word| {
+                Some(match event.reply {
+                    Some(reply) => PeerWord::ReadingAsked(word, reply),
+                    None => PeerWord::ReadingEnded(word),
+                })
+            }),
             _ => Ok(None),
         };
         match decoded {
@@ -219,6 +230,41 @@
         self.alive().filter(stays).map(|member| &member.router).collect()
     }
 
+    /// Returns the router that answers for an opening.
+    pub(crate) fn reader_of(&self, key: OpeningKey) -> &RouterId {
+        let stays = self.alive().filter(|member| !member.leaving);
+        owner_of(key, stays.map(|member| &member.router)).unwrap_or(self.own())
+    }
+
+    /// Asks the router that answers for an opening; `answer` gets nothing where it can't be reached.
+    pub(crate) fn ask_reader(
+        &self,
+        router: &RouterId,
+        word: ReadingWord,
+        timeout: Duration,
+        answer: oneshot::Sender<Told>,
+    ) {
+        let Some(to) = self.membership.get(router).map(|member| member.peers) else {
+            return;
+        };
+        let links = self.links.clone();
+        let body = Body::encode(Kind::Reading, &word);
+        tokio::spawn(async move {
+            let reply = links.request(to, body, timeout).await;
+            if let Some(Ok(told)) = reply.map(|body| body.decode::<ReadingAnswer>()) {
+                // The request may have ended meanwhile.
+                let _ = answer.send(told.told());
+            }
+        });
+    }
+
+    /// Tells the router that answers for an opening what became of a reading.
+    pub(crate) fn tell_reader(&self, router: &RouterId, word: ReadingWord) {
+        if let Some(member) = self.membership.get(router) {
+            self.links.send(member.peers, Body::encode(Kind::Reading, &word));
+        }
+    }
+
     /// Tells the work of several routers to all others that sum up work.
     pub(crate) fn tell_work(&self, work: &WorkNews) {
         let mut zones: BTreeMap<&ZoneName, Vec<&RouterId>> = BTreeMap::new();
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -100,6 +100,8 @@
     pub weights: WeightsStanding,
     /// Whether it takes new requests at all.
     pub is_open: bool,
+    /// Whether it is known to have read the opening lately.
+    pub is_warm: bool,
 }
 
 /// What a request needs.
@@ -135,7 +137,8 @@
     tried: &[ReplicaId],
     rng: &mut impl Rng,
 ) -> Result<usize, NoReplica> {
-    let home = home_of(need, candidates);
+    let warm = candidates.iter().position(|candidate| candidate.is_warm && candidate.is_open);
+    let home = warm.or_else(|| home_of(need, candidates));
     let mut best: Option<(f64, usize)> = None;
     let mut reason = NoReplica::NoneOpen;
     for (index, candidate) in candidates.iter().enumerate() {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -6,18 +6,20 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::clock::boot_time;
+use super::control::Event;
 use super::dialect::Dialect;
 use super::fleet::KnownReplica;
 use super::freshness::{Freshness, FreshnessBounds};
 use super::loads::{ReplicaKey, Works};
 use super::placement::WeightsBounds;
+use super::readings::{OpeningKey, ReadingWord, Told};
 use super::route::{ModelName, RouteTable};
 use super::settings::{GatewayBounds, GatewaySettings};
 use super::upstream::ReplicaPool;
@@ -40,10 +42,6 @@
     longest_ejection: Duration::from_secs(4),
     return_time: Duration::from_secs(1),
 };
-/// The openings that are remembered as saved.
-const MAX_SAVED_OPENINGS: usize = 8_192;
-/// How long a saved opening is taken to be kept.
-const SAVED_LIFE: Duration = Duration::from_secs(30);
 
 /// This router's own work at one replica.
 #[derive(Debug, Default)]
@@ -136,8 +134,9 @@
     health: Mutex<HashMap<ServiceName, Ejection>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     others_work: ArcSwap<Works>,
-    saved: Mutex<HashMap<u64, Duration>>,
     observations: mpsc::Sender<Observation>,
+    /// Set once the control thread runs.
+    control: OnceLock<mpsc::Sender<Event>>,
 }
 
 /// Counts one request at a replica until it is dropped.
@@ -222,8 +221,29 @@
             health: Mutex::default(),
             budgets: Mutex::default(),
             others_work: ArcSwap::default(),
-            saved: Mutex::default(),
             observations,
+            control: OnceLock::new(),
+        }
+    }
+
+    /// Takes the way to the control thread.
+    pub(crate) fn set_control(&self, control: mpsc::Sender<Event>) {
+        assert!(self.control.set(control).is_ok(), "the control thread was started twice");
+    }
+
+    /// Asks who reads an opening; returns `None` where no answer comes in time.
+    pub(crate) async fn ask_reading(&self, key: OpeningKey, limit: Duration) -> Option<Told> {
+        let (answer, told) = oneshot::channel();
+        let control = self.control.get()?;
+        control.try_send(Event::ReadingAsked(key, answer)).ok()?;
+        tokio::time::timeout(limit, told).await.ok()?.ok()
+    }
+
+    /// Tells what became of a reading; where it gets lost, the next request reads after a while.
+    pub(crate) fn end_reading(&self, word: ReadingWord) {
+        let control = self.control.get();
+        if control.is_none_or(|control| control.try_send(Event::ReadingEnded(word)).is_err()) {
+            metrics::counter!("crocuswharf_gateway_observations_dropped_total").increment(1);
         }
     }
 
@@ -373,23 +393,6 @@
         act(budget)
     }
 
-    /// Tells whether an opening was saved to the kept cache lately.
-    pub(crate) fn is_saved(&self, opening: u64, now: Duration) -> bool {
-        let saved = lock(&self.saved);
-        saved.get(&opening).is_some_and(|at| now < *at + SAVED_LIFE)
-    }
-
-    /// Notes that an opening was saved to the kept cache.
-    pub(crate) fn note_saved(&self, opening: u64, now: Duration) {
-        let mut saved = lock(&self.saved);
-        if saved.len() >= MAX_SAVED_OPENINGS {
-            saved.retain(|_, at| now < *at + SAVED_LIFE);
-        }
-        if saved.len() < MAX_SAVED_OPENINGS {
-            saved.insert(opening, now);
-        }
-    }
-
     /// Tells the control thread what was learned; a full channel drops it, since the list will tell it too.
     pub(crate) fn observe(&self, observation: Observation) {
         if self.observations.try_send(observation).is_err() {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -8,6 +8,7 @@
 mod loads;
 mod placement;
 mod prompt;
+mod readings;
 mod route;
 mod settings;
 mod source;
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -43,6 +43,7 @@
             health: 1.0,
             weights: WeightsStanding::Current,
             is_open: true,
+            is_warm: false,
         })
         .collect()
 }
@@ -68,6 +69,18 @@
     assert_eq!(homes.len(), 1);
 }
 
+#[test]
+fn choose_warm_replica_before_home() {
+    let ids = ids(18);
+    let mut candidates = candidates(&ids);
+    let home = choose(&LONG, &candidates, &[], &mut rng(1)).unwrap();
+    let warm = (home + 1) % ids.len();
+    candidates[warm].is_warm = true;
+    assert_eq!(choose(&LONG, &candidates, &[], &mut rng(1)), Ok(warm));
+    candidates[warm].is_open = false;
+    assert_eq!(choose(&LONG, &candidates, &[], &mut rng(1)), Ok(home));
+}
+
 #[test]
 fn choose_short_opening_home_is_near() {
     let ids = ids(18);
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -31,7 +31,7 @@
 /// How long a replica counts against the loads at once; it takes new weights in 0.29 to 0.57 s.
 const LOADING_SHARE_TIME: Duration = Duration::from_millis(500);
 /// One in so many replicas may load at once; by the sheets loads slow down beyond 3 of 18 and 2 of 12.
-const REPLICAS_PER_LOAD: usize = 6;
+const REPLICAS_PER_LOAD: usize = 4;
 /// One in so many replicas may be out for loads at once, ended or not, so that the others carry the traffic.
 const REPLICAS_PER_OUTAGE: usize = 3;
 
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -48,11 +48,13 @@
     News = 13,
     /// Tells the work at replicas, summed up over several routers.
     Work = 14,
+    /// Asks who reads an opening, or tells what became of a reading.
+    Reading = 15,
 }
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Ping,
         Self::Pong,
         Self::Heartbeat,
@@ -68,6 +70,7 @@
         Self::Replicas,
         Self::News,
         Self::Work,
+        Self::Reading,
     ];
 
     /// Returns the name under which metrics count the kind.
@@ -89,6 +92,7 @@
             Self::Replicas => "replicas",
             Self::News => "news",
             Self::Work => "work",
+            Self::Reading => "reading",
         }
     }
 }
