Tell refusals and learned weights to all routers; let queues run down before an order

Change: the work that routers tell holds whether a replica refuses and which weights its answers name; an order waits up to 0.3 s for a queue and takes the replica with the least work first.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -498,12 +498,14 @@
                 .map(|replica| {
                     let record = &replica.known.record;
                     let standing = standing(replica);
+                    let own = replica.load.work(now);
                     let others = others.get(&replica.key).copied().unwrap_or_default();
                     Candidate {
                         id: &record.id,
                         is_near: record.zone == *zone,
-                        in_flight: replica.load.in_flight() + others.in_flight,
-                        unread_tokens: replica.load.unread_tokens() + others.unread_tokens,
+                        in_flight: own.in_flight + others.in_flight,
+                        unread_tokens: own.unread_tokens + others.unread_tokens,
+                        is_refusing: own.is_refusing || others.is_refusing,
                         slots: record.slots,
                         health: health.map_or(1.0, |health| health.weight(&record.id, now)),
                         weights: standing.unwrap_or(WeightsStanding::Closed),
@@ -659,7 +661,9 @@
     async fn refused(&self, head: &response::Parts, flow: Flow) -> Ended {
         let dialect = &self.shared.dialect;
         let record = &flow.replica.known.record;
-        if head.status == StatusCode::MISDIRECTED_REQUEST {
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            flow.replica.load.note_refusal();
+        } else {
             let named = text_of(&head.headers, &dialect.replica);
             if named.is_some_and(|named| *named != *record.id) {
                 self.shared.observe(Observation::AddressReused {
@@ -692,6 +696,7 @@
         };
         let known = replica.known.version_of(&prompt.model);
         if known.is_none_or(|known| known < version) {
+            replica.load.note_version(version);
             self.shared.observe(Observation::Weights {
                 replica: Arc::clone(&replica.known.record.id),
                 born_ms: replica.known.record.born_ms,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -15,7 +15,7 @@
 use super::clock::boot_time;
 use super::fleet::{Fleet, FleetChange, KnownReplica, ReplicaEntry, ReplicaPhase};
 use super::follow::{Followed, follow, store_backoff, wait_for};
-use super::loads::{Told, Work, WorkNews, Works, replica_key, without};
+use super::loads::{Told, WorkNews, Works, replica_key, without};
 use super::notice::{NoticePhase, ReplicaNotice, ReplicaNotices};
 use super::peers::{PeerWord, Peers};
 use super::readings::{
@@ -592,7 +592,7 @@
         self.is_asking = false;
         let mut news = news;
         if let Some(work) = news.as_mut().and_then(|news| news.others_work.take()) {
-            self.shared.set_others_work(work.into_works());
+            self.take_others_work(work.into_works());
         }
         let Some(news) = news.filter(|news| !news.is_lost) else {
             log::info!("source: No news from another router. source={:?}", self.from);
@@ -789,17 +789,31 @@
 
     /// Returns the work that this router's requests make at replicas.
     fn own_works(&self) -> Works {
+        let now = boot_time();
         let replicas = self.runtime.iter();
-        let works = replicas.map(|((id, born_ms), (load, _))| {
-            let work = Work {
-                in_flight: load.in_flight(),
-                unread_tokens: load.unread_tokens(),
-            };
-            (replica_key(id, *born_ms), work)
-        });
+        let works =
+            replicas.map(|((id, born_ms), (load, _))| (replica_key(id, *born_ms), load.work(now)));
         works.filter(|(_, work)| !work.is_none()).collect()
     }
 
+    /// Takes in the work of all other routers, and the weights that their answers named.
+    fn take_others_work(&mut self, others: Works) {
+        let mut changes = Vec::new();
+        for (id, born_ms) in self.runtime.keys() {
+            let work = others.get(&replica_key(id, *born_ms));
+            let Some(version) = work.map(|work| work.version).filter(|version| *version > 0) else {
+                continue;
+            };
+            let known = self.fleet.get(id).and_then(|known| known.record.weights.first());
+            if let Some((model, known)) = known.cloned().filter(|(_, known)| *known < version) {
+                log::debug!("fleet: Weights told. replica={id} before={known} version={version}");
+                changes.extend(self.fleet.note_weights(id, *born_ms, &model, version));
+            }
+        }
+        self.changed(changes);
+        self.shared.set_others_work(others);
+    }
+
     /// Tells the other routers that sum up work this one's sum, and takes in what they told.
     fn sum_up_work(&mut self, now: Duration) {
         if self.from != Source::Platform || now < self.next_sum {
@@ -810,7 +824,7 @@
         let own = self.own_works();
         self.peers.tell_work(&WorkNews::of(&self.told.own_sum(&own)));
         let others = without(&self.told.total(&own), Some(&own));
-        self.shared.set_others_work(others);
+        self.take_others_work(others);
     }
 
     /// Decides where the news come from, and asks the other router if it is one.
@@ -984,9 +998,19 @@
         };
         self.last_holder = Some(Arc::clone(self.peers.own()));
         let wanted = self.wanted();
+        let works = self.told.total(&self.own_works());
+        let replicas: Vec<_> = self
+            .fleet
+            .replicas()
+            .map(|known| {
+                let record = &known.record;
+                let work = works.get(&replica_key(&record.id, record.born_ms));
+                (known, work.map_or(0, |work| work.in_flight))
+            })
+            .collect();
         let steps = self
             .rollout
-            .step(self.fleet.replicas(), &wanted, fencing_number, now);
+            .step(&replicas, &wanted, fencing_number, now);
         for step in steps {
             self.act(step, now);
         }
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -10,7 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::id::RouterId;
+use crate::id::{RouterId, WeightsVersion};
 
 /// How long what a router told counts; it tells several times a second while it runs.
 const TOLD_LIFE: Duration = Duration::from_millis(1_500);
@@ -30,23 +30,30 @@
     pub(crate) in_flight: u32,
     /// The tokens of their prompts that are yet to be read.
     pub(crate) unread_tokens: u64,
+    /// Whether it has refused a request a moment ago.
+    pub(crate) is_refusing: bool,
+    /// The weights version that an answer has named a moment ago; 0 for none.
+    pub(crate) version: WeightsVersion,
 }
 
 impl Work {
     /// Tells whether there is any.
     pub(crate) const fn is_none(self) -> bool {
-        self.in_flight == 0 && self.unread_tokens == 0
+        self.in_flight == 0 && self.unread_tokens == 0 && !self.is_refusing && self.version == 0
     }
 
     fn add(&mut self, other: Self) {
         self.in_flight = self.in_flight.saturating_add(other.in_flight);
         self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
+        self.is_refusing |= other.is_refusing;
+        self.version = self.version.max(other.version);
     }
 
     const fn less(self, other: Self) -> Self {
         Self {
             in_flight: self.in_flight.saturating_sub(other.in_flight),
             unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
+            ..self
         }
     }
 }
@@ -66,6 +73,12 @@
     /// The tokens yet to be read.
     #[prost(uint64, repeated, tag = "3")]
     unread_tokens: Vec<u64>,
+    /// The places in the lists of replicas that refuse requests.
+    #[prost(uint32, repeated, tag = "4")]
+    refusing: Vec<u32>,
+    /// The weights versions that answers have named; 0 for none.
+    #[prost(uint64, repeated, tag = "5")]
+    versions: Vec<u64>,
 }
 
 impl WorkNews {
@@ -76,6 +89,10 @@
             news.keys.push(*key);
             news.in_flight.push(work.in_flight);
             news.unread_tokens.push(work.unread_tokens);
+            news.versions.push(work.version);
+            if work.is_refusing {
+                news.refusing.push(news.keys.len() as u32 - 1);
+            }
         }
         news
     }
@@ -83,11 +100,14 @@
     /// Decodes the work.
     pub(crate) fn into_works(self) -> Works {
         let figures = self.in_flight.into_iter().zip(self.unread_tokens);
-        let figures = figures.map(|(in_flight, unread_tokens)| Work {
+        let figures = figures.zip(self.versions).enumerate();
+        let works = figures.map(|(place, ((in_flight, unread_tokens), version))| Work {
             in_flight,
             unread_tokens,
+            is_refusing: self.refusing.contains(&(place as u32)),
+            version,
         });
-        self.keys.into_iter().zip(figures).collect()
+        self.keys.into_iter().zip(works).collect()
     }
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -33,6 +33,8 @@
 const QUEUED_MS: f64 = 25.0;
 /// What old weights cost once newer ones should be in use, in milliseconds.
 const OLD_WEIGHTS_MS: f64 = 60.0;
+/// What a replica costs that has just refused a request, in milliseconds; it mostly refuses the next one too.
+const REFUSING_MS: f64 = 400.0;
 /// Random difference between equal replicas, in milliseconds, so that routers don't all pick the same one.
 const JITTER_MS: f64 = 2.0;
 /// Openings with at least this many tokens have one home in the fleet; smaller ones have one in each availability zone.
@@ -100,6 +102,8 @@
     pub weights: WeightsStanding,
     /// Whether it takes new requests at all.
     pub is_open: bool,
+    /// Whether it has refused a request of any router a moment ago.
+    pub is_refusing: bool,
     /// Whether it is known to have read the opening lately.
     pub is_warm: bool,
 }
@@ -176,6 +180,9 @@
     if candidate.weights == WeightsStanding::Old {
         cost_ms += OLD_WEIGHTS_MS;
     }
+    if candidate.is_refusing {
+        cost_ms += REFUSING_MS;
+    }
     // A returning replica has to look that much better than the others.
     cost_ms + (1.0 / candidate.health - 1.0) * QUEUED_MS
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -17,7 +17,7 @@
 use super::dialect::Dialect;
 use super::fleet::KnownReplica;
 use super::freshness::{Freshness, FreshnessBounds};
-use super::loads::{ReplicaKey, Works};
+use super::loads::{ReplicaKey, Work, Works};
 use super::placement::WeightsBounds;
 use super::readings::{OpeningKey, ReadingWord, Told};
 use super::route::{ModelName, RouteTable};
@@ -35,6 +35,10 @@
 const WEIGHTS_PREFERRED_AFTER: Duration = Duration::from_millis(1_500);
 /// Kept back from the bound on old weights: a request may wait at a busy replica for this long before it begins.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
+/// How long a replica that refused a request is avoided; half of a load of weights, in which it refuses all.
+const REFUSAL_LIFE: Duration = Duration::from_millis(300);
+/// How long a version that an answer named is told to other routers; the platform's list shows it within that time.
+const NAMED_VERSION_LIFE: Duration = Duration::from_secs(2);
 /// When replicas are taken out: a failed connection or three failures in a row, for about as long as a crash lasts.
 const EJECTION: EjectionOptions = EjectionOptions {
     failures_in_a_row: 3,
@@ -49,6 +53,10 @@
     in_flight: AtomicU32,
     unread_tokens: AtomicU64,
     last_answer_ms: AtomicU64,
+    last_refusal_ms: AtomicU64,
+    /// The weights version that an answer named, and when.
+    named_version: AtomicU64,
+    named_at_ms: AtomicU64,
 }
 
 /// One replica as traffic sees it.
@@ -172,6 +180,36 @@
         self.unread_tokens.load(Ordering::Relaxed)
     }
 
+    /// Notes that the replica has refused a request.
+    pub(crate) fn note_refusal(&self) {
+        self.last_refusal_ms.store(now_ms(), Ordering::Relaxed);
+    }
+
+    /// Notes that an answer has named newer weights than were known.
+    pub(crate) fn note_version(&self, version: WeightsVersion) {
+        self.named_version.fetch_max(version, Ordering::Relaxed);
+        self.named_at_ms.store(now_ms(), Ordering::Relaxed);
+    }
+
+    /// Returns the work that this router's requests make, and what they learned a moment ago.
+    pub(crate) fn work(&self, now: Duration) -> Work {
+        let is_recent = |at_ms: &AtomicU64, life: Duration| {
+            let at_ms = at_ms.load(Ordering::Relaxed);
+            at_ms > 0 && now < Duration::from_millis(at_ms) + life
+        };
+        let names_version = is_recent(&self.named_at_ms, NAMED_VERSION_LIFE);
+        Work {
+            in_flight: self.in_flight(),
+            unread_tokens: self.unread_tokens(),
+            is_refusing: is_recent(&self.last_refusal_ms, REFUSAL_LIFE),
+            version: if names_version {
+                self.named_version.load(Ordering::Relaxed)
+            } else {
+                0
+            },
+        }
+    }
+
     /// Tells whether the replica has answered any request since `time`.
     pub(crate) fn has_answered_since(&self, time: Duration) -> bool {
         Duration::from_millis(self.last_answer_ms.load(Ordering::Relaxed)) >= time
@@ -181,8 +219,7 @@
 impl LoadGuard {
     /// Notes that the answer has begun, so the prompt was read.
     pub(crate) fn answer_began(&mut self) {
-        let now_ms = u64::try_from(boot_time().as_millis()).unwrap_or(u64::MAX);
-        self.load.last_answer_ms.store(now_ms, Ordering::Relaxed);
+        self.load.last_answer_ms.store(now_ms(), Ordering::Relaxed);
         let tokens = std::mem::take(&mut self.unread_tokens);
         self.load.unread_tokens.fetch_sub(tokens, Ordering::Relaxed);
     }
@@ -401,6 +438,10 @@
     }
 }
 
+fn now_ms() -> u64 {
+    u64::try_from(boot_time().as_millis()).unwrap_or(u64::MAX)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/gateway/tests/loads.rs
+++ b/src/gateway/tests/loads.rs
@@ -7,6 +7,7 @@
     Work {
         in_flight,
         unread_tokens,
+        ..Work::default()
     }
 }
 
@@ -46,3 +47,20 @@
     assert_ne!(replica_key("i-1", 5), replica_key("i-1", 6));
     assert_ne!(replica_key("i-1", 5), replica_key("i-2", 5));
 }
+
+#[test]
+fn total_any_router_that_was_refused_tells_all() {
+    let mut told = Told::default();
+    let refused = Work {
+        is_refusing: true,
+        version: 4,
+        ..Work::default()
+    };
+    let travelled = WorkNews::of(&[(1, refused), (2, work(1, 0))].into()).into_works();
+    told.take_sum("z".into(), travelled, ms(0));
+    let total = told.total(&[(1, work(2, 0))].into());
+    assert!(total[&1].is_refusing);
+    assert_eq!(total[&1].version, 4);
+    assert!(!total[&2].is_refusing);
+    assert!(told.others_of(&"a".into(), &total)[&1].is_refusing);
+}
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -43,6 +43,7 @@
             health: 1.0,
             weights: WeightsStanding::Current,
             is_open: true,
+            is_refusing: false,
             is_warm: false,
         })
         .collect()
@@ -69,6 +70,20 @@
     assert_eq!(homes.len(), 1);
 }
 
+#[test]
+fn choose_avoids_replicas_that_refuse() {
+    let ids = ids(18);
+    let mut candidates = candidates(&ids);
+    let home = choose(&SHORT, &candidates, &[], &mut rng(1)).unwrap();
+    candidates[home].is_refusing = true;
+    assert_ne!(choose(&SHORT, &candidates, &[], &mut rng(1)), Ok(home));
+    // Where all refuse, one of them still gets the request.
+    for candidate in &mut candidates {
+        candidate.is_refusing = true;
+    }
+    assert!(choose(&SHORT, &candidates, &[], &mut rng(1)).is_ok());
+}
+
 #[test]
 fn choose_warm_replica_before_home() {
     let ids = ids(18);
--- a/src/gateway/tests/weights.rs
+++ b/src/gateway/tests/weights.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Returns the replicas, all of them without work.
+    fn idle(&self) -> Vec<(&KnownReplica, u32)> {
+        self.replicas.iter().map(|known| (known, 0)).collect()
+    }
+
     fn index(&self, id: &str) -> usize {
         let place = self.replicas.iter().position(|replica| *replica.record.id == *id);
         place.expect("a replica of the site")
@@ -73,7 +78,8 @@
         let mut now = from;
         while now < to {
             self.advance(now);
-            for step in rollout.step(&self.replicas, &named, 7, now) {
+            let steps = rollout.step(&self.idle(), &named, 7, now);
+            for step in steps {
                 match step {
                     WeightsStep::Order {
                         target,
@@ -130,8 +136,8 @@
     let replica = site.replicas[0].record.id.clone();
     rollout.order_ended(&replica, OrderReply::Fenced, 7, ms(60));
     let named: BTreeMap<ModelName, u64> = [("m".into(), 2)].into();
-    assert!(rollout.step(&site.replicas, &named, 7, ms(100)).is_empty());
-    assert!(!rollout.step(&site.replicas, &named, 8, ms(110)).is_empty());
+    assert!(rollout.step(&site.idle(), &named, 7, ms(100)).is_empty());
+    assert!(!rollout.step(&site.idle(), &named, 8, ms(110)).is_empty());
 }
 
 #[test]
@@ -143,7 +149,7 @@
     let mut steps = Vec::new();
     // Until the first order goes out, whose answer is lost though it was taken.
     while !steps.iter().any(|step| matches!(step, WeightsStep::Order { .. })) {
-        steps = rollout.step(&site.replicas, &named, 7, now);
+        steps = rollout.step(&site.idle(), &named, 7, now);
         for step in &steps {
             if let WeightsStep::Report(target) = step {
                 let report = site.report(&target.replica);
@@ -159,3 +165,43 @@
     assert_eq!(site.versions(), [2]);
     assert_eq!(site.orders, 1, "the order was not given twice");
 }
+
+#[test]
+fn step_waits_for_queues_to_run_down() {
+    let mut site = Site::new(6);
+    let mut rollout = WeightsRollout::default();
+    let named: BTreeMap<ModelName, u64> = [("m".into(), 2)].into();
+    let mut announced_at = BTreeMap::new();
+    let mut waits = BTreeMap::new();
+    for tick in 0..600 {
+        let now = ms(tick * 10);
+        site.advance(now);
+        // The first replica has more requests than it runs at once.
+        let replicas: Vec<_> = site.replicas.iter().zip([40, 3, 3, 3, 3, 3]).collect();
+        let steps = rollout.step(&replicas, &named, 7, now);
+        for step in steps {
+            match step {
+                WeightsStep::Report(target) => {
+                    let report = site.report(&target.replica);
+                    rollout.report_ended(&target.replica, Some(&report), now);
+                }
+                WeightsStep::Announce(target) => {
+                    announced_at.insert(target.replica, now);
+                }
+                WeightsStep::Order {
+                    target,
+                    accepted_orders,
+                    fencing_number,
+                } => {
+                    waits.insert(target.replica.clone(), now - announced_at[&target.replica]);
+                    let reply = site.order(&target.replica, 2, accepted_orders, now);
+                    rollout.order_ended(&target.replica, reply, fencing_number, now);
+                }
+                WeightsStep::Loaded(_) => {}
+            }
+        }
+    }
+    assert_eq!(site.versions(), [2; 6]);
+    assert!(waits["r00"] >= ms(300), "{:?}", waits["r00"]);
+    assert!(waits["r01"] <= ms(20), "{:?}", waits["r01"]);
+}
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -20,6 +20,8 @@
 
 /// How long a notice of a load may take to the other routers; twice the delay between availability zones, and a margin.
 const NOTICE_SPREAD: Duration = Duration::from_millis(10);
+/// How long an order waits for a replica's queue to run down: what waits there when the order comes is refused.
+const QUEUE_TIME: Duration = Duration::from_millis(300);
 /// The first look at whether a load has ended; loads take 0.29 s and more by the users' sheets.
 const FIRST_REPORT_AFTER: Duration = Duration::from_millis(400);
 /// The pause between looks.
@@ -31,7 +33,7 @@
 /// How long a replica counts against the loads at once; it takes new weights in 0.29 to 0.57 s.
 const LOADING_SHARE_TIME: Duration = Duration::from_millis(500);
 /// One in so many replicas may load at once; by the sheets loads slow down beyond 3 of 18 and 2 of 12.
-const REPLICAS_PER_LOAD: usize = 4;
+const REPLICAS_PER_LOAD: usize = 6;
 /// One in so many replicas may be out for loads at once, ended or not, so that the others carry the traffic.
 const REPLICAS_PER_OUTAGE: usize = 3;
 
@@ -159,9 +161,11 @@
     }
 
     /// Works out what to do now under the lease's `fencing_number`.
-    pub fn step<'a>(
+    ///
+    /// Each replica comes with the requests that all routers have there.
+    pub fn step(
         &mut self,
-        replicas: impl IntoIterator<Item = &'a KnownReplica>,
+        replicas: &[(&KnownReplica, u32)],
         wanted: &BTreeMap<ModelName, WeightsVersion>,
         fencing_number: u64,
         now: Duration,
@@ -169,16 +173,18 @@
         if self.refused_fencing.is_some_and(|refused| fencing_number <= refused) {
             return Vec::new();
         }
-        let replicas: Vec<_> = replicas
-            .into_iter()
-            .filter(|replica| !replica.record.weights.is_empty())
-            .collect();
+        let mut replicas = replicas.to_vec();
+        replicas.retain(|(known, _)| !known.record.weights.is_empty());
         let mut steps = Vec::new();
         self.drop_lost(&replicas);
         self.begin(&replicas, wanted, now, &mut steps);
-        for work in self.work.values_mut() {
-            let accepted = self.accepted.get(&work.target.replica);
-            steps.extend(advance(work, accepted.copied(), fencing_number, now));
+        for (known, in_flight) in &replicas {
+            let Some(work) = self.work.get_mut(&known.record.id) else {
+                continue;
+            };
+            let accepted = self.accepted.get(&known.record.id).copied();
+            let has_queue = *in_flight > known.record.slots;
+            steps.extend(advance(work, accepted, has_queue, fencing_number, now));
         }
         steps
     }
@@ -259,9 +265,9 @@
         None
     }
 
-    fn drop_lost(&mut self, replicas: &[&KnownReplica]) {
+    fn drop_lost(&mut self, replicas: &[(&KnownReplica, u32)]) {
         let is_same_life = |id: &ReplicaId, born_ms: u64| {
-            replicas.iter().any(|known| {
+            replicas.iter().any(|(known, _)| {
                 known.record.id == *id
                     && known.record.born_ms == born_ms
                     && known.phase != ReplicaPhase::Leaving
@@ -274,12 +280,12 @@
     /// Takes replicas with old weights into work, and lets as many of them load as may at once.
     fn begin(
         &mut self,
-        replicas: &[&KnownReplica],
+        replicas: &[(&KnownReplica, u32)],
         wanted: &BTreeMap<ModelName, WeightsVersion>,
         now: Duration,
         steps: &mut Vec<WeightsStep>,
     ) {
-        for known in replicas {
+        for (known, _) in replicas {
             let Some(target) = target_of(known, wanted) else {
                 continue;
             };
@@ -306,25 +312,25 @@
         }
     }
 
-    /// Returns the replicas that can be ordered now, those with the oldest weights first.
+    /// Returns the replicas that can be ordered now, those with the oldest weights first, then those with the least work.
     ///
     /// Where versions follow each other faster than a rollout ends, the replicas that the last one did not reach would
     /// otherwise fall behind for good.
-    fn ready(&self, replicas: &[&KnownReplica], now: Duration) -> Vec<ReplicaId> {
+    fn ready(&self, replicas: &[(&KnownReplica, u32)], now: Duration) -> Vec<ReplicaId> {
         let is_ready = |id: &ReplicaId, work: &Work| {
             let is_due = matches!(work.stage, Stage::Paused(at) if now >= at);
             is_due && self.accepted.contains_key(id)
         };
         let mut ready: Vec<_> = replicas
             .iter()
-            .filter_map(|known| {
+            .filter_map(|(known, in_flight)| {
                 let id = &known.record.id;
                 let work = self.work.get(id).filter(|work| is_ready(id, work))?;
-                Some((known.version_of(&work.target.model), id.clone()))
+                Some((known.version_of(&work.target.model), *in_flight, id.clone()))
             })
             .collect();
         ready.sort_unstable();
-        ready.into_iter().map(|(_, id)| id).collect()
+        ready.into_iter().map(|(_, _, id)| id).collect()
     }
 
     /// Returns how many replicas load at the moment, as far as is known.
@@ -365,10 +371,12 @@
 fn advance(
     work: &mut Work,
     accepted: Option<Orders>,
+    has_queue: bool,
     fencing_number: u64,
     now: Duration,
 ) -> Option<WeightsStep> {
     match (work.stage, accepted) {
+        (Stage::Announced(at), Some(_)) if has_queue && now < at + QUEUE_TIME => None,
         (Stage::Announced(at), Some(orders)) if now >= at => {
             work.stage = Stage::Ordering;
             Some(WeightsStep::Order {
