Send each resend to another replica

Cause: the replicas tried were noted only where the connection failed, so a request that was refused, or that its replica failed, was sent to the same replica again. Change: a replica counts as tried once the request is sent to it.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -420,6 +420,8 @@
             self.shared.first_send(&self.call.service, snapshot.routers);
         }
         self.sends += 1;
+        // Whatever comes of it, the next try goes elsewhere.
+        self.tried.push(Arc::clone(&record.id));
         let answer = self.send(&mut link, request, &replica, now).await;
         let response = match answer {
             Ok(response) => response,
@@ -427,7 +429,6 @@
                 if ended.end == TryEnd::Unsent {
                     self.sends -= 1;
                 } else {
-                    self.tried.push(Arc::clone(&record.id));
                     self.shared.note_health(&replica, 1, boot_time());
                 }
                 return Err(ended.into());
