--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -20,7 +20,7 @@
 
 /// How one try ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TryEnd {
+pub(crate) enum TryEnd {
     /// Nothing of the request has left this router.
     Unsent,
     /// The replica said that the request has not run there.
@@ -35,7 +35,7 @@
 
 /// What is known of a request when one of its tries has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallProgress {
+pub(crate) struct CallProgress {
     /// What may be repeated.
     pub kind: CallKind,
     /// The replicas at which the request may run.
@@ -52,7 +52,7 @@
 
 /// What to do after a try has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NextStep {
+pub(crate) enum NextStep {
     /// Send the request to another replica, if the retry budget has a try.
     Resend,
     /// Try again for free: nothing has been sent.
@@ -70,7 +70,7 @@
 impl CallProgress {
     /// Begins a request.
     #[must_use]
-    pub const fn new(kind: CallKind, max_attempts: u32, remaining: Duration) -> Self {
+    pub(crate) const fn new(kind: CallKind, max_attempts: u32, remaining: Duration) -> Self {
         Self {
             kind,
             max_attempts,
@@ -82,7 +82,7 @@
     }
 
     /// Takes the end of a try, and returns what follows.
-    pub fn try_ended(&mut self, end: TryEnd, remaining: Duration) -> NextStep {
+    pub(crate) fn try_ended(&mut self, end: TryEnd, remaining: Duration) -> NextStep {
         self.remaining = remaining;
         match end {
             TryEnd::Unsent => self.unsent_tries += 1,
@@ -117,13 +117,13 @@
 
     /// Tells whether the request may be sent to one more replica.
     #[must_use]
-    pub fn may_run_again(&self) -> bool {
+    pub(crate) fn may_run_again(&self) -> bool {
         self.kind.may_repeat() && self.runs < self.max_attempts
     }
 
     /// Returns the final answer where no further try is made: it may say "not run" only where that is known.
     #[must_use]
-    pub const fn give_up(&self) -> NextStep {
+    pub(crate) const fn give_up(&self) -> NextStep {
         if self.runs == 0 {
             return NextStep::Refuse;
         }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -40,8 +40,11 @@
 const PATIENCE_SHARE: f64 = 0.7;
 /// The share of the objective after which a stream goes to another replica, if its replica answers nobody.
 const STREAM_PATIENCE_SHARE: f64 = 1.0;
-/// The openings of at least so many tokens are read by one replica at a time; shorter ones cost less than the question.
+/// Requests with openings of at least so many tokens wait while another request reads them; shorter ones cost less than
+/// the wait.
 const MIN_READING_TOKENS: u32 = 1_000;
+/// How long a request with a short opening waits to hear whether it is the first and has it saved.
+const SHORT_OPENING_LIMIT: Duration = Duration::from_millis(6);
 /// The share of the objective for which a request may wait until its opening has been read.
 const READING_WAIT_SHARE: f64 = 0.8;
 /// The largest whole answer that is held back until it is complete; a longer one is passed on as it comes.
@@ -170,7 +173,10 @@
     ) -> Result<Self, OwnAnswer> {
         let dialect = &shared.dialect;
         let Some(table) = &snapshot.table else {
-            return Err(OwnAnswer::not_run("no configuration yet", RETURN_TO_UNREADY));
+            return Err(OwnAnswer::not_run(
+                "no configuration yet",
+                RETURN_TO_UNREADY,
+            ));
         };
         let freshness = shared.freshness(arrived);
         let deny = |status, reason| {
@@ -204,7 +210,10 @@
         let prompt = Prompt::read(&head.headers, dialect)
             .map_err(|_| bad("the prompt's description can't be read"))?;
         let Some(service) = route.pick_service(&mut rand::rng()) else {
-            return Err(OwnAnswer::not_run("the route has no service", RETURN_TO_BUSY));
+            return Err(OwnAnswer::not_run(
+                "the route has no service",
+                RETURN_TO_BUSY,
+            ));
         };
         let wall = account.as_ref().filter(|account| account.is_isolated);
         let need = prompt.as_ref().map_or(
@@ -215,7 +224,9 @@
             },
             |prompt| prompt.need(wall),
         );
-        let time = deadline_ms.map_or(route.timeout, |ms| route.timeout.min(Duration::from_millis(ms)));
+        let time = deadline_ms.map_or(route.timeout, |ms| {
+            route.timeout.min(Duration::from_millis(ms))
+        });
         Ok(Self {
             id,
             route: route.clone(),
@@ -274,7 +285,10 @@
     async fn wait_for_reading(&mut self, snapshot: &Snapshot) -> OpeningState {
         let unknown = OpeningState::default();
         let need = self.call.need;
-        let Some(opening) = need.opening.filter(|_| need.shared_tokens >= MIN_READING_TOKENS) else {
+        let Some(opening) = need
+            .opening
+            .filter(|_| need.shared_tokens >= MIN_READING_TOKENS)
+        else {
             return unknown;
         };
         self.end_reading(None);
@@ -282,15 +296,21 @@
             return unknown;
         };
         let key = self.reading_key(&replica, opening);
-        let limit = self.call.route.objective.mul_f64(READING_WAIT_SHARE);
+        let is_long = need.shared_tokens >= MIN_READING_TOKENS;
+        let limit = if is_long {
+            self.call.route.objective.mul_f64(READING_WAIT_SHARE)
+        } else {
+            SHORT_OPENING_LIMIT
+        };
         let waited_until = (self.call.arrived + limit).saturating_sub(boot_time());
         match self.shared.ask_reading(key, waited_until).await {
             Some(Told::First) => {
                 self.reading = Some(key);
                 unknown
             }
-            Some(Told::ReadBy(by)) => OpeningState { read_by: Some(by) },
-            Some(Told::Wait) | None => unknown,
+            // A short opening has a home in each availability zone, and is fetched there.
+            Some(Told::ReadBy(by)) if is_long => OpeningState { read_by: Some(by) },
+            Some(Told::ReadBy(_) | Told::Wait) | None => unknown,
         }
     }
 
@@ -318,18 +338,23 @@
     /// # Errors
     ///
     /// Returns the gateway's own answer where nothing more may be tried.
-    pub(crate) async fn next_answer(&mut self, last_event: Option<&str>) -> Result<Started, OwnAnswer> {
+    pub(crate) async fn next_answer(
+        &mut self,
+        last_event: Option<&str>,
+    ) -> Result<Started, OwnAnswer> {
         loop {
             let ended = match self.try_once(last_event).await {
                 Ok(started) => return Ok(started),
-                Err(TryStop::Ended(ended)) => ended,
+                Err(TryStop::Ended(ended)) => *ended,
                 Err(TryStop::NoReplica(reason)) => return Err(self.no_replica(reason)),
             };
-            log::debug!(
-                "request: Try ended. id={} end={:?} reason={}",
+            log::info!(
+                "request: Try ended. id={} replica={} end={:?} reason=\"{}\" remaining_ms={}",
                 self.call.id_text(),
+                self.tried.last().map_or("-", |replica| &**replica),
                 ended.end,
-                ended.reason
+                ended.reason,
+                self.call.remaining().as_millis()
             );
             let step = self.progress.try_ended(ended.end, self.call.remaining());
             let step = if ended.has_resend {
@@ -343,9 +368,17 @@
         }
     }
 
+    /// Returns the replica that was tried last, and how many requests were sent.
+    pub(crate) fn last_try(&self) -> (&str, u32) {
+        let replica = self.tried.last().map_or("-", |replica| &**replica);
+        (replica, self.sends)
+    }
+
     /// Notes that the running answer broke; tells whether the stream may go on at another replica.
     pub(crate) fn may_resume(&mut self) -> bool {
-        let step = self.progress.try_ended(TryEnd::Broken, self.call.remaining());
+        let step = self
+            .progress
+            .try_ended(TryEnd::Broken, self.call.remaining());
         let step = self.with_budget(step, TryEnd::Broken);
         step == NextStep::Resend
     }
@@ -555,7 +588,7 @@
             set(&dialect.priority, &call.rank().to_string());
             let table = snapshot.table.as_ref();
             let cache = table.and_then(|table| table.kept_cache(&replica.known.record.zone));
-            if let Some(cache) = cache.filter(|_| call.need.shared_tokens >= MIN_READING_TOKENS) {
+            if let Some(cache) = cache.filter(|_| call.need.opening.is_some()) {
                 let address = cache.address.to_string();
                 set(&dialect.fetch_from, &address);
                 // Each saving also brings the request's own part along, so that too many would push openings out.
@@ -596,7 +629,10 @@
         }
         match tokio::time::timeout(self.call.remaining(), &mut sending).await {
             Ok(result) => result.map_err(send_failed),
-            Err(_) => Err(Ended::new(TryEnd::TimedOut, "no answer within the deadline")),
+            Err(_) => Err(Ended::new(
+                TryEnd::TimedOut,
+                "no answer within the deadline",
+            )),
         }
     }
 
@@ -620,16 +656,24 @@
         self.learn_weights(&head.headers, &replica);
         if head.headers.get(&dialect.request_id) != Some(&self.call.id) {
             self.shared.note_health(&replica, 1, boot_time());
-            return Err(Ended::new(TryEnd::Broken, "the answer belongs to another request"));
+            return Err(Ended::new(
+                TryEnd::Broken,
+                "the answer belongs to another request",
+            ));
         }
-        if head.status == StatusCode::MISDIRECTED_REQUEST || head.headers.contains_key(&dialect.not_run) {
+        if head.status == StatusCode::MISDIRECTED_REQUEST
+            || head.headers.contains_key(&dialect.not_run)
+        {
             return Err(self.refused(&head, flow).await);
         }
         let is_signed = head.headers.contains_key(&dialect.signature);
         let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
         if is_encoded || (head.status.is_success() && !is_signed) {
             self.shared.note_health(&replica, 1, boot_time());
-            return Err(Ended::new(TryEnd::Broken, "the answer is not the replica's"));
+            return Err(Ended::new(
+                TryEnd::Broken,
+                "the answer is not the replica's",
+            ));
         }
         let failures = u32::from(head.status.is_server_error());
         self.shared.note_health(&replica, failures, boot_time());
@@ -710,13 +754,13 @@
 
 /// Why a try brought no answer.
 enum TryStop {
-    Ended(Ended),
+    Ended(Box<Ended>),
     NoReplica(NoReplica),
 }
 
 impl From<Ended> for TryStop {
     fn from(ended: Ended) -> Self {
-        Self::Ended(ended)
+        Self::Ended(Box::new(ended))
     }
 }
 
@@ -749,7 +793,9 @@
 
 fn is_short(body: &Incoming) -> bool {
     use hyper::body::Body;
-    body.size_hint().exact().is_none_or(|size| size <= MAX_HELD_BYTES)
+    body.size_hint()
+        .exact()
+        .is_none_or(|size| size <= MAX_HELD_BYTES)
 }
 
 fn read_deadline(headers: &HeaderMap, dialect: &Dialect) -> Result<Option<u64>, &'static str> {
@@ -757,7 +803,10 @@
         return Ok(None);
     };
     let text = value.to_str().map_err(|_| "the deadline can't be read")?;
-    let milliseconds: f64 = text.trim().parse().map_err(|_| "the deadline can't be read")?;
+    let milliseconds: f64 = text
+        .trim()
+        .parse()
+        .map_err(|_| "the deadline can't be read")?;
     if !(milliseconds >= 0.0 && milliseconds.is_finite()) {
         return Err("the deadline can't be read");
     }
@@ -771,7 +820,11 @@
 }
 
 /// Returns the headers that go to a replica whatever replica it is.
-fn passed_on(dialect: &Dialect, headers: &HeaderMap, account: Option<&GatewayAccount>) -> HeaderMap {
+fn passed_on(
+    dialect: &Dialect,
+    headers: &HeaderMap,
+    account: Option<&GatewayAccount>,
+) -> HeaderMap {
     let listed = listed_in_connection(headers);
     let mut kept = HeaderMap::with_capacity(headers.len() + 8);
     for (name, value) in headers {
@@ -790,10 +843,15 @@
 /// Returns how long the other side keeps a connection; zero where it closes it.
 fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let connection = text_of(headers, &http::header::CONNECTION).unwrap_or_default();
-    if connection.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")) {
+    if connection
+        .split(',')
+        .any(|word| word.trim().eq_ignore_ascii_case("close"))
+    {
         return Some(Duration::ZERO);
     }
     let text = text_of(headers, &HeaderName::from_static("keep-alive"))?;
-    let seconds = text.split(',').find_map(|word| word.trim().strip_prefix("timeout="))?;
+    let seconds = text
+        .split(',')
+        .find_map(|word| word.trim().strip_prefix("timeout="))?;
     Some(Duration::from_secs(seconds.trim().parse().ok()?))
 }
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -18,9 +18,7 @@
 use super::loads::{Told, WorkNews, Works, replica_key, without};
 use super::notice::{NoticePhase, ReplicaNotice, ReplicaNotices};
 use super::peers::{PeerWord, Peers};
-use super::readings::{
-    OpeningKey, ReadingAnswer, ReadingWord, Readings, Told as ReadingTold,
-};
+use super::readings::{OpeningKey, ReadingAnswer, ReadingWord, Readings, Told as ReadingTold};
 use super::relayed::{News, NewsRequest, ReplicaNews, WeightsNews};
 use super::route::{ModelName, RouteTable};
 use super::shared::{Observation, Replica, ReplicaLoad, Shared, Snapshot};
@@ -181,6 +179,8 @@
     pub(crate) replicas: ReplicaCalls,
     pub(crate) observations: mpsc::Receiver<Observation>,
     pub(crate) peers: TcpListener,
+    /// Where this router listens for callers.
+    pub(crate) callers: SocketAddr,
 }
 
 /// Starts the control thread; the sender takes events for it.
@@ -205,8 +205,10 @@
         replicas,
         mut observations,
         peers,
+        callers,
     } = parts;
-    let (peers, mut inbound) = match Peers::start(&shared.settings, peers, events.clone()) {
+    let started = Peers::start(&shared.settings, peers, callers, events.clone());
+    let (peers, mut inbound) = match started {
         Ok(started) => started,
         Err(error) => {
             log::error!("control: The peers' address can't be used. error={error}");
@@ -560,7 +562,9 @@
 
     fn take_weights(&mut self, followed: Followed<NamedWeights>, now: Duration) {
         let (entries, as_of) = match followed {
-            Followed::Listed(entries, as_of) | Followed::Changed(entries, as_of) => (entries, as_of),
+            Followed::Listed(entries, as_of) | Followed::Changed(entries, as_of) => {
+                (entries, as_of)
+            }
             Followed::Lost(fault) => {
                 log::warn!("store: Named weights can't be followed. fault=\"{fault}\"");
                 return;
@@ -579,7 +583,10 @@
     /// Notes that the operator named a version, which was heard of at `named_at`.
     fn name_weights(&mut self, model: &ModelName, version: WeightsVersion, named_at: Duration) {
         let versions = self.named.entry(Arc::clone(model)).or_default();
-        if versions.last().is_some_and(|(newest, _)| version <= *newest) {
+        if versions
+            .last()
+            .is_some_and(|(newest, _)| version <= *newest)
+        {
             return;
         }
         log::info!("rollout: Weights named. model={model} version={version}");
@@ -595,13 +602,20 @@
             self.take_others_work(work.into_works());
         }
         let Some(news) = news.filter(|news| !news.is_lost) else {
-            log::info!("source: No news from another router. source={:?}", self.from);
+            log::info!(
+                "source: No news from another router. source={:?}",
+                self.from
+            );
             self.source.failed(now);
             return;
         };
         if let Some(age_ms) = news.returned_age_ms {
             let at = now.saturating_sub(Duration::from_millis(age_ms));
-            if self.platform.returned_at.is_none_or(|known| known + RETURN_SLACK < at) {
+            if self
+                .platform
+                .returned_at
+                .is_none_or(|known| known + RETURN_SLACK < at)
+            {
                 self.platform.returned_at = Some(at);
                 self.fleet.platform_returned(at);
             }
@@ -612,7 +626,11 @@
         if news.configuration_revision >= self.platform.configuration_revision {
             self.adopt(news.configuration_revision, changed, confirmed_at);
         }
-        let entries: Vec<_> = news.replicas.into_iter().map(ReplicaNews::into_entry).collect();
+        let entries: Vec<_> = news
+            .replicas
+            .into_iter()
+            .map(ReplicaNews::into_entry)
+            .collect();
         if news.has_all_replicas {
             self.replace_replicas(entries, news.replicas_as_of, now);
         } else {
@@ -631,7 +649,8 @@
         let wait = Duration::from_millis(u64::from(request.wait_ms));
         if let Some(work) = request.work.take() {
             let works = work.into_works();
-            self.told.take_follower(Arc::clone(&router), works, boot_time());
+            self.told
+                .take_follower(Arc::clone(&router), works, boot_time());
         }
         self.waiting.push(WaitingForNews {
             router,
@@ -686,9 +705,8 @@
                 ..News::default()
             };
         }
-        let age_of = |at: Duration| {
-            u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX)
-        };
+        let age_of =
+            |at: Duration| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
         let has_configuration = request.configuration_revision >= platform.configuration_revision
             || platform.configuration.len() > MAX_TOLD_CONFIGURATION_BYTES;
         let changed = platform.changes.since(request.replicas_as_of);
@@ -696,8 +714,13 @@
         let replicas = match changed {
             Some(changed) => changed.filter_map(ReplicaNews::of).collect(),
             None => {
-                let known = self.fleet.replicas().filter(|known| known.lapses_at.is_none());
-                known.map(|known| ReplicaNews::of_record(&known.record)).collect()
+                let known = self
+                    .fleet
+                    .replicas()
+                    .filter(|known| known.lapses_at.is_none());
+                known
+                    .map(|known| ReplicaNews::of_record(&known.record))
+                    .collect()
             }
         };
         let named = self.named.iter().flat_map(|(model, versions)| {
@@ -721,7 +744,11 @@
             has_all_replicas,
             replicas,
             weights_as_of: platform.weights_as_of,
-            weights: if knows_weights { Vec::new() } else { named.collect() },
+            weights: if knows_weights {
+                Vec::new()
+            } else {
+                named.collect()
+            },
             returned_age_ms: platform.returned_at.map(age_of),
             others_work: None,
         }
@@ -774,7 +801,11 @@
 
     /// Lets requests go on that have waited long enough for a reading.
     fn release_readings(&mut self, now: Duration) {
-        if !self.waiting_for_readings.iter().any(|waiting| now >= waiting.until) {
+        if !self
+            .waiting_for_readings
+            .iter()
+            .any(|waiting| now >= waiting.until)
+        {
             return;
         }
         let waiting = std::mem::take(&mut self.waiting_for_readings);
@@ -804,7 +835,10 @@
             let Some(version) = work.map(|work| work.version).filter(|version| *version > 0) else {
                 continue;
             };
-            let known = self.fleet.get(id).and_then(|known| known.record.weights.first());
+            let known = self
+                .fleet
+                .get(id)
+                .and_then(|known| known.record.weights.first());
             if let Some((model, known)) = known.cloned().filter(|(_, known)| *known < version) {
                 log::debug!("fleet: Weights told. replica={id} before={known} version={version}");
                 changes.extend(self.fleet.note_weights(id, *born_ms, &model, version));
@@ -822,7 +856,8 @@
         self.next_sum = now + WORK_INTERVAL;
         self.told.expire(now);
         let own = self.own_works();
-        self.peers.tell_work(&WorkNews::of(&self.told.own_sum(&own)));
+        self.peers
+            .tell_work(&WorkNews::of(&self.told.own_sum(&own)));
         let others = without(&self.told.total(&own), Some(&own));
         self.take_others_work(others);
     }
@@ -855,7 +890,8 @@
                 wait_ms: NEWS_WAIT.as_millis() as u32,
                 work: Some(WorkNews::of(&self.own_works())),
             };
-            self.peers.ask_for_news(router, &request, NEWS_WAIT + NEWS_SLACK);
+            self.peers
+                .ask_for_news(router, &request, NEWS_WAIT + NEWS_SLACK);
         }
     }
 
@@ -909,7 +945,9 @@
                     .is_none_or(|known| known < *version);
                 if is_newer {
                     let born_ms = call.born_ms;
-                    let change = self.fleet.note_weights(&call.replica, born_ms, model, *version);
+                    let change = self
+                        .fleet
+                        .note_weights(&call.replica, born_ms, model, *version);
                     changes.extend(change);
                 }
             }
@@ -959,7 +997,9 @@
 
     fn wanted(&self) -> BTreeMap<ModelName, WeightsVersion> {
         let newest = self.named.iter().filter_map(|(model, versions)| {
-            versions.last().map(|(version, _)| (Arc::clone(model), *version))
+            versions
+                .last()
+                .map(|(version, _)| (Arc::clone(model), *version))
         });
         newest.collect()
     }
@@ -971,9 +1011,14 @@
     /// Returns this router's place among those that stand by for the lease, the last holder first.
     fn rank(&self) -> Option<usize> {
         let alive: Vec<_> = self.peers.alive().map(|member| &member.router).collect();
-        let last = self.last_holder.as_ref().filter(|last| alive.contains(last));
+        let last = self
+            .last_holder
+            .as_ref()
+            .filter(|last| alive.contains(last));
         let others = watchers_of(xxh3_64(b"orders"), alive.iter().copied(), LEASE_CANDIDATES);
-        let order = last.into_iter().chain(others.into_iter().filter(|other| Some(*other) != last));
+        let order = last
+            .into_iter()
+            .chain(others.into_iter().filter(|other| Some(*other) != last));
         order
             .take(LEASE_CANDIDATES)
             .position(|router| router == self.peers.own())
@@ -1008,9 +1053,7 @@
                 (known, work.map_or(0, |work| work.in_flight))
             })
             .collect();
-        let steps = self
-            .rollout
-            .step(&replicas, &wanted, fencing_number, now);
+        let steps = self.rollout.step(&replicas, &wanted, fencing_number, now);
         for step in steps {
             self.act(step, now);
         }
@@ -1113,18 +1156,23 @@
         };
         let known: Vec<KnownReplica> = self.fleet.replicas().cloned().collect();
         self.runtime.retain(|(id, born_ms), _| {
-            let is_same = |known: &KnownReplica| {
-                known.record.id == *id && known.record.born_ms == *born_ms
-            };
+            let is_same =
+                |known: &KnownReplica| known.record.id == *id && known.record.born_ms == *born_ms;
             known.iter().any(is_same)
         });
         for known in known {
             let replica = self.replica(known, routers);
             let service = Arc::clone(&replica.known.record.service);
-            snapshot.services.entry(service).or_default().push(Arc::new(replica));
+            snapshot
+                .services
+                .entry(service)
+                .or_default()
+                .push(Arc::new(replica));
         }
         for (service, replicas) in &snapshot.services {
-            let ids = replicas.iter().map(|replica| Arc::clone(&replica.known.record.id));
+            let ids = replicas
+                .iter()
+                .map(|replica| Arc::clone(&replica.known.record.id));
             self.shared.set_health(service, ids.collect());
         }
         self.shared.snapshot.store(Arc::new(snapshot));
@@ -1132,7 +1180,10 @@
 
     fn replica(&mut self, known: KnownReplica, routers: usize) -> Replica {
         let record = &known.record;
-        let service = self.table.as_ref().and_then(|table| table.service(&record.service));
+        let service = self
+            .table
+            .as_ref()
+            .and_then(|table| table.service(&record.service));
         let most = service.map_or(MIN_CONNECTIONS, |service| service.max_connections);
         let share = f64::from(most) * CONNECTIONS_SHARE / routers as f64;
         let limit = (share as u32).max(MIN_CONNECTIONS);
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -52,16 +52,15 @@
     /// Tells whether a caller's header is passed on to replicas.
     #[must_use]
     pub fn is_passed_on(&self, name: &HeaderName) -> bool {
-        let is_ours = *name == self.caller_key
-            || *name == self.deadline_ms
-            || self.reserved.contains(name);
+        let is_ours =
+            *name == self.caller_key || *name == self.deadline_ms || self.reserved.contains(name);
         !is_ours && !is_hop_by_hop(name)
     }
 }
 
 /// Tells whether a header concerns one connection only (RFC 9110, section 7.6.1).
 #[must_use]
-pub fn is_hop_by_hop(name: &HeaderName) -> bool {
+pub(crate) fn is_hop_by_hop(name: &HeaderName) -> bool {
     matches!(
         name.as_str(),
         "connection"
@@ -80,7 +79,7 @@
 
 /// Returns a header's value as text; `None` where it is missing or no text.
 #[must_use]
-pub fn text_of<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+pub(crate) fn text_of<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -13,11 +13,11 @@
 
 /// Why a stream can't be split.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EventTooLong;
+pub(crate) struct EventTooLong;
 
 /// Takes the bytes of a stream and returns whole events.
 #[derive(Debug, Default)]
-pub struct EventSplitter {
+pub(crate) struct EventSplitter {
     pending: BytesMut,
     last_id: Option<Arc<str>>,
 }
@@ -28,7 +28,7 @@
     /// # Errors
     ///
     /// Fails where one event grows past a megabyte.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
         self.pending.extend_from_slice(bytes);
         let end = end_of_events(&self.pending);
         if self.pending.len() - end > MAX_EVENT_BYTES {
@@ -43,18 +43,18 @@
 
     /// Returns the id of the last whole event that had one.
     #[must_use]
-    pub fn last_id(&self) -> Option<&Arc<str>> {
+    pub(crate) fn last_id(&self) -> Option<&Arc<str>> {
         self.last_id.as_ref()
     }
 
     /// Tells whether the stream stands between two events.
     #[must_use]
-    pub fn is_between_events(&self) -> bool {
+    pub(crate) fn is_between_events(&self) -> bool {
         self.pending.is_empty()
     }
 
     /// Drops the part of an event that a replica began and did not end.
-    pub fn drop_partial(&mut self) {
+    pub(crate) fn drop_partial(&mut self) {
         self.pending.clear();
     }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -73,7 +73,7 @@
 
 /// What a replica does at the moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReplicaPhase {
+pub(crate) enum ReplicaPhase {
     /// It takes requests.
     Serving,
     /// It loads weights until it is told otherwise or this time has come.
@@ -84,7 +84,7 @@
 
 /// A replica with all that is known of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KnownReplica {
+pub(crate) struct KnownReplica {
     /// What the list last said, with the newest weights that anyone has told.
     pub record: ReplicaRecord,
     /// What it does.
@@ -96,13 +96,13 @@
 impl KnownReplica {
     /// Tells whether the replica takes new requests.
     #[must_use]
-    pub const fn is_open(&self) -> bool {
+    pub(crate) const fn is_open(&self) -> bool {
         matches!(self.phase, ReplicaPhase::Serving)
     }
 
     /// Returns the version of `model` that the replica serves.
     #[must_use]
-    pub fn version_of(&self, model: &str) -> Option<WeightsVersion> {
+    pub(crate) fn version_of(&self, model: &str) -> Option<WeightsVersion> {
         let weights = self.record.weights.iter();
         weights
             .filter(|(name, _)| **name == *model)
@@ -113,7 +113,7 @@
 
 /// What a change of the fleet was, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FleetChange {
+pub(crate) enum FleetChange {
     /// A replica, or a new life of one, was added.
     Added(ReplicaId),
     /// A replica takes no new requests.
@@ -130,7 +130,7 @@
 
 /// All replicas that this router knows.
 #[derive(Debug, Default)]
-pub struct Fleet {
+pub(crate) struct Fleet {
     replicas: BTreeMap<ReplicaId, KnownReplica>,
     /// When the platform last came back after an outage.
     returned_at: Option<Duration>,
@@ -139,29 +139,33 @@
 
 impl Fleet {
     /// Returns all replicas, leaving ones included.
-    pub fn replicas(&self) -> impl Iterator<Item = &KnownReplica> {
+    pub(crate) fn replicas(&self) -> impl Iterator<Item = &KnownReplica> {
         self.replicas.values()
     }
 
     /// Returns the replica called `id`.
     #[must_use]
-    pub fn get(&self, id: &str) -> Option<&KnownReplica> {
+    pub(crate) fn get(&self, id: &str) -> Option<&KnownReplica> {
         self.replicas.get(id)
     }
 
     /// Tells whether the whole list has been read once.
     #[must_use]
-    pub const fn is_listed(&self) -> bool {
+    pub(crate) const fn is_listed(&self) -> bool {
         self.is_listed
     }
 
     /// Notes that the platform answers again after an outage.
-    pub fn platform_returned(&mut self, now: Duration) {
+    pub(crate) fn platform_returned(&mut self, now: Duration) {
         self.returned_at = Some(now);
     }
 
     /// Takes the whole list: what it does not name is gone.
-    pub fn take_list(&mut self, entries: Vec<ReplicaEntry>, now: Duration) -> Vec<FleetChange> {
+    pub(crate) fn take_list(
+        &mut self,
+        entries: Vec<ReplicaEntry>,
+        now: Duration,
+    ) -> Vec<FleetChange> {
         self.is_listed = true;
         let mut named: Vec<ReplicaId> = Vec::with_capacity(entries.len());
         let mut changes = Vec::new();
@@ -183,7 +187,7 @@
     }
 
     /// Takes one entry that changed.
-    pub fn take_entry(&mut self, entry: ReplicaEntry, now: Duration) -> Option<FleetChange> {
+    pub(crate) fn take_entry(&mut self, entry: ReplicaEntry, now: Duration) -> Option<FleetChange> {
         match entry {
             ReplicaEntry::Present(record) => self.put(record, now),
             ReplicaEntry::Gone(id) => self.lose(id, now),
@@ -193,7 +197,7 @@
     }
 
     /// Notes that a replica loads weights, as the router that ordered it tells.
-    pub fn begin_loading(
+    pub(crate) fn begin_loading(
         &mut self,
         id: &str,
         born_ms: u64,
@@ -208,7 +212,7 @@
     }
 
     /// Notes that a replica serves a version of a model, as an answer or another router tells.
-    pub fn note_weights(
+    pub(crate) fn note_weights(
         &mut self,
         id: &str,
         born_ms: u64,
@@ -225,7 +229,7 @@
     }
 
     /// Notes that a replica leaves, as another router tells.
-    pub fn note_leaving(&mut self, id: &str, born_ms: u64) -> Option<FleetChange> {
+    pub(crate) fn note_leaving(&mut self, id: &str, born_ms: u64) -> Option<FleetChange> {
         let known = self.life_mut(id, born_ms)?;
         if known.phase == ReplicaPhase::Leaving {
             return None;
@@ -235,7 +239,7 @@
     }
 
     /// Ends waits whose time has come.
-    pub fn expire(&mut self, now: Duration) -> Vec<FleetChange> {
+    pub(crate) fn expire(&mut self, now: Duration) -> Vec<FleetChange> {
         let mut changes = Vec::new();
         self.replicas.retain(|id, known| {
             let is_gone = known.lapses_at.is_some_and(|at| now >= at);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -121,9 +121,7 @@
     Ok(Followed::Changed(page.entries, page.as_of.max(known)))
 }
 
-async fn read_list<T, L>(
-    list: impl Fn(Option<Arc<str>>) -> L,
-) -> Result<(Vec<T>, u64), StoreFault>
+async fn read_list<T, L>(list: impl Fn(Option<Arc<str>>) -> L) -> Result<(Vec<T>, u64), StoreFault>
 where
     L: Future<Output = Result<ListPage<T>, StoreFault>>,
 {
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -16,14 +16,14 @@
 
 /// The bounds that freshness keeps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FreshnessBounds {
+pub(crate) struct FreshnessBounds {
     /// The time after which a revoked key must not work anywhere; `None` where no such bound is in force.
     pub revocation: Option<Duration>,
 }
 
 /// What a router may still do by its configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Freshness {
+pub(crate) struct Freshness {
     /// The time since the configuration was known to be current.
     pub age: Duration,
     /// Whether requests with keys may run.
@@ -37,12 +37,15 @@
 impl FreshnessBounds {
     /// Judges a configuration that was confirmed by a call sent at `confirmed_at`.
     #[must_use]
-    pub fn judge(&self, confirmed_at: Duration, now: Duration) -> Freshness {
+    pub(crate) fn judge(&self, confirmed_at: Duration, now: Duration) -> Freshness {
         let age = now.saturating_sub(confirmed_at);
         let within = |limit: Option<Duration>| limit.is_none_or(|limit| age < limit);
         Freshness {
             age,
-            allows_keys: within(self.revocation.map(|bound| bound.saturating_sub(KEY_MARGIN))),
+            allows_keys: within(
+                self.revocation
+                    .map(|bound| bound.saturating_sub(KEY_MARGIN)),
+            ),
             allows_denials: age < DENIAL_LIFE,
             is_ready: within(self.revocation.map(|bound| bound.mul_f64(READY_SHARE))),
         }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -207,8 +207,12 @@
     let body = match body {
         StartedBody::Whole(bytes) => {
             let status = head.status.as_u16();
-            let outcome = if head.status.is_success() { "complete" } else { "failed" };
-            running.shared.log_end(&running.call, status, outcome, running.progress.runs);
+            let outcome = if head.status.is_success() {
+                "complete"
+            } else {
+                "failed"
+            };
+            running.shared.log_end(&running, status, outcome);
             AnswerBody::Whole(Some(bytes))
         }
         StartedBody::Flowing(flow) => {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -85,9 +85,19 @@
     pub dialect: Dialect,
 }
 
+/// The addresses that a gateway has bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other gateways.
+    pub peers: SocketAddr,
+}
+
 /// A running gateway process.
 #[derive(Debug)]
 pub struct Gateway {
+    addresses: GatewayAddresses,
     shared: Arc<Shared>,
     events: mpsc::Sender<Event>,
     closing: watch::Sender<bool>,
@@ -115,6 +125,10 @@
             .map_err(|error| Error::new(ErrorKind::Io, format!("traffic runtime: {error}")))?;
         let callers = bind("listen.callers", settings.listen.callers)?;
         let peers = bind("listen.peers", settings.listen.peers)?;
+        let addresses = GatewayAddresses {
+            callers: local_address(&callers)?,
+            peers: local_address(&peers)?,
+        };
         let (observed, observations) = mpsc::channel(OBSERVATIONS_IN_HAND);
         let shared = Arc::new(Shared::new(settings, ports.dialect, observed));
         let events = control::start(ControlParts {
@@ -123,6 +137,7 @@
             replicas: ports.replicas,
             observations,
             peers,
+            callers: addresses.callers,
         })?;
         shared.set_control(events.clone());
         let (closing, closed) = watch::channel(false);
@@ -132,10 +147,11 @@
             "gateway: Started. router={} zone={} callers={} version={}",
             settings.router,
             settings.zone,
-            settings.listen.callers,
+            addresses.callers,
             env!("CARGO_PKG_VERSION")
         );
         Ok(Self {
+            addresses,
             shared,
             events,
             closing,
@@ -143,6 +159,12 @@
         })
     }
 
+    /// Returns the bound addresses.
+    #[must_use]
+    pub const fn addresses(&self) -> GatewayAddresses {
+        self.addresses
+    }
+
     /// Returns the runtime that carries traffic, for an adapter's own listeners.
     #[must_use]
     pub fn runtime(&self) -> &tokio::runtime::Handle {
@@ -176,7 +198,10 @@
     pub async fn leave(&self) -> usize {
         let bounds = self.shared.bounds();
         let begun = clock::boot_time();
-        log::info!("gateway: Leaving. open_requests={}", self.shared.open_requests());
+        log::info!(
+            "gateway: Leaving. open_requests={}",
+            self.shared.open_requests()
+        );
         self.shared.leave();
         if self.events.send(Event::Leave).await.is_err() {
             log::error!("gateway: The control thread has ended.");
@@ -206,7 +231,10 @@
     #[must_use]
     pub fn entries(&self, zone: Option<&str>) -> Vec<SocketAddr> {
         let snapshot = self.shared.snapshot.load();
-        let near = snapshot.entries.iter().filter(|entry| Some(&*entry.zone) == zone);
+        let near = snapshot
+            .entries
+            .iter()
+            .filter(|entry| Some(&*entry.zone) == zone);
         let mut addresses: Vec<_> = near.map(|entry| entry.callers).collect();
         if addresses.is_empty() {
             addresses = snapshot.entries.iter().map(|entry| entry.callers).collect();
@@ -225,3 +253,9 @@
     bind_listener(address)
         .map_err(|error| Error::new(ErrorKind::Io, format!("{field}: {address}: {error}")))
 }
+
+fn local_address(listener: &std::net::TcpListener) -> Result<SocketAddr, Error> {
+    listener
+        .local_addr()
+        .map_err(|error| Error::new(ErrorKind::Io, error.to_string()))
+}
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -20,7 +20,7 @@
 
 /// A notice on one life of one replica.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct ReplicaNotice {
+pub(crate) struct ReplicaNotice {
     /// The replica's id.
     #[prost(string, tag = "1")]
     pub replica: String,
@@ -40,7 +40,7 @@
 
 /// Notices that travel together.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct ReplicaNotices {
+pub(crate) struct ReplicaNotices {
     /// The notices, oldest first.
     #[prost(message, repeated, tag = "1")]
     pub notices: Vec<ReplicaNotice>,
@@ -52,7 +52,7 @@
 impl ReplicaNotice {
     /// Makes a notice on a load.
     #[must_use]
-    pub fn of_load(target: &LoadTarget, phase: NoticePhase) -> Self {
+    pub(crate) fn of_load(target: &LoadTarget, phase: NoticePhase) -> Self {
         Self {
             replica: target.replica.to_string(),
             born_ms: target.born_ms,
@@ -64,7 +64,7 @@
 
     /// Makes a notice that a replica leaves.
     #[must_use]
-    pub fn of_leaving(replica: &str, born_ms: u64) -> Self {
+    pub(crate) fn of_leaving(replica: &str, born_ms: u64) -> Self {
         Self {
             replica: replica.to_owned(),
             born_ms,
@@ -75,7 +75,7 @@
     }
 
     /// Enters the notice into `fleet`; one on another life of the replica changes nothing.
-    pub fn apply(&self, fleet: &mut Fleet, now: std::time::Duration) -> Option<FleetChange> {
+    pub(crate) fn apply(&self, fleet: &mut Fleet, now: std::time::Duration) -> Option<FleetChange> {
         match NoticePhase::try_from(self.phase).ok()? {
             NoticePhase::Loading => fleet.begin_loading(&self.replica, self.born_ms, now),
             NoticePhase::Loaded => {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -9,8 +9,8 @@
 
 use super::clock::boot_time;
 use super::control::{Event, pass_on};
-use super::notice::{ReplicaNotice, ReplicaNotices};
 use super::loads::WorkNews;
+use super::notice::{ReplicaNotice, ReplicaNotices};
 use super::readings::{OpeningKey, ReadingAnswer, ReadingWord, Told};
 use super::relayed::{News, NewsRequest};
 use super::settings::GatewaySettings;
@@ -71,6 +71,7 @@
     pub(crate) fn start(
         settings: &GatewaySettings,
         listener: TcpListener,
+        callers: SocketAddr,
         events: mpsc::Sender<Event>,
     ) -> Result<(Self, Inbound), Error> {
         // Each start is a member of its own: no clock survives a restart that could order two lives of one name.
@@ -91,7 +92,7 @@
             router,
             zone: Arc::clone(&settings.zone),
             peers: links.identity().address,
-            callers: settings.listen.callers,
+            callers,
             incarnation: 1,
             version: 1,
             liveness: Liveness::Alive,
@@ -134,7 +135,12 @@
             zone: Arc::clone(&member.zone),
         };
         let is_ready = |member: &&Member| member.takes_new_work() && member.load != LoadLevel::Full;
-        let mut entries: Vec<_> = self.membership.members().filter(is_ready).map(entry).collect();
+        let mut entries: Vec<_> = self
+            .membership
+            .members()
+            .filter(is_ready)
+            .map(entry)
+            .collect();
         if entries.is_empty() {
             let stays = |member: &&Member| !member.leaving;
             entries = self.alive().filter(stays).map(entry).collect();
@@ -146,7 +152,11 @@
 
     /// Tells the others whether this router takes callers.
     pub(crate) fn set_ready(&mut self, is_ready: bool) {
-        let load = if is_ready { LoadLevel::Normal } else { LoadLevel::Full };
+        let load = if is_ready {
+            LoadLevel::Normal
+        } else {
+            LoadLevel::Full
+        };
         self.membership.set_load(load);
     }
 
@@ -165,7 +175,9 @@
 
     /// Takes a heartbeat, which `reply` answers where it came as a request.
     pub(crate) fn take_heartbeat(&mut self, heartbeat: &Heartbeat, reply: Option<ReplyHandle>) {
-        let outcomes = self.membership.receive(heartbeat, boot_time(), &mut rand::rng());
+        let outcomes = self
+            .membership
+            .receive(heartbeat, boot_time(), &mut rand::rng());
         let mut reply = reply;
         for outcome in outcomes {
             self.act(outcome, reply.take());
@@ -218,7 +230,11 @@
         };
         let body = Body::encode(Kind::Replicas, &message);
         let own = self.own();
-        for member in self.membership.members().filter(|member| member.router != *own) {
+        for member in self
+            .membership
+            .members()
+            .filter(|member| member.router != *own)
+        {
             self.links.send(member.peers, body.clone());
         }
     }
@@ -227,7 +243,10 @@
     pub(crate) fn zone_routers(&self) -> Vec<&RouterId> {
         let zone = &self.membership.own().zone;
         let stays = |member: &&Member| member.zone == *zone && !member.leaving;
-        self.alive().filter(stays).map(|member| &member.router).collect()
+        self.alive()
+            .filter(stays)
+            .map(|member| &member.router)
+            .collect()
     }
 
     /// Returns the router that answers for an opening.
@@ -261,7 +280,8 @@
     /// Tells the router that answers for an opening what became of a reading.
     pub(crate) fn tell_reader(&self, router: &RouterId, word: ReadingWord) {
         if let Some(member) = self.membership.get(router) {
-            self.links.send(member.peers, Body::encode(Kind::Reading, &word));
+            self.links
+                .send(member.peers, Body::encode(Kind::Reading, &word));
         }
     }
 
@@ -308,7 +328,8 @@
                 self.probe(to, &heartbeat);
             }
             Outcome::Send { to, heartbeat } => {
-                self.links.send(to, Body::encode(Kind::Heartbeat, &heartbeat));
+                self.links
+                    .send(to, Body::encode(Kind::Heartbeat, &heartbeat));
             }
             Outcome::Reply { heartbeat } => {
                 if let Some(reply) = reply {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -42,7 +42,7 @@
 
 /// How the weights of a replica stand against those that were named last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WeightsStanding {
+pub(crate) enum WeightsStanding {
     /// The newest, or the newest is too young to matter.
     Current,
     /// Older than they should be.
@@ -53,7 +53,7 @@
 
 /// How long named weights may take to be in use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WeightsBounds {
+pub(crate) struct WeightsBounds {
     /// From when on a run on older weights is worth less.
     pub preferred_after: Duration,
     /// From when on nothing may begin on older weights; `None` where no bound is in force.
@@ -63,7 +63,7 @@
 impl WeightsBounds {
     /// Judges a replica's `version` against the versions that were named, oldest first, each with the time since.
     #[must_use]
-    pub fn judge(&self, version: u64, named: &[(u64, Duration)]) -> WeightsStanding {
+    pub(crate) fn judge(&self, version: u64, named: &[(u64, Duration)]) -> WeightsStanding {
         // A version counts as old from the first newer one on.
         let since = named
             .iter()
@@ -85,7 +85,7 @@
 
 /// One replica as the choice sees it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Candidate<'a> {
+pub(crate) struct Candidate<'a> {
     /// Its id, by which homes are found.
     pub id: &'a ReplicaId,
     /// Whether it stands in this router's availability zone.
@@ -110,7 +110,7 @@
 
 /// What a request needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Need {
+pub(crate) struct Need {
     /// The hash of the prompt's opening, if it has one.
     pub opening: Option<u64>,
     /// The tokens of the opening, which other requests share.
@@ -121,7 +121,7 @@
 
 /// Why no replica was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoReplica {
+pub(crate) enum NoReplica {
     /// The service has none that takes requests.
     NoneOpen,
     /// All that remain have failed lately.
@@ -135,13 +135,15 @@
 /// # Errors
 ///
 /// Says why none of them can be taken.
-pub fn choose(
+pub(crate) fn choose(
     need: &Need,
     candidates: &[Candidate<'_>],
     tried: &[ReplicaId],
     rng: &mut impl Rng,
 ) -> Result<usize, NoReplica> {
-    let warm = candidates.iter().position(|candidate| candidate.is_warm && candidate.is_open);
+    let warm = candidates
+        .iter()
+        .position(|candidate| candidate.is_warm && candidate.is_open);
     let home = warm.or_else(|| home_of(need, candidates));
     let mut best: Option<(f64, usize)> = None;
     let mut reason = NoReplica::NoneOpen;
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -15,7 +15,7 @@
 
 /// One part of a prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PromptPart {
+pub(crate) struct PromptPart {
     /// The part's id, the same wherever the part occurs.
     pub id: Arc<str>,
     /// Its tokens.
@@ -24,7 +24,7 @@
 
 /// The prompt of a request, as its caller describes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Prompt {
+pub(crate) struct Prompt {
     /// The model.
     pub model: ModelName,
     /// All tokens of the prompt.
@@ -37,7 +37,7 @@
 
 /// Why a request's prompt can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PromptFault {
+pub(crate) enum PromptFault {
     /// The counts of tokens are no two numbers.
     Counts,
     /// The parts are no list of ids with tokens.
@@ -50,7 +50,10 @@
     /// # Errors
     ///
     /// Says which header can't be read.
-    pub fn read(headers: &HeaderMap, dialect: &Dialect) -> Result<Option<Self>, PromptFault> {
+    pub(crate) fn read(
+        headers: &HeaderMap,
+        dialect: &Dialect,
+    ) -> Result<Option<Self>, PromptFault> {
         let Some(model) = text_of(headers, &dialect.model) else {
             return Ok(None);
         };
@@ -67,13 +70,13 @@
 
     /// Returns the parts that other requests share.
     #[must_use]
-    pub fn shared(&self) -> &[PromptPart] {
+    pub(crate) fn shared(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
     /// Returns what a placement needs to know; `account` is set where the client account shares with no other.
     #[must_use]
-    pub fn need(&self, account: Option<&GatewayAccount>) -> Need {
+    pub(crate) fn need(&self, account: Option<&GatewayAccount>) -> Need {
         let shared = self.shared();
         let shared_tokens: u32 = shared.iter().map(|part| part.tokens).sum();
         Need {
@@ -97,7 +100,10 @@
 }
 
 fn read_parts(text: &str) -> Result<SmallVec<[PromptPart; 4]>, PromptFault> {
-    let entries = text.split(',').map(str::trim).filter(|entry| !entry.is_empty());
+    let entries = text
+        .split(',')
+        .map(str::trim)
+        .filter(|entry| !entry.is_empty());
     let mut parts = SmallVec::new();
     for entry in entries {
         let (id, tokens) = entry.split_once(':').ok_or(PromptFault::Parts)?;
@@ -116,7 +122,7 @@
 /// It holds the weights version, so that entries of older weights can't match, and the client account where that shares
 /// with no other.
 #[must_use]
-pub fn cache_scope(version: u64, account: Option<&GatewayAccount>) -> String {
+pub(crate) fn cache_scope(version: u64, account: Option<&GatewayAccount>) -> String {
     let wall = account.map_or("", |account| &*account.name);
     format!("{version}/{wall}")
 }
--- a/src/gateway/readings.rs
+++ b/src/gateway/readings.rs
@@ -67,7 +67,8 @@
 
     /// Notes that a replica has read an opening, or found it.
     pub(crate) fn read(&mut self, key: OpeningKey, by: ReplicaKey, now: Duration) {
-        self.openings.insert(key, Opening::Read { by, used_at: now });
+        self.openings
+            .insert(key, Opening::Read { by, used_at: now });
     }
 
     /// Notes that the request which was to read an opening has failed.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -80,7 +80,7 @@
         FlowEnd::Late => "late",
         FlowEnd::CallerLeft => "caller_left",
     };
-    running.shared.log_end(&running.call, 200, outcome, running.progress.runs);
+    running.shared.log_end(&running, 200, outcome);
     if matches!(end, FlowEnd::Broken | FlowEnd::Late) {
         // The caller may have left meanwhile, and then needs no word.
         let _ = pieces.send(Err(BrokenOff)).await;
@@ -103,7 +103,11 @@
     let _guard = guard;
     loop {
         let left = (running.call.deadline + DEADLINE_SLACK).saturating_sub(boot_time());
-        let wait = if splitter.is_some() { left.min(SILENCE_LIMIT) } else { left };
+        let wait = if splitter.is_some() {
+            left.min(SILENCE_LIMIT)
+        } else {
+            left
+        };
         let frame = tokio::select! {
             frame = tokio::time::timeout(wait, body.frame()) => frame,
             () = pieces.closed() => return FlowEnd::CallerLeft,
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -3,30 +3,37 @@
 use std::time::Duration;
 
 use super::answer::OwnAnswer;
-use super::call::Call;
+use super::call::{Call, Running};
 use super::clock::boot_time;
 use super::shared::Shared;
 
 impl Shared {
     /// Notes the end of a request that a replica answered.
-    pub(crate) fn log_end(&self, call: &Call, status: u16, outcome: &'static str, runs: u32) {
+    pub(crate) fn log_end(&self, running: &Running, status: u16, outcome: &'static str) {
+        let call = &running.call;
         let took = boot_time().saturating_sub(call.arrived);
         count(call, outcome, took);
-        if outcome == "complete" {
-            log::debug!(
-                "request: Ended. id={} route={} status={status} outcome={outcome} took_ms={}",
-                call.id_text(),
-                call.route.name,
-                took.as_millis()
-            );
-            return;
-        }
+        let (replica, sends) = running.last_try();
+        let version = self
+            .snapshot
+            .load()
+            .table
+            .as_ref()
+            .map_or(0, |table| table.version());
+        // Served requests and others are kinds of their own, so that neither crowds the other out of the log.
+        let sentence = if outcome == "complete" {
+            "Served."
+        } else {
+            "Ended."
+        };
         log::info!(
-            "request: Ended. id={} route={} service={} status={status} outcome={outcome} took_ms={} runs={runs}",
+            "request: {sentence} id={} route={} service={} replica={replica} status={status} outcome={outcome} \
+             took_ms={} sends={sends} runs={} configuration_version={version}",
             call.id_text(),
             call.route.name,
             call.service,
-            took.as_millis()
+            took.as_millis(),
+            running.progress.runs
         );
     }
 
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -35,10 +35,7 @@
     /// Tells whether a request that may have run may be sent again.
     #[must_use]
     pub const fn may_repeat(self) -> bool {
-        matches!(
-            self,
-            Self::Idempotent | Self::Stream { is_resumable: true }
-        )
+        matches!(self, Self::Idempotent | Self::Stream { is_resumable: true })
     }
 
     /// Tells whether the answer is a stream of events.
@@ -198,7 +195,7 @@
 
 /// A configuration, indexed for requests.
 #[derive(Debug)]
-pub struct RouteTable {
+pub(crate) struct RouteTable {
     configuration: GatewayConfiguration,
     /// Indices into the routes by host, longest prefix first.
     by_host: HashMap<Arc<str>, Vec<usize>>,
@@ -209,7 +206,7 @@
 impl RouteTable {
     /// Indexes `configuration`.
     #[must_use]
-    pub fn new(configuration: GatewayConfiguration) -> Self {
+    pub(crate) fn new(configuration: GatewayConfiguration) -> Self {
         let mut by_host: HashMap<Arc<str>, Vec<usize>> = HashMap::new();
         for (index, route) in configuration.routes.iter().enumerate() {
             let host = route.host.to_ascii_lowercase().into();
@@ -240,19 +237,19 @@
 
     /// Returns the configuration's version.
     #[must_use]
-    pub const fn version(&self) -> u64 {
+    pub(crate) const fn version(&self) -> u64 {
         self.configuration.version
     }
 
     /// Returns the configuration.
     #[must_use]
-    pub const fn configuration(&self) -> &GatewayConfiguration {
+    pub(crate) const fn configuration(&self) -> &GatewayConfiguration {
         &self.configuration
     }
 
     /// Finds the route of a request; a port behind the host is ignored.
     #[must_use]
-    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+    pub(crate) fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = without_port(host).to_ascii_lowercase();
         let routes = self.by_host.get(host.as_str())?.iter();
         routes
@@ -262,27 +259,27 @@
 
     /// Returns the account that holds `key`.
     #[must_use]
-    pub fn account_of(&self, key: &str) -> Option<&GatewayAccount> {
+    pub(crate) fn account_of(&self, key: &str) -> Option<&GatewayAccount> {
         let index = self.by_key.get(key)?;
         Some(&self.configuration.accounts[*index])
     }
 
     /// Tells whether callers of `route` have to present a key.
     #[must_use]
-    pub fn needs_key(&self, route: &Route) -> bool {
+    pub(crate) fn needs_key(&self, route: &Route) -> bool {
         !route.is_public && !self.configuration.accounts.is_empty()
     }
 
     /// Returns the service called `name`.
     #[must_use]
-    pub fn service(&self, name: &str) -> Option<&GatewayService> {
+    pub(crate) fn service(&self, name: &str) -> Option<&GatewayService> {
         let index = self.by_service.get(name)?;
         Some(&self.configuration.services[*index])
     }
 
     /// Returns the kept cache that replicas in `zone` should use, one of the same zone first.
     #[must_use]
-    pub fn kept_cache(&self, zone: &str) -> Option<&KeptCacheTraits> {
+    pub(crate) fn kept_cache(&self, zone: &str) -> Option<&KeptCacheTraits> {
         let caches = || {
             let services = self.configuration.services.iter();
             services.filter_map(|service| service.kept_cache.as_ref())
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -162,7 +162,11 @@
             return Err(Error::invalid("router", "\"\"", "a name is needed"));
         }
         if self.peer_keys.is_empty() {
-            return Err(Error::invalid("peer_keys", "[]", "at least one key is needed"));
+            return Err(Error::invalid(
+                "peer_keys",
+                "[]",
+                "at least one key is needed",
+            ));
         }
         let share = self.vm.core_share;
         if !(share > 0.0 && share.is_finite()) {
@@ -180,7 +184,11 @@
             ("bounds.lease_ms", self.bounds.lease_ms),
         ] {
             if value == 0 {
-                return Err(Error::invalid(field, value, "a duration must be above zero"));
+                return Err(Error::invalid(
+                    field,
+                    value,
+                    "a duration must be above zero",
+                ));
             }
         }
         if self.traffic_threads == 0 {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -163,7 +163,8 @@
     pub(crate) fn begin(self: &Arc<Self>, tokens: u32) -> LoadGuard {
         let unread_tokens = u64::from(tokens);
         self.in_flight.fetch_add(1, Ordering::Relaxed);
-        self.unread_tokens.fetch_add(unread_tokens, Ordering::Relaxed);
+        self.unread_tokens
+            .fetch_add(unread_tokens, Ordering::Relaxed);
         LoadGuard {
             load: Arc::clone(self),
             unread_tokens,
@@ -265,7 +266,10 @@
 
     /// Takes the way to the control thread.
     pub(crate) fn set_control(&self, control: mpsc::Sender<Event>) {
-        assert!(self.control.set(control).is_ok(), "the control thread was started twice");
+        assert!(
+            self.control.set(control).is_ok(),
+            "the control thread was started twice"
+        );
     }
 
     /// Asks who reads an opening; returns `None` where no answer comes in time.
@@ -344,9 +348,10 @@
 
     /// Returns the bounds on the weights that requests may begin on.
     pub(crate) fn weights_bounds(&self) -> WeightsBounds {
-        let closed_after = self.bounds().weights_ms.map(|bound_ms| {
-            Duration::from_millis(bound_ms).saturating_sub(WEIGHTS_MARGIN)
-        });
+        let closed_after = self
+            .bounds()
+            .weights_ms
+            .map(|bound_ms| Duration::from_millis(bound_ms).saturating_sub(WEIGHTS_MARGIN));
         WeightsBounds {
             preferred_after: WEIGHTS_PREFERRED_AFTER,
             closed_after,
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -22,6 +22,10 @@
 /// A call of the store that takes one argument.
 pub type StoreCall<A, T> = Box<dyn Fn(A) -> CallFuture<Result<T, StoreFault>> + Send + Sync>;
 
+/// Decodes a configuration as the platform holds it.
+pub(crate) type ConfigurationDecoder =
+    Box<dyn Fn(&[u8]) -> Result<GatewayConfiguration, StoreFault> + Send + Sync>;
+
 /// Why a call of the store brought nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreFault {
@@ -89,8 +93,7 @@
     /// Reads the configuration, given the revision that is known; `None` where there is none yet.
     pub read_configuration: StoreCall<u64, Option<ConfigurationRead>>,
     /// Decodes a configuration as the platform holds it.
-    pub decode_configuration:
-        Box<dyn Fn(&[u8]) -> Result<GatewayConfiguration, StoreFault> + Send + Sync>,
+    pub decode_configuration: ConfigurationDecoder,
     /// Lists the replicas from a place on.
     pub list_replicas: StoreCall<Option<Arc<str>>, ListPage<ReplicaEntry>>,
     /// Watches the replicas from a revision on, for at most a time.
@@ -102,8 +105,7 @@
     /// Reads the lease for orders to replicas.
     pub read_lease: StoreCall<(), Option<(ObjectVersion, LeaseRecord)>>,
     /// Writes that lease.
-    pub write_lease:
-        Box<dyn Fn(LeaseRecord, PutCondition) -> CallFuture<PutOutcome> + Send + Sync>,
+    pub write_lease: Box<dyn Fn(LeaseRecord, PutCondition) -> CallFuture<PutOutcome> + Send + Sync>,
 }
 
 impl fmt::Debug for PlatformStore {
--- a/src/gateway/tests/attempt.rs
+++ b/src/gateway/tests/attempt.rs
@@ -6,7 +6,9 @@
 use crate::gateway::attempt::{CallProgress, NextStep, TryEnd};
 use crate::gateway::route::CallKind;
 
-const STREAM: CallKind = CallKind::Stream { is_resumable: false };
+const STREAM: CallKind = CallKind::Stream {
+    is_resumable: false,
+};
 const RESUMABLE: CallKind = CallKind::Stream { is_resumable: true };
 
 #[parameterized(
@@ -30,16 +32,28 @@
 #[test]
 fn try_ended_attempts_used_up() {
     let mut progress = CallProgress::new(CallKind::Idempotent, 2, ms(1_000));
-    assert_eq!(progress.try_ended(TryEnd::Failed, ms(900)), NextStep::Resend);
-    assert_eq!(progress.try_ended(TryEnd::Failed, ms(800)), NextStep::Deliver);
+    assert_eq!(
+        progress.try_ended(TryEnd::Failed, ms(900)),
+        NextStep::Resend
+    );
+    assert_eq!(
+        progress.try_ended(TryEnd::Failed, ms(800)),
+        NextStep::Deliver
+    );
 }
 
 #[test]
 fn try_ended_refused_after_run_is_no_refusal() {
     let mut progress = CallProgress::new(CallKind::Idempotent, 3, ms(1_000));
-    assert_eq!(progress.try_ended(TryEnd::Broken, ms(900)), NextStep::Resend);
+    assert_eq!(
+        progress.try_ended(TryEnd::Broken, ms(900)),
+        NextStep::Resend
+    );
     for _ in 0..3 {
-        assert_eq!(progress.try_ended(TryEnd::Refused, ms(800)), NextStep::Resend);
+        assert_eq!(
+            progress.try_ended(TryEnd::Refused, ms(800)),
+            NextStep::Resend
+        );
     }
     let last = progress.try_ended(TryEnd::Refused, ms(700));
     assert_eq!(last, NextStep::Fail, "the first send may have run");
--- a/src/gateway/tests/fleet.rs
+++ b/src/gateway/tests/fleet.rs
@@ -76,10 +76,19 @@
     assert!(fleet.note_weights("a", 1, &model, 3).is_some());
     // The list lags behind what an answer has told.
     fleet.take_entry(ReplicaEntry::Present(record("a", 1, 2)), ms(10));
-    assert_eq!(fleet.get("a").and_then(|known| known.version_of("m")), Some(3));
-    assert!(fleet.note_weights("a", 2, &model, 9).is_none(), "another life");
+    assert_eq!(
+        fleet.get("a").and_then(|known| known.version_of("m")),
+        Some(3)
+    );
+    assert!(
+        fleet.note_weights("a", 2, &model, 9).is_none(),
+        "another life"
+    );
     fleet.take_entry(ReplicaEntry::Present(record("a", 2, 1)), ms(20));
-    assert_eq!(fleet.get("a").and_then(|known| known.version_of("m")), Some(1));
+    assert_eq!(
+        fleet.get("a").and_then(|known| known.version_of("m")),
+        Some(1)
+    );
 }
 
 #[test]
--- a/src/gateway/tests/loads.rs
+++ b/src/gateway/tests/loads.rs
@@ -25,12 +25,20 @@
     told.take_follower("a".into(), [(1, work(2, 20))].into(), ms(0));
     // What a router told before is replaced.
     told.take_follower("a".into(), [(1, work(4, 40))].into(), ms(100));
-    told.take_sum("z".into(), [(1, work(8, 80)), (2, work(1, 0))].into(), ms(100));
+    told.take_sum(
+        "z".into(),
+        [(1, work(8, 80)), (2, work(1, 0))].into(),
+        ms(100),
+    );
     let total = told.total(&own);
     assert_eq!(total[&1], work(13, 130));
     assert_eq!(told.others_of(&"a".into(), &total)[&1], work(9, 90));
     assert_eq!(without(&total, Some(&own))[&1], work(12, 120));
-    assert_eq!(told.own_sum(&own)[&1], work(5, 50), "others' sums are not told on");
+    assert_eq!(
+        told.own_sum(&own)[&1],
+        work(5, 50),
+        "others' sums are not told on"
+    );
 }
 
 #[test]
--- a/src/gateway/tests/prompt.rs
+++ b/src/gateway/tests/prompt.rs
@@ -58,7 +58,10 @@
     negative = { "1460,80", "5c:-1", PromptFault::Parts },
 )]
 fn read_bad_input(counts: &'static str, parts: &'static str, fault: PromptFault) {
-    assert_eq!(Prompt::read(&headers(counts, parts), &dialect()), Err(fault));
+    assert_eq!(
+        Prompt::read(&headers(counts, parts), &dialect()),
+        Err(fault)
+    );
 }
 
 #[test]
@@ -71,7 +74,10 @@
         priority: None,
         is_isolated: true,
     };
-    assert_ne!(prompt.need(None).opening, prompt.need(Some(&account)).opening);
+    assert_ne!(
+        prompt.need(None).opening,
+        prompt.need(Some(&account)).opening
+    );
     assert_ne!(cache_scope(1, None), cache_scope(1, Some(&account)));
     assert_ne!(cache_scope(1, None), cache_scope(2, None));
 }
--- a/src/gateway/tests/readings.rs
+++ b/src/gateway/tests/readings.rs
@@ -21,7 +21,11 @@
     assert_eq!(readings.ask(7, ms(10)), Told::First);
     readings.read(7, 3, ms(20));
     readings.failed(7);
-    assert_eq!(readings.ask(7, ms(30)), Told::ReadBy(3), "a later failure takes nothing away");
+    assert_eq!(
+        readings.ask(7, ms(30)),
+        Told::ReadBy(3),
+        "a later failure takes nothing away"
+    );
 }
 
 #[test]
@@ -37,7 +41,11 @@
     let mut readings = Readings::default();
     readings.read(7, 3, ms(0));
     assert_eq!(readings.ask(7, ms(11_000)), Told::ReadBy(3));
-    assert_eq!(readings.ask(7, ms(22_000)), Told::ReadBy(3), "each use counts");
+    assert_eq!(
+        readings.ask(7, ms(22_000)),
+        Told::ReadBy(3),
+        "each use counts"
+    );
     assert_eq!(readings.ask(7, ms(40_000)), Told::First);
 }
 
--- a/src/gateway/tests/source.rs
+++ b/src/gateway/tests/source.rs
@@ -9,7 +9,9 @@
 use crate::id::RouterId;
 
 fn routers(count: usize) -> Vec<RouterId> {
-    (0..count).map(|index| format!("front-{index}").into()).collect()
+    (0..count)
+        .map(|index| format!("front-{index}").into())
+        .collect()
 }
 
 /// Returns the routers of a zone that ask the platform themselves.
@@ -44,7 +46,10 @@
     let zone = routers(4);
     let askers = askers(&zone);
     let names: Vec<&RouterId> = zone.iter().collect();
-    let own = zone.iter().find(|router| !askers.contains(*router)).unwrap();
+    let own = zone
+        .iter()
+        .find(|router| !askers.contains(*router))
+        .unwrap();
     let mut choice = SourceChoice::default();
     choice.failed(ms(5_000));
     assert_eq!(choice.choose(own, &names, ms(6_000)), Source::Platform);
--- a/src/gateway/tests/weights.rs
+++ b/src/gateway/tests/weights.rs
@@ -23,7 +23,9 @@
 impl Site {
     fn new(count: usize) -> Self {
         Self {
-            replicas: (0..count).map(|index| known(&format!("r{index:02}"), 1)).collect(),
+            replicas: (0..count)
+                .map(|index| known(&format!("r{index:02}"), 1))
+                .collect(),
             accepted: vec![0; count],
             loads: vec![None; count],
             most_at_once: 0,
@@ -37,7 +39,10 @@
     }
 
     fn index(&self, id: &str) -> usize {
-        let place = self.replicas.iter().position(|replica| *replica.record.id == *id);
+        let place = self
+            .replicas
+            .iter()
+            .position(|replica| *replica.record.id == *id);
         place.expect("a replica of the site")
     }
 
@@ -86,7 +91,8 @@
                         accepted_orders,
                         fencing_number,
                     } => {
-                        let reply = self.order(&target.replica, target.version, accepted_orders, now);
+                        let reply =
+                            self.order(&target.replica, target.version, accepted_orders, now);
                         rollout.order_ended(&target.replica, reply, fencing_number, now);
                     }
                     WeightsStep::Report(target) => {
@@ -102,7 +108,9 @@
 
     fn versions(&self) -> Vec<u64> {
         let replicas = self.replicas.iter();
-        replicas.filter_map(|replica| replica.version_of("m")).collect()
+        replicas
+            .filter_map(|replica| replica.version_of("m"))
+            .collect()
     }
 }
 
@@ -113,7 +121,11 @@
     site.play(&mut rollout, 2, ms(0), ms(6_000));
     assert_eq!(site.versions(), [2; 18]);
     assert_eq!(site.orders, 18, "one order a replica");
-    assert!(site.most_at_once <= 6, "{} loads at once", site.most_at_once);
+    assert!(
+        site.most_at_once <= 6,
+        "{} loads at once",
+        site.most_at_once
+    );
 }
 
 #[test]
@@ -124,7 +136,10 @@
         let from = ms((version - 2) * 2_400);
         site.play(&mut rollout, version, from, from + ms(2_400));
         let oldest = site.versions().into_iter().min().unwrap_or_default();
-        assert!(oldest + 2 >= version, "version {oldest} serves while {version} is named");
+        assert!(
+            oldest + 2 >= version,
+            "version {oldest} serves while {version} is named"
+        );
     }
 }
 
@@ -148,7 +163,10 @@
     let mut now = ms(0);
     let mut steps = Vec::new();
     // Until the first order goes out, whose answer is lost though it was taken.
-    while !steps.iter().any(|step| matches!(step, WeightsStep::Order { .. })) {
+    while !steps
+        .iter()
+        .any(|step| matches!(step, WeightsStep::Order { .. }))
+    {
         steps = rollout.step(&site.idle(), &named, 7, now);
         for step in &steps {
             if let WeightsStep::Report(target) = step {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -109,7 +109,9 @@
     pub(crate) fn close_idle(&self, all: bool) {
         let now = boot_time();
         let mut idle = self.lock_idle();
-        idle.retain(|kept| !all && !kept.link.sender.is_closed() && now < kept.since + kept.kept_for);
+        idle.retain(|kept| {
+            !all && !kept.link.sender.is_closed() && now < kept.since + kept.kept_for
+        });
     }
 
     fn take_idle(&self, max_idle: Duration) -> Option<Link> {
@@ -135,7 +137,8 @@
     }
 
     async fn connect(self: &Arc<Self>) -> Result<Link, SendFailure> {
-        let unsent = |reason: &dyn std::fmt::Display| SendFailure::Unsent(reason.to_string().into());
+        let unsent =
+            |reason: &dyn std::fmt::Display| SendFailure::Unsent(reason.to_string().into());
         let connecting = TcpStream::connect(self.address);
         let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(stream)) => stream,
@@ -184,9 +187,7 @@
     ///
     /// `kept_for` is the time that the replica named, if it did.
     pub(crate) fn put_back(self, kept_for: Option<Duration>) {
-        let kept_for = kept_for.map_or(DEFAULT_IDLE, |time| {
-            time.saturating_sub(IDLE_MARGIN)
-        });
+        let kept_for = kept_for.map_or(DEFAULT_IDLE, |time| time.saturating_sub(IDLE_MARGIN));
         if self.sender.is_closed() || kept_for.is_zero() {
             return;
         }
--- a/src/gateway/weights.rs
+++ b/src/gateway/weights.rs
@@ -69,7 +69,7 @@
 
 /// What to do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum WeightsStep {
+pub(crate) enum WeightsStep {
     /// Tell all routers that the replica is about to load.
     Announce(LoadTarget),
     /// Send an order.
@@ -114,9 +114,7 @@
         next_report: Duration,
     },
     /// A report was asked for, and what follows depends on it.
-    Asking {
-        loading_since: Option<Duration>,
-    },
+    Asking { loading_since: Option<Duration> },
     /// The replica waits for its next report.
     Paused(Duration),
 }
@@ -135,7 +133,7 @@
 
 /// The rollout of weights over all replicas, as one holder of the lease sees it.
 #[derive(Debug, Default)]
-pub struct WeightsRollout {
+pub(crate) struct WeightsRollout {
     work: BTreeMap<ReplicaId, Work>,
     accepted: BTreeMap<ReplicaId, Orders>,
     /// The fencing number that a replica refused; only a higher one orders again.
@@ -145,7 +143,7 @@
 impl WeightsRollout {
     /// Tells whether any replica serves weights older than `wanted`.
     #[must_use]
-    pub fn is_wanted<'a>(
+    pub(crate) fn is_wanted<'a>(
         replicas: impl IntoIterator<Item = &'a KnownReplica>,
         wanted: &BTreeMap<ModelName, WeightsVersion>,
     ) -> bool {
@@ -155,7 +153,7 @@
     }
 
     /// Drops what belonged to a lease that is over; another holder may order meanwhile.
-    pub fn lose_lease(&mut self) {
+    pub(crate) fn lose_lease(&mut self) {
         self.work.clear();
         self.accepted.clear();
     }
@@ -163,14 +161,17 @@
     /// Works out what to do now under the lease's `fencing_number`.
     ///
     /// Each replica comes with the requests that all routers have there.
-    pub fn step(
+    pub(crate) fn step(
         &mut self,
         replicas: &[(&KnownReplica, u32)],
         wanted: &BTreeMap<ModelName, WeightsVersion>,
         fencing_number: u64,
         now: Duration,
     ) -> Vec<WeightsStep> {
-        if self.refused_fencing.is_some_and(|refused| fencing_number <= refused) {
+        if self
+            .refused_fencing
+            .is_some_and(|refused| fencing_number <= refused)
+        {
             return Vec::new();
         }
         let mut replicas = replicas.to_vec();
@@ -190,7 +191,13 @@
     }
 
     /// Takes the end of an order.
-    pub fn order_ended(&mut self, replica: &ReplicaId, reply: OrderReply, fence: u64, now: Duration) {
+    pub(crate) fn order_ended(
+        &mut self,
+        replica: &ReplicaId,
+        reply: OrderReply,
+        fence: u64,
+        now: Duration,
+    ) {
         let Some(work) = self.work.get_mut(replica) else {
             return;
         };
@@ -222,7 +229,7 @@
     }
 
     /// Takes a replica's report, or that none came; returns the step that follows at once.
-    pub fn report_ended(
+    pub(crate) fn report_ended(
         &mut self,
         replica: &ReplicaId,
         report: Option<&WeightsReport>,
@@ -273,8 +280,10 @@
                     && known.phase != ReplicaPhase::Leaving
             })
         };
-        self.work.retain(|id, work| is_same_life(id, work.target.born_ms));
-        self.accepted.retain(|id, orders| is_same_life(id, orders.born_ms));
+        self.work
+            .retain(|id, work| is_same_life(id, work.target.born_ms));
+        self.accepted
+            .retain(|id, orders| is_same_life(id, orders.born_ms));
     }
 
     /// Takes replicas with old weights into work, and lets as many of them load as may at once.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -153,9 +153,9 @@
     ObjectVersion, PutCondition, PutOutcome, StoreSettings, Versioned,
 };
 pub use crate::telemetry::{
-    Journal, JournalCapacity, JournalEntry, LogLevel, LogSettings, LogTarget, METRICS,
+    Journal, JournalCapacity, JournalEntry, LogGuard, LogLevel, LogSettings, LogTarget, METRICS,
     MetricDescription, MetricKind, RequestMetrics, install_recorder, log_config,
-    render_metrics_page, start_logs,
+    render_metrics_page, start_json_logs, start_logs,
 };
 pub use crate::ticket::{
     MemberRevision, NewState, Ticket, TicketDesk, TicketOutcome, TicketReply, TicketShown,
--- a/src/rollout/lease.rs
+++ b/src/rollout/lease.rs
@@ -18,20 +18,20 @@
 
 /// The times that a lease keeps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseTimes {
+pub(crate) struct LeaseTimes {
     /// How long a lease holds after the write that took or renewed it was sent.
-    pub life: Duration,
+    pub(crate) life: Duration,
     /// How often a holder renews and others look.
-    pub renewal_interval: Duration,
+    pub(crate) renewal_interval: Duration,
     /// How long a lease must be seen unchanged beyond its life before another router takes it, for clocks that run
     /// unevenly.
-    pub clock_margin: Duration,
+    pub(crate) clock_margin: Duration,
     /// The longest time that one order is under way; a holder with less time left sends none.
-    pub order_timeout: Duration,
+    pub(crate) order_timeout: Duration,
     /// How long a new holder lets the orders of the old one run out.
-    pub settle: Duration,
+    pub(crate) settle: Duration,
     /// The pause after a call that failed.
-    pub failure_pause: Duration,
+    pub(crate) failure_pause: Duration,
 }
 
 impl Default for LeaseTimes {
@@ -126,7 +126,11 @@
 
     /// Begins without the lease.
     #[must_use]
-    pub const fn with_times(own: RouterId, incarnation: Incarnation, times: LeaseTimes) -> Self {
+    pub(crate) const fn with_times(
+        own: RouterId,
+        incarnation: Incarnation,
+        times: LeaseTimes,
+    ) -> Self {
         Self {
             times,
             own,
@@ -273,7 +277,8 @@
 
     fn take_if_lapsed(&mut self, rank: u32, now: Duration) -> Option<LeaseAction> {
         let seen = self.seen.as_ref()?;
-        let lapses_at = seen.first_at + seen.life + self.times.clock_margin + self.times.life * rank;
+        let lapses_at =
+            seen.first_at + seen.life + self.times.clock_margin + self.times.life * rank;
         if now < lapses_at {
             self.next_at = self.next_at.min(lapses_at);
             return None;
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -10,8 +10,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use self::lease::{
-    LEASE_LIFE, Lease, LeaseAction, LeaseEvent, LeaseRecord, LeaseTimes, ORDER_TIMEOUT,
-};
+pub(crate) use self::lease::LeaseTimes;
+pub use self::lease::{LEASE_LIFE, Lease, LeaseAction, LeaseEvent, LeaseRecord, ORDER_TIMEOUT};
 pub use self::notice::{DrainNotice, Drains};
 pub use self::plan::{ObservedReplica, OrderEnd, Rollout, RolloutAction};
--- a/src/telemetry/log.rs
+++ b/src/telemetry/log.rs
@@ -39,7 +39,7 @@
 }
 
 impl LogLevel {
-    const fn filter(self) -> LevelFilter {
+    pub(crate) const fn filter(self) -> LevelFilter {
         match self {
             Self::Off => LevelFilter::Off,
             Self::Error => LevelFilter::Error,
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -15,6 +15,7 @@
 
 mod catalog;
 mod journal;
+mod json;
 mod log;
 mod request;
 #[cfg(test)]
@@ -23,6 +24,7 @@
 
 pub use self::catalog::{METRICS, MetricDescription, MetricKind, render_metrics_page};
 pub use self::journal::{Journal, JournalCapacity, JournalEntry};
+pub use self::json::{LogGuard, start_json_logs};
 pub use self::log::{LogLevel, LogSettings, LogTarget, log_config, start_logs};
 pub use self::request::RequestMetrics;
 pub(crate) use self::text::printable;
--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -6,6 +6,7 @@
 
 use ::log::{Level, Log, Record};
 use simplelog::{LevelFilter, WriteLogger};
+use yare::parameterized;
 
 use super::*;
 use crate::burn::{Ending, Observation, Window};
@@ -255,3 +256,41 @@
     let read: LogSettings = serde_json::from_str(r#"{"level":"debug","target":"stdout"}"#).unwrap();
     assert_eq!(read.level, LogLevel::Debug);
 }
+
+#[parameterized(
+    fields = {
+        "request: Ended. id=9c41 took_ms=12 reason=\"no answer in time\" ok=false",
+        r#"{"id":"9c41","message":"Ended.","ok":false,"part":"request","reason":"no answer in time","took_ms":12}"#,
+    },
+    spaces_in_value = {
+        "store: Lost. fault=turned away: 503 faults=2",
+        r#"{"fault":"turned away: 503","faults":2,"message":"Lost.","part":"store"}"#,
+    },
+    leading_zero = { "a: B. id=0123", r#"{"id":"0123","message":"B.","part":"a"}"# },
+    no_fields = { "gateway: Started.", r#"{"message":"Started.","part":"gateway"}"# },
+    no_part = { "plain words", r#"{"message":"plain words","part":""}"# },
+)]
+fn parse_line_into_json(text: &str, expected: &str) {
+    let expected: serde_json::Value = serde_json::from_str(expected).unwrap();
+    assert_eq!(
+        serde_json::Value::Object(super::json::parse_line(text)),
+        expected
+    );
+}
+
+#[test]
+fn rates_bound_each_kind_and_count_the_rest() {
+    let mut rates = super::json::Rates::default();
+    let start = std::time::Instant::now();
+    let passed = (0..500)
+        .filter(|_| rates.take("served", start).is_some())
+        .count();
+    assert_eq!(passed, 50);
+    assert_eq!(
+        rates.take("failed", start),
+        Some(0),
+        "another kind has room of its own"
+    );
+    let later = start + Duration::from_secs(1);
+    assert_eq!(rates.take("served", later), Some(450));
+}
