Let candidates for the lease wait 0.3 s each instead of a life

Change: the wait of each further candidate is a time of its own, and routers that are not ready are no candidates. Test: next_silent_holder_is_replaced_in_time_for_a_rollout, for each candidate.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -21,6 +21,7 @@
 use super::readings::{OpeningKey, ReadingAnswer, ReadingWord, Readings, Told as ReadingTold};
 use super::relayed::{News, NewsRequest, ReplicaNews, WeightsNews};
 use super::route::{ModelName, RouteTable};
+use super::settings::GatewayBounds;
 use super::shared::{Observation, Replica, ReplicaLoad, Shared, Snapshot};
 use super::source::{ChangeLog, Source, SourceChoice};
 use super::store::{CallFuture, ConfigurationRead, NamedWeights, PlatformStore, StoreFault};
@@ -62,6 +63,8 @@
 const WEIGHTS_PAUSE: Duration = Duration::from_millis(50);
 /// How many routers stand by for the lease for orders.
 const LEASE_CANDIDATES: usize = 3;
+/// How much longer each further candidate waits for a lapsed lease: some calls of the store.
+const RANK_STEP: Duration = Duration::from_millis(300);
 /// How many routers tell the others of replicas that leave; all of them watch, but some may be out of touch.
 const LEAVING_TELLERS: usize = 2;
 /// How long an order may take to be answered.
@@ -322,7 +325,7 @@
         peers: Peers,
         events: mpsc::Sender<Event>,
     ) -> Self {
-        let lease = Lease::with_times(Arc::clone(peers.own()), 1, lease_times(&shared));
+        let lease = Lease::with_times(Arc::clone(peers.own()), 1, lease_times(&shared.bounds()));
         Self {
             shared,
             store: Arc::new(store),
@@ -1010,7 +1013,7 @@
 
     /// Returns this router's place among those that stand by for the lease, the last holder first.
     fn rank(&self) -> Option<usize> {
-        let alive: Vec<_> = self.peers.alive().map(|member| &member.router).collect();
+        let alive = self.peers.candidates();
         let last = self
             .last_holder
             .as_ref()
@@ -1206,8 +1209,8 @@
     }
 }
 
-fn lease_times(shared: &Shared) -> LeaseTimes {
-    let bounds = shared.bounds();
+/// Returns the times of the lease for orders under the users' bounds.
+pub(crate) fn lease_times(bounds: &GatewayBounds) -> LeaseTimes {
     let lease = Duration::from_millis(bounds.lease_ms);
     if bounds.replicas_check_fencing {
         // Replicas refuse an old holder's orders, so a shorter life is safe and a new holder need not wait.
@@ -1218,6 +1221,7 @@
             order_timeout: ORDER_TIMEOUT,
             settle: Duration::ZERO,
             failure_pause: Duration::from_millis(200),
+            rank_step: RANK_STEP,
         };
     }
     LeaseTimes {
@@ -1227,6 +1231,7 @@
         order_timeout: lease / 3,
         settle: lease,
         failure_pause: Duration::from_millis(300),
+        rank_step: RANK_STEP,
     }
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -122,6 +122,20 @@
         members.filter(|member| member.liveness == Liveness::Alive)
     }
 
+    /// Returns the routers that may take the lease for orders: those that are ready, or all where none says so.
+    pub(crate) fn candidates(&self) -> Vec<&RouterId> {
+        let is_ready = |member: &&Member| member.takes_new_work() && member.load != LoadLevel::Full;
+        let ready: Vec<_> = self
+            .alive()
+            .filter(is_ready)
+            .map(|member| &member.router)
+            .collect();
+        if ready.is_empty() {
+            return self.alive().map(|member| &member.router).collect();
+        }
+        ready
+    }
+
     /// Tells whether members have changed since the last call.
     pub(crate) fn has_changed(&mut self) -> bool {
         let generation = self.membership.generation();
--- /dev/null
+++ b/src/gateway/tests/lease.rs
@@ -0,0 +1,95 @@
+//! Taking over the lease for orders from a holder that went silent.
+
+use std::time::Duration;
+
+use yare::parameterized;
+
+use super::ms;
+use crate::gateway::control::lease_times;
+use crate::gateway::settings::GatewayBounds;
+use crate::rollout::{Lease, LeaseAction, LeaseEvent, LeaseRecord};
+use crate::store::{PutCondition, PutOutcome};
+
+/// The object of the lease in the platform's store.
+#[derive(Default)]
+struct Object {
+    version: u64,
+    record: Option<LeaseRecord>,
+}
+
+impl Object {
+    /// Lets a router look at the time, and carries out the calls that follow.
+    fn advance(&mut self, lease: &mut Lease, rank: u32, now: Duration) {
+        let mut action = lease.next(LeaseEvent::Tick, rank, now);
+        while let Some(next) = action {
+            let event = match next {
+                LeaseAction::Read => {
+                    let found = self.record.clone().map(|record| (self.version, record));
+                    LeaseEvent::Read(Some(found))
+                }
+                LeaseAction::Write(record, condition) => {
+                    LeaseEvent::Written(self.write(record, condition))
+                }
+            };
+            action = lease.next(event, rank, now);
+        }
+    }
+
+    fn write(&mut self, record: LeaseRecord, condition: PutCondition) -> PutOutcome {
+        let holds = match condition {
+            PutCondition::Absent => self.record.is_none(),
+            PutCondition::Version(version) => self.version == version,
+        };
+        if !holds {
+            return PutOutcome::Conflict;
+        }
+        self.version += 1;
+        self.record = Some(record);
+        PutOutcome::Stored(self.version)
+    }
+}
+
+/// The users bound old weights at 6 s, and a rollout takes about 3 s.
+#[parameterized(
+    first_candidate = { 0 },
+    second_candidate = { 1 },
+    third_candidate = { 2 },
+)]
+fn next_silent_holder_is_replaced_in_time_for_a_rollout(rank: u32) {
+    let bounds = GatewayBounds {
+        replicas_check_fencing: true,
+        ..GatewayBounds::default()
+    };
+    let times = lease_times(&bounds);
+    let mut object = Object::default();
+    let mut holder = Lease::with_times("holder".into(), 1, times);
+    object.advance(&mut holder, 0, ms(0));
+    assert!(
+        holder.fencing_number(ms(1)).is_some(),
+        "the first one orders at once"
+    );
+    let mut other = Lease::with_times("other".into(), 1, times);
+    let mut now = ms(5);
+    while other.fencing_number(now).is_none() {
+        object.advance(&mut other, rank, now);
+        now += ms(10);
+        assert!(now < ms(3_000), "not taken over");
+    }
+    assert!(holder.fencing_number(now).is_none(), "two holders at once");
+}
+
+#[test]
+fn next_own_lapsed_lease_is_taken_again_at_once() {
+    let bounds = GatewayBounds {
+        replicas_check_fencing: true,
+        ..GatewayBounds::default()
+    };
+    let mut object = Object::default();
+    let mut lease = Lease::with_times("holder".into(), 1, lease_times(&bounds));
+    object.advance(&mut lease, 0, ms(0));
+    // Nothing was to be rolled out for a while.
+    let later = ms(20_000);
+    assert!(lease.fencing_number(later).is_none());
+    object.advance(&mut lease, 0, later);
+    assert!(lease.fencing_number(later).is_some());
+}
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod follow;
 mod freshness;
+mod lease;
 mod loads;
 mod placement;
 mod prompt;
--- a/src/rollout/lease.rs
+++ b/src/rollout/lease.rs
@@ -32,6 +32,8 @@
     pub(crate) settle: Duration,
     /// The pause after a call that failed.
     pub(crate) failure_pause: Duration,
+    /// How much longer each further candidate waits, so that candidates rarely meet.
+    pub(crate) rank_step: Duration,
 }
 
 impl Default for LeaseTimes {
@@ -43,6 +45,7 @@
             order_timeout: ORDER_TIMEOUT,
             settle: ORDER_TIMEOUT,
             failure_pause: Duration::from_secs(1),
+            rank_step: LEASE_LIFE,
         }
     }
 }
@@ -163,7 +166,7 @@
 
     /// Takes an event and returns the next call, if one is due.
     ///
-    /// `rank` is the router's place among the candidates for this lease; each place waits one life longer, so that
+    /// `rank` is the router's place among the candidates for this lease; each place waits one step longer, so that
     /// candidates rarely meet.
     pub fn next(&mut self, event: LeaseEvent, rank: u32, now: Duration) -> Option<LeaseAction> {
         self.drop_expired(now);
@@ -227,7 +230,7 @@
             life: Duration::ZERO,
             first_at: now,
         });
-        if now < first_at.first_at + self.times.life * rank {
+        if now < first_at.first_at + self.times.rank_step * rank {
             return None;
         }
         self.is_busy = true;
@@ -278,7 +281,7 @@
     fn take_if_lapsed(&mut self, rank: u32, now: Duration) -> Option<LeaseAction> {
         let seen = self.seen.as_ref()?;
         let lapses_at =
-            seen.first_at + seen.life + self.times.clock_margin + self.times.life * rank;
+            seen.first_at + seen.life + self.times.clock_margin + self.times.rank_step * rank;
         if now < lapses_at {
             self.next_at = self.next_at.min(lapses_at);
             return None;
