--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -19,11 +19,12 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 
 use super::answer::{Answer, AnswerBody, NoError, OwnAnswer};
-use super::call::{Call, Running, Started, StartedBody};
+use super::call::Call;
 use super::clock::boot_time;
 use super::dialect::{is_hop_by_hop, listed_in_connection};
 use super::relay::{PIECES_IN_HAND, relay};
 use super::route::CallerLimits;
+use super::running::{Running, Started, StartedBody};
 use super::shared::{OpenRequest, Shared};
 use super::upstream::set_liveness_options;
 use crate::error::{Error, ErrorKind};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod relayed;
 mod report;
 mod route;
+mod running;
 mod settings;
 mod shared;
 mod source;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,9 +10,9 @@
 use tokio::sync::mpsc;
 
 use super::answer::BrokenOff;
-use super::call::{Flow, Running, StartedBody};
 use super::clock::boot_time;
 use super::events::EventSplitter;
+use super::running::{Flow, Running, StartedBody};
 use super::shared::OpenRequest;
 
 /// The pieces that may wait for a slow caller; the replica's connection is not read beyond.
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use super::answer::OwnAnswer;
-use super::call::{Call, Running};
+use super::call::Call;
 use super::clock::boot_time;
+use super::running::Running;
 use super::shared::Shared;
 
 impl Shared {
