Leave a source of news whose confirmations are too old

Change: confirmations older than 1.35 s are neither told nor taken; the asker goes to the platform itself. Test: is_news_hanging_source_is_left_within_the_bound.

--- a/src/gateway/control/news.rs
+++ b/src/gateway/control/news.rs
@@ -15,19 +15,15 @@
 use crate::gateway::loads::WorkNews;
 use crate::gateway::relayed::{News, NewsRequest, ReplicaNews, WeightsNews};
 use crate::gateway::route::{ModelName, RouteTable};
-use crate::gateway::source::{ChangeLog, Source};
+use crate::gateway::source::{CONFIGURATION_INTERVAL, ChangeLog, NEWS_WAIT, Source, is_news};
 use crate::gateway::store::{ConfigurationRead, NamedWeights, PlatformStore, StoreFault};
 use crate::id::{RouterId, WeightsVersion};
 use crate::peer::{Body, Kind, ReplyHandle};
 
 use super::{Control, Event};
 
-/// The pause between two readings of the configuration: half of the bound of 2 s in which one has to be in force.
-const CONFIGURATION_INTERVAL: Duration = Duration::from_secs(1);
 /// The failed readings in a row after which the platform counts as lost; one alone may be a lost packet.
 const FAILED_READS_OF_AN_OUTAGE: u32 = 2;
-/// How long a question for news waits at another router; so old is what it tells of other routers' work.
-const NEWS_WAIT: Duration = Duration::from_millis(200);
 /// How much longer an answer may take before the platform is asked instead.
 const NEWS_SLACK: Duration = Duration::from_millis(300);
 /// Two tellings of one return of the platform differ by less.
@@ -255,7 +251,8 @@
         if let Some(work) = news.as_mut().and_then(|news| news.others_work.take()) {
             self.take_others_work(work.into_works());
         }
-        let Some(news) = news.filter(|news| !news.is_lost) else {
+        let is_fresh = |news: &News| is_news(Duration::from_millis(news.confirmed_age_ms));
+        let Some(news) = news.filter(|news| !news.is_lost && is_fresh(news)) else {
             log::info!(
                 "source: No news from another router. source={:?}",
                 self.from
@@ -346,6 +343,7 @@
     pub(super) fn can_tell(&self) -> bool {
         self.from == Source::Platform
             && self.platform.failed_reads < FAILED_READS_OF_AN_OUTAGE
+            && is_news(boot_time().saturating_sub(self.shared.confirmed_at()))
             && self.fleet.is_listed()
             && self.table.is_some()
     }
--- a/src/gateway/tests/source.rs
+++ b/src/gateway/tests/source.rs
@@ -5,7 +5,9 @@
 use super::{ms, record};
 use crate::gateway::fleet::{Fleet, ReplicaEntry};
 use crate::gateway::relayed::ReplicaNews;
-use crate::gateway::source::{ChangeLog, Source, SourceChoice};
+use crate::gateway::source::{
+    CONFIGURATION_INTERVAL, ChangeLog, NEWS_WAIT, Source, SourceChoice, is_news,
+};
 use crate::id::RouterId;
 
 fn routers(count: usize) -> Vec<RouterId> {
@@ -114,3 +116,21 @@
     news.address = bytes::Bytes::from_static(b"xy");
     assert!(matches!(news.into_entry(), ReplicaEntry::Malformed { .. }));
 }
+
+/// The users want a configuration in force within 2 s of its acknowledgement, also where the router that others ask has
+/// calls that hang.
+#[test]
+fn is_news_hanging_source_is_left_within_the_bound() {
+    let tick = ms(10);
+    let mut age = ms(0);
+    // The source has read the configuration right before it changed; from then on its calls hang.
+    while is_news(age) {
+        age += tick;
+    }
+    let one_call = ms(250);
+    assert!(age + NEWS_WAIT + one_call < ms(2_000), "{age:?}");
+    assert!(
+        is_news(CONFIGURATION_INTERVAL + one_call),
+        "a slow store alone is no reason"
+    );
+}
