--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -258,6 +258,7 @@
     fn follow_platform(&self) {
         tokio::spawn(read_configuration(
             Arc::clone(&self.store),
+            Arc::clone(&self.shared),
             self.reads_configuration.subscribe(),
             self.events.clone(),
         ));
--- a/src/gateway/control/news.rs
+++ b/src/gateway/control/news.rs
@@ -15,7 +15,8 @@
 use crate::gateway::loads::WorkNews;
 use crate::gateway::relayed::{News, NewsRequest, ReplicaNews, WeightsNews};
 use crate::gateway::route::{ModelName, RouteTable};
-use crate::gateway::source::{CONFIGURATION_INTERVAL, ChangeLog, NEWS_WAIT, Source, is_news};
+use crate::gateway::shared::Shared;
+use crate::gateway::source::{ChangeLog, NEWS_WAIT, Source, configuration_interval, is_news};
 use crate::gateway::store::{ConfigurationRead, NamedWeights, PlatformStore, StoreFault};
 use crate::id::{RouterId, WeightsVersion};
 use crate::peer::{Body, Kind, ReplyHandle};
@@ -60,6 +61,7 @@
 /// Reads the configuration again and again while `is_active`; each reading confirms that what is known is current.
 pub(super) async fn read_configuration(
     store: Arc<PlatformStore>,
+    shared: Arc<Shared>,
     mut is_active: watch::Receiver<bool>,
     events: mpsc::Sender<Event>,
 ) {
@@ -69,15 +71,16 @@
         if !wait_for(&mut is_active, true).await {
             return;
         }
+        let interval = interval_of(&shared);
         let sent_at = boot_time();
         let result = (store.read_configuration)(revision).await;
         let pause = match &result {
             Ok(Some(read)) => {
                 revision = read.revision;
                 backoff.reset();
-                CONFIGURATION_INTERVAL.saturating_sub(boot_time().saturating_sub(sent_at))
+                interval.saturating_sub(boot_time().saturating_sub(sent_at))
             }
-            Ok(None) => CONFIGURATION_INTERVAL / 4,
+            Ok(None) => interval / 4,
             Err(_) => backoff.next_pause(&mut rand::rng()),
         };
         let event = Event::Configuration(sent_at, Box::new(result));
@@ -88,6 +91,11 @@
     }
 }
 
+/// Returns the pause between two readings of the configuration under the bounds in force.
+fn interval_of(shared: &Shared) -> Duration {
+    configuration_interval(shared.bounds().configuration())
+}
+
 impl Control {
     pub(super) fn take_configuration(
         &mut self,
@@ -251,7 +259,9 @@
         if let Some(work) = news.as_mut().and_then(|news| news.others_work.take()) {
             self.take_others_work(work.into_works());
         }
-        let is_fresh = |news: &News| is_news(Duration::from_millis(news.confirmed_age_ms));
+        let interval = interval_of(&self.shared);
+        let is_fresh =
+            |news: &News| is_news(Duration::from_millis(news.confirmed_age_ms), interval);
         let Some(news) = news.filter(|news| !news.is_lost && is_fresh(news)) else {
             log::info!(
                 "source: No news from another router. source={:?}",
@@ -343,7 +353,10 @@
     pub(super) fn can_tell(&self) -> bool {
         self.from == Source::Platform
             && self.platform.failed_reads < FAILED_READS_OF_AN_OUTAGE
-            && is_news(boot_time().saturating_sub(self.shared.confirmed_at()))
+            && is_news(
+                boot_time().saturating_sub(self.shared.confirmed_at()),
+                interval_of(&self.shared),
+            )
             && self.fleet.is_listed()
             && self.table.is_some()
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -181,6 +181,7 @@
         for (field, value) in [
             ("bounds.directory_life_ms", self.bounds.directory_life_ms),
             ("bounds.grace_ms", self.bounds.grace_ms),
+            ("bounds.configuration_ms", self.bounds.configuration_ms),
             ("bounds.lease_ms", self.bounds.lease_ms),
         ] {
             if value == 0 {
@@ -204,4 +205,9 @@
     pub(crate) const fn grace(&self) -> Duration {
         Duration::from_millis(self.grace_ms)
     }
+
+    /// Returns the time in which a configuration has to be in force.
+    pub(crate) const fn configuration(&self) -> Duration {
+        Duration::from_millis(self.configuration_ms)
+    }
 }
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -16,19 +16,25 @@
 const ROUTERS_PER_WATCHER: usize = 16;
 /// How long a router asks the platform itself after it got no news from another.
 const DIRECT_TIME: Duration = Duration::from_secs(3);
-/// The pause between two readings of the configuration: half of the bound of 2 s in which one has to be in force.
-pub(crate) const CONFIGURATION_INTERVAL: Duration = Duration::from_secs(1);
+/// The longest pause between two readings of the configuration, which also bounds how long revoked keys work.
+const MAX_CONFIGURATION_INTERVAL: Duration = Duration::from_millis(1_500);
 /// How long a question for news waits at another router; so old is what it tells of other routers' work.
 pub(crate) const NEWS_WAIT: Duration = Duration::from_millis(200);
-/// The age from which another router's confirmation is no news: it reads once a second, and a slow store answers in
-/// 0.25 s. A router whose calls hang must not keep others from what the platform has changed for 2 s.
-const MAX_NEWS_AGE: Duration = Duration::from_millis(1_350);
+/// How much older than a reading's interval another router's confirmation may be: a slow store answers in 0.25 s.
+const NEWS_SLACK_AGE: Duration = Duration::from_millis(350);
 /// The groups of changes that are kept for routers that ask.
 const MAX_GROUPS: usize = 128;
 
+/// Returns the pause between two readings of the configuration: half of the time in which one has to be in force.
+pub(crate) fn configuration_interval(in_force_within: Duration) -> Duration {
+    (in_force_within / 2).min(MAX_CONFIGURATION_INTERVAL)
+}
+
 /// Tells whether a configuration that was confirmed so long ago may be told to others, or taken from them.
-pub(crate) fn is_news(age: Duration) -> bool {
-    age < MAX_NEWS_AGE
+///
+/// A router whose calls hang must not keep others from what the platform has changed.
+pub(crate) fn is_news(age: Duration, interval: Duration) -> bool {
+    age < interval + NEWS_SLACK_AGE
 }
 
 /// Where a router gets its news from.
