--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -35,11 +35,9 @@
 const PATIENCE_SHARE: f64 = 0.7;
 /// The share of the objective after which a stream goes to another replica, if its replica answers nobody.
 const STREAM_PATIENCE_SHARE: f64 = 1.0;
-/// Requests with openings of at least so many tokens wait while another request reads them; shorter ones cost less than
-/// the wait.
+/// Openings of at least so many tokens are read by one request at a time, saved and fetched; reading a shorter one again
+/// costs less than its place behind others on a link.
 const MIN_READING_TOKENS: u32 = 1_000;
-/// How long a request with a short opening waits to hear whether it is the first and has it saved.
-const SHORT_OPENING_LIMIT: Duration = Duration::from_millis(6);
 /// The share of the objective for which a request may wait until its opening has been read.
 const READING_WAIT_SHARE: f64 = 0.8;
 /// The largest whole answer that is held back until it is complete; a longer one is passed on as it comes.
@@ -154,21 +152,15 @@
             return unknown;
         };
         let key = self.reading_key(&replica, opening);
-        let is_long = need.shared_tokens >= MIN_READING_TOKENS;
-        let limit = if is_long {
-            self.call.route.objective.mul_f64(READING_WAIT_SHARE)
-        } else {
-            SHORT_OPENING_LIMIT
-        };
-        let waited_until = (self.call.arrived + limit).saturating_sub(boot_time());
-        match self.shared.ask_reading(key, waited_until).await {
+        let limit = self.call.route.objective.mul_f64(READING_WAIT_SHARE);
+        let time_left = (self.call.arrived + limit).saturating_sub(boot_time());
+        match self.shared.ask_reading(key, time_left).await {
             Some(Told::First) => {
                 self.reading = Some(key);
                 unknown
             }
-            // A short opening has a home in each availability zone, and is fetched there.
-            Some(Told::ReadBy(by)) if is_long => OpeningState { read_by: Some(by) },
-            Some(Told::ReadBy(_) | Told::Wait) | None => unknown,
+            Some(Told::ReadBy(by)) => OpeningState { read_by: Some(by) },
+            Some(Told::Wait) | None => unknown,
         }
     }
 
@@ -298,7 +290,7 @@
         let record = &replica.known.record;
         let may_repeat = self.call.route.kind.may_repeat();
         let max_idle = if may_repeat { MAX_IDLE } else { MAX_IDLE_ONCE };
-        let mut guard = replica.load.begin(self.unread_tokens());
+        let mut guard = replica.load.begin(self.call.need.own_tokens);
         let link = tokio::time::timeout(self.call.remaining(), replica.pool.take(max_idle)).await;
         let mut link = match link {
             Ok(Ok(link)) => link,
@@ -341,11 +333,6 @@
         Ok(started)
     }
 
-    /// Returns the tokens that the replica has yet to read, as far as is known.
-    fn unread_tokens(&self) -> u32 {
-        self.call.need.own_tokens
-    }
-
     fn place(&self, snapshot: &Snapshot, opening: OpeningState) -> Result<Arc<Replica>, TryStop> {
         let none = TryStop::NoReplica(NoReplica::NoneOpen);
         let Some(replicas) = snapshot.services.get(&self.call.service) else {
@@ -446,7 +433,7 @@
             set(&dialect.priority, &call.rank().to_string());
             let table = snapshot.table.as_ref();
             let cache = table.and_then(|table| table.kept_cache(&replica.known.record.zone));
-            if let Some(cache) = cache.filter(|_| call.need.opening.is_some()) {
+            if let Some(cache) = cache.filter(|_| call.need.shared_tokens >= MIN_READING_TOKENS) {
                 let address = cache.address.to_string();
                 set(&dialect.fetch_from, &address);
                 // Each saving also brings the request's own part along, so that too many would push openings out.
