Let old weights close soon after a router's start

Change: what is found at the start counts as old enough to close 2.5 s later. Test: age_of_found_closes_old_weights_soon_after_a_start.

--- a/src/gateway/control/news.rs
+++ b/src/gateway/control/news.rs
@@ -214,6 +214,7 @@
     }
 
     pub(super) fn take_weights(&mut self, followed: Followed<NamedWeights>, now: Duration) {
+        let is_list = matches!(followed, Followed::Listed(..));
         let (entries, as_of) = match followed {
             Followed::Listed(entries, as_of) | Followed::Changed(entries, as_of) => {
                 (entries, as_of)
@@ -229,7 +230,13 @@
         };
         self.platform.weights_as_of = self.platform.weights_as_of.max(as_of);
         for named in entries {
-            self.name_weights(&named.model, named.version, now);
+            let is_found = is_list && !self.named.contains_key(&named.model);
+            let age = if is_found {
+                self.shared.weights_bounds().age_of_found()
+            } else {
+                Duration::ZERO
+            };
+            self.name_weights(&named.model, named.version, now.saturating_sub(age));
         }
     }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -35,6 +35,9 @@
 const OLD_WEIGHTS_MS: f64 = 60.0;
 /// What a replica costs that has just refused a request, in milliseconds; it mostly refuses the next one too.
 const REFUSING_MS: f64 = 400.0;
+/// How long after its start a router lets requests begin on older weights than it found named: less than the 3 s after
+/// which the users count a VM that came back.
+const OPEN_AFTER_START: Duration = Duration::from_millis(2_500);
 /// Random difference between equal replicas, in milliseconds, so that routers don't all pick the same one.
 const JITTER_MS: f64 = 2.0;
 /// Openings with at least this many tokens have one home in the fleet; smaller ones have one in each availability zone.
@@ -61,6 +64,15 @@
 }
 
 impl WeightsBounds {
+    /// Returns how old a version counts that a router finds named when it starts.
+    ///
+    /// It may have been named at any time before, and nobody tells when. So old weights close soon after the start, while
+    /// the rollout may still need some time.
+    pub(crate) fn age_of_found(&self) -> Duration {
+        let closed_after = self.closed_after.unwrap_or_default();
+        closed_after.saturating_sub(OPEN_AFTER_START)
+    }
+
     /// Judges a replica's `version` against the versions that were named, oldest first, each with the time since.
     #[must_use]
     pub(crate) fn judge(&self, version: u64, named: &[(u64, Duration)]) -> WeightsStanding {
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -160,3 +160,22 @@
     assert_eq!(bounds.judge(1, &named), WeightsStanding::Closed);
     assert_eq!(bounds.judge(1, &[(2, ms(2_000))]), WeightsStanding::Old);
 }
+
+/// A router that starts while others are still on their way to a version can't know when it was named.
+#[test]
+fn age_of_found_closes_old_weights_soon_after_a_start() {
+    let bounds = WeightsBounds {
+        preferred_after: ms(1_500),
+        closed_after: Some(ms(6_500)),
+    };
+    let at_start = bounds.age_of_found();
+    assert_ne!(bounds.judge(3, &[(4, at_start)]), WeightsStanding::Closed);
+    assert_eq!(
+        bounds.judge(3, &[(4, at_start + ms(2_600))]),
+        WeightsStanding::Closed
+    );
+    assert_eq!(
+        bounds.judge(4, &[(4, at_start + ms(60_000))]),
+        WeightsStanding::Current
+    );
+}
