--- a/src/gateway/control/news.rs
+++ b/src/gateway/control/news.rs
@@ -336,23 +336,20 @@
     /// Answers the routers for which there is news, and those that have waited long enough.
     pub(super) fn tell_news(&mut self, now: Duration) {
         let is_lost = !self.can_tell();
-        let is_due = |waiting: &WaitingForNews| {
+        let asking = std::mem::take(&mut self.waiting).into_iter();
+        let (due, waiting): (Vec<_>, Vec<_>) = asking.partition(|waiting| {
             is_lost || now >= waiting.until || self.has_news_for(&waiting.request)
-        };
-        if !self.waiting.iter().any(is_due) {
+        });
+        self.waiting = waiting;
+        if due.is_empty() {
             return;
         }
         let total = self.told.total(&self.own_works());
-        let waiting = std::mem::take(&mut self.waiting);
-        for waiting in waiting {
-            if is_lost || now >= waiting.until || self.has_news_for(&waiting.request) {
-                let mut news = self.news_for(&waiting.request, is_lost, now);
-                let others = self.told.others_of(&waiting.router, &total);
-                news.others_work = Some(WorkNews::of(&others));
-                waiting.reply.send(Body::encode(Kind::News, &news));
-            } else {
-                self.waiting.push(waiting);
-            }
+        for waiting in due {
+            let mut news = self.news_for(&waiting.request, is_lost, now);
+            let others = self.told.others_of(&waiting.router, &total);
+            news.others_work = Some(WorkNews::of(&others));
+            waiting.reply.send(Body::encode(Kind::News, &news));
         }
     }
 
--- a/src/gateway/control/reading.rs
+++ b/src/gateway/control/reading.rs
@@ -50,10 +50,7 @@
             self.answer_reading(key, ReadingReply::Here(answer));
             return;
         }
-        let word = ReadingWord {
-            key,
-            ..ReadingWord::default()
-        };
+        let word = ReadingWord { key, read_by: None };
         let timeout = READING_HOLD + READING_SLACK;
         self.peers.ask_reader(router, word, timeout, answer);
     }
@@ -78,13 +75,12 @@
             Some(by) => self.readings.read(word.key, by, now),
             None => self.readings.failed(word.key),
         }
-        let waiting = std::mem::take(&mut self.waiting_for_readings);
-        for waiting in waiting {
-            if waiting.key == word.key {
-                self.answer_reading(waiting.key, waiting.reply);
-            } else {
-                self.waiting_for_readings.push(waiting);
-            }
+        let (answered, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting_for_readings)
+            .into_iter()
+            .partition(|waiting| waiting.key == word.key);
+        self.waiting_for_readings = waiting;
+        for waiting in answered {
+            self.answer_reading(waiting.key, waiting.reply);
         }
     }
 
@@ -97,13 +93,12 @@
         {
             return;
         }
-        let waiting = std::mem::take(&mut self.waiting_for_readings);
-        for waiting in waiting {
-            if now >= waiting.until {
-                waiting.reply.send(ReadingTold::Wait);
-            } else {
-                self.waiting_for_readings.push(waiting);
-            }
+        let (released, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting_for_readings)
+            .into_iter()
+            .partition(|waiting| now >= waiting.until);
+        self.waiting_for_readings = waiting;
+        for waiting in released {
+            waiting.reply.send(ReadingTold::Wait);
         }
     }
 }
--- a/src/gateway/readings.rs
+++ b/src/gateway/readings.rs
@@ -93,12 +93,9 @@
     /// The opening.
     #[prost(fixed64, tag = "1")]
     pub(crate) key: u64,
-    /// Set where a replica has read it.
+    /// The replica that has read it; in the word that a reading has ended, `None` says that it failed.
     #[prost(fixed32, optional, tag = "2")]
     pub(crate) read_by: Option<u32>,
-    /// Whether the request that was to read it has failed.
-    #[prost(bool, tag = "3")]
-    pub(crate) has_failed: bool,
 }
 
 /// The answer to a question, as it travels.
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -175,11 +175,7 @@
     /// Tells that the opening was read by a replica, or that this request will not read it.
     fn end_reading(&mut self, read_by: Option<ReplicaKey>) {
         if let Some(key) = self.reading.take() {
-            self.shared.end_reading(ReadingWord {
-                key,
-                read_by,
-                has_failed: read_by.is_none(),
-            });
+            self.shared.end_reading(ReadingWord { key, read_by });
         }
     }
 
@@ -318,16 +314,14 @@
             }
         };
         guard.answer_began();
-        let flow = |body, link, guard, kept_for| Flow {
+        let (head, body) = response.into_parts();
+        let flow = Flow {
             body,
             link,
             guard,
             replica: Arc::clone(&replica),
-            kept_for,
+            kept_for: keep_alive(&head.headers),
         };
-        let (head, body) = response.into_parts();
-        let kept_for = keep_alive(&head.headers);
-        let flow = flow(body, link, guard, kept_for);
         let started = self.accept(head, flow).await?;
         self.end_reading(Some(replica.key));
         Ok(started)
