--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -1,5 +1,7 @@
 //! `crocuswharf explain`: what was done with one request, and why.
 
+use std::path::PathBuf;
+
 use anyhow::Context;
 use argh::FromArgs;
 
@@ -12,7 +14,10 @@
 pub struct ExplainArgs {
     /// the request's id, from the answer's header or a log line
     #[argh(positional)]
-    request: RequestId,
+    pub(crate) request: String,
+    /// a saved log, or a folder of them, to read instead of asking a router; may be given more than once
+    #[argh(option)]
+    pub(crate) log: Vec<PathBuf>,
     /// print JSON
     #[argh(switch)]
     json: bool,
@@ -22,12 +27,16 @@
 ///
 /// # Errors
 ///
-/// Fails where no router has the explanation and where it can't be fetched or read.
+/// Fails where the id is none, where no router has the explanation, and where it can't be fetched or read.
 pub async fn explain(
     args: &ExplainArgs,
     fetch: impl AsyncFn(&str) -> anyhow::Result<String>,
 ) -> anyhow::Result<String> {
-    let path = format!("/explain/{}", args.request);
+    let request: RequestId = args
+        .request
+        .parse()
+        .with_context(|| format!("request: {} is not an id", args.request))?;
+    let path = format!("/explain/{request}");
     let text = super::progress::while_waiting("asking the request's router", fetch(&path)).await?;
     let explanation: Explanation =
         serde_json::from_str(&text).context("the router's explanation")?;
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -14,6 +14,7 @@
 mod client;
 mod explain;
 mod progress;
+mod saved;
 mod settings;
 mod status;
 #[cfg(test)]
@@ -45,6 +46,7 @@
     Burn(BurnArgs),
     Explain(ExplainArgs),
     Status(StatusArgs),
+    Timeline(saved::TimelineArgs),
     Ticket(ticket::TicketCommand),
 }
 
@@ -108,6 +110,9 @@
             })
             .await
         }
+        Command::Explain(args) if !args.log.is_empty() => {
+            printed(saved::explain_from_logs(&args.request, &args.log))
+        }
         Command::Explain(args) => {
             report(connect, async |client| {
                 explain(&args, async |path| fetch(&client, path).await).await
@@ -120,10 +125,18 @@
             })
             .await
         }
+        Command::Timeline(args) => printed(saved::show_timeline(&args)),
         Command::Ticket(command) => ticket::run(command, connect).await,
     }
 }
 
+fn printed(text: Result<String, Error>) -> CommandOutcome {
+    match text {
+        Ok(text) => CommandOutcome::Done(text),
+        Err(error) => CommandOutcome::Failed(error.to_string()),
+    }
+}
+
 /// Runs a command that reads one report from a router.
 async fn report(
     connect: impl FnOnce() -> Result<OperatorClient, Error>,
--- a/src/command/tests/line.rs
+++ b/src/command/tests/line.rs
@@ -24,6 +24,8 @@
     ticket_help = { &["ticket", "--help"], "submit" },
     version = { &["--version"], env!("CARGO_PKG_VERSION") },
     offline = { &["ticket", "check", "--offline", "examples/tickets/1-shinewell.json"], "ticket 1 has no fault" },
+    explain_saved = { &["explain", "r5473", "--log", "examples/logs"], "request: Answered by the gateway." },
+    timeline = { &["timeline", "--log", "examples/logs", "--at", "1796364625500", "--within", "1"], "2 routers within" },
     second = { &["ticket", "check", "--offline", "examples/tickets/2-new-weights.json"], "ticket 2 has no fault" },
 )]
 #[test_macro(tokio::test)]
@@ -37,6 +39,11 @@
 
 #[yare::parameterized(
     no_settings = { &["--settings", "absent.json", "ticket", "list"], "settings file absent.json" },
+    explain_unknown = { &["explain", "r0", "--log", "examples/logs"], "request r0: none of" },
+    explain_no_file = { &["explain", "r1", "--log", "absent.log"], "--log: absent.log: " },
+    explain_no_log_lines = { &["explain", "r1", "--log", "Cargo.toml"], "--log: the files hold no line of a router" },
+    timeline_no_log = { &["timeline"], "--log: a saved log is needed" },
+    timeline_bad_span = { &["timeline", "--log", "examples/logs", "--within", "-1"], "--within: -1 is not allowed" },
     no_ticket = { &["ticket", "check", "--offline", "absent.json"], "ticket file absent.json" },
     no_ticket_at_all = { &["ticket", "check", "--offline", "Cargo.toml"], "1 fault\nline 1" },
 )]
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -371,7 +371,11 @@
                     log::info!("fleet: Replica leaves. replica={id}");
                 }
                 FleetChange::Changed(id) => log::debug!("fleet: Replica changed. replica={id}"),
-                change => log::info!("fleet: {change:?}"),
+                FleetChange::Added(id) => log::info!("fleet: Replica added. replica={id}"),
+                FleetChange::Removed(id) => log::info!("fleet: Replica removed. replica={id}"),
+                FleetChange::Lapsed(id) => {
+                    log::info!("fleet: A replica's entry lapsed with the store. replica={id}");
+                }
             }
             self.is_dirty = true;
         }
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -53,6 +53,8 @@
     sends: u32,
     /// The opening whose reading this request has to end, if it was let through to read it.
     reading: Option<OpeningKey>,
+    /// Whether the retry budget had no further send for it.
+    lacks_budget: bool,
 }
 
 /// What a request was told of its opening before a try.
@@ -134,6 +136,7 @@
             tried: SmallVec::new(),
             sends: 0,
             reading: None,
+            lacks_budget: false,
         }
     }
 
@@ -230,13 +233,11 @@
     }
 
     /// Turns a resend down that the retry budget has no try for.
-    fn with_budget(&self, step: NextStep, end: TryEnd) -> NextStep {
-        if step != NextStep::Resend {
-            return step;
-        }
-        if self.take_resend() {
+    fn with_budget(&mut self, step: NextStep, end: TryEnd) -> NextStep {
+        if step != NextStep::Resend || self.take_resend() {
             return step;
         }
+        self.lacks_budget = true;
         match end {
             TryEnd::Failed => NextStep::Deliver,
             TryEnd::TimedOut => NextStep::TimeOut,
@@ -258,6 +259,10 @@
                 Some(failure) => return Some(Ok(failure)),
                 None => OwnAnswer::lost("the replica's answer was lost"),
             },
+            NextStep::Refuse if self.lacks_budget => OwnAnswer::not_run(
+                "no replica took the request, and the retry budget is used up",
+                RETURN_TO_BUSY,
+            ),
             NextStep::Refuse => OwnAnswer::not_run("no replica took the request", RETURN_TO_BUSY),
             NextStep::Fail => OwnAnswer::lost("the replica's answer was lost"),
             NextStep::TimeOut => OwnAnswer::late("no answer in time"),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 mod request;
 mod rollout;
 mod router;
+mod saved_log;
 mod service;
 mod settings;
 mod status;
