--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -59,6 +59,8 @@
     daemon: Option<Daemon>,
     /// Counts its processes.
     generation: u32,
+    /// When a stop ends, if it was stopped.
+    stopped_until: Option<Instant>,
     /// The logs of its earlier processes.
     logs: Vec<Vec<String>>,
 }
@@ -145,6 +147,7 @@
                 store_link: Proxy::start(store.address).await.context("a proxy")?,
                 daemon: None,
                 generation: 0,
+                stopped_until: None,
                 logs: Vec::new(),
             });
         }
@@ -195,6 +198,7 @@
             Fault::RouterStops(router, time) => {
                 if self.signal(*router, Signal::STOP) {
                     self.freeze(*router, *time);
+                    self.routers[*router].stopped_until = Some(Instant::now() + *time);
                     self.later(*time, Due::Continue(*router));
                 }
             }
@@ -344,17 +348,16 @@
 
     /// A router that was told to leave must have ended by now.
     async fn has_left(&mut self, router: usize) {
-        let Some(daemon) = &mut self.routers[router].daemon else {
+        let left = &mut self.routers[router];
+        let was_stopped = left
+            .stopped_until
+            .is_some_and(|end| end + GRACE > Instant::now());
+        let Some(daemon) = &mut left.daemon else {
             return;
         };
-        // A stopped process can't leave; its signals wait for it.
-        let was_stopped = self.records.frozen.iter().any(|span| {
-            span.router == router
-                && span.to - span.from < GRACE + RECOVERY
-                && span.to + GRACE > Instant::now()
-        });
         match daemon.has_ended() {
             Some(Some(0)) => {}
+            // Its signals wait while it is stopped, and its time runs from then on.
             None if was_stopped => {}
             ended => self.findings.push(Finding {
                 promise: "a router that is told to leave ends well and in time",
@@ -377,6 +380,7 @@
         lock(&self.callers.routers)[router] = Some(daemon.callers());
         started.daemon = Some(daemon);
         started.generation += 1;
+        started.stopped_until = None;
     }
 
     fn reload(&mut self, router: usize) {
