Notice a lost watch within five seconds

Cause: a watch waits for up to 10 s at the store and the call allows 1.5 s more. Where the store loses the call and keeps its connection open, nothing but the missing answer tells, so that a replica's departure stayed unknown for 11.5 s. Ruled out: the peers (all three routers heard at the same moment, from the one that follows the store) and the connection's keep-alive (the connection was sound). Conclusion: some calls more a second from the few routers that follow the store, within the bound whatever the store loses.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,8 +12,11 @@
 use super::store::{ListPage, StoreFault, WatchPage};
 use crate::store::Backoff;
 
-/// The longest wait of one watch. The connection's keep-alive finds a silent one sooner.
-pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// The longest wait of one watch.
+///
+/// A store that loses a call and keeps its connection open shows in nothing but a missing answer, so this and the slack of
+/// the call end before the least time in which a departure has to be known after a disruption, 5 s on the users' sheets.
+pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// The longest first pause after a fault; each further one doubles it.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after a fault, so that a departure is heard of soon after an outage.
