--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -59,6 +59,8 @@
     daemon: Option<Daemon>,
     /// Counts its processes.
     generation: u32,
+    /// Whether it was told to leave.
+    is_leaving: bool,
     /// When a stop ends, if it was stopped.
     stopped_until: Option<Instant>,
     /// The logs of its earlier processes.
@@ -147,6 +149,7 @@
                 store_link: Proxy::start(store.address).await.context("a proxy")?,
                 daemon: None,
                 generation: 0,
+                is_leaving: false,
                 stopped_until: None,
                 logs: Vec::new(),
             });
@@ -211,6 +214,7 @@
             Fault::RouterLeaves(router) => {
                 if self.signal(*router, Signal::TERM) {
                     self.freeze(*router, GRACE + RECOVERY);
+                    self.routers[*router].is_leaving = true;
                     let generation = self.routers[*router].generation;
                     self.later(GRACE, Due::Left(*router, generation));
                 }
@@ -299,10 +303,7 @@
 
     /// Writes a finding where a router has ended by itself.
     fn note_own_end(&mut self, router: usize) {
-        let is_leaving = self
-            .due
-            .iter()
-            .any(|(_, due)| matches!(due, Due::Left(leaving, _) if *leaving == router));
+        let is_leaving = self.routers[router].is_leaving;
         let daemon = &mut self.routers[router].daemon;
         let ended = daemon.as_mut().and_then(Daemon::has_ended);
         if let Some(code) = ended.filter(|_| !is_leaving) {
@@ -380,6 +381,7 @@
         lock(&self.callers.routers)[router] = Some(daemon.callers());
         started.daemon = Some(daemon);
         started.generation += 1;
+        started.is_leaving = false;
         started.stopped_until = None;
     }
 
@@ -495,6 +497,7 @@
     async fn leave_in_calm(&mut self) {
         let signal_at = Instant::now();
         self.signal(0, Signal::TERM);
+        self.routers[0].is_leaving = true;
         self.wait_until(signal_at + GRACE).await;
         self.has_left(0).await;
         self.records.sent = lock(&self.callers.sent).clone();
