--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -6,27 +6,21 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use crocuswharf_platform_fakes::daemon::{Daemon, GRACE, WEIGHTS, configuration, settings};
+use crocuswharf_platform_fakes::daemon::{Daemon, GRACE, configuration, settings};
 use crocuswharf_platform_fakes::replica::{Mode, Replica};
 use crocuswharf_platform_fakes::store::{Store, StoreMode};
 use rustix::process::Signal;
 use tokio::task::JoinSet;
 
 use crate::callers::{Shared, call_on, lock};
-use crate::judge::{Finding, FrozenSpan, KeyLife, Records, Served, judge, lost_at};
+use crate::judge::{Finding, FrozenSpan, KeyLife, Records, Served, judge};
 use crate::plan::{Fault, Plan, Size};
 use crate::proxy::{Link, Proxy};
 
 /// How many callers a world has for each router.
 const CALLERS_PER_ROUTER: usize = 2;
-/// How long after the last fault routers and store count as calm, by the users' larger sheet.
-const STABLE: Duration = Duration::from_secs(4);
 /// Within this time after the last fault all routers serve again, by the users' sheets.
-const RECOVERY: Duration = Duration::from_secs(12);
-/// How long the calm at the end lasts: a rollout has one and a half times the bound on weights.
-const CALM: Duration = Duration::from_secs(9);
-/// The share of requests that is served in the calm at the end, where nothing is wrong.
-const SERVED_IN_CALM: f64 = 0.95;
+pub(crate) const RECOVERY: Duration = Duration::from_secs(12);
 /// How long a replica takes to load weights, by the users' sheets.
 const LOAD_TIME: Duration = Duration::from_millis(570);
 /// How long after a new key the old one is taken away, so that callers can use the new one.
@@ -53,31 +47,31 @@
 }
 
 /// One router process, which may be away.
-struct Router {
+pub(crate) struct Router {
     name: String,
     store_link: Proxy,
-    daemon: Option<Daemon>,
+    pub(crate) daemon: Option<Daemon>,
     /// Counts its processes.
     generation: u32,
     /// Whether it was told to leave.
-    is_leaving: bool,
+    pub(crate) is_leaving: bool,
     /// When a stop ends, if it was stopped.
     stopped_until: Option<Instant>,
     /// The logs of its earlier processes.
     logs: Vec<Vec<String>>,
 }
 
-struct World {
+pub(crate) struct World {
     binary: PathBuf,
     begun: Instant,
     store: Store,
-    replicas: Vec<(Replica, Proxy)>,
-    routers: Vec<Router>,
-    callers: Arc<Shared>,
-    records: Records,
-    findings: Vec<Finding>,
+    pub(crate) replicas: Vec<(Replica, Proxy)>,
+    pub(crate) routers: Vec<Router>,
+    pub(crate) callers: Arc<Shared>,
+    pub(crate) records: Records,
+    pub(crate) findings: Vec<Finding>,
     configuration_version: u64,
-    weights_version: u64,
+    pub(crate) weights_version: u64,
     births: u64,
     /// What ends later: the time, and what to do then.
     due: Vec<(Instant, Due)>,
@@ -177,7 +171,7 @@
     }
 
     /// Carries out what is due until `end`.
-    async fn wait_until(&mut self, end: Instant) {
+    pub(crate) async fn wait_until(&mut self, end: Instant) {
         while let Some(place) = self.next_due(end) {
             let (at, due) = self.due.swap_remove(place);
             tokio::time::sleep_until(at.into()).await;
@@ -292,7 +286,7 @@
     }
 
     /// Sends a signal to a router that runs; tells whether it does.
-    fn signal(&mut self, router: usize, signal: Signal) -> bool {
+    pub(crate) fn signal(&mut self, router: usize, signal: Signal) -> bool {
         self.note_own_end(router);
         let Some(daemon) = &mut self.routers[router].daemon else {
             return false;
@@ -348,7 +342,7 @@
     }
 
     /// A router that was told to leave must have ended by now.
-    async fn has_left(&mut self, router: usize) {
+    pub(crate) async fn has_left(&mut self, router: usize) {
         let left = &mut self.routers[router];
         let was_stopped = left
             .stopped_until
@@ -430,7 +424,7 @@
         self.store.put("config", "main", configuration);
     }
 
-    fn name_weights(&mut self) {
+    pub(crate) fn name_weights(&mut self) {
         self.weights_version += 1;
         self.store.name_weights("m0", self.weights_version);
     }
@@ -465,79 +459,7 @@
         }
     }
 
-    /// Checks that all is well again once nothing is wrong.
-    async fn close(&mut self) {
-        let healed_at = Instant::now();
-        for router in 0..self.routers.len() {
-            let daemon = self.routers[router].daemon.as_ref().expect("all run");
-            while !daemon.is_ready().await && healed_at.elapsed() < RECOVERY {
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-            if !daemon.is_ready().await {
-                self.findings.push(Finding {
-                    promise: "routers are ready again in time",
-                    seen: format!("router {router} is not ready {RECOVERY:?} after the last fault"),
-                });
-            }
-        }
-        self.wait_until(healed_at + STABLE).await;
-        let calm_from = Instant::now();
-        self.name_weights();
-        self.records.named = Some((self.weights_version, calm_from));
-        let drained = &self.replicas[0].0;
-        drained.register("draining");
-        self.records.drained = Some((drained.id, calm_from));
-        self.wait_until(calm_from + WEIGHTS).await;
-        self.leave_in_calm().await;
-        self.wait_until(calm_from + CALM).await;
-        self.check_calm(calm_from);
-    }
-
-    /// Tells the first router to leave while nothing else is wrong: nothing may be lost.
-    async fn leave_in_calm(&mut self) {
-        let signal_at = Instant::now();
-        self.signal(0, Signal::TERM);
-        self.routers[0].is_leaving = true;
-        self.wait_until(signal_at + GRACE).await;
-        self.has_left(0).await;
-        self.records.sent = lock(&self.callers.sent).clone();
-        self.records.seen = self.seen();
-        let lost = lost_at(&self.records, 0, signal_at);
-        if !lost.is_empty() {
-            self.findings.push(Finding {
-                promise: "a router that leaves ends what it has begun",
-                seen: format!("{lost:?} were passed on and lost"),
-            });
-        }
-    }
-
-    fn check_calm(&mut self, from: Instant) {
-        let valid_from = *lock(&self.callers.valid_from);
-        let share = Served::since(&lock(&self.callers.sent), from, valid_from);
-        if (share.served as f64) < share.owed as f64 * SERVED_IN_CALM {
-            self.findings.push(Finding {
-                promise: "requests are served again in the calm",
-                seen: format!("{share:?}"),
-            });
-        }
-        let behind = self.replicas.iter().map(|(replica, _)| replica);
-        let behind = behind.filter(|replica| replica.id.starts_with("llm"));
-        let behind: Vec<_> = behind
-            .filter(|replica| replica.version() != self.weights_version)
-            .map(|replica| (replica.id, replica.version()))
-            .collect();
-        if !behind.is_empty() {
-            self.findings.push(Finding {
-                promise: "named weights reach all replicas",
-                seen: format!(
-                    "{behind:?} {CALM:?} after {} was named",
-                    self.weights_version
-                ),
-            });
-        }
-    }
-
-    fn seen(&self) -> Vec<crocuswharf_platform_fakes::replica::Seen> {
+    pub(crate) fn seen(&self) -> Vec<crocuswharf_platform_fakes::replica::Seen> {
         let replicas = self.replicas.iter();
         replicas.flat_map(|(replica, _)| replica.seen()).collect()
     }
