Make the soak's settings and findings in one place

Change: World::settings_of, finding(), named constants; a report's field says what it holds. Conclusion: the checks and their bounds are as they were.

--- a/soak/src/calm.rs
+++ b/soak/src/calm.rs
@@ -6,7 +6,7 @@
 use rustix::process::Signal;
 
 use crate::callers::lock;
-use crate::judge::{Finding, Served, lost_at};
+use crate::judge::{Served, finding, lost_at};
 use crate::world::{RECOVERY, World};
 
 /// How long after the last fault routers and store count as calm, by the users' larger sheet.
@@ -26,10 +26,10 @@
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
             if !daemon.is_ready().await {
-                self.findings.push(Finding {
-                    promise: "routers are ready again in time",
-                    seen: format!("router {router} is not ready {RECOVERY:?} after the last fault"),
-                });
+                self.findings.push(finding(
+                    "routers are ready again in time",
+                    format!("router {router} is not ready {RECOVERY:?} after the last fault"),
+                ));
             }
         }
         self.wait_until(healed_at + STABLE).await;
@@ -56,10 +56,10 @@
         self.records.seen = self.seen();
         let lost = lost_at(&self.records, 0, signal_at);
         if !lost.is_empty() {
-            self.findings.push(Finding {
-                promise: "a router that leaves ends what it has begun",
-                seen: format!("{lost:?} were passed on and lost"),
-            });
+            self.findings.push(finding(
+                "a router that leaves ends what it has begun",
+                format!("{lost:?} were passed on and lost"),
+            ));
         }
     }
 
@@ -67,10 +67,10 @@
         let valid_from = *lock(&self.callers.valid_from);
         let share = Served::since(&lock(&self.callers.sent), from, valid_from);
         if (share.served as f64) < share.owed as f64 * SERVED_IN_CALM {
-            self.findings.push(Finding {
-                promise: "requests are served again in the calm",
-                seen: format!("{share:?}"),
-            });
+            self.findings.push(finding(
+                "requests are served again in the calm",
+                format!("{share:?}"),
+            ));
         }
         let behind = self.replicas.iter().map(|(replica, _)| replica);
         let behind = behind.filter(|replica| replica.id.starts_with("llm"));
@@ -79,13 +79,13 @@
             .map(|replica| (replica.id, replica.version()))
             .collect();
         if !behind.is_empty() {
-            self.findings.push(Finding {
-                promise: "named weights reach all replicas",
-                seen: format!(
+            self.findings.push(finding(
+                "named weights reach all replicas",
+                format!(
                     "{behind:?} {CALM:?} after {} was named",
                     self.weights_version
                 ),
-            });
+            ));
         }
     }
 }
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -95,7 +95,7 @@
     findings
 }
 
-const fn finding(promise: &'static str, seen: String) -> Finding {
+pub(crate) const fn finding(promise: &'static str, seen: String) -> Finding {
     Finding { promise, seen }
 }
 
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -7,24 +7,29 @@
 
 use anyhow::Context;
 use crocuswharf_platform_fakes::daemon::{Daemon, GRACE, configuration, settings};
-use crocuswharf_platform_fakes::replica::{Mode, Replica};
+use crocuswharf_platform_fakes::replica::{Mode, Replica, Seen};
 use crocuswharf_platform_fakes::store::{Store, StoreMode};
 use rustix::process::Signal;
+use serde_json::Value;
 use tokio::task::JoinSet;
 
 use crate::callers::{Shared, call_on, lock};
-use crate::judge::{Finding, FrozenSpan, KeyLife, Records, Served, judge};
+use crate::judge::{Finding, FrozenSpan, KeyLife, Records, Served, finding, judge};
 use crate::plan::{Fault, Plan, Size};
 use crate::proxy::{Link, Proxy};
 
 /// How many callers a world has for each router.
 const CALLERS_PER_ROUTER: usize = 2;
+/// The first contacts that a router is given.
+const SEEDS: usize = 3;
 /// Within this time after the last fault all routers serve again, by the users' sheets.
 pub(crate) const RECOVERY: Duration = Duration::from_secs(12);
 /// How long a replica takes to load weights, by the users' sheets.
 const LOAD_TIME: Duration = Duration::from_millis(570);
 /// How long after a new key the old one is taken away, so that callers can use the new one.
 const KEY_OVERLAP: Duration = Duration::from_millis(500);
+/// When the first replica starts, in milliseconds since the Unix epoch; far enough from 0 for clocks that step back.
+const FIRST_BIRTH_MS: u64 = 1_000_000;
 /// The names of replicas, which live as long as the process.
 const APP_REPLICAS: [&str; 4] = ["app-1", "app-2", "app-3", "app-4"];
 const MODEL_REPLICAS: [&str; 6] = ["llm-1", "llm-2", "llm-3", "llm-4", "llm-5", "llm-6"];
@@ -36,7 +41,7 @@
     pub seed: u64,
     /// The broken promises.
     pub findings: Vec<Finding>,
-    /// The requests that callers sent, and those of them that were served.
+    /// The requests that callers sent.
     pub sent: usize,
     /// Those that were served.
     pub served: usize,
@@ -270,13 +275,9 @@
             Due::OpenReplicaLink(replica) => self.replicas[replica].1.set(Link::Open),
             Due::RestartReplica(replica) => {
                 self.births += 1;
-                // Some starts are told by a clock that stepped back.
-                let sign = if self.births.is_multiple_of(3) {
-                    1_000
-                } else {
-                    0
-                };
-                let born_ms = 1_000_000 + self.births - sign;
+                // Some starts are told by a clock that stepped back by a second.
+                let is_behind = self.births.is_multiple_of(3);
+                let born_ms = FIRST_BIRTH_MS + self.births - if is_behind { 1_000 } else { 0 };
                 self.replicas[replica].1.set(Link::Open);
                 self.replicas[replica].0.restart(born_ms);
             }
@@ -301,10 +302,10 @@
         let daemon = &mut self.routers[router].daemon;
         let ended = daemon.as_mut().and_then(Daemon::has_ended);
         if let Some(code) = ended.filter(|_| !is_leaving) {
-            self.findings.push(Finding {
-                promise: "a router ends only when it is told to",
-                seen: format!("router {router} ended by itself with {code:?}"),
-            });
+            self.findings.push(finding(
+                "a router ends only when it is told to",
+                format!("router {router} ended by itself with {code:?}"),
+            ));
             self.take_away(router);
         }
     }
@@ -354,40 +355,40 @@
             Some(Some(0)) => {}
             // Its signals wait while it is stopped, and its time runs from then on.
             None if was_stopped => {}
-            ended => self.findings.push(Finding {
-                promise: "a router that is told to leave ends well and in time",
-                seen: format!("router {router} after {GRACE:?}: {ended:?}"),
-            }),
+            ended => self.findings.push(finding(
+                "a router that is told to leave ends well and in time",
+                format!("router {router} after {GRACE:?}: {ended:?}"),
+            )),
         }
         self.take_away(router);
         self.start_router(router).await;
     }
 
     async fn start_router(&mut self, router: usize) {
-        let seeds = self
-            .routers
-            .iter()
-            .filter_map(|other| other.daemon.as_ref());
-        let seeds: Vec<_> = seeds.map(Daemon::peers).take(3).collect();
-        let started = &mut self.routers[router];
-        let settings = settings(&started.name, started.store_link.address, &seeds);
+        let settings = self.settings_of(router);
         let daemon = Daemon::start_with(&self.binary, &settings).await;
         lock(&self.callers.routers)[router] = Some(daemon.callers());
+        let started = &mut self.routers[router];
         started.daemon = Some(daemon);
         started.generation += 1;
         started.is_leaving = false;
         started.stopped_until = None;
     }
 
-    fn reload(&mut self, router: usize) {
-        let seeds: Vec<_> = self
+    /// Returns a router's settings, with some routers that run now as its first contacts.
+    fn settings_of(&self, router: usize) -> Value {
+        let running = self
             .routers
             .iter()
-            .filter_map(|other| other.daemon.as_ref().map(Daemon::peers))
-            .collect();
-        let changed = &self.routers[router];
-        let settings = settings(&changed.name, changed.store_link.address, &seeds);
-        if let Some(daemon) = &changed.daemon {
+            .filter_map(|other| other.daemon.as_ref());
+        let seeds: Vec<_> = running.map(Daemon::peers).take(SEEDS).collect();
+        let router = &self.routers[router];
+        settings(&router.name, router.store_link.address, &seeds)
+    }
+
+    fn reload(&mut self, router: usize) {
+        let settings = self.settings_of(router);
+        if let Some(daemon) = &self.routers[router].daemon {
             daemon.write_settings(&settings);
         }
         self.signal(router, Signal::HUP);
@@ -459,7 +460,7 @@
         }
     }
 
-    pub(crate) fn seen(&self) -> Vec<crocuswharf_platform_fakes::replica::Seen> {
+    pub(crate) fn seen(&self) -> Vec<Seen> {
         let replicas = self.replicas.iter();
         replicas.flat_map(|(replica, _)| replica.seen()).collect()
     }
