--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -86,8 +86,9 @@
         let seen = format!("{excess} requests ran at more than {MAX_ATTEMPTS} replicas");
         findings.push(finding("runs stay within the route's attempts", seen));
     }
-    for id in runs.keys() {
-        findings.push(finding("only callers' requests run", format!("{id} ran")));
+    for run in runs.values().flatten() {
+        let seen = format!("{:?} ran at {} as {}", run.id(), run.replica, run.target);
+        findings.push(finding("only callers' requests run", seen));
     }
     findings.extend(judge_scopes(&records.seen));
     findings.extend(judge_orders(&records.orders));
