Install the recorder under a lock, keep a failed start's error, and expect a starting router's 503 in tests

Cause: between setting the global recorder and storing its handle another thread found neither, so a router's start failed where several started at once; Router::start then dropped its runtime in an asynchronous context, whose panic hid the error.

--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -65,11 +65,23 @@
             peers: local_address(&peers)?,
         };
         let traffic = traffic_runtime(&settings)?;
-        let (shared, events) = Shared::new(settings, traffic.handle())?;
-        let shared = Arc::new(shared);
-        let control = ControlThread::start(Arc::clone(&shared), events, peers, addresses.callers)?;
-        entry::serve_callers(&traffic, callers, &shared)?;
-        entry::serve_operators(&traffic, operators, &shared)?;
+        let started = (|| {
+            let (shared, events) = Shared::new(settings, traffic.handle())?;
+            let shared = Arc::new(shared);
+            let control =
+                ControlThread::start(Arc::clone(&shared), events, peers, addresses.callers)?;
+            entry::serve_callers(&traffic, callers, &shared)?;
+            entry::serve_operators(&traffic, operators, &shared)?;
+            Ok((shared, control))
+        })();
+        let (shared, control) = match started {
+            Ok(started) => started,
+            Err(error) => {
+                // Dropping a runtime panics in an asynchronous context, which would hide the error.
+                traffic.shutdown_background();
+                return Err(error);
+            }
+        };
         log::info!(
             "router: Started serving. router={} callers={} operators={} peers={}",
             shared.settings.router,
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! docs/operations/metrics.md lists every metric, and docs/operations/README.md the alarms based on them.
 
-use std::sync::OnceLock;
+use std::sync::{Mutex, OnceLock, PoisonError};
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
@@ -35,6 +35,8 @@
 ];
 
 static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+/// Held while the recorder is installed.
+static INSTALLING: Mutex<()> = Mutex::new(());
 
 /// Returns the handle of the process-wide recorder, which is installed on the first call.
 ///
@@ -42,6 +44,8 @@
 ///
 /// Fails with [`ErrorKind::Io`] if another library has installed a recorder.
 pub fn install_recorder() -> Result<PrometheusHandle, Error> {
+    // Between setting the global recorder and storing its handle, another thread would find neither.
+    let _installing = INSTALLING.lock().unwrap_or_else(PoisonError::into_inner);
     if let Some(handle) = RECORDER.get() {
         return Ok(handle.clone());
     }
@@ -53,7 +57,7 @@
     };
     let handle = match build_and_install() {
         Ok(handle) => handle,
-        Err(error) => return RECORDER.get().cloned().ok_or_else(|| install_error(&error)),
+        Err(error) => return Err(install_error(&error)),
     };
     catalog::describe_all();
     Ok(RECORDER.get_or_init(|| handle).clone())
--- a/standin/tests/members.rs
+++ b/standin/tests/members.rs
@@ -11,6 +11,7 @@
 };
 use crocuswharf_standin::platform::{Platform, PlatformFaults};
 use crocuswharf_standin::serve::Served;
+use reqwest::StatusCode;
 use serde_json::json;
 use sha2::{Digest, Sha256};
 
@@ -147,6 +148,10 @@
         let Ok(response) = http().get(url).send().await else {
             return BTreeSet::new();
         };
+        // A router that has not published its first directory refuses with this status.
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            return BTreeSet::new();
+        }
         let entries: DirectoryResponse = response.json().await.expect("the answer is a directory");
         entries.entries.iter().map(|entry| entry.address).collect()
     }
