--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -65,6 +65,8 @@
         body: Vec<u8>,
         /// Whether the body ended without an error.
         is_complete: bool,
+        /// Whether the router closes the connection after the response, as one that shuts down does.
+        closes: bool,
     },
     /// The connection could not be opened.
     NoConnection,
@@ -72,6 +74,21 @@
     NoAnswer(String),
 }
 
+impl Outcome {
+    /// Returns whether a router that shuts down refused the request, which the caller then sends to another router.
+    #[must_use]
+    pub const fn is_turned_away(&self) -> bool {
+        matches!(
+            self,
+            Self::Answer {
+                status: 503,
+                closes: true,
+                ..
+            }
+        )
+    }
+}
+
 /// A request that a caller sent, and its outcome.
 #[derive(Clone, Debug)]
 pub struct SentRequest {
@@ -122,11 +139,16 @@
             client = (Instant::now(), new_client());
         }
         tokio::time::sleep(REQUEST_INTERVAL).await;
-        let Some((router, address)) = pick_router(&shared, &mut rng) else {
+        let Some((router, address)) = pick_router(&shared, None, &mut rng) else {
             continue;
         };
         let sent = send_request(&shared, &client.1, (router, address), &mut rng).await;
+        let is_turned_away = sent.outcome.is_turned_away();
         lock(&shared.sent).push(sent);
+        if is_turned_away && let Some(other) = pick_router(&shared, Some(router), &mut rng) {
+            let sent = send_request(&shared, &client.1, other, &mut rng).await;
+            lock(&shared.sent).push(sent);
+        }
     }
 }
 
@@ -136,9 +158,18 @@
     builder.build().expect("the client options are valid")
 }
 
-fn pick_router(shared: &CallerState, rng: &mut impl Rng) -> Option<(usize, SocketAddr)> {
+/// Returns a random router other than `refused`; `None` if it does not run.
+fn pick_router(
+    shared: &CallerState,
+    refused: Option<usize>,
+    rng: &mut impl Rng,
+) -> Option<(usize, SocketAddr)> {
     let routers = lock(&shared.routers);
-    let index = rng.random_range(0..routers.len().max(1));
+    let count = routers.len().max(1);
+    let index = match refused {
+        Some(refused) => (refused + rng.random_range(1..count.max(2))) % count,
+        None => rng.random_range(0..count),
+    };
     Some((index, (*routers.get(index)?)?))
 }
 
@@ -196,6 +227,10 @@
         Err(error) if error.is_connect() => return Outcome::NoConnection,
         Err(error) => return Outcome::NoAnswer(format!("{error:?}")),
     };
+    let closes = answer
+        .headers()
+        .get("connection")
+        .is_some_and(|value| value == "close");
     let mut body = Vec::new();
     let is_complete = loop {
         match answer.chunk().await {
@@ -209,5 +244,6 @@
         signature: signature(&answer),
         body,
         is_complete,
+        closes,
     }
 }
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -132,6 +132,7 @@
         signature,
         body,
         is_complete,
+        ..
     } = &sent.outcome
     else {
         return None;
@@ -267,6 +268,10 @@
             if sent.key < first_valid_key || sent.outcome == Outcome::NoConnection {
                 continue;
             }
+            // The caller has sent it to another router, and that request counts.
+            if sent.outcome.is_turned_away() {
+                continue;
+            }
             share.owed += 1;
             let outcome = match &sent.outcome {
                 Outcome::Answer {
@@ -293,14 +298,13 @@
     }
 }
 
-/// Returns the ids of the requests in flight on `router` at `signal_at`, when it was told to shut down, that reached a
-/// replica but got no response. Streams that may not be resumed are left out.
+/// Returns the ids of the requests to `router` that ended after `signal_at`, when it was told to shut down, and that
+/// reached a replica but got no response. Streams that may not be resumed are left out.
 pub(crate) fn lost_requests(records: &Records, router: usize, signal_at: Instant) -> Vec<String> {
     let lost = records.sent.iter().filter(|sent| {
-        let was_in_flight =
-            sent.router == router && sent.at < signal_at && sent.ended_at > signal_at;
+        let ended_later = sent.router == router && sent.ended_at > signal_at;
         let is_lost = matches!(sent.outcome, Outcome::NoAnswer(_));
-        was_in_flight && is_lost && sent.kind != RequestKind::Stream
+        ended_later && is_lost && sent.kind != RequestKind::Stream
     });
     let was_forwarded =
         |sent: &&SentRequest| records.received.iter().any(|seen| seen.id() == sent.id);
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -16,6 +16,7 @@
         signature: (!signature.is_empty()).then(|| signature.to_owned()),
         body: body.into(),
         is_complete,
+        closes: false,
     }
 }
 
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -328,6 +328,7 @@
 
     fn handle_event(&mut self, event: Event) {
         let now = boot_time();
+        self.detect_store_restoration(now);
         match event {
             Event::Configuration(sent_at, result) => {
                 self.handle_configuration(sent_at, *result, now);
@@ -369,7 +370,7 @@
         for change in changes {
             match &change {
                 FleetChange::Ignored(id, reason) => {
-                    log::warn!("fleet: An entry names no replica. entry={id} reason=\"{reason}\"");
+                    log::warn!("fleet: An entry was ignored. entry={id} reason=\"{reason}\"");
                     continue;
                 }
                 FleetChange::Draining(id) => {
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -112,6 +112,14 @@
             } => self
                 .fleet
                 .record_weights(&replica, born_ms, &model, version),
+            Observation::Leaving { replica, born_ms } => {
+                let change = self.fleet.record_draining(&replica, born_ms);
+                if change.is_some() {
+                    let notice = ReplicaNotice::of_leaving(&replica, born_ms);
+                    self.peers.broadcast_notices(vec![notice], false);
+                }
+                change
+            }
             Observation::AddressReused { replica, born_ms } => {
                 self.fleet.record_draining(&replica, born_ms)
             }
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -13,6 +13,7 @@
 use crate::gateway::fleet::ReplicaEntry;
 use crate::gateway::list_watch::{ListWatchEvent, store_backoff, wait_until};
 use crate::gateway::loads::LoadMessage;
+use crate::gateway::revision::{StoreRevision, revision_era};
 use crate::gateway::route::{ModelName, RouteTable};
 use crate::gateway::shared::Shared;
 use crate::gateway::source::{
@@ -38,10 +39,12 @@
 /// The known state of the platform and its revisions.
 #[derive(Debug, Default)]
 pub(super) struct PlatformState {
-    pub(super) configuration_revision: u64,
+    /// The era of the store; `None` before any state is known.
+    pub(super) era: Option<u64>,
+    pub(super) configuration_revision: StoreRevision,
     pub(super) configuration: Bytes,
-    pub(super) replicas_as_of: u64,
-    pub(super) weights_as_of: u64,
+    pub(super) replicas_as_of: StoreRevision,
+    pub(super) weights_as_of: StoreRevision,
     pub(super) changes: ChangeLog,
     /// The number of consecutive failed reads of the configuration.
     pub(super) failed_reads: u32,
@@ -101,6 +104,36 @@
 }
 
 impl Control {
+    /// Detects that the store came back from an older copy, from its responses or from updates of other routers.
+    ///
+    /// What the copy lacks is written again by those who wrote it, except for leases. Until then, known state is kept:
+    /// the configuration and the named weights by the operator's own version numbers, and replicas as after an outage.
+    pub(super) fn detect_store_restoration(&mut self, now: Duration) {
+        if self.table.is_none() && !self.fleet.has_list() {
+            return;
+        }
+        let platform = &mut self.platform;
+        let revisions = [
+            platform.configuration_revision,
+            platform.replicas_as_of,
+            platform.weights_as_of,
+        ];
+        let eras = revisions.into_iter().map(revision_era);
+        let latest = eras.fold((self.store.era)(), u64::max);
+        let Some(known) = platform.era.replace(latest) else {
+            return;
+        };
+        if latest <= known {
+            platform.era = Some(known);
+            return;
+        }
+        log::warn!("store: The store came back from an older copy. era={latest} before={known}");
+        metrics::counter!("crocuswharf_gateway_store_restorations_total").increment(1);
+        platform.recovered_at = Some(now);
+        self.fleet.platform_recovered(now);
+        self.lease.store_restored(now);
+    }
+
     pub(super) fn handle_configuration(
         &mut self,
         sent_at: Duration,
@@ -131,7 +164,7 @@
     /// Applies a configuration, or the confirmation that there is no newer one; either was current at `confirmed_at`.
     pub(super) fn apply_configuration(
         &mut self,
-        revision: u64,
+        revision: StoreRevision,
         changed: Option<Bytes>,
         confirmed_at: Duration,
     ) {
@@ -155,6 +188,8 @@
             };
             let before = self.table.as_ref().map_or(0, |table| table.version());
             if configuration.version < before {
+                // The store may show it after a restoration; the operator then writes the newer one again. Until then,
+                // the known one is not confirmed: a later one may be lost.
                 let version = configuration.version;
                 log::error!("config: Rejected a configuration. version={version} known={before}");
                 return;
@@ -193,7 +228,7 @@
     pub(super) fn replace_replicas(
         &mut self,
         entries: Vec<ReplicaEntry>,
-        as_of: u64,
+        as_of: StoreRevision,
         now: Duration,
     ) {
         if as_of < self.platform.replicas_as_of {
@@ -209,7 +244,7 @@
     pub(super) fn change_replicas(
         &mut self,
         entries: Vec<ReplicaEntry>,
-        as_of: u64,
+        as_of: StoreRevision,
         now: Duration,
     ) {
         if as_of <= self.platform.replicas_as_of {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Request, Response, StatusCode, response};
 use http_body_util::BodyExt;
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::attempt::{AttemptEnd, NextStep, RetryState};
+use super::backpressure::Backpressure;
 use super::call::{Call, RETRY_AFTER_BUSY};
 use super::clock::boot_time;
 use super::headers::header_text;
@@ -43,7 +44,11 @@
 /// The fraction of the latency objective for which a request may wait for the prefill of its prefix.
 const PREFILL_WAIT_FRACTION: f64 = 0.8;
 /// The maximum size of a response that is buffered until it is complete; a longer one is streamed.
-const MAX_BUFFERED_BYTES: u64 = 256 << 10;
+const MAX_BUFFERED_BYTES: usize = 256 << 10;
+/// The maximum size of a refusal that is read in order to reuse its connection.
+const MAX_REFUSAL_BYTES: usize = 16 << 10;
+/// How long the rest of a refusal is read.
+const REFUSAL_READ_LIMIT: Duration = Duration::from_millis(20);
 
 /// A request and the state of its attempts.
 #[derive(Debug)]
@@ -87,6 +92,8 @@
 /// A response that is still being received.
 #[derive(Debug)]
 pub(crate) struct ReplicaStream {
+    /// The part of the body that was already received.
+    pub(crate) received: Bytes,
     /// The rest of the body.
     pub(crate) body: Incoming,
     /// The connection; it is closed if the response is not read to the end.
@@ -286,12 +293,13 @@
         if self.retry_state.runs > 0 {
             return LocalReply::bad_gateway("the replica's answer was lost");
         }
-        let reason = match reason {
-            NoReplica::NoneAccepting => "no replica takes requests",
-            NoReplica::NoneHealthy => "all replicas have failed",
-            NoReplica::ExpiredWeights => "no replica serves the named weights",
+        let (reason, retry_after) = match reason {
+            NoReplica::NoneAccepting => ("no replica takes requests", RETRY_AFTER_BUSY),
+            NoReplica::NoneHealthy => ("all replicas have failed", RETRY_AFTER_BUSY),
+            NoReplica::ExpiredWeights => ("no replica serves the named weights", RETRY_AFTER_BUSY),
+            NoReplica::Overloaded(backoff) => ("all replicas are overloaded", backoff),
         };
-        LocalReply::not_run(reason, RETRY_AFTER_BUSY)
+        LocalReply::not_run(reason, retry_after)
     }
 
     async fn attempt(&mut self, last_event: Option<&str>) -> Result<ReplicaResponse, AttemptError> {
@@ -343,6 +351,7 @@
         guard.response_started();
         let (head, body) = response.into_parts();
         let stream = ReplicaStream {
+            received: Bytes::new(),
             body,
             connection,
             guard,
@@ -418,7 +427,8 @@
                         slots: record.slots,
                         health: health.map_or(1.0, |health| health.weight(&record.id, now)),
                         weights: status.unwrap_or(WeightsStatus::Expired),
-                        is_accepting: replica.known.is_accepting(),
+                        is_accepting: replica.known.is_accepting() && !replica.load.is_leaving(),
+                        backoff: replica.load.backoff(now),
                         is_warm: prefix.holder == Some(replica.key),
                     }
                 })
@@ -546,6 +556,7 @@
                 "the response belongs to another request",
             ));
         }
+        self.observe_backpressure(&head, &replica);
         if head.status == StatusCode::MISDIRECTED_REQUEST
             || head.headers.contains_key(&header_names.not_run)
         {
@@ -567,13 +578,24 @@
             let body = ReplicaBody::Streaming(Box::new(stream));
             return Ok(ReplicaResponse { head, body });
         }
-        let body = tokio::time::timeout(self.call.remaining(), read_to_end(stream)).await;
+        let reading = read_to_end(stream, MAX_BUFFERED_BYTES);
+        let body = tokio::time::timeout(self.call.remaining(), reading).await;
         let response = match body {
-            Ok(Some(bytes)) => ReplicaResponse {
+            Ok(BufferedBody::Complete(bytes)) => ReplicaResponse {
                 head,
                 body: ReplicaBody::Full(bytes),
             },
-            Ok(None) => {
+            Ok(BufferedBody::TooLong(stream)) if !head.status.is_server_error() => {
+                let body = ReplicaBody::Streaming(stream);
+                return Ok(ReplicaResponse { head, body });
+            }
+            Ok(BufferedBody::TooLong(_)) => {
+                return Err(FailedAttempt::new(
+                    AttemptEnd::Broken,
+                    "the replica's error response is too long",
+                ));
+            }
+            Ok(BufferedBody::Broken) => {
                 return Err(FailedAttempt::new(
                     AttemptEnd::Broken,
                     "the answer broke off",
@@ -618,11 +640,9 @@
         }
         let reason = format!("refused with {}", head.status.as_u16());
         // The connection can be reused only if the rest of the refusal is read.
-        let limit = Duration::from_millis(20);
-        if tokio::time::timeout(limit, read_to_end(stream))
-            .await
-            .is_err()
-        {
+        let reading = read_to_end(stream, MAX_REFUSAL_BYTES);
+        let body = tokio::time::timeout(REFUSAL_READ_LIMIT, reading).await;
+        if !matches!(body, Ok(BufferedBody::Complete(_))) {
             log::debug!(
                 "request: The response of a refusal was not read to its end. id={}",
                 self.call.id_text()
@@ -631,6 +651,37 @@
         FailedAttempt::new(AttemptEnd::Refused, reason)
     }
 
+    /// Stops sending to the replica if its response asks for that, and reports a departure to the control thread.
+    fn observe_backpressure(&self, head: &response::Parts, replica: &Replica) {
+        // Another replica answers for an address that was assigned again.
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let asked =
+            Backpressure::of_response(head.status, &head.headers, &self.shared.header_names);
+        let record = &replica.known.record;
+        if let Some(time) = asked.retry_after {
+            replica.load.record_backoff(time);
+            log::debug!(
+                "request: The replica asked for a pause. id={} replica={} retry_after_ms={}",
+                self.call.id_text(),
+                record.id,
+                time.as_millis()
+            );
+        }
+        if asked.is_leaving && replica.load.record_leaving() {
+            log::info!(
+                "request: The replica says that it leaves. id={} replica={}",
+                self.call.id_text(),
+                record.id
+            );
+            self.shared.observe(Observation::Leaving {
+                replica: Arc::clone(&record.id),
+                born_ms: record.born_ms,
+            });
+        }
+    }
+
     /// Reports to the control thread if a response names newer weights than are known for the replica.
     fn observe_weights(&self, headers: &HeaderMap, replica: &Replica) {
         let Some(prompt) = &self.call.prompt else {
@@ -679,24 +730,44 @@
     }
 }
 
-/// Reads a response to its end and releases the connection; returns `None` if the response is truncated.
-async fn read_to_end(stream: ReplicaStream) -> Option<Bytes> {
-    let ReplicaStream {
-        body,
-        connection,
-        idle_timeout,
-        ..
-    } = stream;
-    let bytes = body.collect().await.ok()?.to_bytes();
-    connection.release(idle_timeout);
-    Some(bytes)
+/// The result of reading a response up to a limit.
+enum BufferedBody {
+    /// The complete body; the connection was released.
+    Complete(Bytes),
+    /// The body is longer than the limit; what was read is kept in the stream.
+    TooLong(Box<ReplicaStream>),
+    /// The body is truncated.
+    Broken,
+}
+
+/// Reads a response to its end, or until it exceeds `limit` bytes: a faulty replica may send bytes without end.
+async fn read_to_end(mut stream: ReplicaStream, limit: usize) -> BufferedBody {
+    let mut received = BytesMut::new();
+    loop {
+        match stream.body.frame().await {
+            Some(Ok(frame)) => {
+                if let Some(bytes) = frame.data_ref() {
+                    received.extend_from_slice(bytes);
+                }
+            }
+            Some(Err(_)) => return BufferedBody::Broken,
+            None => {
+                stream.connection.release(stream.idle_timeout);
+                return BufferedBody::Complete(received.freeze());
+            }
+        }
+        if received.len() > limit {
+            stream.received = received.freeze();
+            return BufferedBody::TooLong(Box::new(stream));
+        }
+    }
 }
 
 fn is_bufferable(body: &Incoming) -> bool {
     use hyper::body::Body;
     body.size_hint()
         .exact()
-        .is_none_or(|size| size <= MAX_BUFFERED_BYTES)
+        .is_none_or(|size| size <= MAX_BUFFERED_BYTES as u64)
 }
 
 /// Returns the keep-alive timeout announced by a replica; zero if it closes the connection.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,9 +1,10 @@
 //! The set of known replicas, built from the platform's list, notices of other routers and responses of the replicas.
 //!
 //! The list is delayed, its entries expire while the platform is unreachable, and it may contain entries that no
-//! replica wrote. A replica is therefore identified by its id and its start time, weights versions only increase within
-//! one incarnation, and an entry that disappears right after an outage is retained until the replica has had time to
-//! write it again. Rejected: polling each replica, because every call is charged per replica and router. See
+//! replica wrote. A replica is therefore identified by its id and its start time, entries are ordered by the revision at
+//! which the store accepted them, weights versions only increase within one incarnation, and an entry that disappears
+//! right after an outage is retained until the replica has had time to write it again. Start times are compared for
+//! equality only, because the clock of a restarted replica may have been set back. Rejected: polling each replica, because every call is charged per replica and router. See
 //! docs/design/gateway.md.
 
 use std::collections::BTreeMap;
@@ -13,6 +14,7 @@
 
 use smallvec::SmallVec;
 
+use super::revision::revision_era;
 use super::route::ModelName;
 use crate::id::{ReplicaId, ServiceName, WeightsVersion, ZoneName};
 
@@ -21,6 +23,11 @@
 /// How long a replica may stay in the loading phase before the list is trusted again; several times the longest
 /// specified load time.
 const LOADING_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long an incarnation that has departed is remembered; a store that comes back from an older copy lists it again.
+const DEPARTED_TTL: Duration = Duration::from_secs(60);
+/// How long the entry of a departed replica is withheld after a restoration of the store; without heartbeats it expires
+/// within three of their intervals and the grace period.
+const RESTORED_ENTRY_DELAY: Duration = Duration::from_secs(6);
 /// The maximum number of replicas; more than twice the target of docs/CAPACITY.md.
 const MAX_REPLICAS: usize = 4_096;
 
@@ -41,6 +48,8 @@
 pub struct ReplicaRecord {
     /// The id of the replica.
     pub id: ReplicaId,
+    /// The revision of the store at which the entry was written; orders the entries of one replica.
+    pub revision: u64,
     /// The start time, in milliseconds since the Unix epoch; distinguishes incarnations of the same id.
     pub born_ms: u64,
     /// The service that the replica belongs to.
@@ -113,6 +122,18 @@
     }
 }
 
+/// An incarnation that was removed or replaced by another one.
+#[derive(Clone, Debug)]
+struct DepartedReplica {
+    born_ms: u64,
+    was_draining: bool,
+    /// The era of the store in which it departed.
+    era: u64,
+    departed_at: Duration,
+    /// Its entry in a restored store, and when to trust it.
+    withheld: Option<(ReplicaRecord, Duration)>,
+}
+
 /// A change to the fleet, for logging and notices.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum FleetChange {
@@ -134,6 +155,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
     replicas: BTreeMap<ReplicaId, KnownReplica>,
+    /// The last incarnation of each id that has departed.
+    departed: BTreeMap<ReplicaId, DepartedReplica>,
+    /// The latest era of the store in which an entry was written.
+    era: u64,
     /// When the platform last recovered from an outage.
     recovered_at: Option<Duration>,
     has_list: bool,
@@ -196,7 +221,12 @@
     ) -> Option<FleetChange> {
         match entry {
             ReplicaEntry::Present(record) => self.upsert(record, now),
-            ReplicaEntry::Gone(id) => self.remove_missing(id, now),
+            ReplicaEntry::Gone(id) => {
+                if let Some(departed) = self.departed.get_mut(&id) {
+                    departed.withheld = None;
+                }
+                self.remove_missing(id, now)
+            }
             // A known replica is kept: it rewrites its own entry at the next heartbeat.
             ReplicaEntry::Malformed { id, reason } => Some(FleetChange::Ignored(id, reason)),
         }
@@ -247,13 +277,16 @@
     /// Removes replicas whose grace period is over and ends loading phases that timed out.
     pub(crate) fn expire(&mut self, now: Duration) -> Vec<FleetChange> {
         let mut changes = Vec::new();
-        self.replicas.retain(|id, known| {
-            let is_gone = known.remove_at.is_some_and(|at| now >= at);
-            if is_gone {
-                changes.push(FleetChange::Removed(Arc::clone(id)));
-            }
-            !is_gone
-        });
+        let is_due = |known: &KnownReplica| known.remove_at.is_some_and(|at| now >= at);
+        let due = self.replicas.iter().filter(|(_, known)| is_due(known));
+        let due: Vec<_> = due.map(|(id, _)| Arc::clone(id)).collect();
+        for id in due {
+            self.remove(&id, now);
+            changes.push(FleetChange::Removed(id));
+        }
+        changes.extend(self.admit_withheld(now));
+        self.departed
+            .retain(|_, departed| now < departed.departed_at + DEPARTED_TTL);
         for (id, known) in &mut self.replicas {
             if matches!(known.phase, ReplicaPhase::Loading(until) if now >= until) {
                 known.phase = ReplicaPhase::Serving;
@@ -263,6 +296,68 @@
         changes
     }
 
+    /// Adds the replicas whose entries are still in the store long after its restoration, and which therefore live.
+    fn admit_withheld(&mut self, now: Duration) -> Vec<FleetChange> {
+        let withheld = self
+            .departed
+            .values_mut()
+            .filter_map(|departed| departed.withheld.take_if(|(_, trust_at)| now >= *trust_at));
+        let records: Vec<_> = withheld.map(|(record, _)| record).collect();
+        for record in &records {
+            self.departed.remove(&record.id);
+        }
+        let admitted = records.into_iter();
+        admitted
+            .filter_map(|record| self.upsert(record, now))
+            .collect()
+    }
+
+    /// Removes a replica and remembers the incarnation.
+    fn remove(&mut self, id: &ReplicaId, now: Duration) {
+        if let Some(known) = self.replicas.remove(id) {
+            self.departed
+                .insert(Arc::clone(id), self.departure_of(&known, now));
+        }
+    }
+
+    fn departure_of(&self, known: &KnownReplica, now: Duration) -> DepartedReplica {
+        DepartedReplica {
+            born_ms: known.record.born_ms,
+            was_draining: known.phase == ReplicaPhase::Draining,
+            era: self.era,
+            departed_at: now,
+            withheld: None,
+        }
+    }
+
+    /// Returns the change to report for an entry of an incarnation that has departed and stays so; `None` if the entry
+    /// counts.
+    fn withhold(&mut self, record: &ReplicaRecord, now: Duration) -> Option<FleetChange> {
+        let departed = self.departed.get_mut(&record.id)?;
+        if departed.born_ms != record.born_ms {
+            return None;
+        }
+        let is_replaced = self
+            .replicas
+            .get(&record.id)
+            .is_some_and(|known| known.record.born_ms != record.born_ms);
+        let reason = if is_replaced {
+            "an earlier incarnation"
+        } else if departed.was_draining {
+            "the replica has left"
+        } else if revision_era(record.revision) > departed.era {
+            let trust_at = departed
+                .withheld
+                .as_ref()
+                .map_or(now + RESTORED_ENTRY_DELAY, |(_, trust_at)| *trust_at);
+            departed.withheld = Some((record.clone(), trust_at));
+            "the replica had departed before the store was restored"
+        } else {
+            return None;
+        };
+        Some(FleetChange::Ignored(Arc::clone(&record.id), reason.into()))
+    }
+
     fn incarnation_mut(&mut self, id: &str, born_ms: u64) -> Option<&mut KnownReplica> {
         let known = self.replicas.get_mut(id)?;
         (known.record.born_ms == born_ms).then_some(known)
@@ -270,6 +365,15 @@
 
     fn upsert(&mut self, mut record: ReplicaRecord, now: Duration) -> Option<FleetChange> {
         let id = Arc::clone(&record.id);
+        if let Some(ignored) = self.withhold(&record, now) {
+            return Some(ignored);
+        }
+        self.era = self.era.max(revision_era(record.revision));
+        // An incarnation whose entry had only expired is back.
+        let is_back = |departed: &DepartedReplica| departed.born_ms == record.born_ms;
+        if self.departed.get(&id).is_some_and(is_back) {
+            self.departed.remove(&id);
+        }
         let phase = match record.state {
             ReplicaState::Ready => ReplicaPhase::Serving,
             ReplicaState::Draining => ReplicaPhase::Draining,
@@ -277,7 +381,7 @@
         let known = self
             .replicas
             .get(&id)
-            .filter(|known| known.record.born_ms >= record.born_ms);
+            .filter(|known| known.record.born_ms == record.born_ms || is_older(&record, known));
         let Some(known) = known else {
             if self.replicas.len() >= MAX_REPLICAS && !self.replicas.contains_key(&id) {
                 return Some(FleetChange::Ignored(id, "too many replicas".into()));
@@ -287,11 +391,14 @@
                 phase,
                 remove_at: None,
             };
-            self.replicas.insert(Arc::clone(&id), added);
+            if let Some(replaced) = self.replicas.insert(Arc::clone(&id), added) {
+                let departure = self.departure_of(&replaced, now);
+                self.departed.insert(Arc::clone(&id), departure);
+            }
             return Some(FleetChange::Added(id));
         };
-        if known.record.born_ms > record.born_ms {
-            return Some(FleetChange::Ignored(id, "an earlier incarnation".into()));
+        if is_older(&record, known) {
+            return Some(FleetChange::Ignored(id, "an older entry".into()));
         }
         for (model, version) in &known.record.weights {
             raise_version(&mut record.weights, model, *version);
@@ -309,7 +416,8 @@
             phase,
             remove_at: None,
         };
-        if *known == updated {
+        if is_same_state(known, &updated) {
+            self.replicas.insert(id, updated);
             return None;
         }
         let starts_draining =
@@ -337,11 +445,23 @@
         if known.remove_at.is_some_and(|at| now < at) {
             return None;
         }
-        self.replicas.remove(&id);
+        self.remove(&id, now);
         Some(FleetChange::Removed(id))
     }
 }
 
+/// Returns whether the store accepted `record` before the entry that `known` is based on.
+fn is_older(record: &ReplicaRecord, known: &KnownReplica) -> bool {
+    record.revision < known.record.revision
+}
+
+/// Returns whether two states of a replica differ at most in the revision of the entry.
+fn is_same_state(before: &KnownReplica, after: &KnownReplica) -> bool {
+    let mut before = before.clone();
+    before.record.revision = after.record.revision;
+    before == *after
+}
+
 fn entry_id(entry: &ReplicaEntry) -> &ReplicaId {
     match entry {
         ReplicaEntry::Present(record) => &record.id,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -18,15 +18,17 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc, watch};
+use tokio_util::task::TaskTracker;
 
 use super::call::Call;
 use super::clock::boot_time;
 use super::dispatch::{Dispatch, ReplicaBody, ReplicaResponse};
 use super::headers::{connection_header_names, is_hop_by_hop};
+use super::open_requests::OpenRequest;
 use super::relay::{RELAY_BUFFER_LEN, relay};
 use super::response::{CallerResponse, LocalReply, NoError, ResponseBody};
 use super::route::CallerLimits;
-use super::shared::{OpenRequest, Shared};
+use super::shared::Shared;
 use super::upstream::set_liveness_options;
 use crate::error::{Error, ErrorKind};
 
@@ -37,22 +39,42 @@
 /// The minimum buffer size that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8_192;
 
-/// Serves callers on `listener` until `closing` becomes true.
+/// When a caller that connects to a router that shuts down may retry: at once, at another router.
+const RETRY_AFTER_LEAVING: Duration = Duration::from_millis(10);
+/// How long the rest of a request is read after the response is known.
+const DISCARD_LIMIT: Duration = Duration::from_millis(250);
+
+/// The listener for callers, with what a shutdown needs.
+#[derive(Debug)]
+pub(crate) struct CallerListener {
+    pub(crate) listener: TcpListener,
+    /// Tracks the tasks that serve connections.
+    pub(crate) connections: TaskTracker,
+    /// Becomes true when each connection closes after its current response, and a new one after its first.
+    pub(crate) closing: watch::Receiver<bool>,
+}
+
+/// Serves callers until the router closes.
 pub(crate) fn serve(
     runtime: &tokio::runtime::Handle,
-    listener: TcpListener,
+    callers: CallerListener,
     shared: Arc<Shared>,
-    closing: watch::Receiver<bool>,
 ) -> Result<(), Error> {
     let listener = {
         let _context = runtime.enter();
-        tokio::net::TcpListener::from_std(listener)
+        tokio::net::TcpListener::from_std(callers.listener)
             .map_err(|error| Error::new(ErrorKind::Io, format!("listener: {error}")))?
     };
     let descriptors = f64::from(shared.settings.vm.descriptors);
     let max_connections = (descriptors * CALLER_DESCRIPTORS_FRACTION) as usize;
     let permits = Arc::new(Semaphore::new(max_connections.max(1)));
-    runtime.spawn(accept(listener, shared, permits, closing));
+    runtime.spawn(accept(
+        listener,
+        shared,
+        permits,
+        callers.connections,
+        callers.closing,
+    ));
     Ok(())
 }
 
@@ -60,6 +82,7 @@
     listener: tokio::net::TcpListener,
     shared: Arc<Shared>,
     permits: Arc<Semaphore>,
+    connections: TaskTracker,
     closing: watch::Receiver<bool>,
 ) {
     loop {
@@ -75,7 +98,7 @@
             }
         };
         let (shared, closing) = (Arc::clone(&shared), closing.clone());
-        tokio::spawn(async move {
+        connections.spawn(async move {
             let _permit = permit;
             serve_connection(stream, shared, closing).await;
         });
@@ -96,7 +119,10 @@
         let shared = Arc::clone(&shared);
         async move { Ok::<_, NoError>(handle(shared, request).await) }
     });
+    // A connection that is closed before its first response loses a request that is on its way.
+    let is_closing = *closing.borrow_and_update();
     let connection = http1::Builder::new()
+        .keep_alive(!is_closing)
         .timer(TokioTimer::new())
         // Also closes connections without a request, which may stay idle for as long as the configuration allows.
         .header_read_timeout(limits.idle_timeout)
@@ -106,7 +132,7 @@
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => Some(result),
-        () = wait_for_closing(&mut closing) => None,
+        () = wait_for_closing(&mut closing), if !is_closing => None,
     };
     let result = match result {
         Some(result) => result,
@@ -134,11 +160,12 @@
 }
 
 async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> CallerResponse {
-    let open = shared.begin_request();
-    let mut response = match respond(&shared, request, open).await {
+    let open = shared.open_requests.begin();
+    let mut response = match respond(&shared, request, &open).await {
         Ok(response) => response,
         Err(reply) => reply.into_response(),
     };
+    response.body_mut().keep_open(open);
     if shared.is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -149,18 +176,26 @@
 async fn respond(
     shared: &Arc<Shared>,
     request: Request<Incoming>,
-    open: OpenRequest,
+    open: &OpenRequest,
 ) -> Result<CallerResponse, LocalReply> {
     let arrived_at = boot_time();
     let (head, body) = request.into_parts();
+    if shared.refuses_requests() {
+        let reply = LocalReply::not_run("the router is shutting down", RETRY_AFTER_LEAVING);
+        shared.log_local_reply("-", "-", &reply);
+        discard_body(shared, body).await;
+        return Err(reply);
+    }
     let snapshot = shared.snapshot.load_full();
     let mut call = match Call::from_head(shared, &snapshot, head, arrived_at) {
         Ok(call) => call,
         Err(reply) => {
             shared.log_local_reply("-", "-", &reply);
+            discard_body(shared, body).await;
             return Err(reply);
         }
     };
+    open.set_id(call.id_text());
     call.body = read_body(shared, body, &call).await?;
     let mut dispatch = Dispatch::new(Arc::clone(shared), call);
     let response = match dispatch.next_response(None).await {
@@ -171,7 +206,26 @@
             return Err(reply);
         }
     };
-    Ok(forward_response(dispatch, response, open))
+    open.set_responding(dispatch.last_attempt().0);
+    Ok(forward_response(dispatch, response))
+}
+
+/// Reads the rest of a request that is answered without it: closing a connection with unread bytes resets it, and the
+/// caller may then lose the response.
+async fn discard_body(shared: &Shared, mut body: Incoming) {
+    let limit = limits(shared).body_bytes;
+    let read_all = async {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > limit {
+                return;
+            }
+        }
+    };
+    if tokio::time::timeout(DISCARD_LIMIT, read_all).await.is_err() {
+        log::debug!("front: A rejected request was not read to its end.");
+    }
 }
 
 /// Reads the whole body of a request, so that a replica that responds early and reads on afterwards still receives all
@@ -197,11 +251,7 @@
 }
 
 /// Builds the caller's response from the replica's, unchanged except for hop-by-hop headers.
-fn forward_response(
-    dispatch: Dispatch,
-    response: ReplicaResponse,
-    open: OpenRequest,
-) -> CallerResponse {
+fn forward_response(dispatch: Dispatch, response: ReplicaResponse) -> CallerResponse {
     let ReplicaResponse { mut head, body } = response;
     let per_connection = connection_header_names(&head.headers);
     let names: Vec<_> = head.headers.keys().cloned().collect();
@@ -220,12 +270,12 @@
                 "failed"
             };
             dispatch.shared.log_completion(&dispatch, status, outcome);
-            ResponseBody::Full(Some(bytes))
+            ResponseBody::full(bytes)
         }
         ReplicaBody::Streaming(stream) => {
             let (chunks, received) = mpsc::channel(RELAY_BUFFER_LEN);
-            tokio::spawn(relay(dispatch, stream, chunks, open));
-            ResponseBody::Stream(received)
+            tokio::spawn(relay(dispatch, stream, chunks));
+            ResponseBody::stream(received)
         }
     };
     Response::from_parts(head, body)
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -26,6 +26,8 @@
     pub weights: HeaderName,
     /// Marks the response of a replica that did not run the request.
     pub not_run: HeaderName,
+    /// Says in any response of a replica that the replica is leaving.
+    pub leaving: HeaderName,
     /// The replica's signature, which proves that it produced the response.
     pub signature: HeaderName,
     /// The model that a request is for.
--- /dev/null
+++ b/src/gateway/limited_stream.rs
@@ -0,0 +1,106 @@
+//! Limits the bytes that a replica may send before the head of its response is complete.
+//!
+//! hyper limits the size of one head, but not the number of interim responses (1xx) before it, and it parses all that a
+//! replica sends before it returns to the scheduler. A faulty replica could therefore occupy a traffic thread until the
+//! deadline.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The number of bytes that may still be received, shared between a connection and its user.
+#[derive(Clone, Debug)]
+pub(crate) struct ReadAllowance(Arc<AtomicUsize>);
+
+/// A connection that fails once more bytes arrive than its allowance permits.
+#[derive(Debug)]
+pub(crate) struct LimitedStream {
+    stream: TcpStream,
+    allowance: ReadAllowance,
+}
+
+impl ReadAllowance {
+    /// Creates an unlimited allowance.
+    pub(crate) fn unlimited() -> Self {
+        Self(Arc::new(AtomicUsize::new(usize::MAX)))
+    }
+
+    /// Permits `bytes` from now on.
+    pub(crate) fn set(&self, bytes: usize) {
+        self.0.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Subtracts received bytes; returns whether they were permitted.
+    fn subtract(&self, bytes: usize) -> bool {
+        let subtract = |left: usize| {
+            if left == usize::MAX {
+                return Some(left);
+            }
+            left.checked_sub(bytes)
+        };
+        let updated = self
+            .0
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract);
+        updated.is_ok()
+    }
+}
+
+impl LimitedStream {
+    /// Limits `stream` to an allowance that its user may change at any time.
+    pub(crate) const fn new(stream: TcpStream, allowance: ReadAllowance) -> Self {
+        Self { stream, allowance }
+    }
+}
+
+impl AsyncRead for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if self.allowance.subtract(buffer.filled().len() - before) {
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Ready(Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            "too many bytes before the head of a response",
+        )))
+    }
+}
+
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/gateway/list_watch.rs
+++ b/src/gateway/list_watch.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::watch;
 
+use super::revision::{StoreRevision, revision_era};
 use super::store::{ListPage, StoreFault, WatchPage};
 use crate::store::Backoff;
 
@@ -33,9 +34,9 @@
 #[derive(Debug)]
 pub(crate) enum ListWatchEvent<T> {
     /// The complete list as of a revision of the store.
-    Listed(Vec<T>, u64),
+    Listed(Vec<T>, StoreRevision),
     /// Changed entries up to a revision of the store.
-    Changed(Vec<T>, u64),
+    Changed(Vec<T>, StoreRevision),
     /// The store became unreachable.
     Disconnected(StoreFault),
     /// The store responds again after this many failures.
@@ -44,7 +45,7 @@
 
 impl<T> ListWatchEvent<T> {
     /// Returns the number of entries and the revision that they are current as of.
-    fn count_and_revision(&self) -> (usize, u64) {
+    fn count_and_revision(&self) -> (usize, StoreRevision) {
         match self {
             Self::Listed(entries, as_of) | Self::Changed(entries, as_of) => (entries.len(), *as_of),
             Self::Disconnected(_) | Self::Recovered(_) => (0, 0),
@@ -56,7 +57,7 @@
 /// that returned changes.
 pub(crate) async fn list_and_watch<T, L, W>(
     list: impl Fn(Option<Arc<str>>) -> L,
-    watch: impl Fn((u64, Duration)) -> W,
+    watch: impl Fn((StoreRevision, Duration)) -> W,
     pause: Duration,
     mut is_active: watch::Receiver<bool>,
     on_event: impl Fn(ListWatchEvent<T>),
@@ -64,7 +65,7 @@
     L: Future<Output = Result<ListPage<T>, StoreFault>>,
     W: Future<Output = Result<WatchPage<T>, StoreFault>>,
 {
-    let mut known: Option<u64> = None;
+    let mut known: Option<StoreRevision> = None;
     let mut backoff = store_backoff();
     loop {
         if !wait_until(&mut is_active, true).await {
@@ -112,8 +113,8 @@
 
 async fn next_event<T, L, W>(
     list: impl Fn(Option<Arc<str>>) -> L,
-    watch: impl Fn((u64, Duration)) -> W,
-    known: Option<u64>,
+    watch: impl Fn((StoreRevision, Duration)) -> W,
+    known: Option<StoreRevision>,
 ) -> Result<ListWatchEvent<T>, StoreFault>
 where
     L: Future<Output = Result<ListPage<T>, StoreFault>>,
@@ -124,12 +125,15 @@
         return Ok(ListWatchEvent::Listed(entries, as_of));
     };
     let page = watch((known, WATCH_TIMEOUT)).await?;
+    if revision_era(page.as_of) != revision_era(known) {
+        return Err(StoreFault::HistoryGone);
+    }
     Ok(ListWatchEvent::Changed(page.entries, page.as_of.max(known)))
 }
 
 async fn read_all_pages<T, L>(
     list: impl Fn(Option<Arc<str>>) -> L,
-) -> Result<(Vec<T>, u64), StoreFault>
+) -> Result<(Vec<T>, StoreRevision), StoreFault>
 where
     L: Future<Output = Result<ListPage<T>, StoreFault>>,
 {
@@ -141,6 +145,9 @@
         let page = list(after).await?;
         entries.extend(page.entries);
         let first = *as_of.get_or_insert(page.as_of);
+        if revision_era(page.as_of) != revision_era(first) {
+            return Err(StoreFault::HistoryGone);
+        }
         after = page.next;
         if after.is_none() {
             return Ok((entries, first));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,11 +13,13 @@
 
 use tokio::runtime::Runtime;
 use tokio::sync::{mpsc, watch};
+use tokio_util::task::TaskTracker;
 
 use crate::error::{Error, ErrorKind};
 use crate::listener::bind_listener;
 
 mod attempt;
+mod backpressure;
 mod call;
 mod clock;
 mod control;
@@ -27,9 +29,12 @@
 mod freshness;
 mod front;
 mod headers;
+mod leaving;
+mod limited_stream;
 mod list_watch;
 mod loads;
 mod notice;
+mod open_requests;
 mod peers;
 mod placement;
 mod prefill;
@@ -37,6 +42,7 @@
 mod relay;
 mod request_log;
 mod response;
+mod revision;
 mod route;
 mod settings;
 mod shared;
@@ -52,6 +58,7 @@
 pub use self::control::{OrderCall, ReplicaCall, ReplicaCalls, ReportCall};
 pub use self::fleet::{LoadedWeights, ReplicaEntry, ReplicaRecord, ReplicaState};
 pub use self::headers::HeaderNames;
+pub use self::revision::{StoreRevision, revision_era, revision_number, store_revision};
 pub use self::route::{
     CallKind, CallerLimits, EngineTraits, GatewayAccount, GatewayConfiguration, GatewayService,
     KvStoreTraits, ModelName, Route, WeightedService,
@@ -64,19 +71,15 @@
 pub use self::weights::{LoadTarget, OrderReply, WeightsReport};
 
 use self::control::{ControlParts, Event};
+use self::leaving::{LeavePhase, LeaveSchedule};
 use self::shared::Shared;
 
 /// The capacity of the queue of observations from traffic threads to the control thread.
 const OBSERVATION_QUEUE_LEN: usize = 1_024;
 /// How often a process that is shutting down checks for open requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Some callers cache a directory response for up to three times its lifetime.
-const MAX_DIRECTORY_LIVES: u32 = 3;
-/// The fraction of the grace period after which connections are closed; callers with old directory responses are served
-/// for as long as possible.
-const SERVE_FRACTION_OF_GRACE: f64 = 0.65;
-/// The fraction of the grace period after which the process exits even with open requests.
-const END_FRACTION_OF_GRACE: f64 = 0.94;
+/// The maximum number of requests that are named when a shutdown cuts them.
+const MAX_LOGGED_CUTS: usize = 50;
 
 /// The parts of the gateway that an adapter provides.
 #[derive(Debug)]
@@ -105,6 +108,8 @@
     shared: Arc<Shared>,
     events: mpsc::Sender<Event>,
     closing: watch::Sender<bool>,
+    /// The tasks that serve callers' connections.
+    connections: TaskTracker,
     traffic: Runtime,
 }
 
@@ -145,7 +150,13 @@
         })?;
         shared.set_control(events.clone());
         let (closing, closed) = watch::channel(false);
-        front::serve(traffic.handle(), callers, Arc::clone(&shared), closed)?;
+        let connections = TaskTracker::new();
+        let listener = front::CallerListener {
+            listener: callers,
+            connections: connections.clone(),
+            closing: closed,
+        };
+        front::serve(traffic.handle(), listener, Arc::clone(&shared))?;
         let settings = &shared.settings;
         log::info!(
             "gateway: Started. router={} zone={} callers={} version={}",
@@ -159,6 +170,7 @@
             shared,
             events,
             closing,
+            connections,
             traffic,
         })
     }
@@ -196,33 +208,50 @@
         }
     }
 
-    /// Shuts down gracefully: leaves the directory at once, keeps serving callers with old directory responses, then
-    /// closes each connection after its current request.
+    /// Shuts down gracefully: leaves the directory at once, keeps serving callers with old directory responses, refuses
+    /// later requests as not run, and closes the connections when all is answered and nothing more arrives.
     ///
-    /// Returns the number of requests that were still open at the end of the grace period.
+    /// Returns the number of requests that were cut at the end of the grace period.
     pub async fn leave(&self) -> usize {
         let bounds = self.shared.bounds();
-        let begun = clock::boot_time();
-        log::info!(
-            "gateway: Leaving. open_requests={}",
-            self.shared.open_requests()
-        );
-        self.shared.leave();
+        let life = Duration::from_millis(bounds.directory_life_ms);
+        let schedule = LeaveSchedule::new(clock::boot_time(), bounds.grace(), life);
+        let schedule = self.shared.leave(schedule);
+        let requests = &self.shared.open_requests;
+        let (open, _) = requests.count_and_last_arrival();
+        log::info!("gateway: Leaving. open_requests={open}");
         if self.events.send(Event::Leave).await.is_err() {
             log::error!("gateway: The control thread has ended.");
         }
-        let life = Duration::from_millis(bounds.directory_life_ms);
-        let serve =
-            (life * MAX_DIRECTORY_LIVES).min(bounds.grace().mul_f64(SERVE_FRACTION_OF_GRACE));
-        tokio::time::sleep(serve).await;
-        self.closing.send_replace(true);
-        let end_at = begun + bounds.grace().mul_f64(END_FRACTION_OF_GRACE);
-        while self.shared.open_requests() > 0 && clock::boot_time() < end_at {
+        let mut phase = LeavePhase::Serving;
+        while phase != LeavePhase::Closing {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+            let (open, last_arrival) = requests.count_and_last_arrival();
+            let next = schedule.phase(clock::boot_time(), open, last_arrival);
+            if next != phase {
+                log::info!("gateway: Shutdown proceeds. phase={next:?} open_requests={open}");
+                phase = next;
+            }
+        }
+        self.closing.send_replace(true);
+        self.connections.close();
+        let flushed = tokio::time::timeout(schedule.flush_limit(), self.connections.wait()).await;
+        let cut = requests.records();
+        for record in cut.iter().take(MAX_LOGGED_CUTS) {
+            log::warn!(
+                "gateway: The shutdown cuts a request. id={} replica={} is_responding={}",
+                record.id,
+                record.replica,
+                record.is_responding
+            );
         }
-        let open = self.shared.open_requests();
-        log::info!("gateway: Stopped. open_requests={open}");
-        open
+        log::info!(
+            "gateway: Stopped. cut_requests={} open_connections={} flushed={}",
+            cut.len(),
+            self.connections.len(),
+            flushed.is_ok()
+        );
+        cut.len()
     }
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -119,6 +119,8 @@
     pub weights: WeightsStatus,
     /// Whether the replica accepts new requests.
     pub is_accepting: bool,
+    /// How long the replica still wants no requests of this router; zero if it takes them.
+    pub backoff: Duration,
     /// Whether the replica rejected a request from any router recently.
     pub is_refusing: bool,
     /// Whether the replica is known to have the prefix cached.
@@ -145,6 +147,8 @@
     NoneHealthy,
     /// All remaining replicas serve weights that are too old.
     ExpiredWeights,
+    /// The remaining replicas want no requests; the first one takes them again after this time.
+    Overloaded(Duration),
 }
 
 /// Selects one of `candidates`, skipping those in `tried`, and returns its index.
@@ -164,6 +168,7 @@
     let home = warm.or_else(|| home_index(request, candidates));
     let mut best: Option<(f64, usize)> = None;
     let mut reason = NoReplica::NoneAccepting;
+    let mut least_backoff: Option<Duration> = None;
     for (index, candidate) in candidates.iter().enumerate() {
         if !candidate.is_accepting || tried.contains(candidate.id) {
             continue;
@@ -172,6 +177,12 @@
             reason = NoReplica::ExpiredWeights;
             continue;
         }
+        if !candidate.backoff.is_zero() {
+            let least =
+                least_backoff.map_or(candidate.backoff, |least| least.min(candidate.backoff));
+            least_backoff = Some(least);
+            continue;
+        }
         if candidate.health <= 0.0 {
             reason = NoReplica::NoneHealthy;
             continue;
@@ -182,7 +193,8 @@
             best = Some((cost, index));
         }
     }
-    best.map(|(_, index)| index).ok_or(reason)
+    best.map(|(_, index)| index)
+        .ok_or_else(|| least_backoff.map_or(reason, NoReplica::Overloaded))
 }
 
 fn cost_of(request: &PlacementRequest, candidate: &Candidate<'_>, is_home: bool) -> f64 {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,7 +14,6 @@
 use super::dispatch::{Dispatch, ReplicaBody, ReplicaStream};
 use super::events::EventSplitter;
 use super::response::TruncatedBody;
-use super::shared::OpenRequest;
 
 /// The number of chunks buffered for a slow caller; beyond that, the replica's connection is not read.
 pub(crate) const RELAY_BUFFER_LEN: usize = 16;
@@ -40,9 +39,7 @@
     mut dispatch: Dispatch,
     mut stream: Box<ReplicaStream>,
     chunks: mpsc::Sender<Result<Bytes, TruncatedBody>>,
-    open: OpenRequest,
 ) {
-    let _open = open;
     let kind = dispatch.call.route.kind;
     let mut splitter = (kind.is_stream() && kind.is_retryable()).then(EventSplitter::default);
     let end = loop {
@@ -95,6 +92,7 @@
     mut splitter: Option<&mut EventSplitter>,
 ) -> RelayEnd {
     let ReplicaStream {
+        received,
         mut body,
         connection,
         guard,
@@ -102,6 +100,10 @@
         idle_timeout,
     } = stream;
     let _guard = guard;
+    // Only responses that are forwarded as they arrive have been received in part.
+    if !received.is_empty() && chunks.send(Ok(received)).await.is_err() {
+        return RelayEnd::CallerLeft;
+    }
     loop {
         let time_left = (dispatch.call.deadline + DEADLINE_SLACK).saturating_sub(boot_time());
         let wait = if splitter.is_some() {
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -11,6 +11,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::open_requests::OpenRequest;
+
 /// The error of a response body that ended early; the connection to the caller is closed without the final chunk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct TruncatedBody;
@@ -25,13 +27,41 @@
 
 /// The body of a response to a caller.
 #[derive(Debug)]
-pub(crate) enum ResponseBody {
-    /// A complete body.
+pub(crate) struct ResponseBody {
+    content: Content,
+    /// Keeps the request open until the connection has taken the whole body.
+    open: Option<OpenRequest>,
+}
+
+#[derive(Debug)]
+enum Content {
     Full(Option<Bytes>),
-    /// A body that is streamed in chunks.
     Stream(mpsc::Receiver<Result<Bytes, TruncatedBody>>),
 }
 
+impl ResponseBody {
+    /// Creates a complete body.
+    pub(crate) fn full(bytes: impl Into<Bytes>) -> Self {
+        Self {
+            content: Content::Full(Some(bytes.into())),
+            open: None,
+        }
+    }
+
+    /// Creates a body that is streamed in chunks.
+    pub(crate) const fn stream(chunks: mpsc::Receiver<Result<Bytes, TruncatedBody>>) -> Self {
+        Self {
+            content: Content::Stream(chunks),
+            open: None,
+        }
+    }
+
+    /// Keeps `open` until the connection has taken the whole body or is closed.
+    pub(crate) fn keep_open(&mut self, open: OpenRequest) {
+        self.open = Some(open);
+    }
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = TruncatedBody;
@@ -40,22 +70,24 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
-        match self.get_mut() {
-            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(chunks) => chunks
+        match &mut self.get_mut().content {
+            Content::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Content::Stream(chunks) => chunks
                 .poll_recv(context)
                 .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Full(None))
+        matches!(self.content, Content::Full(None))
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Stream(_) => SizeHint::default(),
+        match &self.content {
+            Content::Full(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+            }
+            Content::Stream(_) => SizeHint::default(),
         }
     }
 }
@@ -108,7 +140,7 @@
     /// Converts this into an HTTP response.
     pub(crate) fn into_response(self) -> CallerResponse {
         let body = format!("{{\"error\":\"{}\"}}", self.reason);
-        let mut response = Response::new(ResponseBody::Full(Some(body.into())));
+        let mut response = Response::new(ResponseBody::full(body));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
         headers.insert(
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -18,7 +18,9 @@
 use super::fleet::KnownReplica;
 use super::freshness::{Freshness, FreshnessBounds};
 use super::headers::HeaderNames;
+use super::leaving::LeaveSchedule;
 use super::loads::{LoadMap, LoadSample, ReplicaKey};
+use super::open_requests::OpenRequests;
 use super::placement::WeightsBounds;
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
 use super::route::{ModelName, RouteTable};
@@ -59,6 +61,10 @@
     prefill_tokens: AtomicU64,
     last_response_ms: AtomicU64,
     last_refusal_ms: AtomicU64,
+    /// Until when the replica wants no requests of this router.
+    backoff_until_ms: AtomicU64,
+    /// Whether a response said that the replica is leaving.
+    is_leaving: AtomicBool,
     /// The weights version named in a response, and when it was received.
     named_version: AtomicU64,
     named_at_ms: AtomicU64,
@@ -122,6 +128,13 @@
         /// The replica.
         replica: ReplicaId,
     },
+    /// A response said that the replica is leaving.
+    Leaving {
+        /// The replica.
+        replica: ReplicaId,
+        /// The start time of the replica, in milliseconds since the Unix epoch.
+        born_ms: u64,
+    },
     /// The address now belongs to another replica.
     AddressReused {
         /// The replica that was expected.
@@ -142,8 +155,10 @@
     /// The routing state.
     pub(crate) snapshot: ArcSwap<Snapshot>,
     confirmed_ms: AtomicU64,
-    is_leaving: AtomicBool,
-    open_requests: AtomicUsize,
+    /// Set when the process begins to shut down.
+    leave_schedule: OnceLock<LeaveSchedule>,
+    /// The requests of callers that have not been answered in full.
+    pub(crate) open_requests: Arc<OpenRequests>,
     health: Mutex<HashMap<ServiceName, Ejection>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     others_load: ArcSwap<LoadMap>,
@@ -159,10 +174,6 @@
     prefill_tokens: u64,
 }
 
-/// Counts one open request of this router until it is dropped.
-#[derive(Debug)]
-pub(crate) struct OpenRequest(Arc<Shared>);
-
 impl ReplicaLoad {
     /// Counts a request with `tokens` prompt tokens that the replica still has to prefill.
     pub(crate) fn begin(self: &Arc<Self>, tokens: u32) -> LoadGuard {
@@ -191,6 +202,28 @@
         self.last_refusal_ms.store(now_ms(), Ordering::Relaxed);
     }
 
+    /// Records that the replica wants no requests of this router for `time`; an earlier longer delay is kept.
+    pub(crate) fn record_backoff(&self, time: Duration) {
+        let until_ms = millis(boot_time() + time);
+        self.backoff_until_ms.fetch_max(until_ms, Ordering::Relaxed);
+    }
+
+    /// Returns for how long after `now` the replica wants no requests of this router; zero if it takes them.
+    pub(crate) fn backoff(&self, now: Duration) -> Duration {
+        let until = Duration::from_millis(self.backoff_until_ms.load(Ordering::Relaxed));
+        until.saturating_sub(now)
+    }
+
+    /// Records that a response said that the replica is leaving; returns whether this is the first one.
+    pub(crate) fn record_leaving(&self) -> bool {
+        !self.is_leaving.swap(true, Ordering::Relaxed)
+    }
+
+    /// Returns whether a response said that the replica is leaving.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
     /// Records that a response named newer weights than were known.
     pub(crate) fn record_version(&self, version: WeightsVersion) {
         self.named_version.fetch_max(version, Ordering::Relaxed);
@@ -244,12 +277,6 @@
     }
 }
 
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 impl Shared {
     /// Creates the initial state of a router that has no configuration.
     pub(crate) fn new(
@@ -263,8 +290,8 @@
             header_names,
             snapshot: ArcSwap::default(),
             confirmed_ms: AtomicU64::new(0),
-            is_leaving: AtomicBool::new(false),
-            open_requests: AtomicUsize::new(0),
+            leave_schedule: OnceLock::new(),
+            open_requests: Arc::default(),
             health: Mutex::default(),
             budgets: Mutex::default(),
             others_load: ArcSwap::default(),
@@ -314,21 +341,10 @@
         *before != bounds
     }
 
-    /// Counts a request as open until the returned guard is dropped.
-    pub(crate) fn begin_request(self: &Arc<Self>) -> OpenRequest {
-        self.open_requests.fetch_add(1, Ordering::Relaxed);
-        OpenRequest(Arc::clone(self))
-    }
-
-    /// Returns the number of open requests.
-    pub(crate) fn open_requests(&self) -> usize {
-        self.open_requests.load(Ordering::Relaxed)
-    }
-
     /// Records that the configuration was current when a call was sent at `sent_at`.
     pub(crate) fn confirm(&self, sent_at: Duration) {
-        let sent_ms = u64::try_from(sent_at.as_millis()).unwrap_or(u64::MAX);
-        self.confirmed_ms.fetch_max(sent_ms, Ordering::Relaxed);
+        self.confirmed_ms
+            .fetch_max(millis(sent_at), Ordering::Relaxed);
     }
 
     /// Returns when the configuration was last known to be current.
@@ -351,14 +367,20 @@
         has_state && !self.is_leaving() && self.freshness(boot_time()).is_ready
     }
 
-    /// Records that the process is shutting down.
-    pub(crate) fn leave(&self) {
-        self.is_leaving.store(true, Ordering::Relaxed);
+    /// Begins to shut down; returns the schedule, which is that of the first call.
+    pub(crate) fn leave(&self, schedule: LeaveSchedule) -> LeaveSchedule {
+        *self.leave_schedule.get_or_init(|| schedule)
     }
 
     /// Returns whether the process is shutting down.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Relaxed)
+        self.leave_schedule.get().is_some()
+    }
+
+    /// Returns whether new requests are refused because the process is shutting down.
+    pub(crate) fn refuses_requests(&self) -> bool {
+        let schedule = self.leave_schedule.get();
+        schedule.is_some_and(|schedule| schedule.refuses_at(boot_time()))
     }
 
     /// Returns the bounds on the age of weights that requests may start on.
@@ -460,7 +482,11 @@
 }
 
 fn now_ms() -> u64 {
-    u64::try_from(boot_time().as_millis()).unwrap_or(u64::MAX)
+    millis(boot_time())
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 
 use super::fleet::ReplicaEntry;
+use super::revision::StoreRevision;
 use super::route::{GatewayConfiguration, ModelName};
 use crate::id::WeightsVersion;
 use crate::rollout::LeaseRecord;
@@ -58,7 +59,7 @@
     /// The token of the next page, if there is one.
     pub next: Option<Arc<str>>,
     /// The revision of the store as of this page.
-    pub as_of: u64,
+    pub as_of: StoreRevision,
 }
 
 /// The result of a watch.
@@ -66,15 +67,15 @@
 pub struct WatchPage<T> {
     /// The changed entries, oldest first.
     pub entries: Vec<T>,
-    /// The revision to start the next watch from.
-    pub as_of: u64,
+    /// The revision to start the next watch from, in the era of the watched one.
+    pub as_of: StoreRevision,
 }
 
 /// The result of reading the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigurationRead {
     /// The revision of the object.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The configuration as stored by the platform; `None` if its revision is the known one.
     pub changed: Option<Bytes>,
 }
@@ -90,21 +91,24 @@
 
 /// The calls to the platform's store.
 pub struct PlatformStore {
+    /// Returns the latest era that any response of the store has named; 0 before the first response.
+    pub era: Box<dyn Fn() -> u64 + Send + Sync>,
     /// Reads the configuration, given the known revision; returns `None` if there is no configuration yet.
-    pub read_configuration: StoreCall<u64, Option<ConfigurationRead>>,
+    pub read_configuration: StoreCall<StoreRevision, Option<ConfigurationRead>>,
     /// Decodes a configuration as stored by the platform.
     pub decode_configuration: ConfigurationDecoder,
     /// Lists the replicas from a page token.
     pub list_replicas: StoreCall<Option<Arc<str>>, ListPage<ReplicaEntry>>,
-    /// Watches the replicas from a revision, for at most the given duration.
-    pub watch_replicas: StoreCall<(u64, Duration), WatchPage<ReplicaEntry>>,
+    /// Watches the replicas from a revision, for at most the given duration; a revision of an earlier era has no
+    /// history.
+    pub watch_replicas: StoreCall<(StoreRevision, Duration), WatchPage<ReplicaEntry>>,
     /// Lists the named weights from a page token.
     pub list_weights: StoreCall<Option<Arc<str>>, ListPage<NamedWeights>>,
-    /// Watches the named weights from a revision, for at most the given duration.
-    pub watch_weights: StoreCall<(u64, Duration), WatchPage<NamedWeights>>,
-    /// Reads the lease for orders to replicas.
+    /// Watches the named weights like [`PlatformStore::watch_replicas`].
+    pub watch_weights: StoreCall<(StoreRevision, Duration), WatchPage<NamedWeights>>,
+    /// Reads the lease for orders to replicas, with the [`StoreRevision`] of its last write as its version.
     pub read_lease: StoreCall<(), Option<(ObjectVersion, LeaseRecord)>>,
-    /// Writes the lease for orders to replicas.
+    /// Writes the lease for orders to replicas. A write conditional on a version of an earlier era is not sent.
     pub write_lease: Box<dyn Fn(LeaseRecord, PutCondition) -> CallFuture<PutOutcome> + Send + Sync>,
 }
 
--- a/src/gateway/tests/fleet.rs
+++ b/src/gateway/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 use super::{ms, record};
 use crate::gateway::fleet::{Fleet, FleetChange, ReplicaEntry, ReplicaPhase, ReplicaState};
+use crate::gateway::revision::store_revision;
 
 fn fleet_of(records: &[(&str, u64, u64)]) -> Fleet {
     let mut fleet = Fleet::default();
@@ -69,6 +70,35 @@
     assert!(fleet.get("forged").is_none());
 }
 
+#[test]
+fn apply_entry_restart_with_clock_set_back_is_a_new_incarnation() {
+    let mut fleet = fleet_of(&[("a", 50, 1)]);
+    let mut draining = record("a", 50, 1);
+    draining.revision = 4;
+    draining.state = ReplicaState::Draining;
+    fleet.apply_entry(ReplicaEntry::Present(draining), ms(10));
+    let mut restarted = record("a", 20, 1);
+    restarted.revision = 5;
+    let change = fleet.apply_entry(ReplicaEntry::Present(restarted), ms(20));
+    assert_eq!(change, Some(FleetChange::Added("a".into())));
+    assert!(fleet.get("a").is_some_and(|known| known.is_accepting()));
+    assert_eq!(
+        fleet.record_draining("a", 20),
+        Some(FleetChange::Draining("a".into()))
+    );
+}
+
+#[test]
+fn apply_entry_older_than_the_known_one_is_ignored() {
+    let mut fleet = Fleet::default();
+    for (revision, born_ms) in [(7, 20), (6, 50)] {
+        let mut entry = record("a", born_ms, 1);
+        entry.revision = revision;
+        fleet.apply_entry(ReplicaEntry::Present(entry), ms(revision));
+    }
+    assert_eq!(fleet.get("a").map(|known| known.record.born_ms), Some(20));
+}
+
 #[test]
 fn record_weights_never_goes_back_within_an_incarnation() {
     let mut fleet = fleet_of(&[("a", 1, 1)]);
@@ -106,3 +136,45 @@
     let phase = fleet.get("a").map(|known| known.phase);
     assert_eq!(phase, Some(ReplicaPhase::Serving));
 }
+
+/// A departed replica keeps serving for a while; a copy of the store that lists it again must not bring it back.
+#[test]
+fn apply_list_restored_store_does_not_bring_back_departed_replicas() {
+    let mut fleet = Fleet::default();
+    let entry = |id: &str, born, era, number| {
+        let mut record = record(id, born, 1);
+        record.revision = store_revision(era, number);
+        ReplicaEntry::Present(record)
+    };
+    fleet.apply_list(vec![entry("left", 1, 0, 5), entry("gone", 1, 0, 6)], ms(0));
+    fleet.record_draining("left", 1);
+    fleet.apply_entry(ReplicaEntry::Gone("left".into()), ms(100));
+    fleet.apply_entry(ReplicaEntry::Gone("gone".into()), ms(100));
+    fleet.platform_recovered(ms(200));
+    fleet.apply_list(
+        vec![entry("left", 1, 1, 5), entry("gone", 1, 1, 6)],
+        ms(200),
+    );
+    assert_eq!(fleet.replicas().count(), 0);
+    // An entry without heartbeats expires; one that stays belongs to a replica that lives.
+    fleet.expire(ms(6_100));
+    assert_eq!(fleet.replicas().count(), 0);
+    assert_eq!(fleet.expire(ms(6_300)), [FleetChange::Added("gone".into())]);
+}
+
+#[test]
+fn apply_list_restored_store_keeps_the_newer_incarnation() {
+    let mut fleet = Fleet::default();
+    let mut entry = record("a", 1, 1);
+    entry.revision = store_revision(0, 5);
+    fleet.apply_entry(ReplicaEntry::Present(entry.clone()), ms(0));
+    entry.born_ms = 9;
+    entry.revision = store_revision(0, 6);
+    fleet.apply_entry(ReplicaEntry::Present(entry.clone()), ms(10));
+    fleet.record_draining("a", 9);
+    entry.born_ms = 1;
+    entry.revision = store_revision(1, 5);
+    fleet.apply_list(vec![ReplicaEntry::Present(entry)], ms(20));
+    let known = fleet.get("a").expect("the replica is known");
+    assert_eq!((known.record.born_ms, known.is_accepting()), (9, false));
+}
--- a/src/gateway/tests/lease.rs
+++ b/src/gateway/tests/lease.rs
@@ -6,6 +6,7 @@
 
 use super::ms;
 use crate::gateway::control::lease_timing;
+use crate::gateway::revision::store_revision;
 use crate::gateway::settings::GatewayBounds;
 use crate::rollout::{Lease, LeaseAction, LeaseEvent, LeaseRecord};
 use crate::store::{PutCondition, PutOutcome};
@@ -97,3 +98,49 @@
     object.advance(&mut lease, 0, later);
     assert!(lease.fencing_number(later).is_some());
 }
+
+/// The first router's renewal is lost with the restoration; the second must not acquire the lease from the older record
+/// before the first one's has expired, and fencing numbers rise.
+#[test]
+fn next_store_restored_has_one_holder_and_rising_numbers() {
+    let timing = lease_timing(&GatewayBounds::default());
+    let mut object = LeaseObject::default();
+    let mut first = Lease::with_timing("first".into(), 1, timing);
+    let mut second = Lease::with_timing("second".into(), 1, timing);
+    object.advance(&mut first, 0, ms(0));
+    object.advance(&mut second, 1, ms(10));
+    let copy = (object.version, object.record.clone());
+    let renewed_at = timing.renewal_interval + ms(20);
+    object.advance(&mut first, 0, renewed_at);
+    let numbers_before = object.version;
+    assert!(first.is_held(renewed_at) && numbers_before > copy.0);
+    let held_until = renewed_at + timing.duration;
+    // The copy shows the first version again; the second router learns of the restoration first.
+    object.version = store_revision(1, copy.0);
+    object.record = copy.1;
+    let restored_at = renewed_at + ms(5);
+    second.store_restored(restored_at);
+    let mut now = restored_at;
+    while !second.is_held(now) {
+        object.advance(&mut second, 1, now);
+        now += ms(10);
+        assert!(now < held_until * 3, "the lease is acquired again");
+    }
+    assert!(now >= held_until, "{now:?} {held_until:?}");
+    assert!(object.version > numbers_before);
+}
+
+#[test]
+fn next_write_answered_after_restoration_does_not_acquire() {
+    let timing = lease_timing(&GatewayBounds::default());
+    let mut lease = Lease::with_timing("first".into(), 1, timing);
+    assert_eq!(
+        lease.next(LeaseEvent::Tick, 0, ms(0)),
+        Some(LeaseAction::Read)
+    );
+    let action = lease.next(LeaseEvent::Read(Some(None)), 0, ms(5));
+    assert!(matches!(action, Some(LeaseAction::Write(..))), "{action:?}");
+    lease.store_restored(ms(8));
+    lease.next(LeaseEvent::Written(PutOutcome::Stored(3)), 0, ms(10));
+    assert!(!lease.is_held(ms(10)));
+}
--- a/src/gateway/tests/list_watch.rs
+++ b/src/gateway/tests/list_watch.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::list_watch::{ListWatchEvent, list_and_watch};
+use crate::gateway::revision::store_revision;
 use crate::gateway::store::{ListPage, StoreFault, WatchPage};
 
 type ListResult = Result<ListPage<u32>, StoreFault>;
@@ -95,3 +96,27 @@
         ["list [1] 7", "list [2] 30"]
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn list_and_watch_later_era_lists_again() {
+    let events = events_of(
+        vec![page(&[1], None, 5), page(&[2], None, store_revision(1, 3))],
+        // The store gave out revision 6 again after it was restored.
+        vec![changes(&[9], store_revision(1, 6))],
+    )
+    .await;
+    assert_eq!(events.len(), 2, "{events:?}");
+    assert!(events[1].contains("[2]"), "{events:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn list_and_watch_era_changes_between_pages_lists_again() {
+    let lists = vec![
+        page(&[1], Some("1"), 5),
+        page(&[2], None, store_revision(1, 3)),
+        page(&[1, 2], None, store_revision(1, 4)),
+    ];
+    let events = events_of(lists, Vec::new()).await;
+    assert_eq!(events.len(), 1, "{events:?}");
+    assert!(events[0].contains("[1, 2]"), "{events:?}");
+}
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,15 +1,18 @@
 //! Tests of the gateway's decisions, which need no network and no clock.
 
 mod attempt;
+mod backpressure;
 mod events;
 mod fleet;
 mod freshness;
 mod lease;
+mod leaving;
 mod list_watch;
 mod loads;
 mod placement;
 mod prefill;
 mod prompt;
+mod revision;
 mod route;
 mod settings;
 mod source;
@@ -31,6 +34,7 @@
 pub(crate) fn record(id: &str, born_ms: u64, version: u64) -> ReplicaRecord {
     ReplicaRecord {
         id: id.into(),
+        revision: 0,
         born_ms,
         service: "assistant".into(),
         address: ([127, 0, 0, 1], 9_000).into(),
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -43,6 +43,7 @@
             health: 1.0,
             weights: WeightsStatus::Current,
             is_accepting: true,
+            backoff: ms(0),
             is_refusing: false,
             is_warm: false,
         })
@@ -180,3 +181,19 @@
         WeightsStatus::Current
     );
 }
+
+#[test]
+fn choose_overloaded_replicas_are_skipped_until_their_delay_is_over() {
+    let ids = ids(3);
+    let mut candidates = candidates(&ids);
+    candidates[0].backoff = ms(700);
+    candidates[1].backoff = ms(300);
+    for _ in 0..50 {
+        assert_eq!(choose(&PLAIN, &candidates, &[], &mut rng(1)), Ok(2));
+    }
+    candidates[2].backoff = ms(500);
+    assert_eq!(
+        choose(&PLAIN, &candidates, &[], &mut rng(1)),
+        Err(NoReplica::Overloaded(ms(300)))
+    );
+}
--- a/src/gateway/tests/prompt.rs
+++ b/src/gateway/tests/prompt.rs
@@ -11,6 +11,7 @@
 pub(crate) fn header_names() -> HeaderNames {
     let name = HeaderName::from_static;
     HeaderNames {
+        leaving: name("x-leaving"),
         request_id: name("x-id"),
         deadline_ms: name("x-deadline"),
         caller_key: name("x-key"),
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -101,6 +101,9 @@
     /// The weights that the replica serves.
     #[prost(message, repeated, tag = "9")]
     pub(crate) weights: Vec<WeightsUpdate>,
+    /// The revision of the store at which the entry was written.
+    #[prost(uint64, tag = "10")]
+    pub(crate) revision: u64,
 }
 
 /// The wire format of a version of a model's weights.
@@ -137,6 +140,7 @@
         Self {
             id: record.id.to_string(),
             is_gone: false,
+            revision: record.revision,
             born_ms: record.born_ms,
             service: record.service.to_string(),
             address: encode_address(record.address),
@@ -166,6 +170,7 @@
         let weights = self.weights.into_iter();
         ReplicaEntry::Present(ReplicaRecord {
             id,
+            revision: self.revision,
             born_ms: self.born_ms,
             service: self.service.into(),
             address,
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -22,6 +22,7 @@
 use tokio::task::AbortHandle;
 
 use super::clock::boot_time;
+use super::limited_stream::{LimitedStream, ReadAllowance};
 
 /// The timeout for opening a connection; the specified latency is 1 ms for a link and 1 ms for the handshake of a
 /// replica.
@@ -38,6 +39,14 @@
 /// The number of unacknowledged probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// The maximum size of the head of a response, and of what is read at once of its body; a replica that sends a longer
+/// head is not answering.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// The maximum number of bytes before the head of a response is complete: interim responses, the head itself and what
+/// is read of the body with it.
+const MAX_BYTES_TO_HEAD: usize = 256 << 10;
+
 /// The body of a request to a replica.
 pub(crate) type RequestBody = Full<Bytes>;
 
@@ -61,6 +70,7 @@
 #[derive(Debug)]
 pub(crate) struct ReplicaConnection {
     sender: SendRequest<RequestBody>,
+    allowance: ReadAllowance,
     driver: AbortHandle,
     pool: Arc<ReplicaPool>,
 }
@@ -153,7 +163,10 @@
             Err(_) => return Err(unsent(&"connection timed out")),
         };
         set_liveness_options(&stream).map_err(|error| unsent(&error))?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let allowance = ReadAllowance::unlimited();
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(LimitedStream::new(stream, allowance.clone())));
         let (sender, connection) = handshake.await.map_err(|error| unsent(&error))?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -164,6 +177,7 @@
         self.open.fetch_add(1, Ordering::Relaxed);
         Ok(ReplicaConnection {
             sender,
+            allowance,
             driver: driver.abort_handle(),
             pool: Arc::clone(self),
         })
@@ -176,7 +190,10 @@
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendFailure> {
-        match self.sender.try_send_request(request).await {
+        self.allowance.set(MAX_BYTES_TO_HEAD);
+        let result = self.sender.try_send_request(request).await;
+        self.allowance.set(usize::MAX);
+        match result {
             Ok(response) => Ok(response),
             Err(mut failure) => {
                 let is_unsent = failure.take_message().is_some();
--- a/src/rollout/lease.rs
+++ b/src/rollout/lease.rs
@@ -97,6 +97,8 @@
     pending: Option<PendingWrite>,
     is_call_pending: bool,
     next_call_at: Duration,
+    /// Before this time the lease is not acquired: another router may hold one that the store has lost.
+    acquire_after: Duration,
     highest_version: ObjectVersion,
 }
 
@@ -145,6 +147,7 @@
             pending: None,
             is_call_pending: false,
             next_call_at: Duration::ZERO,
+            acquire_after: Duration::ZERO,
             highest_version: 0,
         }
     }
@@ -182,6 +185,18 @@
         }
     }
 
+    /// Gives up the lease and all observations after the store came back from an older copy.
+    ///
+    /// The copy may show a record that was replaced since, or none, while the router that replaced it still holds its
+    /// lease. No router acquires the lease until any such lease has expired.
+    pub(crate) fn store_restored(&mut self, now: Duration) {
+        self.held = None;
+        self.pending = None;
+        self.observed = None;
+        self.acquire_after = now + self.timing.duration + self.timing.drift_margin;
+        self.next_call_at = now;
+    }
+
     fn drop_expired(&mut self, now: Duration) {
         if self.held.is_some_and(|held| now >= held.valid_until) {
             self.held = None;
@@ -232,7 +247,11 @@
             duration: Duration::ZERO,
             first_seen_at: now,
         });
-        if now < observed.first_seen_at + self.timing.rank_delay * rank {
+        let acquire_at = self
+            .acquire_after
+            .max(observed.first_seen_at + self.timing.rank_delay * rank);
+        if now < acquire_at {
+            self.next_call_at = self.next_call_at.min(acquire_at);
             return None;
         }
         self.is_call_pending = true;
@@ -261,6 +280,10 @@
         if self.held.is_some() {
             return None;
         }
+        if now < self.acquire_after {
+            self.next_call_at = self.next_call_at.min(self.acquire_after);
+            return None;
+        }
         self.is_call_pending = true;
         Some(self.write(PutCondition::Version(version), now))
     }
@@ -286,6 +309,7 @@
             + observed.duration
             + self.timing.drift_margin
             + self.timing.rank_delay * rank;
+        let expires_at = expires_at.max(self.acquire_after);
         if now < expires_at {
             self.next_call_at = self.next_call_at.min(expires_at);
             return None;
@@ -314,10 +338,11 @@
         self.is_call_pending = false;
         match outcome {
             PutOutcome::Stored(version) => {
-                let pending = self
-                    .pending
-                    .take()
-                    .expect("each completed write was recorded");
+                // A write that was sent before the store was restored from a copy proves nothing.
+                let Some(pending) = self.pending.take() else {
+                    self.next_call_at = now;
+                    return;
+                };
                 self.next_call_at = now + self.timing.renewal_interval;
                 self.set_held(version, pending.sent_at, now);
             }
