Keep a silent stream unless another replica can resume it

Change: relay.rs asks Dispatch::may_leave_silent first: the replica has answered nothing else meanwhile, the request may run again, another replica can take it and the budget pays for it. Otherwise the stream is kept.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -245,6 +245,26 @@
         step == NextStep::Resend
     }
 
+    /// Returns whether a stream whose replica is silent since `silent_since` should be resumed at another replica, and
+    /// charges the resumption to the retry budget if so.
+    ///
+    /// Silence alone is no failure: a busy replica may have preempted the request. The stream is given up only if the
+    /// replica responds to no other request either, and if another replica can take it.
+    pub(crate) fn may_leave_silent(&mut self, replica: &Replica, silent_since: Duration) -> bool {
+        if replica.load.has_responded_since(silent_since) {
+            return false;
+        }
+        let mut next_state = self.retry_state;
+        let step = next_state.attempt_ended(AttemptEnd::Broken, self.call.remaining());
+        let snapshot = self.shared.snapshot.load_full();
+        let has_other = self.place(&snapshot, PrefixState::default()).is_ok();
+        if step != NextStep::Resend || !has_other || !self.withdraw_retry() {
+            return false;
+        }
+        self.retry_state = next_state;
+        true
+    }
+
     /// Charges a resend to the retry budget; returns the fallback step if the budget is exhausted.
     fn charge_resend(&mut self, step: NextStep, end: AttemptEnd) -> NextStep {
         if step != NextStep::Resend || self.withdraw_retry() {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,15 +19,17 @@
 pub(crate) const RELAY_BUFFER_LEN: usize = 16;
 /// How long after the deadline a replica may take to end its response itself.
 const DEADLINE_SLACK: Duration = Duration::from_millis(200);
-/// How long a resumable stream may be silent before it is resumed at another replica.
+/// How long a resumable stream may be silent before another replica may resume it.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
 /// How relaying the response of one replica ended.
 enum RelayEnd {
     /// The response is complete.
     Complete,
-    /// The connection to the replica broke or was silent for too long.
+    /// The connection to the replica broke.
     Broken,
+    /// The replica was silent for too long, and another one may resume the stream.
+    Silent,
     /// The deadline has passed.
     Late,
     /// The caller has disconnected.
@@ -43,15 +45,17 @@
     let kind = dispatch.call.route.kind;
     let mut splitter = (kind.is_stream() && kind.is_retryable()).then(EventSplitter::default);
     let end = loop {
-        let end = relay_stream(&dispatch, *stream, &chunks, splitter.as_mut()).await;
-        let RelayEnd::Broken = end else {
+        let end = relay_stream(&mut dispatch, *stream, &chunks, splitter.as_mut()).await;
+        let is_silent = matches!(end, RelayEnd::Silent);
+        if !is_silent && !matches!(end, RelayEnd::Broken) {
             break end;
-        };
+        }
         let Some(splitter) = &mut splitter else {
             break end;
         };
         splitter.drop_partial();
-        if !dispatch.may_resume() {
+        // The resumption of a silent stream was permitted before the stream was given up.
+        if !is_silent && !dispatch.may_resume() {
             break end;
         }
         let last_event = splitter.last_id().map(ToString::to_string);
@@ -74,19 +78,19 @@
     };
     let outcome = match end {
         RelayEnd::Complete => "complete",
-        RelayEnd::Broken => "broken_off",
+        RelayEnd::Broken | RelayEnd::Silent => "broken_off",
         RelayEnd::Late => "late",
         RelayEnd::CallerLeft => "caller_left",
     };
     dispatch.shared.log_completion(&dispatch, 200, outcome);
-    if matches!(end, RelayEnd::Broken | RelayEnd::Late) {
+    if matches!(end, RelayEnd::Broken | RelayEnd::Silent | RelayEnd::Late) {
         // The caller may have disconnected in the meantime and then needs no error.
         let _ = chunks.send(Err(TruncatedBody)).await;
     }
 }
 
 async fn relay_stream(
-    dispatch: &Dispatch,
+    dispatch: &mut Dispatch,
     stream: ReplicaStream,
     chunks: &mpsc::Sender<Result<Bytes, TruncatedBody>>,
     mut splitter: Option<&mut EventSplitter>,
@@ -129,9 +133,13 @@
                 return RelayEnd::Broken;
             }
             Err(_) if wait == time_left => return RelayEnd::Late,
+            // The stream is kept if no other replica may resume it.
+            Err(_) if !dispatch.may_leave_silent(&replica, boot_time().saturating_sub(wait)) => {
+                continue;
+            }
             Err(_) => {
                 dispatch.shared.record_outcome(&replica, 1, boot_time());
-                return RelayEnd::Broken;
+                return RelayEnd::Silent;
             }
         };
         let bytes = match &mut splitter {
