Divide the retry reserve by the largest recent number of routers, and start with an empty budget

Cause: a router that starts, or that is cut off, knows few others and took up to the whole slack of the fleet as its reserve, full from its first request on. That this is the whole cause is not proven. Change: fleet_size.rs remembers the largest number of routers for 30 s; budgets are divided by it and begin empty.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -14,6 +14,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::gateway::clock::boot_time;
 use crate::gateway::fleet::{Fleet, FleetChange, KnownReplica, ReplicaEntry, ReplicaPhase};
+use crate::gateway::fleet_size::FleetSize;
 use crate::gateway::list_watch::{ListWatchEvent, list_and_watch};
 use crate::gateway::loads::{PeerLoads, replica_key};
 use crate::gateway::notice::ReplicaNotice;
@@ -193,6 +194,7 @@
     events: mpsc::Sender<Event>,
     table: Option<Arc<RouteTable>>,
     fleet: Fleet,
+    fleet_size: FleetSize,
     named: BTreeMap<ModelName, Vec<(WeightsVersion, Duration)>>,
     lease: Lease,
     rollout: WeightsRollout,
@@ -239,6 +241,7 @@
             events,
             table: None,
             fleet: Fleet::default(),
+            fleet_size: FleetSize::default(),
             named: BTreeMap::new(),
             lease,
             rollout: WeightsRollout::default(),
@@ -413,6 +416,7 @@
             named: self.named.clone(),
             entries: self.peers.entries(),
             routers,
+            budget_routers: self.fleet_size.observe(routers, boot_time()),
             has_replicas: self.fleet.has_list(),
             ..Snapshot::default()
         };
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -280,7 +280,7 @@
 
     /// Withdraws a retry from the budget of the service; returns whether one was available.
     fn withdraw_retry(&self) -> bool {
-        let routers = self.shared.snapshot.load().routers;
+        let routers = self.shared.snapshot.load().budget_routers;
         self.shared.withdraw_retry(&self.call.service, routers)
     }
 
@@ -351,7 +351,7 @@
         let request = self.request_to(&snapshot, &replica, last_event, now);
         if self.sends == 0 {
             self.shared
-                .record_first_send(&self.call.service, snapshot.routers);
+                .record_first_send(&self.call.service, snapshot.budget_routers);
         }
         self.sends += 1;
         // Later attempts use other replicas, whatever the outcome of this one.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod dispatch;
 mod events;
 mod fleet;
+mod fleet_size;
 mod freshness;
 mod front;
 mod headers;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -105,6 +105,8 @@
     pub(crate) entries: Vec<EntryPoint>,
     /// The number of routers, including this one.
     pub(crate) routers: usize,
+    /// The number of routers that share the retry budget ([`super::fleet_size`]).
+    pub(crate) budget_routers: usize,
     /// Whether the complete list of replicas has been read.
     pub(crate) has_replicas: bool,
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -4,6 +4,7 @@
 mod backpressure;
 mod events;
 mod fleet;
+mod fleet_size;
 mod freshness;
 mod lease;
 mod leaving;
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -82,12 +82,14 @@
         }
     }
 
-    /// Creates a budget of `ratio` extra attempts per request, with an initial balance and a maximum of `reserve`.
+    /// Creates an empty budget of `ratio` extra attempts per request, with a maximum of `reserve`.
+    ///
+    /// It is empty because a process that has just started may not know yet how many others share the reserve.
     #[must_use]
     pub fn with_reserve(ratio: f64, reserve: f64) -> Self {
         Self {
             ratio,
-            balance: reserve,
+            balance: 0.0,
             max_balance: reserve,
         }
     }
