Wait for routers that have no state yet at a start instead of querying the store

Cause: at the start of 195 routers those that query the store have no state yet when the others ask them first. Change: in its first 2.5 s a router that gets a reply without state asks the next such router after 200 ms. Later, and where none replies, it queries the store as before, so that departures are known in time.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -248,7 +248,7 @@
             last_holder: None,
             last_report_requests: HashMap::new(),
             replica_states: HashMap::new(),
-            source: SourceSelector::default(),
+            source: SourceSelector::new(boot_time()),
             current_source: UpdateSource::Platform,
             platform: PlatformState::default(),
             pending_updates: Vec::new(),
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -321,15 +321,21 @@
         let is_fresh = |update: &PlatformUpdate| {
             is_current(Duration::from_millis(update.confirmed_age_ms), interval)
         };
+        let has_replied = update.is_some();
         let Some(update) = update.filter(|update| !update.is_unavailable && is_fresh(update))
         else {
             log::info!(
-                "source: No update from another router. source={:?}",
+                "source: No update from another router. source={:?} replied={has_replied}",
                 self.current_source
             );
-            self.source.failed(now);
+            if has_replied {
+                self.source.had_no_state(now);
+            } else {
+                self.source.failed(now);
+            }
             return;
         };
+        self.source.succeeded();
         if let Some(age_ms) = update.recovered_age_ms {
             let at = now.saturating_sub(Duration::from_millis(age_ms));
             if self
@@ -505,6 +511,7 @@
         set_flag(&self.watches_lists, is_direct && is_reachable);
         if let UpdateSource::Router(router) = &self.current_source
             && !self.is_update_pending
+            && self.source.may_ask(now)
         {
             self.is_update_pending = true;
             let request = UpdateRequest {
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -17,6 +17,11 @@
 const ROUTERS_PER_WATCHER: usize = 16;
 /// How long a router queries the platform directly after another router failed to provide an update.
 const DIRECT_DURATION: Duration = Duration::from_secs(3);
+/// How long after its start a router waits for routers that have no state yet instead of querying the platform; shorter
+/// than the time after which the users expect a restarted VM to meet the bounds.
+const START_PHASE: Duration = Duration::from_millis(2_500);
+/// The pause before another router is asked after one had no state yet.
+const NOT_READY_PAUSE: Duration = Duration::from_millis(200);
 /// The maximum interval between reads of the configuration, which also limits how long revoked keys work.
 const MAX_CONFIGURATION_INTERVAL: Duration = Duration::from_millis(1_500);
 /// How long a request for updates waits at another router; the load figures of other routers get as old as this.
@@ -48,12 +53,29 @@
 }
 
 /// Selects the source of updates.
-#[derive(Debug, Default)]
+///
+/// Load pattern handled: all routers start at once. Those that query the platform have no state yet when the others ask
+/// them first; if each of the others then queried the platform, their number would decide the load of the store.
+#[derive(Debug)]
 pub(crate) struct SourceSelector {
+    started_at: Duration,
     direct_until: Duration,
+    ask_after: Duration,
+    /// The number of consecutive replies without state; each selects the next router.
+    not_ready: usize,
 }
 
 impl SourceSelector {
+    /// Creates the selector of a router that starts at `now`.
+    pub(crate) const fn new(now: Duration) -> Self {
+        Self {
+            started_at: now,
+            direct_until: Duration::ZERO,
+            ask_after: Duration::ZERO,
+            not_ready: 0,
+        }
+    }
+
     /// Selects among the routers of this zone that are believed to be alive, including this one.
     pub(crate) fn choose(&self, own: &RouterId, zone: &[&RouterId], now: Duration) -> UpdateSource {
         if now < self.direct_until {
@@ -63,12 +85,34 @@
         if watchers.is_empty() || watchers.contains(&own) {
             return UpdateSource::Platform;
         }
-        let index = xxh3_64_with_seed(own.as_bytes(), 1) as usize % watchers.len();
+        let hash = xxh3_64_with_seed(own.as_bytes(), 1) as usize;
+        let index = hash.wrapping_add(self.not_ready) % watchers.len();
         UpdateSource::Router(watchers[index].clone())
     }
 
-    /// Records that another router had no update or was unreachable.
+    /// Returns whether another router may be asked at `now`.
+    pub(crate) fn may_ask(&self, now: Duration) -> bool {
+        now >= self.ask_after
+    }
+
+    /// Records that another router sent an update.
+    pub(crate) const fn succeeded(&mut self) {
+        self.not_ready = 0;
+    }
+
+    /// Records that another router responded that it has no current state.
+    pub(crate) fn had_no_state(&mut self, now: Duration) {
+        if now >= self.started_at + START_PHASE {
+            self.failed(now);
+            return;
+        }
+        self.not_ready += 1;
+        self.ask_after = now + NOT_READY_PAUSE;
+    }
+
+    /// Records that another router was unreachable.
     pub(crate) fn failed(&mut self, now: Duration) {
+        self.not_ready = 0;
         self.direct_until = now + DIRECT_DURATION;
     }
 }
--- a/src/gateway/tests/source.rs
+++ b/src/gateway/tests/source.rs
@@ -20,7 +20,7 @@
 
 /// Returns the routers of a zone that query the platform directly.
 fn watchers_in(zone: &[RouterId]) -> HashSet<RouterId> {
-    let selector = SourceSelector::default();
+    let selector = SourceSelector::new(ms(0));
     let names: Vec<&RouterId> = zone.iter().collect();
     let is_watcher =
         |own: &&RouterId| selector.choose(own, &names, ms(5_000)) == UpdateSource::Platform;
@@ -41,7 +41,7 @@
     let names: Vec<&RouterId> = zone.iter().collect();
     for own in &zone {
         if let UpdateSource::Router(router) =
-            SourceSelector::default().choose(own, &names, ms(5_000))
+            SourceSelector::new(ms(0)).choose(own, &names, ms(5_000))
         {
             assert!(watchers.contains(&router));
         }
@@ -57,7 +57,7 @@
         .iter()
         .find(|router| !watchers.contains(*router))
         .unwrap();
-    let mut selector = SourceSelector::default();
+    let mut selector = SourceSelector::new(ms(0));
     selector.failed(ms(5_000));
     assert_eq!(
         selector.choose(own, &names, ms(6_000)),
@@ -158,3 +158,31 @@
         "a slow store alone must not make the source unusable"
     );
 }
+
+/// Replays the start of 39 routers of a zone: those that follow others wait for them, and ask each of them in turn.
+#[test]
+fn had_no_state_at_start_asks_the_next_router() {
+    let zone = routers(39);
+    let watchers = watchers_in(&zone);
+    let names: Vec<&RouterId> = zone.iter().collect();
+    let followers = zone.iter().filter(|router| !watchers.contains(*router));
+    for own in followers {
+        let mut selector = SourceSelector::new(ms(0));
+        let mut asked = HashSet::new();
+        for now in [100, 300, 500] {
+            let UpdateSource::Router(router) = selector.choose(own, &names, ms(now)) else {
+                panic!("{own} queries the platform at its start");
+            };
+            asked.insert(router);
+            selector.had_no_state(ms(now));
+            assert!(!selector.may_ask(ms(now + 199)) && selector.may_ask(ms(now + 200)));
+        }
+        assert_eq!(asked, watchers);
+        // Later, a router without current state is no reason to wait.
+        selector.had_no_state(ms(2_600));
+        assert_eq!(
+            selector.choose(own, &names, ms(2_600)),
+            UpdateSource::Platform
+        );
+    }
+}
