Count restorations of the store and what replicas ask for

Cause: the new decisions left no trace on the metrics address, and the catalogue's test failed for the counter that lacked an entry. Change: crocuswharf_gateway_replica_signals_total by signal, crocuswharf_gateway_store_restorations_total, both in the catalogue. Conclusion: an operator sees how often the store came back older, and how many replicas ask for a pause.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -682,6 +682,7 @@
         let record = &replica.known.record;
         if let Some(time) = asked.retry_after {
             replica.load.record_backoff(time);
+            record_signal("retry_after");
             log::debug!(
                 "request: The replica asked for a pause. id={} replica={} retry_after_ms={}",
                 self.call.id_text(),
@@ -690,6 +691,7 @@
             );
         }
         if asked.is_leaving && replica.load.record_leaving() {
+            record_signal("leaving");
             log::info!(
                 "request: The replica says that it leaves. id={} replica={}",
                 self.call.id_text(),
@@ -743,6 +745,10 @@
     }
 }
 
+fn record_signal(signal: &'static str) {
+    metrics::counter!("crocuswharf_gateway_replica_signals_total", "signal" => signal).increment(1);
+}
+
 fn failed_send(failure: SendFailure) -> FailedAttempt {
     match failure {
         SendFailure::Unsent(reason) => FailedAttempt::new(AttemptEnd::Unsent, reason),
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -100,6 +100,13 @@
         &["status", "reason"],
         "Answers that the gateway gave itself, by status and reason.",
     ),
+    metric(
+        "crocuswharf_gateway_replica_signals_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["signal"],
+        "Responses in which a replica asked for no more requests, by signal: leaving or retry_after.",
+    ),
     metric(
         "crocuswharf_gateway_request_seconds",
         MetricKind::Histogram,
@@ -114,6 +121,13 @@
         &["route", "outcome"],
         "Requests that a replica answered, by how the answer ended.",
     ),
+    metric(
+        "crocuswharf_gateway_store_restorations_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &[],
+        "How often the platform's store came back from an older copy.",
+    ),
     metric(
         "crocuswharf_observations_dropped_total",
         MetricKind::Counter,
