Compare two random replicas for requests without a prefix

All 195 routers sent to the replica whose load they believed to be the least, until its load came back to them 0.3 s later. Change: a request without a prefix is placed at the better of two random replicas. Two trials for short prefixes, not taken: the home and two random replicas, with two homes or with one. What binds long prompts then is the memory and places of their homes.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -8,7 +8,9 @@
 //!
 //! Load patterns handled: many routers with little traffic each in front of few replicas (shared homes instead of local
 //! views); one hot prefix (spills by cost, to the same second choice from all routers); rollouts (old weights cost more
-//! as time passes and are excluded at the bound); failing replicas (the cost grows as the health weight falls).
+//! as time passes and are excluded at the bound); failing replicas (the cost grows as the health weight falls); a burst at
+//! a plain service (two random replicas are compared, because all routers would send to the least loaded one until its
+//! load comes back to them).
 //!
 //! Rejected: minimal expected latency alone, which scatters prefixes (figures in docs/design/routing.md), and asking
 //! the owner of the prefix first, whose extra hop pays off only when replicas are near their limits.
@@ -16,6 +18,7 @@
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::id::ReplicaId;
@@ -44,6 +47,8 @@
 /// Random jitter added to the costs, in milliseconds, so that routers don't all pick the same of several equal
 /// replicas.
 const JITTER_MS: f64 = 2.0;
+/// The number of replicas that are compared for a request without a prefix.
+const SAMPLE_SIZE: usize = 2;
 /// Prefixes of at least this many tokens have one home in the whole fleet; shorter ones have one in each availability
 /// zone.
 const MIN_FLEET_HOME_TOKENS: u32 = 1_000;
@@ -166,7 +171,7 @@
         .iter()
         .position(|candidate| candidate.is_warm && candidate.is_accepting);
     let home = warm.or_else(|| home_index(request, candidates));
-    let mut best: Option<(f64, usize)> = None;
+    let mut eligible: SmallVec<[usize; 16]> = SmallVec::new();
     let mut reason = NoReplica::NoneAccepting;
     let mut least_backoff: Option<Duration> = None;
     for (index, candidate) in candidates.iter().enumerate() {
@@ -187,8 +192,15 @@
             reason = NoReplica::NoneHealthy;
             continue;
         }
-        let cost =
-            cost_of(request, candidate, home == Some(index)) + rng.random_range(0.0..JITTER_MS);
+        eligible.push(index);
+    }
+    if request.prefix.is_none() {
+        keep_sample(&mut eligible, rng);
+    }
+    let mut best: Option<(f64, usize)> = None;
+    for index in eligible {
+        let cost = cost_of(request, &candidates[index], home == Some(index))
+            + rng.random_range(0.0..JITTER_MS);
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, index));
         }
@@ -197,6 +209,15 @@
         .ok_or_else(|| least_backoff.map_or(reason, NoReplica::Overloaded))
 }
 
+/// Keeps a random sample of the eligible replicas.
+fn keep_sample(eligible: &mut SmallVec<[usize; 16]>, rng: &mut impl Rng) {
+    for chosen in 0..SAMPLE_SIZE.min(eligible.len()) {
+        let other = rng.random_range(chosen..eligible.len());
+        eligible.swap(chosen, other);
+    }
+    eligible.truncate(SAMPLE_SIZE);
+}
+
 fn cost_of(request: &PlacementRequest, candidate: &Candidate<'_>, is_home: bool) -> f64 {
     let in_flight = f64::from(candidate.in_flight);
     let beyond_slots = candidate.in_flight.saturating_sub(candidate.slots);
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::ms;
@@ -197,3 +197,47 @@
         Err(NoReplica::Overloaded(ms(300)))
     );
 }
+
+/// Replays a burst at a plain service: 195 routers send 600 requests a second to six replicas with six slots, each request
+/// takes 50 ms, and routers see the loads of the others 300 ms late. Each replica queues as many requests as it has
+/// slots and rejects more.
+#[test]
+fn choose_plain_burst_with_delayed_loads_is_spread() {
+    const ROUTERS: usize = 195;
+    const REQUESTS_PER_MS: f64 = 0.6;
+    const WORK_MS: usize = 50;
+    const DELAY_MS: usize = 300;
+    const SLOTS: u32 = 6;
+    let ids = ids(6);
+    let mut rng = rng(3);
+    let mut in_flight = [0_u32; 6];
+    let mut history = vec![in_flight; DELAY_MS];
+    let mut ends = vec![Vec::new(); 3_000];
+    let (mut sent, mut rejected, mut due) = (0, 0, 0.0);
+    for now in 0..2_500 {
+        for replica in std::mem::take(&mut ends[now]) {
+            in_flight[replica] -= 1;
+        }
+        due += REQUESTS_PER_MS;
+        while due >= 1.0 {
+            due -= 1.0;
+            let zone = rng.random_range(0..ROUTERS) % 5;
+            let mut seen = candidates(&ids);
+            for (index, candidate) in seen.iter_mut().enumerate() {
+                candidate.slots = SLOTS;
+                candidate.is_same_zone = index % 5 == zone;
+                candidate.in_flight = history[now][index];
+            }
+            let chosen = choose(&PLAIN, &seen, &[], &mut rng).expect("all replicas accept");
+            sent += 1;
+            if in_flight[chosen] >= 2 * SLOTS {
+                rejected += 1;
+                continue;
+            }
+            in_flight[chosen] += 1;
+            ends[now + WORK_MS].push(chosen);
+        }
+        history.push(in_flight);
+    }
+    assert!(rejected * 20 < sent, "{rejected} of {sent} were rejected");
+}
