Drop the number of routers that nothing reads

Cause: budgets are divided by another number since, and clippy found the field unread. Change: the field is gone. Measured: clippy with warnings denied passes. Conclusion: none beyond that.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -415,7 +415,6 @@
             table: self.table.clone(),
             named: self.named.clone(),
             entries: self.peers.entries(),
-            routers,
             budget_routers: self.fleet_size.observe(routers, boot_time()),
             has_replicas: self.fleet.has_list(),
             ..Snapshot::default()
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -103,8 +103,6 @@
     pub(crate) named: BTreeMap<ModelName, Vec<(WeightsVersion, Duration)>>,
     /// The routers that callers may use.
     pub(crate) entries: Vec<EntryPoint>,
-    /// The number of routers, including this one.
-    pub(crate) routers: usize,
     /// The number of routers that share the retry budget ([`super::fleet_size`]).
     pub(crate) budget_routers: usize,
     /// Whether the complete list of replicas has been read.
