Release the lease for orders when its holder shuts down

Change: a router that shuts down writes the lease with a duration of zero; the next one acquires it at its next read. The takeover delay stays, so that replicas that check no fencing numbers get no orders of two holders within one lease duration. A trial, not taken: no takeover delay for the first holder of a lease that was absent. A test of the rollout asserts that delay. Conclusion: rolling restarts no longer stall a rollout by whole lease durations.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -363,7 +363,14 @@
                     self.peers.send_prefill_outcome(router, message);
                 }
             }
-            Event::Leave => self.peers.leave(),
+            Event::Leave => {
+                self.peers.leave();
+                let released = self.lease.release(now);
+                if released.is_some() {
+                    log::info!("rollout: The lease was released.");
+                }
+                self.execute_lease_action(released);
+            }
         }
     }
 
--- a/src/gateway/tests/lease.rs
+++ b/src/gateway/tests/lease.rs
@@ -144,3 +144,37 @@
     lease.next(LeaseEvent::Written(PutOutcome::Stored(3)), 0, ms(10));
     assert!(!lease.is_held(ms(10)));
 }
+
+/// Replays a rolling restart while weights are named: the holder is stopped, and the next one must not wait for its lease
+/// to expire. Replicas that don't check fencing numbers still get no orders of two holders within one lease duration.
+#[test]
+fn release_lets_another_router_order_after_the_takeover_delay() {
+    let bounds = GatewayBounds {
+        replicas_check_fencing: false,
+        ..GatewayBounds::default()
+    };
+    let timing = lease_timing(&bounds);
+    let mut object = LeaseObject::default();
+    let mut first = Lease::with_timing("first".into(), 1, timing);
+    let mut second = Lease::with_timing("second".into(), 1, timing);
+    object.advance(&mut first, 0, ms(0));
+    object.advance(&mut second, 1, ms(100));
+    let Some(LeaseAction::Write(record, condition)) = first.release(ms(200)) else {
+        panic!("the holder releases its lease");
+    };
+    let outcome = object.write(record, condition);
+    assert_eq!(first.next(LeaseEvent::Written(outcome), 0, ms(210)), None);
+    assert!(!first.is_held(ms(210)));
+    let mut now = ms(300);
+    while second.fencing_number(now).is_none() {
+        object.advance(&mut second, 1, now);
+        now += ms(10);
+        assert!(now < ms(10_000), "the lease is acquired");
+    }
+    let since_release = now - ms(200);
+    assert!(since_release >= timing.takeover_delay, "{since_release:?}");
+    assert!(
+        since_release < timing.takeover_delay + ms(1_500),
+        "{since_release:?}"
+    );
+}
--- a/src/rollout/lease.rs
+++ b/src/rollout/lease.rs
@@ -197,6 +197,24 @@
         self.next_call_at = now;
     }
 
+    /// Gives the lease up before it expires, so that another router can acquire it at once.
+    ///
+    /// Returns the write that says so. If it fails, the lease expires in time.
+    pub(crate) fn release(&mut self, now: Duration) -> Option<LeaseAction> {
+        self.drop_expired(now);
+        let held = self.held.take()?;
+        let LeaseAction::Write(mut record, condition) =
+            self.write(PutCondition::Version(held.version), now)
+        else {
+            return None;
+        };
+        record.life_ms = 0;
+        // The stored record is that of no holder, so its outcome does not matter to this router.
+        self.pending = None;
+        self.is_call_pending = true;
+        Some(LeaseAction::Write(record, condition))
+    }
+
     fn drop_expired(&mut self, now: Duration) {
         if self.held.is_some_and(|held| now >= held.valid_until) {
             self.held = None;
