--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -19,7 +19,7 @@
 use super::clock::boot_time;
 use super::headers::header_text;
 use super::loads::ReplicaKey;
-use super::placement::{Candidate, NoReplica, WeightsStatus, choose};
+use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
 use super::prompt::cache_scope;
 use super::response::LocalReply;
@@ -421,12 +421,12 @@
             .flatten()
             .map(|(version, at)| (*version, now.saturating_sub(*at)))
             .collect();
-        let status = |replica: &Replica| {
+        let status = |replica: &Replica, prefill_tokens: u64| {
             let Some(model) = model else {
                 return Some(WeightsStatus::Current);
             };
             let version = replica.known.version_of(model)?;
-            Some(bounds.status(version, &named))
+            Some(bounds.status(version, &named, expected_wait(prefill_tokens)))
         };
         let zone = &self.shared.settings.zone;
         let others = self.shared.others_load();
@@ -435,14 +435,15 @@
                 .iter()
                 .map(|replica| {
                     let record = &replica.known.record;
-                    let status = status(replica);
                     let own = replica.load.sample(now);
                     let others = others.get(&replica.key).copied().unwrap_or_default();
+                    let prefill_tokens = own.prefill_tokens + others.prefill_tokens;
+                    let status = status(replica, prefill_tokens);
                     Candidate {
                         id: &record.id,
                         is_same_zone: record.zone == *zone,
                         in_flight: own.in_flight + others.in_flight,
-                        prefill_tokens: own.prefill_tokens + others.prefill_tokens,
+                        prefill_tokens,
                         is_refusing: own.is_refusing || others.is_refusing,
                         slots: record.slots,
                         health: health.map_or(1.0, |health| health.weight(&record.id, now)),
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -83,9 +83,15 @@
         expired_after.saturating_sub(STARTUP_GRACE)
     }
 
-    /// Returns the status of a replica's `version`, given the named versions and their ages, oldest first.
+    /// Returns the status of a replica's `version`, given the named versions and their ages, oldest first, and the time
+    /// that a request will wait at the replica before it starts.
     #[must_use]
-    pub(crate) fn status(&self, version: u64, named: &[(u64, Duration)]) -> WeightsStatus {
+    pub(crate) fn status(
+        &self,
+        version: u64,
+        named: &[(u64, Duration)],
+        wait: Duration,
+    ) -> WeightsStatus {
         // A version is outdated from the time the first newer version was named.
         let since = named
             .iter()
@@ -95,7 +101,7 @@
         let Some(age) = since else {
             return WeightsStatus::Current;
         };
-        if self.expired_after.is_some_and(|limit| age >= limit) {
+        if self.expired_after.is_some_and(|limit| age + wait >= limit) {
             return WeightsStatus::Expired;
         }
         if age >= self.stale_after {
@@ -156,6 +162,15 @@
     Overloaded(Duration),
 }
 
+/// Returns how long a request may wait behind this many tokens that a replica still has to prefill.
+///
+/// Only the tokens of the requests' own parts are known, and about as many are shared.
+pub(crate) fn expected_wait(prefill_tokens: u64) -> Duration {
+    const SHARED_TOKENS_FACTOR: f64 = 2.0;
+    let wait_ms = prefill_tokens as f64 * PREFILL_MS_PER_TOKEN * SHARED_TOKENS_FACTOR;
+    Duration::from_secs_f64(wait_ms / 1_000.0)
+}
+
 /// Selects one of `candidates`, skipping those in `tried`, and returns its index.
 ///
 /// # Errors
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -7,7 +7,7 @@
 
 use super::ms;
 use crate::gateway::placement::{
-    Candidate, NoReplica, PlacementRequest, WeightsBounds, WeightsStatus, choose,
+    Candidate, NoReplica, PlacementRequest, WeightsBounds, WeightsStatus, choose, expected_wait,
 };
 use crate::id::ReplicaId;
 
@@ -156,10 +156,13 @@
     };
     // Versions 2 and 3 were named 5.1 s and 0.1 s ago.
     let named = [(2, ms(5_100)), (3, ms(100))];
-    assert_eq!(bounds.status(3, &named), WeightsStatus::Current);
-    assert_eq!(bounds.status(2, &named), WeightsStatus::Current);
-    assert_eq!(bounds.status(1, &named), WeightsStatus::Expired);
-    assert_eq!(bounds.status(1, &[(2, ms(2_000))]), WeightsStatus::Stale);
+    assert_eq!(bounds.status(3, &named, ms(0)), WeightsStatus::Current);
+    assert_eq!(bounds.status(2, &named, ms(0)), WeightsStatus::Current);
+    assert_eq!(bounds.status(1, &named, ms(0)), WeightsStatus::Expired);
+    assert_eq!(
+        bounds.status(1, &[(2, ms(2_000))], ms(0)),
+        WeightsStatus::Stale
+    );
 }
 
 /// Guards against a router that keeps starting requests on old weights after a restart: it can't know when a version
@@ -171,13 +174,16 @@
         expired_after: Some(ms(6_500)),
     };
     let at_start = bounds.initial_age();
-    assert_ne!(bounds.status(3, &[(4, at_start)]), WeightsStatus::Expired);
+    assert_ne!(
+        bounds.status(3, &[(4, at_start)], ms(0)),
+        WeightsStatus::Expired
+    );
     assert_eq!(
-        bounds.status(3, &[(4, at_start + ms(2_600))]),
+        bounds.status(3, &[(4, at_start + ms(2_600))], ms(0)),
         WeightsStatus::Expired
     );
     assert_eq!(
-        bounds.status(4, &[(4, at_start + ms(60_000))]),
+        bounds.status(4, &[(4, at_start + ms(60_000))], ms(0)),
         WeightsStatus::Current
     );
 }
@@ -241,3 +247,19 @@
     }
     assert!(rejected * 20 < sent, "{rejected} of {sent} were rejected");
 }
+
+/// A request was sent to a replica 0.2 s before its weights expired, and started there 1.9 s later.
+#[test]
+fn status_wait_at_a_busy_replica_counts_towards_the_bound() {
+    let bounds = WeightsBounds {
+        stale_after: ms(1_500),
+        expired_after: Some(ms(8_500)),
+    };
+    let named = [(2, ms(8_280))];
+    assert_eq!(bounds.status(1, &named, ms(0)), WeightsStatus::Stale);
+    // Nine prompts of 6,610 tokens of their own wait for their prefill.
+    let wait = expected_wait(9 * 6_610);
+    assert!(wait >= ms(1_900), "{wait:?}");
+    assert_eq!(bounds.status(1, &named, wait), WeightsStatus::Expired);
+    assert_eq!(bounds.status(2, &named, wait), WeightsStatus::Current);
+}
