--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -17,6 +17,9 @@
 /// Maximum number of extra attempts that a budget can accumulate; an outage may use them on top of the ratio.
 pub(crate) const MAX_RESERVE: f64 = 10.0;
 
+/// The number of extra attempts in a new budget with a reserve.
+const INITIAL_BALANCE: f64 = 2.0;
+
 /// The budget of one service for extra attempts, shared by retries and hedges.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -82,14 +85,15 @@
         }
     }
 
-    /// Creates an empty budget of `ratio` extra attempts per request, with a maximum of `reserve`.
+    /// Creates a budget of `ratio` extra attempts per request, with a maximum of `reserve`.
     ///
-    /// It is empty because a process that has just started may not know yet how many others share the reserve.
+    /// It begins with two extra attempts at most: a process that has just started may not know yet how many others share
+    /// the reserve.
     #[must_use]
     pub fn with_reserve(ratio: f64, reserve: f64) -> Self {
         Self {
             ratio,
-            balance: 0.0,
+            balance: reserve.min(INITIAL_BALANCE),
             max_balance: reserve,
         }
     }
