Log how a response marks its end, and where in its events it ended

Cause: the line on the end of a request says neither how the replica delimited its response nor where its events ended, so the three hypotheses on truncated streams can't be told apart. Change: `framing` and `position` in `Served.` and `Ended.`; streams that may not be resumed are scanned for the ends of their events too. What is forwarded, and what counts as complete, stays as it was. `EventSplitter::is_between_events` became `position`; its assertion is as strict.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -17,6 +17,7 @@
 use super::backpressure::Backpressure;
 use super::call::{Call, RETRY_AFTER_BUSY};
 use super::clock::boot_time;
+use super::forwarding::BodyFraming;
 use super::headers::header_text;
 use super::loads::ReplicaKey;
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
@@ -92,6 +93,8 @@
 /// A response that is still being received.
 #[derive(Debug)]
 pub(crate) struct ReplicaStream {
+    /// How the replica marks the end of the body.
+    pub(crate) framing: BodyFraming,
     /// The part of the body that was already received.
     pub(crate) received: Bytes,
     /// The rest of the body.
@@ -371,6 +374,7 @@
         guard.response_started();
         let (head, body) = response.into_parts();
         let stream = ReplicaStream {
+            framing: BodyFraming::of_response(&head.headers),
             received: Bytes::new(),
             body,
             connection,
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,8 +1,8 @@
-//! Splits a server-sent event stream into complete events, so that another replica can resume after the last one.
+//! Finds the ends of events in a server-sent event stream, and splits it into complete events.
 //!
-//! A replica may fail in the middle of an event. What has been forwarded to the caller must then end with the previous
-//! event, so bytes are held back until the blank line that ends their event. Parsers that yield decoded events are not
-//! used because the bytes must be forwarded exactly as the replica sent them.
+//! A replica may fail in the middle of an event. If another replica can resume the stream, what has been forwarded to
+//! the caller must end with the previous event, so bytes are held back until the blank line that ends their event.
+//! Parsers that yield decoded events are not used because the bytes must be forwarded exactly as the replica sent them.
 
 use std::sync::Arc;
 
@@ -15,9 +15,88 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct EventTooLong;
 
+/// Where in a stream of events the bytes received so far end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StreamPosition {
+    /// Before the first byte.
+    Start,
+    /// After the blank line that ends an event.
+    BetweenEvents,
+    /// Within an event.
+    InsideEvent,
+}
+
+/// Finds the ends of events in a stream that arrives in parts of any size.
+#[derive(Debug, Default)]
+pub(crate) struct EventScanner {
+    line: LineStart,
+    has_events: bool,
+    is_inside_event: bool,
+}
+
+/// What is known of the current line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum LineStart {
+    #[default]
+    Empty,
+    /// Only a carriage return so far.
+    CarriageReturn,
+    Text,
+}
+
+impl EventScanner {
+    /// Reads the next bytes and returns the offset after the last blank line in them, or 0 if there is none.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> usize {
+        let mut end = 0;
+        for (at, byte) in bytes.iter().enumerate() {
+            let is_blank_line = *byte == b'\n' && self.line != LineStart::Text;
+            self.line = match byte {
+                b'\n' => LineStart::Empty,
+                b'\r' if self.line == LineStart::Empty => LineStart::CarriageReturn,
+                _ => LineStart::Text,
+            };
+            if is_blank_line {
+                self.has_events = true;
+                end = at + 1;
+            }
+        }
+        self.is_inside_event = end < bytes.len() || (self.is_inside_event && end == 0);
+        end
+    }
+
+    /// Returns where the bytes read so far end.
+    #[must_use]
+    pub(crate) const fn position(&self) -> StreamPosition {
+        match (self.is_inside_event, self.has_events) {
+            (true, _) => StreamPosition::InsideEvent,
+            (false, true) => StreamPosition::BetweenEvents,
+            (false, false) => StreamPosition::Start,
+        }
+    }
+
+    /// Continues as if the incomplete event at the end had not been read.
+    fn drop_partial(&mut self) {
+        self.line = LineStart::Empty;
+        self.is_inside_event = false;
+    }
+}
+
+impl StreamPosition {
+    /// Returns the position as it is written to the log.
+    #[must_use]
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Start => "start",
+            Self::BetweenEvents => "between_events",
+            Self::InsideEvent => "inside_event",
+        }
+    }
+}
+
 /// Buffers the bytes of a stream and returns complete events.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
+    scanner: EventScanner,
     pending: BytesMut,
     last_id: Option<Arc<str>>,
 }
@@ -29,8 +108,11 @@
     ///
     /// Returns an error if an incomplete event exceeds one mebibyte.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
+        let end = match self.scanner.push(bytes) {
+            0 => 0,
+            end => self.pending.len() + end,
+        };
         self.pending.extend_from_slice(bytes);
-        let end = end_of_events(&self.pending);
         if self.pending.len() - end > MAX_EVENT_BYTES {
             return Err(EventTooLong);
         }
@@ -47,36 +129,19 @@
         self.last_id.as_ref()
     }
 
-    /// Returns whether the stream is at an event boundary.
+    /// Returns where the stream ends, with the incomplete event that is held back.
     #[must_use]
-    pub(crate) fn is_between_events(&self) -> bool {
-        self.pending.is_empty()
+    pub(crate) const fn position(&self) -> StreamPosition {
+        self.scanner.position()
     }
 
     /// Discards the incomplete event at the end of the buffer.
     pub(crate) fn drop_partial(&mut self) {
         self.pending.clear();
+        self.scanner.drop_partial();
     }
 }
 
-/// Returns the offset after the last blank line, or 0 if there is none.
-fn end_of_events(bytes: &[u8]) -> usize {
-    let mut line_start = bytes.len();
-    // Searches backwards because only the last one or two events have not been returned yet.
-    for at in (0..bytes.len()).rev() {
-        if bytes[at] != b'\n' {
-            continue;
-        }
-        let line = &bytes[at + 1..line_start];
-        let is_blank_line = line == b"\n" || line == b"\r\n";
-        if is_blank_line {
-            return line_start;
-        }
-        line_start = at + 1;
-    }
-    0
-}
-
 fn last_id_in(events: &[u8]) -> Option<&str> {
     let mut lines = events.rsplit(|byte| *byte == b'\n');
     let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod events;
 mod fleet;
 mod fleet_size;
+mod forwarding;
 mod freshness;
 mod front;
 mod headers;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,7 +12,8 @@
 
 use super::clock::boot_time;
 use super::dispatch::{Dispatch, ReplicaBody, ReplicaStream};
-use super::events::EventSplitter;
+use super::events::StreamPosition;
+use super::forwarding::{BodyEnd, Forwarding};
 use super::response::TruncatedBody;
 
 /// The number of chunks buffered for a slow caller; beyond that, the replica's connection is not read.
@@ -43,14 +44,15 @@
     chunks: mpsc::Sender<Result<Bytes, TruncatedBody>>,
 ) {
     let kind = dispatch.call.route.kind;
-    let mut splitter = (kind.is_stream() && kind.is_retryable()).then(EventSplitter::default);
+    let mut forwarding = Forwarding::of_kind(kind);
+    let mut framing = stream.framing;
     let end = loop {
-        let end = relay_stream(&mut dispatch, *stream, &chunks, splitter.as_mut()).await;
+        let end = relay_stream(&mut dispatch, *stream, &chunks, &mut forwarding).await;
         let is_silent = matches!(end, RelayEnd::Silent);
         if !is_silent && !matches!(end, RelayEnd::Broken) {
             break end;
         }
-        let Some(splitter) = &mut splitter else {
+        let Forwarding::CompleteEvents(splitter) = &mut forwarding else {
             break end;
         };
         splitter.drop_partial();
@@ -71,6 +73,7 @@
                     next.replica.known.record.id,
                     last_event.as_deref().unwrap_or("-")
                 );
+                framing = next.framing;
                 stream = next;
             }
             _ => break end,
@@ -82,7 +85,13 @@
         RelayEnd::Late => "late",
         RelayEnd::CallerLeft => "caller_left",
     };
-    dispatch.shared.log_completion(&dispatch, 200, outcome);
+    let body_end = BodyEnd {
+        framing,
+        position: forwarding.position(),
+    };
+    dispatch
+        .shared
+        .log_completion(&dispatch, 200, outcome, body_end);
     if matches!(end, RelayEnd::Broken | RelayEnd::Silent | RelayEnd::Late) {
         // The caller may have disconnected in the meantime and then needs no error.
         let _ = chunks.send(Err(TruncatedBody)).await;
@@ -93,7 +102,7 @@
     dispatch: &mut Dispatch,
     stream: ReplicaStream,
     chunks: &mpsc::Sender<Result<Bytes, TruncatedBody>>,
-    mut splitter: Option<&mut EventSplitter>,
+    forwarding: &mut Forwarding,
 ) -> RelayEnd {
     let ReplicaStream {
         received,
@@ -102,7 +111,9 @@
         guard,
         replica,
         idle_timeout,
+        ..
     } = stream;
+    let is_resumable = matches!(forwarding, Forwarding::CompleteEvents(_));
     let _guard = guard;
     // Only responses that are forwarded as they arrive have been received in part.
     if !received.is_empty() && chunks.send(Ok(received)).await.is_err() {
@@ -110,7 +121,7 @@
     }
     loop {
         let time_left = (dispatch.call.deadline + DEADLINE_SLACK).saturating_sub(boot_time());
-        let wait = if splitter.is_some() {
+        let wait = if is_resumable {
             time_left.min(SILENCE_LIMIT)
         } else {
             time_left
@@ -122,7 +133,7 @@
         let bytes = match frame {
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Ok(None) => {
-                if splitter.is_some_and(|splitter| !splitter.is_between_events()) {
+                if is_resumable && forwarding.position() == Some(StreamPosition::InsideEvent) {
                     return RelayEnd::Broken;
                 }
                 connection.release(idle_timeout);
@@ -142,12 +153,8 @@
                 return RelayEnd::Silent;
             }
         };
-        let bytes = match &mut splitter {
-            None => bytes,
-            Some(splitter) => match splitter.push(&bytes) {
-                Ok(events) => events,
-                Err(_) => return RelayEnd::Broken,
-            },
+        let Ok(bytes) = forwarding.push(bytes) else {
+            return RelayEnd::Broken;
         };
         if !bytes.is_empty() && chunks.send(Ok(bytes)).await.is_err() {
             return RelayEnd::CallerLeft;
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -5,12 +5,20 @@
 use super::call::Call;
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
+use super::events::StreamPosition;
+use super::forwarding::BodyEnd;
 use super::response::LocalReply;
 use super::shared::Shared;
 
 impl Shared {
     /// Records the end of a request that a replica responded to.
-    pub(crate) fn log_completion(&self, dispatch: &Dispatch, status: u16, outcome: &'static str) {
+    pub(crate) fn log_completion(
+        &self,
+        dispatch: &Dispatch,
+        status: u16,
+        outcome: &'static str,
+        body_end: BodyEnd,
+    ) {
         let call = &dispatch.call;
         let took = boot_time().saturating_sub(call.arrived_at);
         record_metrics(call, outcome, took);
@@ -30,12 +38,14 @@
         };
         log::info!(
             "request: {sentence} id={} route={} service={} replica={replica} status={status} outcome={outcome} \
-             took_ms={} sends={sends} runs={} configuration_version={version}",
+             took_ms={} sends={sends} runs={} configuration_version={version} framing={} position={}",
             call.id_text(),
             call.route.name,
             call.service,
             took.as_millis(),
-            dispatch.retry_state.runs
+            dispatch.retry_state.runs,
+            body_end.framing.name(),
+            body_end.position.map_or("-", StreamPosition::name)
         );
     }
 
--- a/src/gateway/tests/events.rs
+++ b/src/gateway/tests/events.rs
@@ -1,6 +1,6 @@
 //! Tests that a stream split at any offset is forwarded in complete events only.
 
-use crate::gateway::events::EventSplitter;
+use crate::gateway::events::{EventScanner, EventSplitter, StreamPosition};
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid:3\ndata: c\n\n";
 
@@ -16,7 +16,7 @@
         );
         returned.extend_from_slice(&splitter.push(&STREAM[split..]).unwrap());
         assert_eq!(returned, STREAM, "split at {split}");
-        assert!(splitter.is_between_events());
+        assert_eq!(splitter.position(), StreamPosition::BetweenEvents);
         assert_eq!(splitter.last_id().map(|id| &**id), Some("3"));
     }
 }
@@ -39,3 +39,33 @@
     assert!(splitter.push(&chunk).is_ok());
     assert!(splitter.push(&chunk).is_err());
 }
+
+#[test]
+fn position_at_each_offset_tells_whether_an_event_is_incomplete() {
+    let ends = [15, 33, STREAM.len()];
+    for split in 1..=STREAM.len() {
+        let mut scanner = EventScanner::default();
+        assert_eq!(scanner.position(), StreamPosition::Start);
+        // In two parts, since a line end may be split between them.
+        scanner.push(&STREAM[..split / 2]);
+        scanner.push(&STREAM[split / 2..split]);
+        let expected = if ends.contains(&split) {
+            StreamPosition::BetweenEvents
+        } else {
+            StreamPosition::InsideEvent
+        };
+        assert_eq!(scanner.position(), expected, "after {split} bytes");
+    }
+}
+
+#[test]
+fn position_dropped_event_is_that_of_the_event_before() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 7\nda").unwrap();
+    assert_eq!(splitter.position(), StreamPosition::InsideEvent);
+    splitter.drop_partial();
+    assert_eq!(splitter.position(), StreamPosition::Start);
+    splitter.push(b"id: 7\n\nid").unwrap();
+    splitter.drop_partial();
+    assert_eq!(splitter.position(), StreamPosition::BetweenEvents);
+}
