Don't complete streams that end inside an event or without any

Cause: the end of a transport was taken for the end of a message. A response without length and chunks ends with its connection, also where its replica fails. Only streams that may be resumed were checked for an incomplete event, and none for having any. Resets were noticed before. Change: src/gateway/forwarding.rs decides, apart from I/O, whether an end is complete. Other ends count as failures of the replica; the stream is resumed where that is allowed, otherwise the caller's connection is closed without the last chunk. Why it works: the caller's last chunk is now written only where the events themselves show that nothing is missing.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -85,7 +85,12 @@
 #[derive(Debug)]
 pub(crate) enum ReplicaBody {
     /// A complete body.
-    Full(Bytes),
+    Full {
+        /// The body.
+        bytes: Bytes,
+        /// How the replica marked its end.
+        framing: BodyFraming,
+    },
     /// A body that is still being received.
     Streaming(Box<ReplicaStream>),
 }
@@ -372,9 +377,10 @@
             }
         };
         guard.response_started();
+        let framing = BodyFraming::of_response(&response);
         let (head, body) = response.into_parts();
         let stream = ReplicaStream {
-            framing: BodyFraming::of_response(&head.headers),
+            framing,
             received: Bytes::new(),
             body,
             connection,
@@ -603,12 +609,13 @@
             let body = ReplicaBody::Streaming(Box::new(stream));
             return Ok(ReplicaResponse { head, body });
         }
+        let framing = stream.framing;
         let reading = read_to_end(stream, MAX_BUFFERED_BYTES);
         let body = tokio::time::timeout(self.call.remaining(), reading).await;
         let response = match body {
             Ok(BufferedBody::Complete(bytes)) => ReplicaResponse {
                 head,
-                body: ReplicaBody::Full(bytes),
+                body: ReplicaBody::Full { bytes, framing },
             },
             Ok(BufferedBody::TooLong(stream)) if !head.status.is_server_error() => {
                 let body = ReplicaBody::Streaming(stream);
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -73,12 +73,6 @@
             (false, false) => StreamPosition::Start,
         }
     }
-
-    /// Continues as if the incomplete event at the end had not been read.
-    fn drop_partial(&mut self) {
-        self.line = LineStart::Empty;
-        self.is_inside_event = false;
-    }
 }
 
 impl StreamPosition {
@@ -129,16 +123,16 @@
         self.last_id.as_ref()
     }
 
-    /// Returns where the stream ends, with the incomplete event that is held back.
+    /// Returns where the stream of the current replica ends, with the incomplete event that is held back.
     #[must_use]
     pub(crate) const fn position(&self) -> StreamPosition {
         self.scanner.position()
     }
 
-    /// Discards the incomplete event at the end of the buffer.
-    pub(crate) fn drop_partial(&mut self) {
+    /// Discards the incomplete event at the end of the buffer, since the stream of another replica follows.
+    pub(crate) fn begin_resumption(&mut self) {
         self.pending.clear();
-        self.scanner.drop_partial();
+        self.scanner = EventScanner::default();
     }
 }
 
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -1,11 +1,18 @@
-//! Decides in which parts the body of a replica's response is forwarded.
+//! Decides in which parts the body of a replica's response is forwarded, and whether its end is that of the response.
 //!
 //! A stream that another replica may resume is forwarded in complete events, so that it can be resumed after the last
 //! one. All other bodies are forwarded as they arrive: an event that is held back reaches its caller later.
+//!
+//! Callers get every stream in chunks, whose last one says that the response is complete. A response that ends with its
+//! connection doesn't say so itself: the connection ends in the same way if the replica fails. Its events must tell.
+//!
+//! Load pattern handled: replicas that mark the end of streams only by closing the connection, and fail in the middle of
+//! some.
 
 use bytes::Bytes;
-use http::HeaderMap;
+use http::Response;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::body::Body;
 
 use super::events::{EventScanner, EventSplitter, EventTooLong, StreamPosition};
 use super::route::CallKind;
@@ -42,12 +49,21 @@
 }
 
 impl BodyFraming {
-    /// Returns the framing that the head of a response announces.
+    /// Returns the framing of a response whose body has not been read.
     #[must_use]
-    pub(crate) fn of_response(headers: &HeaderMap) -> Self {
-        if headers.contains_key(TRANSFER_ENCODING) {
-            Self::Chunks
-        } else if headers.contains_key(CONTENT_LENGTH) {
+    pub(crate) fn of_response(response: &Response<impl Body>) -> Self {
+        let headers = response.headers();
+        if let Some(coding) = headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+            // With another last coding, the connection marks the end, whatever length is named.
+            let coding = coding.as_bytes().trim_ascii_end().to_ascii_lowercase();
+            return if coding.ends_with(b"chunked") {
+                Self::Chunks
+            } else {
+                Self::Connection
+            };
+        }
+        // Responses to some methods and with some statuses have no body and need no length.
+        if headers.contains_key(CONTENT_LENGTH) || response.body().is_end_stream() {
             Self::Length
         } else {
             Self::Connection
@@ -96,6 +112,19 @@
         }
     }
 
+    /// Returns whether a body that ended here, as `framing` marks it, is complete.
+    ///
+    /// An end inside an event is that of a replica that failed. The same holds before the first event of a replica if
+    /// only the connection marks the end: a response, and the rest of one that is resumed, has at least one event.
+    #[must_use]
+    pub(crate) fn is_complete(&self, framing: BodyFraming) -> bool {
+        match self.position() {
+            None | Some(StreamPosition::BetweenEvents) => true,
+            Some(StreamPosition::Start) => framing != BodyFraming::Connection,
+            Some(StreamPosition::InsideEvent) => false,
+        }
+    }
+
     /// Returns where in its events the body ends so far; `None` if it has none.
     #[must_use]
     pub(crate) const fn position(&self) -> Option<StreamPosition> {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -23,7 +23,7 @@
 use super::call::Call;
 use super::clock::boot_time;
 use super::dispatch::{Dispatch, ReplicaBody, ReplicaResponse};
-use super::forwarding::{BodyEnd, BodyFraming};
+use super::forwarding::BodyEnd;
 use super::headers::{connection_header_names, is_hop_by_hop};
 use super::open_requests::OpenRequest;
 use super::relay::{RELAY_BUFFER_LEN, relay};
@@ -254,7 +254,6 @@
 /// Builds the caller's response from the replica's, unchanged except for hop-by-hop headers.
 fn forward_response(dispatch: Dispatch, response: ReplicaResponse) -> CallerResponse {
     let ReplicaResponse { mut head, body } = response;
-    let framing = BodyFraming::of_response(&head.headers);
     let per_connection = connection_header_names(&head.headers);
     let names: Vec<_> = head.headers.keys().cloned().collect();
     for name in names {
@@ -264,7 +263,7 @@
         }
     }
     let body = match body {
-        ReplicaBody::Full(bytes) => {
+        ReplicaBody::Full { bytes, framing } => {
             let status = head.status.as_u16();
             let outcome = if head.status.is_success() {
                 "complete"
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,7 +12,6 @@
 
 use super::clock::boot_time;
 use super::dispatch::{Dispatch, ReplicaBody, ReplicaStream};
-use super::events::StreamPosition;
 use super::forwarding::{BodyEnd, Forwarding};
 use super::response::TruncatedBody;
 
@@ -27,7 +26,7 @@
 enum RelayEnd {
     /// The response is complete.
     Complete,
-    /// The connection to the replica broke.
+    /// The connection to the replica broke, or the stream ended before the end of its response.
     Broken,
     /// The replica was silent for too long, and another one may resume the stream.
     Silent,
@@ -45,9 +44,14 @@
 ) {
     let kind = dispatch.call.route.kind;
     let mut forwarding = Forwarding::of_kind(kind);
-    let mut framing = stream.framing;
+    let mut body_end;
     let end = loop {
+        let framing = stream.framing;
         let end = relay_stream(&mut dispatch, *stream, &chunks, &mut forwarding).await;
+        body_end = BodyEnd {
+            framing,
+            position: forwarding.position(),
+        };
         let is_silent = matches!(end, RelayEnd::Silent);
         if !is_silent && !matches!(end, RelayEnd::Broken) {
             break end;
@@ -55,7 +59,7 @@
         let Forwarding::CompleteEvents(splitter) = &mut forwarding else {
             break end;
         };
-        splitter.drop_partial();
+        splitter.begin_resumption();
         // The resumption of a silent stream was permitted before the stream was given up.
         if !is_silent && !dispatch.may_resume() {
             break end;
@@ -73,7 +77,6 @@
                     next.replica.known.record.id,
                     last_event.as_deref().unwrap_or("-")
                 );
-                framing = next.framing;
                 stream = next;
             }
             _ => break end,
@@ -85,10 +88,6 @@
         RelayEnd::Late => "late",
         RelayEnd::CallerLeft => "caller_left",
     };
-    let body_end = BodyEnd {
-        framing,
-        position: forwarding.position(),
-    };
     dispatch
         .shared
         .log_completion(&dispatch, 200, outcome, body_end);
@@ -111,7 +110,7 @@
         guard,
         replica,
         idle_timeout,
-        ..
+        framing,
     } = stream;
     let is_resumable = matches!(forwarding, Forwarding::CompleteEvents(_));
     let _guard = guard;
@@ -133,7 +132,8 @@
         let bytes = match frame {
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Ok(None) => {
-                if is_resumable && forwarding.position() == Some(StreamPosition::InsideEvent) {
+                if !forwarding.is_complete(framing) {
+                    dispatch.shared.record_outcome(&replica, 1, boot_time());
                     return RelayEnd::Broken;
                 }
                 connection.release(idle_timeout);
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 mod fleet;
 mod fleet_size;
+mod forwarding;
 mod freshness;
 mod lease;
 mod leaving;
