--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -244,6 +244,19 @@
         (replica, self.sends)
     }
 
+    /// Logs a stream that broke after `events` complete events, with the shared parts of its prompt.
+    pub(crate) fn log_broken_stream(&self, events: u32) {
+        let prompt = self.call.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
+        let ids: Vec<&str> = parts.iter().map(|part| &*part.id).collect();
+        log::info!(
+            "request: Stream broken. id={} replica={} events={events} parts={}",
+            self.call.id_text(),
+            self.last_attempt().0,
+            ids.join(",")
+        );
+    }
+
     /// Records that the relayed response broke and returns whether the stream may be resumed at another replica.
     pub(crate) fn may_resume(&mut self) -> bool {
         let step = self
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -30,7 +30,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventScanner {
     line: LineStart,
-    has_events: bool,
+    events: u32,
     is_inside_event: bool,
 }
 
@@ -56,7 +56,7 @@
                 _ => LineStart::Text,
             };
             if is_blank_line {
-                self.has_events = true;
+                self.events = self.events.saturating_add(1);
                 end = at + 1;
             }
         }
@@ -67,12 +67,18 @@
     /// Returns where the bytes read so far end.
     #[must_use]
     pub(crate) const fn position(&self) -> StreamPosition {
-        match (self.is_inside_event, self.has_events) {
+        match (self.is_inside_event, self.events) {
             (true, _) => StreamPosition::InsideEvent,
-            (false, true) => StreamPosition::BetweenEvents,
-            (false, false) => StreamPosition::Start,
+            (false, 0) => StreamPosition::Start,
+            (false, _) => StreamPosition::BetweenEvents,
         }
     }
+
+    /// Returns the number of complete events read so far.
+    #[must_use]
+    pub(crate) const fn events(&self) -> u32 {
+        self.events
+    }
 }
 
 impl StreamPosition {
@@ -123,6 +129,12 @@
         self.last_id.as_ref()
     }
 
+    /// Returns the number of complete events of the current replica.
+    #[must_use]
+    pub(crate) const fn events(&self) -> u32 {
+        self.scanner.events()
+    }
+
     /// Returns where the stream of the current replica ends, with the incomplete event that is held back.
     #[must_use]
     pub(crate) const fn position(&self) -> StreamPosition {
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -125,6 +125,16 @@
         }
     }
 
+    /// Returns the number of complete events received from the current replica.
+    #[must_use]
+    pub(crate) const fn events(&self) -> u32 {
+        match self {
+            Self::Bytes => 0,
+            Self::Events(scanner) => scanner.events(),
+            Self::CompleteEvents(splitter) => splitter.events(),
+        }
+    }
+
     /// Returns where in its events the body ends so far; `None` if it has none.
     #[must_use]
     pub(crate) const fn position(&self) -> Option<StreamPosition> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -52,6 +52,9 @@
             framing,
             position: forwarding.position(),
         };
+        if matches!(end, RelayEnd::Broken) {
+            dispatch.log_broken_stream(forwarding.events());
+        }
         let is_silent = matches!(end, RelayEnd::Silent);
         if !is_silent && !matches!(end, RelayEnd::Broken) {
             break end;
