Refuse requests with a part of their prompt under which replicas crash

Cause: failures were remembered by replica only, and by each router alone. A fault that travels with the requests looked like unrelated failures of replicas; resumable streams were sent on to the next one. Routers report both at once and gossip all they know. A refused request gets 503, not run, with the time until the refusal ends; one that waits at a replica is withdrawn; a suspected one is not sent again. Why it works: the part is the only thing that all crashes have in common and no kept answer has. Conclusion: fixed for the gateway. src/entry does not use it yet; a refusal can't be lifted by hand.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -31,6 +31,8 @@
     Broken,
     /// No response arrived within the time of the attempt.
     TimedOut,
+    /// The gateway gave the attempt up, since the request may crash its replica.
+    Withdrawn,
 }
 
 /// The retry state of a request, updated when an attempt ends.
@@ -87,7 +89,10 @@
         match end {
             AttemptEnd::Unsent => self.unsent_attempts += 1,
             AttemptEnd::Refused => self.refusals += 1,
-            AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::TimedOut => self.runs += 1,
+            AttemptEnd::Failed
+            | AttemptEnd::Broken
+            | AttemptEnd::TimedOut
+            | AttemptEnd::Withdrawn => self.runs += 1,
         }
         let step = self.next_step(end);
         assert!(
@@ -106,6 +111,7 @@
             }
             AttemptEnd::Refused if has_time && self.refusals <= MAX_REFUSALS => NextStep::Resend,
             AttemptEnd::Unsent | AttemptEnd::Refused => self.give_up(),
+            AttemptEnd::Withdrawn => NextStep::Fail,
             _ if has_time && self.can_run_again() => NextStep::Resend,
             AttemptEnd::Failed => NextStep::Deliver,
             AttemptEnd::Broken => NextStep::Fail,
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -30,17 +30,20 @@
 use crate::id::{ReplicaId, RouterId, WeightsVersion};
 use crate::membership::Heartbeat;
 use crate::peer::Inbound;
+use crate::request::quarantine::Quarantine;
 use crate::rollout::{Lease, LeaseEvent};
 
 mod loads;
 mod orders;
 mod prefill;
+mod quarantine;
 mod updates;
 
 pub(crate) use self::orders::lease_timing;
 pub use self::orders::{OrderCall, ReplicaCall, ReplicaCalls, ReportCall};
 
 use self::prefill::{PendingPrefill, PrefillResponder};
+use self::quarantine::PendingCrashes;
 use self::updates::{PendingUpdate, PlatformState, poll_configuration};
 
 /// The capacity of the event queue of the control thread.
@@ -158,6 +161,7 @@
         control.answer_update_requests(now);
         control.exchange_loads(now);
         control.release_pending_prefills(now);
+        control.release_pending_crashes(now);
         control.advance();
         control.publish();
     }
@@ -182,6 +186,7 @@
             control.answer_prefill(message.key, PrefillResponder::Peer(reply));
         }
         Some(PeerMessage::PrefillEnded(message)) => control.end_prefill(message),
+        Some(PeerMessage::Crashes(report)) => control.handle_crash_report(report, boot_time()),
         None => {}
     }
 }
@@ -208,6 +213,8 @@
     peer_loads: PeerLoads,
     prefills: PrefillTracker,
     pending_prefills: Vec<PendingPrefill>,
+    quarantine: Quarantine,
+    pending_crashes: PendingCrashes,
     next_load_exchange: Duration,
     is_update_pending: bool,
     polls_configuration: watch::Sender<bool>,
@@ -255,6 +262,8 @@
             peer_loads: PeerLoads::default(),
             prefills: PrefillTracker::default(),
             pending_prefills: Vec::new(),
+            quarantine: Quarantine::default(),
+            pending_crashes: PendingCrashes::default(),
             next_load_exchange: Duration::ZERO,
             is_update_pending: false,
             polls_configuration: watch::Sender::new(true),
@@ -297,7 +306,9 @@
         } else {
             TICK_INTERVAL
         };
-        let until_tick = self.next_tick.saturating_sub(boot_time());
+        let due_at = self.pending_crashes.due_at();
+        let next_tick = due_at.map_or(self.next_tick, |at| at.min(self.next_tick));
+        let until_tick = next_tick.saturating_sub(boot_time());
         interval.min(until_tick.max(Duration::from_millis(1)))
     }
 
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -123,6 +123,14 @@
             Observation::AddressReused { replica, born_ms } => {
                 self.fleet.record_draining(&replica, born_ms)
             }
+            Observation::Crash(crash) => {
+                self.handle_crash(crash, now);
+                None
+            }
+            Observation::PartKept(part) => {
+                self.handle_kept(part, now);
+                None
+            }
             Observation::OtherWeights { replica } => {
                 self.request_report(&replica, now);
                 None
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -2,6 +2,7 @@
 //!
 //! The decisions are made in [`super::placement`] and [`super::attempt`]; this module does the I/O.
 
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,12 +23,13 @@
 use super::loads::ReplicaKey;
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
-use super::prompt::cache_scope;
+use super::prompt::{Prompt, cache_scope};
 use super::response::LocalReply;
 use super::route::CallKind;
 use super::shared::{LoadGuard, Observation, Replica, Shared, Snapshot};
 use super::upstream::{ReplicaConnection, RequestBody, SendFailure};
 use crate::id::ReplicaId;
+use crate::request::quarantine::{Crash, Evidence, PartKey};
 
 /// The maximum idle time of a connection used for a request that must not be repeated; if the replica closes the
 /// connection meanwhile, the request is lost.
@@ -58,6 +60,8 @@
     pub(crate) call: Arc<Call>,
     pub(crate) retry_state: RetryState,
     tried: SmallVec<[ReplicaId; 4]>,
+    /// The shared parts of the prompt.
+    parts: SmallVec<[PartKey; 4]>,
     sends: u32,
     /// The key of the prefix that this request was allowed to prefill and whose outcome it must report.
     prefill_key: Option<PrefixKey>,
@@ -146,11 +150,13 @@
     pub(crate) fn new(shared: Arc<Shared>, call: Call) -> Self {
         let attempts = call.route.max_attempts.max(1);
         let retry_state = RetryState::new(call.route.kind, attempts, call.remaining());
+        let parts = call.prompt.as_ref().map(Prompt::part_keys);
         Self {
             shared,
             call: Arc::new(call),
             retry_state,
             tried: SmallVec::new(),
+            parts: parts.unwrap_or_default(),
             sends: 0,
             prefill_key: None,
             is_budget_exhausted: false,
@@ -215,6 +221,7 @@
                 Ok(response) => return Ok(response),
                 Err(AttemptError::Failed(failed)) => *failed,
                 Err(AttemptError::NoReplica(reason)) => return Err(self.no_replica_reply(reason)),
+                Err(AttemptError::RefusedPart(time)) => return Err(self.refused_part_reply(time)),
             };
             log::info!(
                 "request: Try ended. id={} replica={} end={:?} reason=\"{}\" remaining_ms={}",
@@ -244,17 +251,26 @@
         (replica, self.sends)
     }
 
-    /// Logs a stream that broke after `events` complete events, with the shared parts of its prompt.
-    pub(crate) fn log_broken_stream(&self, events: u32) {
+    /// Reports a stream that `replica` broke off after `events` complete events, with the shared parts of its prompt.
+    pub(crate) fn report_broken_stream(&self, replica: ReplicaKey, events: u32) {
         let prompt = self.call.prompt.as_ref();
         let parts = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
-        let ids: Vec<&str> = parts.iter().map(|part| &*part.id).collect();
+        let parts: Vec<String> = parts
+            .iter()
+            .zip(&self.parts)
+            .map(|(part, key)| format!("{}/{key:016x}", part.id))
+            .collect();
         log::info!(
             "request: Stream broken. id={} replica={} events={events} parts={}",
             self.call.id_text(),
             self.last_attempt().0,
-            ids.join(",")
+            parts.join(",")
         );
+        match events {
+            0 => self.report_crash(replica, Evidence::Strong),
+            1 => self.report_crash(replica, Evidence::Weak),
+            _ => {}
+        }
     }
 
     /// Records that the relayed response broke and returns whether the stream may be resumed at another replica.
@@ -288,7 +304,14 @@
 
     /// Charges a resend to the retry budget; returns the fallback step if the budget is exhausted.
     fn charge_resend(&mut self, step: NextStep, end: AttemptEnd) -> NextStep {
-        if step != NextStep::Resend || self.withdraw_retry() {
+        if step != NextStep::Resend {
+            return step;
+        }
+        // Each repeat of a request that crashes replicas costs one more.
+        if end == AttemptEnd::Broken && !self.allows_resend() {
+            return self.retry_state.give_up();
+        }
+        if self.withdraw_retry() {
             return step;
         }
         self.is_budget_exhausted = true;
@@ -299,6 +322,13 @@
         }
     }
 
+    /// Returns whether the request may be sent again after a replica crashed under it.
+    fn allows_resend(&self) -> bool {
+        let suspects = self.shared.suspects.load();
+        let mut statuses = self.parts.iter().filter_map(|part| suspects.get(part));
+        statuses.all(|status| status.allows_resend())
+    }
+
     /// Withdraws a retry from the budget of the service; returns whether one was available.
     fn withdraw_retry(&self) -> bool {
         let routers = self.shared.snapshot.load().budget_routers;
@@ -330,6 +360,14 @@
         Some(Err(reply))
     }
 
+    fn refused_part_reply(&self, time: Duration) -> LocalReply {
+        let reason = "a part of the prompt has crashed several replicas";
+        if self.retry_state.runs > 0 {
+            return LocalReply::bad_gateway(reason);
+        }
+        LocalReply::not_run(reason, time)
+    }
+
     fn no_replica_reply(&self, reason: NoReplica) -> LocalReply {
         if self.retry_state.runs > 0 {
             return LocalReply::bad_gateway("the replica's answer was lost");
@@ -344,8 +382,10 @@
     }
 
     async fn attempt(&mut self, last_event: Option<&str>) -> Result<ReplicaResponse, AttemptError> {
+        self.check_parts()?;
         let snapshot = self.shared.snapshot.load_full();
         let prefix = self.wait_for_prefill(&snapshot).await;
+        self.check_parts()?;
         // The snapshot may have changed during the wait.
         let snapshot = self.shared.snapshot.load_full();
         let replica = self.place(&snapshot, prefix)?;
@@ -381,10 +421,13 @@
         let response = match result {
             Ok(response) => response,
             Err(failed) => {
-                if failed.end == AttemptEnd::Unsent {
-                    self.sends -= 1;
-                } else {
-                    self.shared.record_outcome(&replica, 1, boot_time());
+                match failed.end {
+                    AttemptEnd::Unsent => self.sends -= 1,
+                    AttemptEnd::Withdrawn => {}
+                    _ => self.shared.record_outcome(&replica, 1, boot_time()),
+                }
+                if failed.end == AttemptEnd::Broken {
+                    self.report_crash(replica.key, Evidence::Weak);
                 }
                 return Err(failed.into());
             }
@@ -406,6 +449,30 @@
         Ok(response)
     }
 
+    /// Returns an error if requests with a part of the prompt are refused.
+    fn check_parts(&self) -> Result<(), AttemptError> {
+        let refused_for = self.shared.refused_for(&self.parts, boot_time());
+        refused_for.map_or(Ok(()), |time| Err(AttemptError::RefusedPart(time)))
+    }
+
+    /// Reports that a replica broke off the answer as it began.
+    fn report_crash(&self, replica: ReplicaKey, evidence: Evidence) {
+        if self.parts.is_empty() {
+            return;
+        }
+        self.shared.observe(Observation::Crash(Crash {
+            parts: self.parts.clone(),
+            replica,
+            at: boot_time(),
+            evidence,
+        }));
+    }
+
+    /// Records that the answer went on for long enough to show that its prompt does not crash replicas.
+    pub(crate) fn record_kept(&self) {
+        self.shared.record_kept(&self.parts, boot_time());
+    }
+
     fn place(
         &self,
         snapshot: &Snapshot,
@@ -536,7 +603,7 @@
         request
     }
 
-    /// Sends the request and waits for the head of the response, at most for the timeout of the attempt.
+    /// Sends the request and waits for the head of the response, unless a part of the prompt is refused meanwhile.
     async fn send(
         &self,
         connection: &mut ReplicaConnection,
@@ -544,8 +611,23 @@
         replica: &Replica,
         sent_at: Duration,
     ) -> Result<Response<Incoming>, FailedAttempt> {
-        let sending = connection.send(request);
-        tokio::pin!(sending);
+        let sending = pin!(connection.send(request));
+        tokio::select! {
+            result = self.wait_for_head(sending, replica, sent_at) => result,
+            () = self.shared.wait_until_refused(&self.parts) => Err(FailedAttempt::new(
+                AttemptEnd::Withdrawn,
+                "a part of the prompt has crashed several replicas",
+            )),
+        }
+    }
+
+    /// Waits for the head of the response, at most for the timeout of the attempt.
+    async fn wait_for_head(
+        &self,
+        mut sending: Pin<&mut impl Future<Output = Result<Response<Incoming>, SendFailure>>>,
+        replica: &Replica,
+        sent_at: Duration,
+    ) -> Result<Response<Incoming>, FailedAttempt> {
         if let Some(attempt_timeout) = self.attempt_timeout() {
             let early = tokio::time::timeout(attempt_timeout, &mut sending).await;
             if let Ok(result) = early {
@@ -754,6 +836,8 @@
 /// Why an attempt yielded no response.
 enum AttemptError {
     Failed(Box<FailedAttempt>),
+    /// Requests with a part of the prompt are refused for this time.
+    RefusedPart(Duration),
     NoReplica(NoReplica),
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod call;
 mod clock;
 mod control;
+mod crash_report;
 mod dispatch;
 mod events;
 mod fleet;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,14 +1,18 @@
-//! Communication with other gateways: membership, notices about replicas, prefill tracking, loads and platform updates.
+//! Communication with other gateways: membership, notices about replicas, prefill tracking, loads, crashes and platform
+//! updates.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use tokio::sync::{mpsc, oneshot};
 
 use super::clock::boot_time;
 use super::control::{Event, enqueue};
+use super::crash_report::CrashReport;
 use super::loads::LoadMessage;
 use super::notice::{ReplicaNotice, ReplicaNotices};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefillReply, PrefixKey};
@@ -56,6 +60,8 @@
     PrefillRequested(PrefillMessage, ReplyHandle),
     /// The outcome of a prefill.
     PrefillEnded(PrefillMessage),
+    /// Crashes of replicas and kept answers.
+    Crashes(CrashReport),
 }
 
 /// The connections to other gateways and the membership state.
@@ -227,6 +233,10 @@
                     None => PeerMessage::PrefillEnded(message),
                 })
             }),
+            Kind::Crashes => {
+                let report = event.body.decode::<CrashReport>();
+                report.map(|report| Some(PeerMessage::Crashes(report)))
+            }
             _ => Ok(None),
         };
         match decoded {
@@ -247,7 +257,24 @@
             notices,
             from_holder,
         };
-        let body = Body::encode(Kind::Replicas, &message);
+        self.broadcast(&Body::encode(Kind::Replicas, &message));
+    }
+
+    /// Broadcasts crashes of replicas to all other routers.
+    pub(crate) fn broadcast_crashes(&self, report: &CrashReport) {
+        self.broadcast(&Body::encode(Kind::Crashes, report));
+    }
+
+    /// Sends crashes of replicas to a random other router.
+    pub(crate) fn send_crashes(&self, report: &CrashReport, rng: &mut impl Rng) {
+        let others = self.alive().filter(|member| member.router != *self.own());
+        if let Some(member) = others.choose(rng) {
+            self.links
+                .send(member.peers, Body::encode(Kind::Crashes, report));
+        }
+    }
+
+    fn broadcast(&self, body: &Body) {
         let own = self.own();
         for member in self
             .membership
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -5,11 +5,12 @@
 
 use http::header::HeaderMap;
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
 
 use super::headers::{HeaderNames, header_text};
 use super::placement::PlacementRequest;
 use super::route::{GatewayAccount, ModelName};
+use crate::request::quarantine::PartKey;
 
 /// The maximum number of parts of a prompt.
 const MAX_PARTS: usize = 64;
@@ -75,6 +76,16 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Returns the keys of the shared parts, in order.
+    #[must_use]
+    pub(crate) fn part_keys(&self) -> SmallVec<[PartKey; 4]> {
+        let seed = xxh3_64(self.model.as_bytes());
+        let shared = self.shared_parts().iter();
+        shared
+            .map(|part| xxh3_64_with_seed(part.id.as_bytes(), seed))
+            .collect()
+    }
+
     /// Returns the placement inputs of this prompt; pass `account` only if the client account is isolated.
     #[must_use]
     pub(crate) fn placement_request(&self, account: Option<&GatewayAccount>) -> PlacementRequest {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -22,6 +22,9 @@
 /// How long a resumable stream may be silent before another replica may resume it.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// The number of events after which an answer has got past its beginning.
+const KEPT_EVENTS: u32 = 2;
+
 /// How relaying the response of one replica ended.
 enum RelayEnd {
     /// The response is complete.
@@ -47,13 +50,14 @@
     let mut body_end;
     let end = loop {
         let framing = stream.framing;
+        let replica = stream.replica.key;
         let end = relay_stream(&mut dispatch, *stream, &chunks, &mut forwarding).await;
         body_end = BodyEnd {
             framing,
             position: forwarding.position(),
         };
         if matches!(end, RelayEnd::Broken) {
-            dispatch.log_broken_stream(forwarding.events());
+            dispatch.report_broken_stream(replica, forwarding.events());
         }
         let is_silent = matches!(end, RelayEnd::Silent);
         if !is_silent && !matches!(end, RelayEnd::Broken) {
@@ -121,6 +125,7 @@
     if !received.is_empty() && chunks.send(Ok(received)).await.is_err() {
         return RelayEnd::CallerLeft;
     }
+    let mut is_kept = false;
     loop {
         let time_left = (dispatch.call.deadline + DEADLINE_SLACK).saturating_sub(boot_time());
         let wait = if is_resumable {
@@ -140,6 +145,9 @@
                     return RelayEnd::Broken;
                 }
                 connection.release(idle_timeout);
+                if !is_kept {
+                    dispatch.record_kept();
+                }
                 return RelayEnd::Complete;
             }
             Ok(Some(Err(_))) => {
@@ -159,6 +167,10 @@
         let Ok(bytes) = forwarding.push(bytes) else {
             return RelayEnd::Broken;
         };
+        if !is_kept && forwarding.events() >= KEPT_EVENTS {
+            is_kept = true;
+            dispatch.record_kept();
+        }
         if !bytes.is_empty() && chunks.send(Ok(bytes)).await.is_err() {
             return RelayEnd::CallerLeft;
         }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::clock::boot_time;
 use super::control::Event;
@@ -28,6 +28,8 @@
 use super::upstream::ReplicaPool;
 use crate::id::{ReplicaId, ServiceName, WeightsVersion, ZoneName};
 use crate::request::ejection::{Ejection, EjectionOptions};
+use crate::request::kept_parts::KeptParts;
+use crate::request::quarantine::{Crash, PartKey, Suspects};
 use crate::request::retry::RetryBudget;
 
 /// The fraction of the users' retry share that this router uses; the rest is reserved for requests that never arrived.
@@ -135,6 +137,10 @@
         /// The start time of the replica, in milliseconds since the Unix epoch.
         born_ms: u64,
     },
+    /// A replica broke off an answer as it began.
+    Crash(Crash),
+    /// An answer went on under a suspected part.
+    PartKept(PartKey),
     /// The address now belongs to another replica.
     AddressReused {
         /// The replica that was expected.
@@ -162,6 +168,10 @@
     health: Mutex<HashMap<ServiceName, Ejection>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     others_load: ArcSwap<LoadMap>,
+    /// The parts of prompts that are suspected to crash replicas.
+    pub(crate) suspects: ArcSwap<Suspects>,
+    suspects_changed: watch::Sender<()>,
+    kept_parts: Mutex<KeptParts>,
     observations: mpsc::Sender<Observation>,
     /// Set when the control thread starts.
     control: OnceLock<mpsc::Sender<Event>>,
@@ -295,6 +305,9 @@
             health: Mutex::default(),
             budgets: Mutex::default(),
             others_load: ArcSwap::default(),
+            suspects: ArcSwap::default(),
+            suspects_changed: watch::Sender::new(()),
+            kept_parts: Mutex::default(),
             observations,
             control: OnceLock::new(),
         }
@@ -405,6 +418,47 @@
         self.others_load.load_full()
     }
 
+    /// Replaces the suspected parts.
+    pub(crate) fn set_suspects(&self, suspects: Suspects) {
+        self.suspects.store(Arc::new(suspects));
+        self.suspects_changed.send_replace(());
+    }
+
+    /// Returns for how long requests with one of `parts` are refused; `None` if they aren't.
+    pub(crate) fn refused_for(&self, parts: &[PartKey], now: Duration) -> Option<Duration> {
+        let suspects = self.suspects.load();
+        let statuses = parts.iter().filter_map(|part| suspects.get(part));
+        statuses.filter_map(|status| status.refused_for(now)).max()
+    }
+
+    /// Waits until requests with one of `parts` are refused.
+    pub(crate) async fn wait_until_refused(&self, parts: &[PartKey]) {
+        let mut changes = self.suspects_changed.subscribe();
+        while self.refused_for(parts, boot_time()).is_none() {
+            if parts.is_empty() || changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    /// Records that an answer went on under `parts`, which clears those that are suspected.
+    pub(crate) fn record_kept(&self, parts: &[PartKey], now: Duration) {
+        let mut kept_parts = lock(&self.kept_parts);
+        for part in parts {
+            kept_parts.record(*part, now);
+        }
+        drop(kept_parts);
+        let suspects = self.suspects.load();
+        for part in parts.iter().filter(|part| suspects.contains_key(*part)) {
+            self.observe(Observation::PartKept(*part));
+        }
+    }
+
+    /// Returns when an answer last went on under `part`, unless it is long ago.
+    pub(crate) fn last_kept(&self, part: PartKey, now: Duration) -> Option<Duration> {
+        lock(&self.kept_parts).last(part, now)
+    }
+
     /// Sets the replicas of a service whose health is tracked.
     pub(crate) fn set_tracked_replicas(&self, service: &ServiceName, replicas: Vec<ReplicaId>) {
         let mut health = lock(&self.health);
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -50,11 +50,13 @@
     Work = 14,
     /// Asks which replica is computing a prompt prefix, or reports how that computation ended.
     Reading = 15,
+    /// Reports replicas that crashed as they began an answer, and answers that were kept.
+    Crashes = 16,
 }
 
 impl Kind {
     /// All kinds, ordered by their numbers.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::Ping,
         Self::Pong,
         Self::Heartbeat,
@@ -71,6 +73,7 @@
         Self::News,
         Self::Work,
         Self::Reading,
+        Self::Crashes,
     ];
 
     /// Returns the value of the metric label for this kind.
@@ -93,6 +96,7 @@
             Self::News => "news",
             Self::Work => "work",
             Self::Reading => "reading",
+            Self::Crashes => "crashes",
         }
     }
 }
--- a/src/request/tests/mod.rs
+++ b/src/request/tests/mod.rs
@@ -1,5 +1,6 @@
-//! Tests of streams, event IDs, retries, hedges, ejection and the drain.
+//! Tests of streams, event IDs, retries, hedges, ejection, quarantine and the drain.
 
 mod drain;
+mod quarantine;
 mod retry;
 mod stream;
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -100,6 +100,13 @@
         &["status", "reason"],
         "Answers that the gateway gave itself, by status and reason.",
     ),
+    metric(
+        "crocuswharf_gateway_refused_parts",
+        MetricKind::Gauge,
+        Unit::Count,
+        &[],
+        "Parts of prompts under which requests are refused, since replicas crashed under them.",
+    ),
     metric(
         "crocuswharf_gateway_replica_signals_total",
         MetricKind::Counter,
@@ -128,6 +135,13 @@
         &[],
         "How often the platform's store came back from an older copy.",
     ),
+    metric(
+        "crocuswharf_gateway_suspected_parts",
+        MetricKind::Gauge,
+        Unit::Count,
+        &[],
+        "Parts of prompts under which a replica crashed, and no answer was kept since.",
+    ),
     metric(
         "crocuswharf_observations_dropped_total",
         MetricKind::Counter,
