Tell routers that start which prompt parts are refused

What callers saw: after many routers were killed at once, those that started sent requests with a refused part on, and replicas crashed anew. Cause: a router learned refusals by gossip to a random router every half a second, and takes callers a tenth of a second after its start. Change: each router sends all that it knows to a router that it sees for the first time, and a change is published without delay unless one was published within the last 5 ms. Why it works: a router that starts contacts the others before its callers learn of it. A caller that connects within the first few milliseconds of a start may still get a refused part through.

--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -10,8 +10,8 @@
 
 /// The interval at which a router sends all that it knows to a random one.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// The delay after which a change is published, with all others that come meanwhile.
-const PUBLICATION_DELAY: Duration = Duration::from_millis(5);
+/// The least time between publications; a crash brings many changes at once.
+const PUBLICATION_INTERVAL: Duration = Duration::from_millis(5);
 /// The delay after which a crash is reported, with all others that this router sees meanwhile.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
 
@@ -25,6 +25,7 @@
     next_full_report: Duration,
     /// When to publish the suspects; `None` if they have not changed.
     publish_at: Option<Duration>,
+    last_publication: Duration,
     /// The parts whose refusal was logged.
     refused: BTreeSet<PartKey>,
 }
@@ -35,7 +36,8 @@
     }
 
     fn schedule_publication(&mut self, now: Duration) {
-        self.publish_at.get_or_insert(now + PUBLICATION_DELAY);
+        let earliest = self.last_publication + PUBLICATION_INTERVAL;
+        self.publish_at.get_or_insert(now.max(earliest));
     }
 
     /// Returns when something is due next, if anything is.
@@ -111,19 +113,25 @@
         }
         if pending.publish_at.is_some_and(|at| at <= now) {
             pending.publish_at = None;
+            pending.last_publication = now;
             self.publish_suspects(now);
         }
-        if self.pending_crashes.next_full_report > now {
-            return;
-        }
-        self.pending_crashes.next_full_report = now + REPORT_INTERVAL;
-        self.quarantine.expire(now);
-        let report = CrashReport::of_all(&self.quarantine, now);
-        if !report.is_empty() {
-            self.peers.send_crashes(&report, &mut rand::rng());
+        // A router that starts gets requests at once, also those under parts that the others refuse.
+        let mut receivers = self.peers.newcomers();
+        let is_full_report_due = self.pending_crashes.next_full_report <= now;
+        if is_full_report_due {
+            self.pending_crashes.next_full_report = now + REPORT_INTERVAL;
+            self.quarantine.expire(now);
+            receivers.extend(self.peers.random_other(&mut rand::rng()));
+        }
+        if !receivers.is_empty() {
+            let report = CrashReport::of_all(&self.quarantine, now);
+            for to in receivers.into_iter().filter(|_| !report.is_empty()) {
+                self.peers.send_crashes(to, &report);
+            }
         }
         // Refusals and crashes end with time.
-        if !self.shared.suspects.load().is_empty() {
+        if is_full_report_due && !self.shared.suspects.load().is_empty() {
             self.pending_crashes.schedule_publication(now);
         }
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,13 +1,14 @@
 //! Communication with other gateways: membership, notices about replicas, prefill tracking, loads, crashes and platform
 //! updates.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
 use rand::seq::IteratorRandom;
+use smallvec::SmallVec;
 use tokio::sync::{mpsc, oneshot};
 
 use super::clock::boot_time;
@@ -71,6 +72,9 @@
     membership: Membership,
     events: mpsc::Sender<Event>,
     generation: u64,
+    /// The routers that [`Peers::newcomers`] has returned, as of a generation of the membership.
+    greeted: HashSet<RouterId>,
+    greeted_generation: u64,
 }
 
 impl Peers {
@@ -115,6 +119,8 @@
             membership,
             events,
             generation: u64::MAX,
+            greeted: HashSet::new(),
+            greeted_generation: u64::MAX,
         };
         Ok((peers, inbound))
     }
@@ -150,6 +156,23 @@
         std::mem::replace(&mut self.generation, generation) != generation
     }
 
+    /// Returns the addresses of the routers that were seen for the first time since the last call.
+    pub(crate) fn newcomers(&mut self) -> SmallVec<[SocketAddr; 2]> {
+        let generation = self.membership.generation();
+        if std::mem::replace(&mut self.greeted_generation, generation) == generation {
+            return SmallVec::new();
+        }
+        let alive: HashMap<RouterId, SocketAddr> = self
+            .alive()
+            .filter(|member| member.router != *self.own())
+            .map(|member| (Arc::clone(&member.router), member.peers))
+            .collect();
+        self.greeted.retain(|router| alive.contains_key(router));
+        let new = alive.into_iter();
+        new.filter_map(|(router, peers)| self.greeted.insert(router).then_some(peers))
+            .collect()
+    }
+
     /// Returns the routers that callers may use: the ready ones, or all alive ones that are not leaving if none is
     /// ready.
     pub(crate) fn entries(&self) -> Vec<EntryPoint> {
@@ -265,13 +288,15 @@
         self.broadcast(&Body::encode(Kind::Crashes, report));
     }
 
-    /// Sends crashes of replicas to a random other router.
-    pub(crate) fn send_crashes(&self, report: &CrashReport, rng: &mut impl Rng) {
+    /// Sends crashes of replicas to the router at `to`.
+    pub(crate) fn send_crashes(&self, to: SocketAddr, report: &CrashReport) {
+        self.links.send(to, Body::encode(Kind::Crashes, report));
+    }
+
+    /// Returns the address of a random other router.
+    pub(crate) fn random_other(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
         let others = self.alive().filter(|member| member.router != *self.own());
-        if let Some(member) = others.choose(rng) {
-            self.links
-                .send(member.peers, Body::encode(Kind::Crashes, report));
-        }
+        others.choose(rng).map(|member| member.peers)
     }
 
     fn broadcast(&self, body: &Body) {
