Name what a broken answer proves in one place

Cause: the number of events that makes an answer count as kept stood in the relay, and what fewer events prove in the dispatch; both are part of the decision on prompt parts. Measured: unit tests pass; nothing else changes. Conclusion: the evidence is defined where it is judged.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -266,10 +266,8 @@
             self.last_attempt().0,
             parts.join(",")
         );
-        match events {
-            0 => self.report_crash(replica, Evidence::Strong),
-            1 => self.report_crash(replica, Evidence::Weak),
-            _ => {}
+        if let Some(evidence) = Evidence::of_broken_answer(events) {
+            self.report_crash(replica, evidence);
         }
     }
 
@@ -468,7 +466,7 @@
         }));
     }
 
-    /// Records that the answer went on for long enough to show that its prompt does not crash replicas.
+    /// Records that the answer is whole, or went on for long enough to show that its prompt does not crash replicas.
     pub(crate) fn record_kept(&self) {
         self.shared.record_kept(&self.parts, boot_time());
     }
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub(crate) enum Forwarding {
     /// Bytes without events, as they arrive.
-    Bytes,
+    Opaque,
     /// Events whose bytes are forwarded as they arrive.
     Events(EventScanner),
     /// Complete events only.
@@ -92,7 +92,7 @@
             CallKind::Stream {
                 is_resumable: false,
             } => Self::Events(EventScanner::default()),
-            CallKind::Idempotent | CallKind::NonIdempotent => Self::Bytes,
+            CallKind::Idempotent | CallKind::NonIdempotent => Self::Opaque,
         }
     }
 
@@ -103,7 +103,7 @@
     /// Returns an error if an event that is held back becomes too long.
     pub(crate) fn push(&mut self, bytes: Bytes) -> Result<Bytes, EventTooLong> {
         match self {
-            Self::Bytes => Ok(bytes),
+            Self::Opaque => Ok(bytes),
             Self::Events(scanner) => {
                 scanner.push(&bytes);
                 Ok(bytes)
@@ -129,7 +129,7 @@
     #[must_use]
     pub(crate) const fn events(&self) -> u32 {
         match self {
-            Self::Bytes => 0,
+            Self::Opaque => 0,
             Self::Events(scanner) => scanner.events(),
             Self::CompleteEvents(splitter) => splitter.events(),
         }
@@ -139,7 +139,7 @@
     #[must_use]
     pub(crate) const fn position(&self) -> Option<StreamPosition> {
         match self {
-            Self::Bytes => None,
+            Self::Opaque => None,
             Self::Events(scanner) => Some(scanner.position()),
             Self::CompleteEvents(splitter) => Some(splitter.position()),
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,6 +14,7 @@
 use super::dispatch::{Dispatch, ReplicaBody, ReplicaStream};
 use super::forwarding::{BodyEnd, Forwarding};
 use super::response::TruncatedBody;
+use crate::request::quarantine::KEPT_EVENTS;
 
 /// The number of chunks buffered for a slow caller; beyond that, the replica's connection is not read.
 pub(crate) const RELAY_BUFFER_LEN: usize = 16;
@@ -22,9 +23,6 @@
 /// How long a resumable stream may be silent before another replica may resume it.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
-/// The number of events after which an answer has got past its beginning.
-const KEPT_EVENTS: u32 = 2;
-
 /// How relaying the response of one replica ended.
 enum RelayEnd {
     /// The response is complete.
--- a/src/request/quarantine.rs
+++ b/src/request/quarantine.rs
@@ -28,6 +28,8 @@
 /// A hash that identifies one incarnation of a replica.
 pub(crate) type IncarnationKey = u32;
 
+/// The number of complete events from which an answer counts as kept.
+pub(crate) const KEPT_EVENTS: u32 = 2;
 /// The points of a crash with strong evidence; three are enough for a refusal.
 const STRONG_POINTS: u32 = 5;
 /// The points of a crash with weak evidence; five are enough for a refusal.
@@ -39,7 +41,7 @@
 /// The points from which a request is not sent again after a replica crashed under it.
 const RESEND_POINTS: u32 = 10;
 /// Crashes within this time of the first one count as one; routers notice a crash within a few tens of milliseconds.
-const WAVE: Duration = Duration::from_millis(150);
+const CRASH_WINDOW: Duration = Duration::from_millis(150);
 /// The number of different parts that must have followed a part in crashes before it is refused instead of them.
 const MIN_SUCCESSORS: usize = 3;
 /// The number of replicas that crashed under a part, but not under one that followed it, for the same.
@@ -108,6 +110,15 @@
 }
 
 impl Evidence {
+    /// Returns the evidence of a crash that broke an answer off after `events` complete events, if it is any.
+    pub(crate) const fn of_broken_answer(events: u32) -> Option<Self> {
+        match events {
+            0 => Some(Self::Strong),
+            1..KEPT_EVENTS => Some(Self::Weak),
+            _ => None,
+        }
+    }
+
     const fn points(self) -> u32 {
         match self {
             Self::Weak => WEAK_POINTS,
@@ -238,7 +249,7 @@
         for crash in self.live_crashes(part) {
             let points = crash.evidence.points();
             match &mut wave {
-                Some((begun_at, strongest)) if crash.at < *begun_at + WAVE => {
+                Some((begun_at, strongest)) if crash.at < *begun_at + CRASH_WINDOW => {
                     *strongest = (*strongest).max(points);
                 }
                 _ => {
