--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -6,27 +6,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http::header::{HeaderMap, HeaderName, HeaderValue};
-use http::{Request, Response, StatusCode, response};
-use http_body_util::BodyExt;
+use bytes::Bytes;
+use http::header::{HeaderName, HeaderValue};
+use http::{Request, Response};
 use hyper::body::Incoming;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::attempt::{AttemptEnd, NextStep, RetryState};
-use super::backpressure::Backpressure;
 use super::call::{Call, RETRY_AFTER_BUSY};
 use super::clock::boot_time;
+use super::exchange::{
+    Exchange, FailedAttempt, ReplicaResponse, ReplicaStream, failed_send, keep_alive_timeout,
+};
 use super::forwarding::BodyFraming;
-use super::headers::header_text;
 use super::loads::ReplicaKey;
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
 use super::prompt::{Prompt, cache_scope};
 use super::response::LocalReply;
 use super::route::CallKind;
-use super::shared::{LoadGuard, Observation, Replica, Shared, Snapshot};
+use super::shared::{Observation, Replica, Shared, Snapshot};
 use super::upstream::{ReplicaConnection, RequestBody, SendFailure};
 use crate::id::ReplicaId;
 use crate::request::quarantine::{Crash, Evidence, PartKey};
@@ -46,12 +46,6 @@
 const MIN_SHARED_PREFIX_TOKENS: u32 = 1_000;
 /// The fraction of the latency objective for which a request may wait for the prefill of its prefix.
 const PREFILL_WAIT_FRACTION: f64 = 0.8;
-/// The maximum size of a response that is buffered until it is complete; a longer one is streamed.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
-/// The maximum size of a refusal that is read in order to reuse its connection.
-const MAX_REFUSAL_BYTES: usize = 16 << 10;
-/// How long the rest of a refusal is read.
-const REFUSAL_READ_LIMIT: Duration = Duration::from_millis(20);
 
 /// A request and the state of its attempts.
 #[derive(Debug)]
@@ -76,75 +70,6 @@
     holder: Option<ReplicaKey>,
 }
 
-/// The response of a replica.
-#[derive(Debug)]
-pub(crate) struct ReplicaResponse {
-    /// The head of the response.
-    pub(crate) head: response::Parts,
-    /// The body of the response.
-    pub(crate) body: ReplicaBody,
-}
-
-/// The body of a replica's response.
-#[derive(Debug)]
-pub(crate) enum ReplicaBody {
-    /// A complete body.
-    Full {
-        /// The body.
-        bytes: Bytes,
-        /// How the replica marked its end.
-        framing: BodyFraming,
-    },
-    /// A body that is still being received.
-    Streaming(Box<ReplicaStream>),
-}
-
-/// A response that is still being received.
-#[derive(Debug)]
-pub(crate) struct ReplicaStream {
-    /// How the replica marks the end of the body.
-    pub(crate) framing: BodyFraming,
-    /// The part of the body that was already received.
-    pub(crate) received: Bytes,
-    /// The rest of the body.
-    pub(crate) body: Incoming,
-    /// The connection; it is closed if the response is not read to the end.
-    pub(crate) connection: ReplicaConnection,
-    /// Counts the request towards the load of the replica.
-    pub(crate) guard: LoadGuard,
-    /// The replica.
-    pub(crate) replica: Arc<Replica>,
-    /// The keep-alive timeout that the replica announced, if any; zero if it closes the connection.
-    pub(crate) idle_timeout: Option<Duration>,
-}
-
-/// An attempt that ended without a response to forward.
-#[derive(Debug)]
-struct FailedAttempt {
-    end: AttemptEnd,
-    reason: Arc<str>,
-    /// The replica's error response, forwarded if no attempt yields a better one.
-    error_response: Option<ReplicaResponse>,
-    /// Whether the next send was already charged to the retry budget.
-    is_resend_charged: bool,
-}
-
-impl FailedAttempt {
-    fn new(end: AttemptEnd, reason: impl Into<Arc<str>>) -> Self {
-        Self {
-            end,
-            reason: reason.into(),
-            error_response: None,
-            is_resend_charged: false,
-        }
-    }
-
-    fn with_charged_resend(mut self) -> Self {
-        self.is_resend_charged = true;
-        self
-    }
-}
-
 impl Dispatch {
     /// Creates the dispatch of `call` before its first attempt.
     pub(crate) fn new(shared: Arc<Shared>, call: Call) -> Self {
@@ -442,7 +367,11 @@
             replica: Arc::clone(&replica),
             idle_timeout: keep_alive_timeout(&head.headers),
         };
-        let response = self.handle_response(head, stream).await?;
+        let exchange = Exchange {
+            shared: Arc::clone(&self.shared),
+            call: Arc::clone(&self.call),
+        };
+        let response = exchange.handle_response(head, stream).await?;
         self.end_prefill(Some(replica.key));
         Ok(response)
     }
@@ -663,172 +592,6 @@
         let attempt_timeout = self.call.route.objective.mul_f64(share);
         (!is_last && attempt_timeout < self.call.remaining()).then_some(attempt_timeout)
     }
-
-    /// Validates the head of a response and buffers the body if it is short.
-    async fn handle_response(
-        &self,
-        head: response::Parts,
-        stream: ReplicaStream,
-    ) -> Result<ReplicaResponse, FailedAttempt> {
-        let header_names = &self.shared.header_names;
-        let replica = Arc::clone(&stream.replica);
-        self.observe_weights(&head.headers, &replica);
-        if head.headers.get(&header_names.request_id) != Some(&self.call.id) {
-            self.shared.record_outcome(&replica, 1, boot_time());
-            return Err(FailedAttempt::new(
-                AttemptEnd::Broken,
-                "the response belongs to another request",
-            ));
-        }
-        self.observe_backpressure(&head, &replica);
-        if head.status == StatusCode::MISDIRECTED_REQUEST
-            || head.headers.contains_key(&header_names.not_run)
-        {
-            return Err(self.handle_refusal(&head, stream).await);
-        }
-        let is_signed = head.headers.contains_key(&header_names.signature);
-        let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
-        if is_encoded || (head.status.is_success() && !is_signed) {
-            self.shared.record_outcome(&replica, 1, boot_time());
-            return Err(FailedAttempt::new(
-                AttemptEnd::Broken,
-                "the response is encoded or not signed by the replica",
-            ));
-        }
-        let failures = u32::from(head.status.is_server_error());
-        self.shared.record_outcome(&replica, failures, boot_time());
-        let is_streamed = self.call.route.kind.is_stream() && head.status.is_success();
-        if is_streamed || !is_bufferable(&stream.body) {
-            let body = ReplicaBody::Streaming(Box::new(stream));
-            return Ok(ReplicaResponse { head, body });
-        }
-        let framing = stream.framing;
-        let reading = read_to_end(stream, MAX_BUFFERED_BYTES);
-        let body = tokio::time::timeout(self.call.remaining(), reading).await;
-        let response = match body {
-            Ok(BufferedBody::Complete(bytes)) => ReplicaResponse {
-                head,
-                body: ReplicaBody::Full { bytes, framing },
-            },
-            Ok(BufferedBody::TooLong(stream)) if !head.status.is_server_error() => {
-                let body = ReplicaBody::Streaming(stream);
-                return Ok(ReplicaResponse { head, body });
-            }
-            Ok(BufferedBody::TooLong(_)) => {
-                return Err(FailedAttempt::new(
-                    AttemptEnd::Broken,
-                    "the replica's error response is too long",
-                ));
-            }
-            Ok(BufferedBody::Broken) => {
-                return Err(FailedAttempt::new(
-                    AttemptEnd::Broken,
-                    "the answer broke off",
-                ));
-            }
-            Err(_) => {
-                return Err(FailedAttempt::new(
-                    AttemptEnd::TimedOut,
-                    "the response took too long",
-                ));
-            }
-        };
-        if response.head.status.is_server_error() {
-            return Err(FailedAttempt {
-                end: AttemptEnd::Failed,
-                reason: "the replica returned a server error".into(),
-                error_response: Some(response),
-                is_resend_charged: false,
-            });
-        }
-        Ok(response)
-    }
-
-    /// Handles a response that states that the request has not run on the replica.
-    async fn handle_refusal(&self, head: &response::Parts, stream: ReplicaStream) -> FailedAttempt {
-        let header_names = &self.shared.header_names;
-        let record = &stream.replica.known.record;
-        if head.status != StatusCode::MISDIRECTED_REQUEST {
-            stream.replica.load.record_refusal();
-        } else {
-            let named = header_text(&head.headers, &header_names.replica);
-            if named.is_some_and(|named| *named != *record.id) {
-                self.shared.observe(Observation::AddressReused {
-                    replica: Arc::clone(&record.id),
-                    born_ms: record.born_ms,
-                });
-            } else if !head.headers.contains_key(&header_names.weights) {
-                self.shared.observe(Observation::OtherWeights {
-                    replica: Arc::clone(&record.id),
-                });
-            }
-        }
-        let reason = format!("refused with {}", head.status.as_u16());
-        // The connection can be reused only if the rest of the refusal is read.
-        let reading = read_to_end(stream, MAX_REFUSAL_BYTES);
-        let body = tokio::time::timeout(REFUSAL_READ_LIMIT, reading).await;
-        if !matches!(body, Ok(BufferedBody::Complete(_))) {
-            log::debug!(
-                "request: The response of a refusal was not read to its end. id={}",
-                self.call.id_text()
-            );
-        }
-        FailedAttempt::new(AttemptEnd::Refused, reason)
-    }
-
-    /// Stops sending to the replica if its response asks for that, and reports a departure to the control thread.
-    fn observe_backpressure(&self, head: &response::Parts, replica: &Replica) {
-        // Another replica answers for an address that was assigned again.
-        if head.status == StatusCode::MISDIRECTED_REQUEST {
-            return;
-        }
-        let asked =
-            Backpressure::of_response(head.status, &head.headers, &self.shared.header_names);
-        let record = &replica.known.record;
-        if let Some(time) = asked.retry_after {
-            replica.load.record_backoff(time);
-            record_signal("retry_after");
-            log::debug!(
-                "request: The replica asked for a pause. id={} replica={} retry_after_ms={}",
-                self.call.id_text(),
-                record.id,
-                time.as_millis()
-            );
-        }
-        if asked.is_leaving && replica.load.record_leaving() {
-            record_signal("leaving");
-            log::info!(
-                "request: The replica says that it leaves. id={} replica={}",
-                self.call.id_text(),
-                record.id
-            );
-            self.shared.observe(Observation::Leaving {
-                replica: Arc::clone(&record.id),
-                born_ms: record.born_ms,
-            });
-        }
-    }
-
-    /// Reports to the control thread if a response names newer weights than are known for the replica.
-    fn observe_weights(&self, headers: &HeaderMap, replica: &Replica) {
-        let Some(prompt) = &self.call.prompt else {
-            return;
-        };
-        let text = header_text(headers, &self.shared.header_names.weights);
-        let Some(version) = text.and_then(|text| text.trim().parse::<u64>().ok()) else {
-            return;
-        };
-        let known = replica.known.version_of(&prompt.model);
-        if known.is_none_or(|known| known < version) {
-            replica.load.record_version(version);
-            self.shared.observe(Observation::Weights {
-                replica: Arc::clone(&replica.known.record.id),
-                born_ms: replica.known.record.born_ms,
-                model: Arc::clone(&prompt.model),
-                version,
-            });
-        }
-    }
 }
 
 /// Why an attempt yielded no response.
@@ -851,70 +614,3 @@
         self.end_prefill(None);
     }
 }
-
-fn record_signal(signal: &'static str) {
-    metrics::counter!("crocuswharf_gateway_replica_signals_total", "signal" => signal).increment(1);
-}
-
-fn failed_send(failure: SendFailure) -> FailedAttempt {
-    match failure {
-        SendFailure::Unsent(reason) => FailedAttempt::new(AttemptEnd::Unsent, reason),
-        SendFailure::Broken(reason) => FailedAttempt::new(AttemptEnd::Broken, reason),
-    }
-}
-
-/// The result of reading a response up to a limit.
-enum BufferedBody {
-    /// The complete body; the connection was released.
-    Complete(Bytes),
-    /// The body is longer than the limit; what was read is kept in the stream.
-    TooLong(Box<ReplicaStream>),
-    /// The body is truncated.
-    Broken,
-}
-
-/// Reads a response to its end, or until it exceeds `limit` bytes: a faulty replica may send bytes without end.
-async fn read_to_end(mut stream: ReplicaStream, limit: usize) -> BufferedBody {
-    let mut received = BytesMut::new();
-    loop {
-        match stream.body.frame().await {
-            Some(Ok(frame)) => {
-                if let Some(bytes) = frame.data_ref() {
-                    received.extend_from_slice(bytes);
-                }
-            }
-            Some(Err(_)) => return BufferedBody::Broken,
-            None => {
-                stream.connection.release(stream.idle_timeout);
-                return BufferedBody::Complete(received.freeze());
-            }
-        }
-        if received.len() > limit {
-            stream.received = received.freeze();
-            return BufferedBody::TooLong(Box::new(stream));
-        }
-    }
-}
-
-fn is_bufferable(body: &Incoming) -> bool {
-    use hyper::body::Body;
-    body.size_hint()
-        .exact()
-        .is_none_or(|size| size <= MAX_BUFFERED_BYTES as u64)
-}
-
-/// Returns the keep-alive timeout announced by a replica; zero if it closes the connection.
-fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let connection = header_text(headers, &http::header::CONNECTION).unwrap_or_default();
-    if connection
-        .split(',')
-        .any(|token| token.trim().eq_ignore_ascii_case("close"))
-    {
-        return Some(Duration::ZERO);
-    }
-    let text = header_text(headers, &HeaderName::from_static("keep-alive"))?;
-    let seconds = text
-        .split(',')
-        .find_map(|token| token.trim().strip_prefix("timeout="))?;
-    Some(Duration::from_secs(seconds.trim().parse().ok()?))
-}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,339 @@
+//! One exchange with a replica: validates the head of its response, and buffers the body if it is short.
+//!
+//! What follows from the result is decided in [`super::attempt`].
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{HeaderMap, HeaderName};
+use http::{StatusCode, response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::attempt::AttemptEnd;
+use super::backpressure::Backpressure;
+use super::call::Call;
+use super::clock::boot_time;
+use super::forwarding::BodyFraming;
+use super::headers::header_text;
+use super::shared::{LoadGuard, Observation, Replica, Shared};
+use super::upstream::{ReplicaConnection, SendFailure};
+
+/// The maximum size of a response that is buffered until it is complete; a longer one is streamed.
+const MAX_BUFFERED_BYTES: usize = 256 << 10;
+/// The maximum size of a refusal that is read in order to reuse its connection.
+const MAX_REFUSAL_BYTES: usize = 16 << 10;
+/// How long the rest of a refusal is read.
+const REFUSAL_READ_LIMIT: Duration = Duration::from_millis(20);
+
+/// The response of a replica.
+#[derive(Debug)]
+pub(crate) struct ReplicaResponse {
+    /// The head of the response.
+    pub(crate) head: response::Parts,
+    /// The body of the response.
+    pub(crate) body: ReplicaBody,
+}
+
+/// The body of a replica's response.
+#[derive(Debug)]
+pub(crate) enum ReplicaBody {
+    /// A complete body.
+    Full {
+        /// The body.
+        bytes: Bytes,
+        /// How the replica marked its end.
+        framing: BodyFraming,
+    },
+    /// A body that is still being received.
+    Streaming(Box<ReplicaStream>),
+}
+
+/// A response that is still being received.
+#[derive(Debug)]
+pub(crate) struct ReplicaStream {
+    /// How the replica marks the end of the body.
+    pub(crate) framing: BodyFraming,
+    /// The part of the body that was already received.
+    pub(crate) received: Bytes,
+    /// The rest of the body.
+    pub(crate) body: Incoming,
+    /// The connection; it is closed if the response is not read to the end.
+    pub(crate) connection: ReplicaConnection,
+    /// Counts the request towards the load of the replica.
+    pub(crate) guard: LoadGuard,
+    /// The replica.
+    pub(crate) replica: Arc<Replica>,
+    /// The keep-alive timeout that the replica announced, if any; zero if it closes the connection.
+    pub(crate) idle_timeout: Option<Duration>,
+}
+
+/// An attempt that ended without a response to forward.
+#[derive(Debug)]
+pub(crate) struct FailedAttempt {
+    pub(crate) end: AttemptEnd,
+    pub(crate) reason: Arc<str>,
+    /// The replica's error response, forwarded if no attempt yields a better one.
+    pub(crate) error_response: Option<ReplicaResponse>,
+    /// Whether the next send was already charged to the retry budget.
+    pub(crate) is_resend_charged: bool,
+}
+
+impl FailedAttempt {
+    pub(crate) fn new(end: AttemptEnd, reason: impl Into<Arc<str>>) -> Self {
+        Self {
+            end,
+            reason: reason.into(),
+            error_response: None,
+            is_resend_charged: false,
+        }
+    }
+
+    pub(crate) fn with_charged_resend(mut self) -> Self {
+        self.is_resend_charged = true;
+        self
+    }
+}
+
+/// A request whose response is being received.
+#[derive(Clone, Debug)]
+pub(crate) struct Exchange {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) call: Arc<Call>,
+}
+
+impl Exchange {
+    /// Validates the head of a response and buffers the body if it is short.
+    pub(crate) async fn handle_response(
+        &self,
+        head: response::Parts,
+        stream: ReplicaStream,
+    ) -> Result<ReplicaResponse, FailedAttempt> {
+        let header_names = &self.shared.header_names;
+        let replica = Arc::clone(&stream.replica);
+        self.observe_weights(&head.headers, &replica);
+        if head.headers.get(&header_names.request_id) != Some(&self.call.id) {
+            self.shared.record_outcome(&replica, 1, boot_time());
+            return Err(FailedAttempt::new(
+                AttemptEnd::Broken,
+                "the response belongs to another request",
+            ));
+        }
+        self.observe_backpressure(&head, &replica);
+        if head.status == StatusCode::MISDIRECTED_REQUEST
+            || head.headers.contains_key(&header_names.not_run)
+        {
+            return Err(self.handle_refusal(&head, stream).await);
+        }
+        let is_signed = head.headers.contains_key(&header_names.signature);
+        let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
+        if is_encoded || (head.status.is_success() && !is_signed) {
+            self.shared.record_outcome(&replica, 1, boot_time());
+            return Err(FailedAttempt::new(
+                AttemptEnd::Broken,
+                "the response is encoded or not signed by the replica",
+            ));
+        }
+        let failures = u32::from(head.status.is_server_error());
+        self.shared.record_outcome(&replica, failures, boot_time());
+        let is_streamed = self.call.route.kind.is_stream() && head.status.is_success();
+        if is_streamed || !is_bufferable(&stream.body) {
+            let body = ReplicaBody::Streaming(Box::new(stream));
+            return Ok(ReplicaResponse { head, body });
+        }
+        let framing = stream.framing;
+        let reading = read_to_end(stream, MAX_BUFFERED_BYTES);
+        let body = tokio::time::timeout(self.call.remaining(), reading).await;
+        let response = match body {
+            Ok(BufferedBody::Complete(bytes)) => ReplicaResponse {
+                head,
+                body: ReplicaBody::Full { bytes, framing },
+            },
+            Ok(BufferedBody::TooLong(stream)) if !head.status.is_server_error() => {
+                let body = ReplicaBody::Streaming(stream);
+                return Ok(ReplicaResponse { head, body });
+            }
+            Ok(BufferedBody::TooLong(_)) => {
+                return Err(FailedAttempt::new(
+                    AttemptEnd::Broken,
+                    "the replica's error response is too long",
+                ));
+            }
+            Ok(BufferedBody::Broken) => {
+                return Err(FailedAttempt::new(
+                    AttemptEnd::Broken,
+                    "the answer broke off",
+                ));
+            }
+            Err(_) => {
+                return Err(FailedAttempt::new(
+                    AttemptEnd::TimedOut,
+                    "the response took too long",
+                ));
+            }
+        };
+        if response.head.status.is_server_error() {
+            return Err(FailedAttempt {
+                end: AttemptEnd::Failed,
+                reason: "the replica returned a server error".into(),
+                error_response: Some(response),
+                is_resend_charged: false,
+            });
+        }
+        Ok(response)
+    }
+
+    /// Handles a response that states that the request has not run on the replica.
+    async fn handle_refusal(&self, head: &response::Parts, stream: ReplicaStream) -> FailedAttempt {
+        let header_names = &self.shared.header_names;
+        let record = &stream.replica.known.record;
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            stream.replica.load.record_refusal();
+        } else {
+            let named = header_text(&head.headers, &header_names.replica);
+            if named.is_some_and(|named| *named != *record.id) {
+                self.shared.observe(Observation::AddressReused {
+                    replica: Arc::clone(&record.id),
+                    born_ms: record.born_ms,
+                });
+            } else if !head.headers.contains_key(&header_names.weights) {
+                self.shared.observe(Observation::OtherWeights {
+                    replica: Arc::clone(&record.id),
+                });
+            }
+        }
+        let reason = format!("refused with {}", head.status.as_u16());
+        // The connection can be reused only if the rest of the refusal is read.
+        let reading = read_to_end(stream, MAX_REFUSAL_BYTES);
+        let body = tokio::time::timeout(REFUSAL_READ_LIMIT, reading).await;
+        if !matches!(body, Ok(BufferedBody::Complete(_))) {
+            log::debug!(
+                "request: The response of a refusal was not read to its end. id={}",
+                self.call.id_text()
+            );
+        }
+        FailedAttempt::new(AttemptEnd::Refused, reason)
+    }
+
+    /// Stops sending to the replica if its response asks for that, and reports a departure to the control thread.
+    fn observe_backpressure(&self, head: &response::Parts, replica: &Replica) {
+        // Another replica answers for an address that was assigned again.
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let asked =
+            Backpressure::of_response(head.status, &head.headers, &self.shared.header_names);
+        let record = &replica.known.record;
+        if let Some(time) = asked.retry_after {
+            replica.load.record_backoff(time);
+            record_signal("retry_after");
+            log::debug!(
+                "request: The replica asked for a pause. id={} replica={} retry_after_ms={}",
+                self.call.id_text(),
+                record.id,
+                time.as_millis()
+            );
+        }
+        if asked.is_leaving && replica.load.record_leaving() {
+            record_signal("leaving");
+            log::info!(
+                "request: The replica says that it leaves. id={} replica={}",
+                self.call.id_text(),
+                record.id
+            );
+            self.shared.observe(Observation::Leaving {
+                replica: Arc::clone(&record.id),
+                born_ms: record.born_ms,
+            });
+        }
+    }
+
+    /// Reports to the control thread if a response names newer weights than are known for the replica.
+    fn observe_weights(&self, headers: &HeaderMap, replica: &Replica) {
+        let Some(prompt) = &self.call.prompt else {
+            return;
+        };
+        let text = header_text(headers, &self.shared.header_names.weights);
+        let Some(version) = text.and_then(|text| text.trim().parse::<u64>().ok()) else {
+            return;
+        };
+        let known = replica.known.version_of(&prompt.model);
+        if known.is_none_or(|known| known < version) {
+            replica.load.record_version(version);
+            self.shared.observe(Observation::Weights {
+                replica: Arc::clone(&replica.known.record.id),
+                born_ms: replica.known.record.born_ms,
+                model: Arc::clone(&prompt.model),
+                version,
+            });
+        }
+    }
+}
+
+fn record_signal(signal: &'static str) {
+    metrics::counter!("crocuswharf_gateway_replica_signals_total", "signal" => signal).increment(1);
+}
+
+pub(crate) fn failed_send(failure: SendFailure) -> FailedAttempt {
+    match failure {
+        SendFailure::Unsent(reason) => FailedAttempt::new(AttemptEnd::Unsent, reason),
+        SendFailure::Broken(reason) => FailedAttempt::new(AttemptEnd::Broken, reason),
+    }
+}
+
+/// The result of reading a response up to a limit.
+enum BufferedBody {
+    /// The complete body; the connection was released.
+    Complete(Bytes),
+    /// The body is longer than the limit; what was read is kept in the stream.
+    TooLong(Box<ReplicaStream>),
+    /// The body is truncated.
+    Broken,
+}
+
+/// Reads a response to its end, or until it exceeds `limit` bytes: a faulty replica may send bytes without end.
+async fn read_to_end(mut stream: ReplicaStream, limit: usize) -> BufferedBody {
+    let mut received = BytesMut::new();
+    loop {
+        match stream.body.frame().await {
+            Some(Ok(frame)) => {
+                if let Some(bytes) = frame.data_ref() {
+                    received.extend_from_slice(bytes);
+                }
+            }
+            Some(Err(_)) => return BufferedBody::Broken,
+            None => {
+                stream.connection.release(stream.idle_timeout);
+                return BufferedBody::Complete(received.freeze());
+            }
+        }
+        if received.len() > limit {
+            stream.received = received.freeze();
+            return BufferedBody::TooLong(Box::new(stream));
+        }
+    }
+}
+
+fn is_bufferable(body: &Incoming) -> bool {
+    use hyper::body::Body;
+    body.size_hint()
+        .exact()
+        .is_none_or(|size| size <= MAX_BUFFERED_BYTES as u64)
+}
+
+/// Returns the keep-alive timeout announced by a replica; zero if it closes the connection.
+pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let connection = header_text(headers, &http::header::CONNECTION).unwrap_or_default();
+    if connection
+        .split(',')
+        .any(|token| token.trim().eq_ignore_ascii_case("close"))
+    {
+        return Some(Duration::ZERO);
+    }
+    let text = header_text(headers, &HeaderName::from_static("keep-alive"))?;
+    let seconds = text
+        .split(',')
+        .find_map(|token| token.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.trim().parse().ok()?))
+}
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -22,7 +22,8 @@
 
 use super::call::Call;
 use super::clock::boot_time;
-use super::dispatch::{Dispatch, ReplicaBody, ReplicaResponse};
+use super::dispatch::Dispatch;
+use super::exchange::{ReplicaBody, ReplicaResponse};
 use super::forwarding::BodyEnd;
 use super::headers::{connection_header_names, is_hop_by_hop};
 use super::open_requests::OpenRequest;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod crash_report;
 mod dispatch;
 mod events;
+mod exchange;
 mod fleet;
 mod fleet_size;
 mod forwarding;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,7 +11,8 @@
 use tokio::sync::mpsc;
 
 use super::clock::boot_time;
-use super::dispatch::{Dispatch, ReplicaBody, ReplicaStream};
+use super::dispatch::Dispatch;
+use super::exchange::{ReplicaBody, ReplicaStream};
 use super::forwarding::{BodyEnd, Forwarding};
 use super::response::TruncatedBody;
 use crate::request::quarantine::KEPT_EVENTS;
