--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -85,7 +85,22 @@
                 );
                 stream = next;
             }
-            _ => break end,
+            Ok((status, _)) => {
+                log::info!(
+                    "request: Stream not resumed. id={} reason=\"status {}\"",
+                    dispatch.call.id_text(),
+                    status.as_u16()
+                );
+                break end;
+            }
+            Err(reply) => {
+                log::info!(
+                    "request: Stream not resumed. id={} reason=\"{}\"",
+                    dispatch.call.id_text(),
+                    reply.reason
+                );
+                break end;
+            }
         }
     };
     let outcome = match end {
@@ -159,6 +174,12 @@
                 continue;
             }
             Err(_) => {
+                log::info!(
+                    "request: Stream silent. id={} replica={} silent_ms={}",
+                    dispatch.call.id_text(),
+                    replica.known.record.id,
+                    wait.as_millis()
+                );
                 dispatch.shared.record_outcome(&replica, 1, boot_time());
                 return RelayEnd::Silent;
             }
