Hold a silent attempt until another replica has responded

Cause: timers ended an attempt before another one had replaced it. relay_stream closed a stream silent for 1.2 s, and wait_for_head dropped an attempt without a head, once the retry budget had granted the next one. That one could be refused, broken or silent too. The class of fault: something that may still complete is given up for something that has not begun.

Change: an exchange with a replica is a future of its own (exchange.rs). A silent one is held beside the next attempt; the first to go on is kept, the others are dropped at that moment, so two replicas never work on a stream longer than a head takes to arrive. If the others fail, the silent one is awaited until the deadline. Whether a replica is only busy is also told by the events that it sends to other callers, not only by its heads.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,8 +4,13 @@
 //! request has not run there, so a request of any kind may be sent to another replica. Every additional send draws on a
 //! retry budget shared by all routers, so that retries can't amplify an outage.
 //!
+//! A silent replica may be a sound one that goes on. Its attempt is held while another one is made, and is abandoned only
+//! once another replica has responded, since a closed connection can't be had back. Rejected: closing it as soon as the
+//! retry budget grants another attempt, because that attempt may be refused or find no replica.
+//!
 //! Load patterns handled: replicas that reject requests while they load weights or are full; replicas that fail some of
-//! their requests; connections that break before or after a request was written.
+//! their requests; connections that break before or after a request was written; replicas that are silent for a while,
+//! one of them or all at once, while the others are full, silent too, or fail.
 
 use std::time::Duration;
 
@@ -119,6 +124,25 @@
         }
     }
 
+    /// Holds the latest attempt, whose replica is silent, so that another one can be made; returns whether it may be.
+    pub(crate) fn hold(&mut self, remaining: Duration) -> bool {
+        let mut held = *self;
+        let may_send = held.attempt_ended(AttemptEnd::TimedOut, remaining) == NextStep::Resend;
+        if may_send {
+            *self = held;
+        }
+        may_send
+    }
+
+    /// Records that a held attempt goes on. `is_other_sent` tells whether another one was sent and is abandoned for it.
+    pub(crate) const fn held_went_on(&mut self, is_other_sent: bool) {
+        // A held attempt counts as ended, and is counted again at its end.
+        self.runs = self.runs.saturating_sub(1);
+        if is_other_sent {
+            self.runs += 1;
+        }
+    }
+
     /// Returns whether the request may run on another replica.
     #[must_use]
     pub(crate) fn can_run_again(&self) -> bool {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -2,24 +2,20 @@
 //!
 //! The decisions are made in [`super::placement`] and [`super::attempt`]; this module does the I/O.
 
-use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http::Request;
 use http::header::{HeaderName, HeaderValue};
-use http::{Request, Response};
-use hyper::body::Incoming;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::attempt::{AttemptEnd, NextStep, RetryState};
 use super::call::{Call, RETRY_AFTER_BUSY};
 use super::clock::boot_time;
-use super::exchange::{
-    Exchange, FailedAttempt, ReplicaResponse, ReplicaStream, failed_send, keep_alive_timeout,
-};
-use super::forwarding::BodyFraming;
+use super::exchange::{Exchange, FailedAttempt, PendingExchange, ReplicaResponse};
 use super::loads::ReplicaKey;
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
@@ -27,7 +23,7 @@
 use super::response::LocalReply;
 use super::route::CallKind;
 use super::shared::{Observation, Replica, Shared, Snapshot};
-use super::upstream::{ReplicaConnection, RequestBody, SendFailure};
+use super::upstream::{RequestBody, SendFailure};
 use crate::id::ReplicaId;
 use crate::request::quarantine::{Crash, Evidence, PartKey};
 
@@ -54,6 +50,10 @@
     pub(crate) call: Arc<Call>,
     pub(crate) retry_state: RetryState,
     tried: SmallVec<[ReplicaId; 4]>,
+    /// The replica whose response is forwarded.
+    responder: Option<ReplicaId>,
+    /// Whether the latest attempt was sent and has not ended.
+    is_sending: bool,
     /// The shared parts of the prompt.
     parts: SmallVec<[PartKey; 4]>,
     sends: u32,
@@ -81,6 +81,8 @@
             call: Arc::new(call),
             retry_state,
             tried: SmallVec::new(),
+            responder: None,
+            is_sending: false,
             parts: parts.unwrap_or_default(),
             sends: 0,
             prefill_key: None,
@@ -136,44 +138,78 @@
     ///
     /// # Errors
     ///
-    /// Returns the response of the gateway if no further attempt is allowed.
+    /// Returns the response of the gateway if no further attempt is allowed and none in progress succeeds.
     pub(crate) async fn next_response(
         &mut self,
         last_event: Option<&str>,
     ) -> Result<ReplicaResponse, LocalReply> {
-        loop {
-            let failed = match self.attempt(last_event).await {
-                Ok(response) => return Ok(response),
-                Err(AttemptError::Failed(failed)) => *failed,
-                Err(AttemptError::NoReplica(reason)) => return Err(self.no_replica_reply(reason)),
-                Err(AttemptError::RefusedPart(time)) => return Err(self.refused_part_reply(time)),
-            };
-            log::info!(
-                "request: Try ended. id={} replica={} end={:?} reason=\"{}\" remaining_ms={}",
-                self.call.id_text(),
-                self.tried.last().map_or("-", |replica| &**replica),
-                failed.end,
-                failed.reason,
-                self.call.remaining().as_millis()
-            );
-            let step = self
-                .retry_state
-                .attempt_ended(failed.end, self.call.remaining());
-            let step = if failed.is_resend_charged {
-                step
-            } else {
-                self.charge_resend(step, failed.end)
+        let call = Arc::clone(&self.call);
+        let mut held = HeldExchanges::new();
+        let last = loop {
+            let result = tokio::select! {
+                biased;
+                Some(response) = next_response_of(&call, &mut held), if !held.is_empty() => {
+                    self.held_went_on();
+                    return Ok(self.accept(response));
+                }
+                result = self.attempt(last_event) => result,
             };
-            if let Some(result) = self.resolve(step, failed) {
-                return result;
+            self.is_sending = false;
+            match result {
+                Ok(AttemptResult::Response(response)) => return Ok(self.accept(response)),
+                Ok(AttemptResult::Silent(exchange)) => held.push(exchange),
+                Err(AttemptError::Failed(failed)) => {
+                    if let Some(last) = self.resolve_failure(*failed) {
+                        break last;
+                    }
+                }
+                Err(AttemptError::NoReplica(reason)) => break Err(self.no_replica_reply(reason)),
+                Err(AttemptError::RefusedPart(time)) => break Err(self.refused_part_reply(time)),
             }
+        };
+        if let Some(response) = next_response_of(&call, &mut held).await {
+            self.held_went_on();
+            return Ok(self.accept(response));
         }
+        last.map(|response| self.accept(response))
+    }
+
+    /// Records that a held attempt goes on, for which the latest one is abandoned.
+    pub(crate) fn held_went_on(&mut self) {
+        let is_other_sent = std::mem::take(&mut self.is_sending);
+        self.retry_state.held_went_on(is_other_sent);
     }
 
-    /// Returns the replica of the last attempt and the number of sends.
+    fn accept(&mut self, response: ReplicaResponse) -> ReplicaResponse {
+        self.responder = Some(Arc::clone(&response.replica.known.record.id));
+        self.end_prefill(Some(response.replica.key));
+        response
+    }
+
+    /// Returns the response that follows from a failed attempt; `None` if another attempt follows.
+    fn resolve_failure(
+        &mut self,
+        failed: FailedAttempt,
+    ) -> Option<Result<ReplicaResponse, LocalReply>> {
+        log::info!(
+            "request: Try ended. id={} replica={} end={:?} reason=\"{}\" remaining_ms={}",
+            self.call.id_text(),
+            self.tried.last().map_or("-", |replica| &**replica),
+            failed.end,
+            failed.reason,
+            self.call.remaining().as_millis()
+        );
+        let step = self
+            .retry_state
+            .attempt_ended(failed.end, self.call.remaining());
+        let step = self.charge_resend(step, failed.end);
+        self.resolve(step, failed)
+    }
+
+    /// Returns the replica that responded, or else that of the latest attempt, and the number of sends.
     pub(crate) fn last_attempt(&self) -> (&str, u32) {
-        let replica = self.tried.last().map_or("-", |replica| &**replica);
-        (replica, self.sends)
+        let replica = self.responder.as_ref().or(self.tried.last());
+        (replica.map_or("-", |replica| &**replica), self.sends)
     }
 
     /// Reports a stream that `replica` broke off after `events` complete events, with the shared parts of its prompt.
@@ -205,23 +241,32 @@
         step == NextStep::Resend
     }
 
-    /// Returns whether a stream whose replica is silent since `silent_since` should be resumed at another replica, and
-    /// charges the resumption to the retry budget if so.
+    /// Returns whether another attempt may be made beside one whose replica is silent since `silent_since`, and charges
+    /// it to the retry budget if so.
     ///
-    /// Silence alone is no failure: a busy replica may have preempted the request. The stream is given up only if the
-    /// replica responds to no other request either, and if another replica can take it.
-    pub(crate) fn may_leave_silent(&mut self, replica: &Replica, silent_since: Duration) -> bool {
-        if replica.load.has_responded_since(silent_since) {
+    /// Silence alone is no failure: a busy replica may have preempted a stream. Another attempt is made only if the
+    /// replica responds to no other stream either, and if another replica can take the request.
+    pub(crate) fn may_hold(&mut self, replica: &Replica, silent_since: Duration) -> bool {
+        let is_stream = self.call.route.kind.is_stream();
+        if is_stream && replica.load.has_responded_since(silent_since) {
             return false;
         }
         let mut next_state = self.retry_state;
-        let step = next_state.attempt_ended(AttemptEnd::Broken, self.call.remaining());
         let snapshot = self.shared.snapshot.load_full();
-        let has_other = self.place(&snapshot, PrefixState::default()).is_ok();
-        if step != NextStep::Resend || !has_other || !self.withdraw_retry() {
+        let may_send = next_state.hold(self.call.remaining())
+            && self.allows_resend()
+            && self.place(&snapshot, PrefixState::default()).is_ok();
+        if !may_send || !self.withdraw_retry() {
             return false;
         }
         self.retry_state = next_state;
+        self.shared.record_outcome(replica, 1, boot_time());
+        log::info!(
+            "request: Replica silent. id={} replica={} silent_ms={}",
+            self.call.id_text(),
+            replica.known.record.id,
+            boot_time().saturating_sub(silent_since).as_millis()
+        );
         true
     }
 
@@ -304,7 +349,7 @@
         LocalReply::not_run(reason, retry_after)
     }
 
-    async fn attempt(&mut self, last_event: Option<&str>) -> Result<ReplicaResponse, AttemptError> {
+    async fn attempt(&mut self, last_event: Option<&str>) -> Result<AttemptResult, AttemptError> {
         self.check_parts()?;
         let snapshot = self.shared.snapshot.load_full();
         let prefix = self.wait_for_prefill(&snapshot).await;
@@ -319,10 +364,10 @@
         } else {
             MAX_IDLE_NON_RETRYABLE
         };
-        let mut guard = replica.load.begin(self.call.placement.own_tokens);
+        let guard = replica.load.begin(self.call.placement.own_tokens);
         let connection =
             tokio::time::timeout(self.call.remaining(), replica.pool.acquire(max_idle)).await;
-        let mut connection = match connection {
+        let connection = match connection {
             Ok(Ok(connection)) => connection,
             Ok(Err(failure)) => return Err(self.connect_failed(&replica, &failure).into()),
             Err(_) => {
@@ -340,40 +385,41 @@
         self.sends += 1;
         // Later attempts use other replicas, whatever the outcome of this one.
         self.tried.push(Arc::clone(&record.id));
-        let result = self.send(&mut connection, request, &replica, now).await;
-        let response = match result {
-            Ok(response) => response,
-            Err(failed) => {
-                match failed.end {
-                    AttemptEnd::Unsent => self.sends -= 1,
-                    AttemptEnd::Withdrawn => {}
-                    _ => self.shared.record_outcome(&replica, 1, boot_time()),
-                }
-                if failed.end == AttemptEnd::Broken {
-                    self.report_crash(replica.key, Evidence::Weak);
-                }
-                return Err(failed.into());
-            }
-        };
-        guard.response_started();
-        let framing = BodyFraming::of_response(&response);
-        let (head, body) = response.into_parts();
-        let stream = ReplicaStream {
-            framing,
-            received: Bytes::new(),
-            body,
-            connection,
-            guard,
-            replica: Arc::clone(&replica),
-            idle_timeout: keep_alive_timeout(&head.headers),
-        };
         let exchange = Exchange {
             shared: Arc::clone(&self.shared),
             call: Arc::clone(&self.call),
+            parts: self.parts.clone(),
+            replica: Arc::clone(&replica),
+            guard,
         };
-        let response = exchange.handle_response(head, stream).await?;
-        self.end_prefill(Some(replica.key));
-        Ok(response)
+        self.is_sending = true;
+        let mut exchange: PendingExchange = Box::pin(exchange.run(connection, request));
+        if let Some(limit) = self.silence_limit() {
+            match tokio::time::timeout(limit, &mut exchange).await {
+                Ok(result) => return self.attempt_result(result),
+                Err(_) if self.may_hold(&replica, now) => {
+                    return Ok(AttemptResult::Silent(exchange));
+                }
+                Err(_) => {}
+            }
+        }
+        let result = exchange.await;
+        self.attempt_result(result)
+    }
+
+    fn attempt_result(
+        &mut self,
+        result: Result<ReplicaResponse, FailedAttempt>,
+    ) -> Result<AttemptResult, AttemptError> {
+        match result {
+            Ok(response) => Ok(AttemptResult::Response(response)),
+            Err(failed) => {
+                if failed.end == AttemptEnd::Unsent {
+                    self.sends -= 1;
+                }
+                Err(failed.into())
+            }
+        }
     }
 
     /// Returns an error if requests with a part of the prompt are refused.
@@ -530,58 +576,8 @@
         request
     }
 
-    /// Sends the request and waits for the head of the response, unless a part of the prompt is refused meanwhile.
-    async fn send(
-        &self,
-        connection: &mut ReplicaConnection,
-        request: Request<RequestBody>,
-        replica: &Replica,
-        sent_at: Duration,
-    ) -> Result<Response<Incoming>, FailedAttempt> {
-        let sending = pin!(connection.send(request));
-        tokio::select! {
-            result = self.wait_for_head(sending, replica, sent_at) => result,
-            () = self.shared.wait_until_refused(&self.parts) => Err(FailedAttempt::new(
-                AttemptEnd::Withdrawn,
-                "a part of the prompt has crashed several replicas",
-            )),
-        }
-    }
-
-    /// Waits for the head of the response, at most for the timeout of the attempt.
-    async fn wait_for_head(
-        &self,
-        mut sending: Pin<&mut impl Future<Output = Result<Response<Incoming>, SendFailure>>>,
-        replica: &Replica,
-        sent_at: Duration,
-    ) -> Result<Response<Incoming>, FailedAttempt> {
-        if let Some(attempt_timeout) = self.attempt_timeout() {
-            let early = tokio::time::timeout(attempt_timeout, &mut sending).await;
-            if let Ok(result) = early {
-                return result.map_err(failed_send);
-            }
-            let is_stream = self.call.route.kind.is_stream();
-            let is_replica_responsive = is_stream && replica.load.has_responded_since(sent_at);
-            // An attempt is abandoned only if another one may follow.
-            if !is_replica_responsive && self.withdraw_retry() {
-                let failed = FailedAttempt::new(
-                    AttemptEnd::TimedOut,
-                    "no response within the attempt timeout",
-                );
-                return Err(failed.with_charged_resend());
-            }
-        }
-        match tokio::time::timeout(self.call.remaining(), &mut sending).await {
-            Ok(result) => result.map_err(failed_send),
-            Err(_) => Err(FailedAttempt::new(
-                AttemptEnd::TimedOut,
-                "no response within the deadline",
-            )),
-        }
-    }
-
-    /// Returns the timeout after which another replica is tried; `None` if no other may be tried.
-    fn attempt_timeout(&self) -> Option<Duration> {
+    /// Returns how long a replica may be silent before another one is tried; `None` if no other may be tried.
+    fn silence_limit(&self) -> Option<Duration> {
         let retry_state = &self.retry_state;
         let is_last = retry_state.runs + 1 >= retry_state.max_attempts;
         let share = match self.call.route.kind {
@@ -589,11 +585,37 @@
             CallKind::Stream { is_resumable: true } => STREAM_ATTEMPT_FRACTION,
             _ => return None,
         };
-        let attempt_timeout = self.call.route.objective.mul_f64(share);
-        (!is_last && attempt_timeout < self.call.remaining()).then_some(attempt_timeout)
+        let limit = self.call.route.objective.mul_f64(share);
+        (!is_last && limit < self.call.remaining()).then_some(limit)
     }
 }
 
+/// Exchanges whose replicas are silent, while another attempt is made.
+type HeldExchanges = FuturesUnordered<PendingExchange>;
+
+/// Returns the first response of the held exchanges; `None` if all of them fail.
+async fn next_response_of(call: &Call, held: &mut HeldExchanges) -> Option<ReplicaResponse> {
+    while let Some(result) = held.next().await {
+        match result {
+            Ok(response) => return Some(response),
+            Err(failed) => log::info!(
+                "request: Held attempt ended. id={} end={:?} reason=\"{}\"",
+                call.id_text(),
+                failed.end,
+                failed.reason
+            ),
+        }
+    }
+    None
+}
+
+/// How an attempt went on.
+enum AttemptResult {
+    Response(ReplicaResponse),
+    /// The replica is silent, and another attempt may be made beside this one.
+    Silent(PendingExchange),
+}
+
 /// Why an attempt yielded no response.
 enum AttemptError {
     Failed(Box<FailedAttempt>),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,15 +1,18 @@
-//! One exchange with a replica: validates the head of its response, and buffers the body if it is short.
+//! One exchange with a replica: sends a request, validates the head of the response, and buffers the body if it is short.
 //!
-//! What follows from the result is decided in [`super::attempt`].
+//! An exchange runs by itself, so that one whose replica is silent can go on beside the next one. What follows from the
+//! result is decided in [`super::attempt`].
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::header::{HeaderMap, HeaderName};
-use http::{StatusCode, response};
+use http::{Request, Response, StatusCode, response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
+use smallvec::SmallVec;
 
 use super::attempt::AttemptEnd;
 use super::backpressure::Backpressure;
@@ -18,7 +21,8 @@
 use super::forwarding::BodyFraming;
 use super::headers::header_text;
 use super::shared::{LoadGuard, Observation, Replica, Shared};
-use super::upstream::{ReplicaConnection, SendFailure};
+use super::upstream::{ReplicaConnection, RequestBody, SendFailure};
+use crate::request::quarantine::{Crash, Evidence, PartKey};
 
 /// The maximum size of a response that is buffered until it is complete; a longer one is streamed.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
@@ -30,6 +34,8 @@
 /// The response of a replica.
 #[derive(Debug)]
 pub(crate) struct ReplicaResponse {
+    /// The replica.
+    pub(crate) replica: Arc<Replica>,
     /// The head of the response.
     pub(crate) head: response::Parts,
     /// The body of the response.
@@ -58,7 +64,9 @@
     /// The part of the body that was already received.
     pub(crate) received: Bytes,
     /// The rest of the body.
-    pub(crate) body: Incoming,
+    body: Incoming,
+    /// The next frame of the body, if it was received and not taken; the inner `None` is the end.
+    peeked: Option<Option<Result<Frame<Bytes>, hyper::Error>>>,
     /// The connection; it is closed if the response is not read to the end.
     pub(crate) connection: ReplicaConnection,
     /// Counts the request towards the load of the replica.
@@ -76,8 +84,6 @@
     pub(crate) reason: Arc<str>,
     /// The replica's error response, forwarded if no attempt yields a better one.
     pub(crate) error_response: Option<ReplicaResponse>,
-    /// Whether the next send was already charged to the retry budget.
-    pub(crate) is_resend_charged: bool,
 }
 
 impl FailedAttempt {
@@ -86,26 +92,129 @@
             end,
             reason: reason.into(),
             error_response: None,
-            is_resend_charged: false,
         }
     }
+}
 
-    pub(crate) fn with_charged_resend(mut self) -> Self {
-        self.is_resend_charged = true;
-        self
+impl ReplicaStream {
+    /// Returns the next frame of the body; `None` at its end.
+    pub(crate) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        match self.peeked.take() {
+            Some(frame) => frame,
+            None => self.body.frame().await,
+        }
+    }
+
+    /// Returns the connection to its pool after the body was read to the end.
+    pub(crate) fn release(self) {
+        self.connection.release(self.idle_timeout);
+    }
+
+    /// Waits until the body goes on, without taking its next frame; returns false if it broke instead.
+    pub(crate) async fn goes_on(&mut self) -> bool {
+        if self.peeked.is_none() {
+            self.peeked = Some(self.body.frame().await);
+        }
+        !matches!(self.peeked, Some(Some(Err(_))))
     }
 }
 
-/// A request whose response is being received.
-#[derive(Clone, Debug)]
+/// An exchange with a replica, before its request is sent.
+#[derive(Debug)]
 pub(crate) struct Exchange {
     pub(crate) shared: Arc<Shared>,
     pub(crate) call: Arc<Call>,
+    /// The shared parts of the prompt.
+    pub(crate) parts: SmallVec<[PartKey; 4]>,
+    pub(crate) replica: Arc<Replica>,
+    /// Counts the request towards the load of the replica.
+    pub(crate) guard: LoadGuard,
 }
 
+/// An exchange in progress.
+pub(crate) type PendingExchange =
+    Pin<Box<dyn Future<Output = Result<ReplicaResponse, FailedAttempt>> + Send>>;
+
 impl Exchange {
+    /// Sends the request and returns the replica's response, with its body if that is short.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response to forward. If a part of the prompt is refused before the head has arrived, the
+    /// exchange is withdrawn.
+    pub(crate) async fn run(
+        mut self,
+        mut connection: ReplicaConnection,
+        request: Request<RequestBody>,
+    ) -> Result<ReplicaResponse, FailedAttempt> {
+        let result = tokio::select! {
+            result = self.receive_head(&mut connection, request) => result,
+            () = self.shared.wait_until_refused(&self.parts) => Err(FailedAttempt::new(
+                AttemptEnd::Withdrawn,
+                "a part of the prompt has crashed several replicas",
+            )),
+        };
+        let response = result.inspect_err(|failed| self.record_failure(failed.end))?;
+        self.guard.response_started();
+        let framing = BodyFraming::of_response(&response);
+        let (head, body) = response.into_parts();
+        let stream = ReplicaStream {
+            framing,
+            received: Bytes::new(),
+            body,
+            peeked: None,
+            connection,
+            guard: self.guard,
+            replica: Arc::clone(&self.replica),
+            idle_timeout: keep_alive_timeout(&head.headers),
+        };
+        let receiver = Receiver {
+            shared: self.shared,
+            call: self.call,
+        };
+        receiver.handle_response(head, stream).await
+    }
+
+    async fn receive_head(
+        &self,
+        connection: &mut ReplicaConnection,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, FailedAttempt> {
+        let sending = connection.send(request);
+        match tokio::time::timeout(self.call.remaining(), sending).await {
+            Ok(result) => result.map_err(failed_send),
+            Err(_) => Err(FailedAttempt::new(
+                AttemptEnd::TimedOut,
+                "no response within the deadline",
+            )),
+        }
+    }
+
+    fn record_failure(&self, end: AttemptEnd) {
+        if !matches!(end, AttemptEnd::Unsent | AttemptEnd::Withdrawn) {
+            self.shared.record_outcome(&self.replica, 1, boot_time());
+        }
+        if end == AttemptEnd::Broken && !self.parts.is_empty() {
+            self.shared.observe(Observation::Crash(Crash {
+                parts: self.parts.clone(),
+                replica: self.replica.key,
+                at: boot_time(),
+                evidence: Evidence::Weak,
+            }));
+        }
+    }
+}
+
+/// Receives the response to a request.
+#[derive(Debug)]
+struct Receiver {
+    shared: Arc<Shared>,
+    call: Arc<Call>,
+}
+
+impl Receiver {
     /// Validates the head of a response and buffers the body if it is short.
-    pub(crate) async fn handle_response(
+    async fn handle_response(
         &self,
         head: response::Parts,
         stream: ReplicaStream,
@@ -140,19 +249,28 @@
         let is_streamed = self.call.route.kind.is_stream() && head.status.is_success();
         if is_streamed || !is_bufferable(&stream.body) {
             let body = ReplicaBody::Streaming(Box::new(stream));
-            return Ok(ReplicaResponse { head, body });
+            return Ok(ReplicaResponse {
+                replica,
+                head,
+                body,
+            });
         }
         let framing = stream.framing;
         let reading = read_to_end(stream, MAX_BUFFERED_BYTES);
         let body = tokio::time::timeout(self.call.remaining(), reading).await;
         let response = match body {
             Ok(BufferedBody::Complete(bytes)) => ReplicaResponse {
+                replica,
                 head,
                 body: ReplicaBody::Full { bytes, framing },
             },
             Ok(BufferedBody::TooLong(stream)) if !head.status.is_server_error() => {
                 let body = ReplicaBody::Streaming(stream);
-                return Ok(ReplicaResponse { head, body });
+                return Ok(ReplicaResponse {
+                    replica,
+                    head,
+                    body,
+                });
             }
             Ok(BufferedBody::TooLong(_)) => {
                 return Err(FailedAttempt::new(
@@ -178,7 +296,6 @@
                 end: AttemptEnd::Failed,
                 reason: "the replica returned a server error".into(),
                 error_response: Some(response),
-                is_resend_charged: false,
             });
         }
         Ok(response)
@@ -275,7 +392,7 @@
     metrics::counter!("crocuswharf_gateway_replica_signals_total", "signal" => signal).increment(1);
 }
 
-pub(crate) fn failed_send(failure: SendFailure) -> FailedAttempt {
+fn failed_send(failure: SendFailure) -> FailedAttempt {
     match failure {
         SendFailure::Unsent(reason) => FailedAttempt::new(AttemptEnd::Unsent, reason),
         SendFailure::Broken(reason) => FailedAttempt::new(AttemptEnd::Broken, reason),
@@ -296,7 +413,7 @@
 async fn read_to_end(mut stream: ReplicaStream, limit: usize) -> BufferedBody {
     let mut received = BytesMut::new();
     loop {
-        match stream.body.frame().await {
+        match stream.frame().await {
             Some(Ok(frame)) => {
                 if let Some(bytes) = frame.data_ref() {
                     received.extend_from_slice(bytes);
@@ -304,7 +421,7 @@
             }
             Some(Err(_)) => return BufferedBody::Broken,
             None => {
-                stream.connection.release(stream.idle_timeout);
+                stream.release();
                 return BufferedBody::Complete(received.freeze());
             }
         }
@@ -323,7 +440,7 @@
 }
 
 /// Returns the keep-alive timeout announced by a replica; zero if it closes the connection.
-pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let connection = header_text(headers, &http::header::CONNECTION).unwrap_or_default();
     if connection
         .split(',')
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -254,7 +254,7 @@
 
 /// Builds the caller's response from the replica's, unchanged except for hop-by-hop headers.
 fn forward_response(dispatch: Dispatch, response: ReplicaResponse) -> CallerResponse {
-    let ReplicaResponse { mut head, body } = response;
+    let ReplicaResponse { mut head, body, .. } = response;
     let per_connection = connection_header_names(&head.headers);
     let names: Vec<_> = head.headers.keys().cloned().collect();
     for name in names {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,18 +1,19 @@
 //! Relays a streaming response to its caller and resumes it at another replica if that is allowed.
 //!
 //! A resumable stream is forwarded in complete events, so that it can be resumed after the last one. Other responses
-//! are forwarded as they arrive. If the caller disconnects, the connection to the replica is closed at once, which
-//! makes the replica stop generating.
+//! are forwarded as they arrive. A silent stream is held until another replica has taken it ([`super::attempt`]). If the
+//! caller disconnects, the connection to the replica is closed at once, which makes the replica stop generating.
 
+use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
-use super::exchange::{ReplicaBody, ReplicaStream};
+use super::exchange::{ReplicaBody, ReplicaResponse, ReplicaStream};
 use super::forwarding::{BodyEnd, Forwarding};
 use super::response::TruncatedBody;
 use crate::request::quarantine::KEPT_EVENTS;
@@ -25,12 +26,13 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
 /// How relaying the response of one replica ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RelayEnd {
     /// The response is complete.
     Complete,
     /// The connection to the replica broke, or the stream ended before the end of its response.
     Broken,
-    /// The replica was silent for too long, and another one may resume the stream.
+    /// The replica is silent, and another one may resume the stream.
     Silent,
     /// The deadline has passed.
     Late,
@@ -38,71 +40,64 @@
     CallerLeft,
 }
 
+/// How an attempt to resume a stream ended.
+enum Resumption {
+    /// Another replica resumed the stream.
+    Resumed(Box<ReplicaStream>),
+    /// The stream that was held goes on.
+    HeldWentOn,
+    /// No replica resumed the stream.
+    Failed,
+    /// The caller has disconnected.
+    CallerLeft,
+}
+
 /// Relays `stream`, and the streams that resume it, through `chunks` until the end.
 pub(crate) async fn relay(
     mut dispatch: Dispatch,
     mut stream: Box<ReplicaStream>,
     chunks: mpsc::Sender<Result<Bytes, TruncatedBody>>,
 ) {
-    let kind = dispatch.call.route.kind;
-    let mut forwarding = Forwarding::of_kind(kind);
-    let mut body_end;
+    let mut forwarding = Forwarding::of_kind(dispatch.call.route.kind);
     let end = loop {
-        let framing = stream.framing;
-        let replica = stream.replica.key;
-        let end = relay_stream(&mut dispatch, *stream, &chunks, &mut forwarding).await;
-        body_end = BodyEnd {
-            framing,
-            position: forwarding.position(),
-        };
-        if matches!(end, RelayEnd::Broken) {
-            dispatch.report_broken_stream(replica, forwarding.events());
-        }
-        let is_silent = matches!(end, RelayEnd::Silent);
-        if !is_silent && !matches!(end, RelayEnd::Broken) {
-            break end;
+        let end = relay_stream(&mut dispatch, &mut stream, &chunks, &mut forwarding).await;
+        let is_held = end == RelayEnd::Silent;
+        if end == RelayEnd::Broken {
+            dispatch.report_broken_stream(stream.replica.key, forwarding.events());
         }
-        let Forwarding::CompleteEvents(splitter) = &mut forwarding else {
-            break end;
+        let last_event = match &forwarding {
+            Forwarding::CompleteEvents(splitter) => splitter.last_id().cloned(),
+            _ => break end,
         };
-        splitter.begin_resumption();
-        // The resumption of a silent stream was permitted before the stream was given up.
-        if !is_silent && !dispatch.may_resume() {
+        // A silent stream is reported only if its resumption is permitted.
+        let may_resume = is_held || (end == RelayEnd::Broken && dispatch.may_resume());
+        if !may_resume {
             break end;
         }
-        let last_event = splitter.last_id().map(ToString::to_string);
-        let resumed = tokio::select! {
-            resumed = dispatch.next_response(last_event.as_deref()) => resumed,
-            () = chunks.closed() => break RelayEnd::CallerLeft,
-        };
-        match resumed.map(|response| (response.head.status, response.body)) {
-            Ok((status, ReplicaBody::Streaming(next))) if status.is_success() => {
-                log::info!(
-                    "request: Stream resumed. id={} replica={} after={}",
-                    dispatch.call.id_text(),
-                    next.replica.known.record.id,
-                    last_event.as_deref().unwrap_or("-")
-                );
+        let resumption = resume(
+            &mut dispatch,
+            &mut stream,
+            is_held,
+            last_event.as_deref(),
+            &chunks,
+        );
+        match resumption.await {
+            Resumption::Resumed(next) => {
+                if let Forwarding::CompleteEvents(splitter) = &mut forwarding {
+                    splitter.begin_resumption();
+                }
                 stream = next;
             }
-            Ok((status, _)) => {
-                log::info!(
-                    "request: Stream not resumed. id={} reason=\"status {}\"",
-                    dispatch.call.id_text(),
-                    status.as_u16()
-                );
-                break end;
-            }
-            Err(reply) => {
-                log::info!(
-                    "request: Stream not resumed. id={} reason=\"{}\"",
-                    dispatch.call.id_text(),
-                    reply.reason
-                );
-                break end;
-            }
+            Resumption::HeldWentOn => dispatch.held_went_on(),
+            Resumption::Failed if is_held => dispatch.held_went_on(),
+            Resumption::Failed => break end,
+            Resumption::CallerLeft => break RelayEnd::CallerLeft,
         }
     };
+    let body_end = BodyEnd {
+        framing: stream.framing,
+        position: forwarding.position(),
+    };
     let outcome = match end {
         RelayEnd::Complete => "complete",
         RelayEnd::Broken | RelayEnd::Silent => "broken_off",
@@ -112,30 +107,76 @@
     dispatch
         .shared
         .log_completion(&dispatch, 200, outcome, body_end);
-    if matches!(end, RelayEnd::Broken | RelayEnd::Silent | RelayEnd::Late) {
-        // The caller may have disconnected in the meantime and then needs no error.
-        let _ = chunks.send(Err(TruncatedBody)).await;
+    match end {
+        RelayEnd::Complete => stream.release(),
+        RelayEnd::CallerLeft => {}
+        RelayEnd::Broken | RelayEnd::Silent | RelayEnd::Late => {
+            // The caller may have disconnected in the meantime and then needs no error.
+            let _ = chunks.send(Err(TruncatedBody)).await;
+        }
     }
 }
 
+/// Resumes a stream after `last_event` at another replica. If `is_held` is set, `stream` may still go on, and does so
+/// unless another replica begins before.
+async fn resume(
+    dispatch: &mut Dispatch,
+    stream: &mut ReplicaStream,
+    mut is_held: bool,
+    last_event: Option<&str>,
+    chunks: &mpsc::Sender<Result<Bytes, TruncatedBody>>,
+) -> Resumption {
+    let id = dispatch.call.id.clone();
+    let mut resuming = pin!(dispatch.next_response(last_event));
+    let resumed = loop {
+        tokio::select! {
+            biased;
+            goes_on = stream.goes_on(), if is_held => {
+                if goes_on {
+                    return Resumption::HeldWentOn;
+                }
+                is_held = false;
+            }
+            resumed = &mut resuming => break resumed,
+            () = chunks.closed() => return Resumption::CallerLeft,
+        }
+    };
+    let id = id.to_str().unwrap_or("?");
+    match resumed {
+        Ok(ReplicaResponse {
+            head,
+            body: ReplicaBody::Streaming(next),
+            ..
+        }) if head.status.is_success() => {
+            log::info!(
+                "request: Stream resumed. id={id} replica={} after={}",
+                next.replica.known.record.id,
+                last_event.unwrap_or("-")
+            );
+            return Resumption::Resumed(next);
+        }
+        Ok(response) => log::info!(
+            "request: Stream not resumed. id={id} is_held={is_held} reason=\"status {}\"",
+            response.head.status.as_u16()
+        ),
+        Err(reply) => log::info!(
+            "request: Stream not resumed. id={id} is_held={is_held} reason=\"{}\"",
+            reply.reason
+        ),
+    }
+    Resumption::Failed
+}
+
 async fn relay_stream(
     dispatch: &mut Dispatch,
-    stream: ReplicaStream,
+    stream: &mut ReplicaStream,
     chunks: &mpsc::Sender<Result<Bytes, TruncatedBody>>,
     forwarding: &mut Forwarding,
 ) -> RelayEnd {
-    let ReplicaStream {
-        received,
-        mut body,
-        connection,
-        guard,
-        replica,
-        idle_timeout,
-        framing,
-    } = stream;
     let is_resumable = matches!(forwarding, Forwarding::CompleteEvents(_));
-    let _guard = guard;
+    let replica = Arc::clone(&stream.replica);
     // Only responses that are forwarded as they arrive have been received in part.
+    let received = std::mem::take(&mut stream.received);
     if !received.is_empty() && chunks.send(Ok(received)).await.is_err() {
         return RelayEnd::CallerLeft;
     }
@@ -148,17 +189,19 @@
             time_left
         };
         let frame = tokio::select! {
-            frame = tokio::time::timeout(wait, body.frame()) => frame,
+            frame = tokio::time::timeout(wait, stream.frame()) => frame,
             () = chunks.closed() => return RelayEnd::CallerLeft,
         };
         let bytes = match frame {
-            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(Some(Ok(frame))) => {
+                stream.guard.record_response();
+                frame.into_data().unwrap_or_default()
+            }
             Ok(None) => {
-                if !forwarding.is_complete(framing) {
+                if !forwarding.is_complete(stream.framing) {
                     dispatch.shared.record_outcome(&replica, 1, boot_time());
                     return RelayEnd::Broken;
                 }
-                connection.release(idle_timeout);
                 if !is_kept {
                     dispatch.record_kept();
                 }
@@ -169,20 +212,10 @@
                 return RelayEnd::Broken;
             }
             Err(_) if wait == time_left => return RelayEnd::Late,
-            // The stream is kept if no other replica may resume it.
-            Err(_) if !dispatch.may_leave_silent(&replica, boot_time().saturating_sub(wait)) => {
-                continue;
-            }
-            Err(_) => {
-                log::info!(
-                    "request: Stream silent. id={} replica={} silent_ms={}",
-                    dispatch.call.id_text(),
-                    replica.known.record.id,
-                    wait.as_millis()
-                );
-                dispatch.shared.record_outcome(&replica, 1, boot_time());
+            Err(_) if dispatch.may_hold(&replica, boot_time().saturating_sub(wait)) => {
                 return RelayEnd::Silent;
             }
+            Err(_) => continue,
         };
         let Ok(bytes) = forwarding.push(bytes) else {
             return RelayEnd::Broken;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -266,11 +266,16 @@
 }
 
 impl LoadGuard {
-    /// Records that the response has started, so the prompt was prefilled.
-    pub(crate) fn response_started(&mut self) {
+    /// Records that the replica sent a part of the response.
+    pub(crate) fn record_response(&self) {
         self.load
             .last_response_ms
             .store(now_ms(), Ordering::Relaxed);
+    }
+
+    /// Records that the response has started, so the prompt was prefilled.
+    pub(crate) fn response_started(&mut self) {
+        self.record_response();
         let tokens = std::mem::take(&mut self.prefill_tokens);
         self.load
             .prefill_tokens
