Replay silent replicas in virtual time

Silent for 0.5 to 3 s at each part of a response, while the others serve, refuse, break, are mute or silent too, or while there is none; streams, idempotent and non-idempotent requests, up to the deadline. A request whose replica goes on before its deadline is complete.

--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -17,6 +17,7 @@
 mod revision;
 mod route;
 mod settings;
+mod silence;
 mod source;
 mod weights;
 
