Keep connections whose receive window is closed

Callers that paused for more than 0.7 s within a response, and replicas that did not read a long body for that long, lost the request: the caller saw a reset, or 502 for the replica.

Cause: TCP_USER_TIMEOUT, set to detect replicas that lost power, also ends a connection whose receive window stays closed, although the peer acknowledges each probe.

Evidence: platform/tests/configuration_changes.rs on the code before: response_read_late_is_whole failed with "the body is not whole: Connection reset by peer (os error 104)", body_read_late_by_the_replica_is_answered with 502 instead of 200.

Connections to callers have keep-alive probes only. On connections to replicas the limit is lifted once more than 16 KiB were sent without a byte in return, so that short requests to a replica that lost power still end after 0.7 s; a third test holds that (it passed before too). A long request to such a replica now ends with its attempt or deadline.

The three tests pass.

--- a/src/gateway/limited_stream.rs
+++ b/src/gateway/limited_stream.rs
@@ -1,8 +1,14 @@
-//! Limits the bytes that a replica may send before the head of its response is complete.
+//! Limits the bytes that a replica may send before the head of its response is complete, and the time for which it may
+//! leave a short request unacknowledged.
 //!
 //! hyper limits the size of one head, but not the number of interim responses (1xx) before it, and it parses all that a
 //! replica sends before it returns to the scheduler. A faulty replica could therefore occupy a traffic thread until the
 //! deadline.
+//!
+//! The kernel's limit on unacknowledged bytes also ends a connection whose receive window stays closed, though the peer
+//! acknowledges every probe: a replica that is slow to read a long body would lose the request. The limit therefore
+//! holds only while what was sent fits into any receive window. Rejected: reading the kernel's counters (`TCP_INFO`),
+//! for which there is no interface without unsafe code.
 
 use std::io;
 use std::pin::Pin;
@@ -10,9 +16,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// The number of bytes that fit into the receive window of a replica that has not read what was sent before.
+const MAX_WINDOW_BYTES: usize = 16 << 10;
+
 /// The number of bytes that may still be received, shared between a connection and its user.
 #[derive(Clone, Debug)]
 pub(crate) struct ReadAllowance(Arc<AtomicUsize>);
@@ -22,6 +32,9 @@
 pub(crate) struct LimitedStream {
     stream: TcpStream,
     allowance: ReadAllowance,
+    /// The number of bytes sent since the replica last sent any.
+    sent: usize,
+    is_time_limited: bool,
 }
 
 impl ReadAllowance {
@@ -53,7 +66,27 @@
 impl LimitedStream {
     /// Limits `stream` to an allowance that its user may change at any time.
     pub(crate) const fn new(stream: TcpStream, allowance: ReadAllowance) -> Self {
-        Self { stream, allowance }
+        Self {
+            stream,
+            allowance,
+            sent: 0,
+            is_time_limited: true,
+        }
+    }
+
+    /// Records sent bytes, and lifts the limit on unacknowledged bytes once they may not fit into the receive window.
+    fn record_sent(&mut self, bytes: usize) {
+        self.sent += bytes;
+        if !self.is_time_limited || self.sent <= MAX_WINDOW_BYTES {
+            return;
+        }
+        // Not set again after the response, since the replica may read the rest of the request later.
+        self.is_time_limited = false;
+        if let Err(error) = SockRef::from(&self.stream).set_tcp_user_timeout(None) {
+            log::debug!(
+                "upstream: Failed to lift the limit on unacknowledged bytes. error={error}"
+            );
+        }
     }
 }
 
@@ -65,6 +98,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        self.sent = 0;
         if self.allowance.subtract(buffer.filled().len() - before) {
             return Poll::Ready(Ok(()));
         }
@@ -81,7 +115,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let sent = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
+        self.record_sent(sent);
+        Poll::Ready(Ok(sent))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -97,7 +133,9 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let sent = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, buffers))?;
+        self.record_sent(sent);
+        Poll::Ready(Ok(sent))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -28,7 +28,7 @@
 /// replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long sent bytes may stay unacknowledged. This leaves time for two retransmissions but detects a replica that
-/// lost power.
+/// lost power. Long requests lift it, see [`super::limited_stream`].
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(700);
 /// How long an idle connection is kept if the replica does not announce a keep-alive timeout.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
@@ -225,15 +225,18 @@
     }
 }
 
-/// Sets the socket options by which the kernel detects dead connections: keep-alive probes and a limit on
-/// unacknowledged bytes.
-pub(crate) fn set_liveness_options(stream: &TcpStream) -> io::Result<()> {
+/// Sets the socket options by which the kernel detects that the other end of an idle connection is gone.
+pub(crate) fn set_keepalive_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
+
+/// Sets the keep-alive options, and the limit by which the kernel detects a replica that is gone while it is sent to.
+fn set_liveness_options(stream: &TcpStream) -> io::Result<()> {
+    set_keepalive_options(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
 }
