Bound the time for which bytes stay unacknowledged on all connections

Without a limit the kernel keeps a caller that lost power, and a replica that was sent a long request, for about a quarter of an hour; the relay of such a caller waits as long.

--- a/src/gateway/limited_stream.rs
+++ b/src/gateway/limited_stream.rs
@@ -6,8 +6,8 @@
 //! deadline.
 //!
 //! The kernel's limit on unacknowledged bytes also ends a connection whose receive window stays closed, though the peer
-//! acknowledges every probe: a replica that is slow to read a long body would lose the request. The limit therefore
-//! holds only while what was sent fits into any receive window. Rejected: reading the kernel's counters (`TCP_INFO`),
+//! acknowledges every probe: a replica that is slow to read a long body would lose the request. The limit is therefore
+//! raised once what was sent may not fit into a receive window. Rejected: reading the kernel's counters (`TCP_INFO`),
 //! for which there is no interface without unsafe code.
 
 use std::io;
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -22,6 +23,8 @@
 
 /// The number of bytes that fit into the receive window of a replica that has not read what was sent before.
 const MAX_WINDOW_BYTES: usize = 16 << 10;
+/// How long bytes of a long request may stay unacknowledged.
+const LONG_REQUEST_LIMIT: Duration = Duration::from_secs(4);
 
 /// The number of bytes that may still be received, shared between a connection and its user.
 #[derive(Clone, Debug)]
@@ -74,7 +77,7 @@
         }
     }
 
-    /// Records sent bytes, and lifts the limit on unacknowledged bytes once they may not fit into the receive window.
+    /// Records sent bytes, and raises the limit on unacknowledged bytes once they may not fit into the receive window.
     fn record_sent(&mut self, bytes: usize) {
         self.sent += bytes;
         if !self.is_time_limited || self.sent <= MAX_WINDOW_BYTES {
@@ -82,9 +85,11 @@
         }
         // Not set again after the response, since the replica may read the rest of the request later.
         self.is_time_limited = false;
-        if let Err(error) = SockRef::from(&self.stream).set_tcp_user_timeout(None) {
+        if let Err(error) =
+            SockRef::from(&self.stream).set_tcp_user_timeout(Some(LONG_REQUEST_LIMIT))
+        {
             log::debug!(
-                "upstream: Failed to lift the limit on unacknowledged bytes. error={error}"
+                "upstream: Failed to raise the limit on unacknowledged bytes. error={error}"
             );
         }
     }
