Don't eject a replica because this router may open no more connections to it

Callers got 503 although replicas had free places: "all connections are in use" is this router's own limit, its share of MaxConns, but counted as three failures of the replica, which ejects it. A configuration that lowers MaxConns did it to every replica.

Such an attempt goes to another replica and counts for nothing.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -15,7 +15,7 @@
 use super::attempt::{AttemptEnd, NextStep, RetryState};
 use super::call::{Call, RETRY_AFTER_BUSY, RETRY_AFTER_LEAVING};
 use super::clock::boot_time;
-use super::exchange::{Exchange, FailedAttempt, PendingExchange, ReplicaResponse};
+use super::exchange::{Exchange, FailedAttempt, PendingExchange, ReplicaResponse, failed_send};
 use super::loads::ReplicaKey;
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
@@ -377,7 +377,7 @@
             tokio::time::timeout(self.call.remaining(), replica.pool.acquire(max_idle)).await;
         let connection = match connection {
             Ok(Ok(connection)) => connection,
-            Ok(Err(failure)) => return Err(self.connect_failed(&replica, &failure).into()),
+            Ok(Err(failure)) => return Err(self.connect_failed(&replica, failure).into()),
             Err(_) => {
                 return Err(
                     FailedAttempt::new(AttemptEnd::Unsent, "no time left to connect").into(),
@@ -528,11 +528,17 @@
         })
     }
 
-    fn connect_failed(&self, replica: &Replica, failure: &SendFailure) -> FailedAttempt {
-        let (SendFailure::Unsent(reason) | SendFailure::Broken(reason)) = failure;
-        // A failed connection counts as much as three failed requests.
-        self.shared.record_outcome(replica, 3, boot_time());
-        FailedAttempt::new(AttemptEnd::Unsent, Arc::clone(reason))
+    fn connect_failed(&mut self, replica: &Replica, failure: SendFailure) -> FailedAttempt {
+        if matches!(failure, SendFailure::Full) {
+            // The limit is this router's own and says nothing about the replica.
+            self.tried.push(Arc::clone(&replica.known.record.id));
+        } else {
+            // A failed connection counts as much as three failed requests.
+            self.shared.record_outcome(replica, 3, boot_time());
+        }
+        let mut failed = failed_send(failure);
+        failed.end = AttemptEnd::Unsent;
+        failed
     }
 
     /// Builds the request to a replica.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -392,9 +392,13 @@
     metrics::counter!("crocuswharf_gateway_replica_signals_total", "signal" => signal).increment(1);
 }
 
-fn failed_send(failure: SendFailure) -> FailedAttempt {
+pub(crate) fn failed_send(failure: SendFailure) -> FailedAttempt {
     match failure {
         SendFailure::Unsent(reason) => FailedAttempt::new(AttemptEnd::Unsent, reason),
+        SendFailure::Full => FailedAttempt::new(
+            AttemptEnd::Unsent,
+            "all connections to the replica are in use",
+        ),
         SendFailure::Broken(reason) => FailedAttempt::new(AttemptEnd::Broken, reason),
     }
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -82,6 +82,8 @@
 pub(crate) enum SendFailure {
     /// Nothing of the request was sent.
     Unsent(Arc<str>),
+    /// Nothing of the request was sent, because this router may open no more connections to the replica.
+    Full,
     /// The request may have reached the replica.
     Broken(Arc<str>),
 }
@@ -118,7 +120,7 @@
             return Ok(connection);
         }
         if self.open.load(Ordering::Relaxed) >= self.limit.load(Ordering::Relaxed) {
-            return Err(SendFailure::Unsent("all connections are in use".into()));
+            return Err(SendFailure::Full);
         }
         self.connect().await
     }
