Keep the attempt that has begun, and record the others as what they are

Each of these failed before and passes now (platform/tests/held_attempts.rs):

- a head alone displaced a held stream, whose replica would have gone on, though the new one broke or fell silent after it: the first bytes of its body are awaited, for 0.25 s at most, since two replicas work on the stream meanwhile;
- a held stream that ended inside an event counted as one that goes on and displaced the replica that would take over;
- a response whose head had arrived counted as silent while its body was read, so it was sent again;
- a connection that went silent for good was kept as long as its replica sent anything to others: after 1.8 s it is resumed elsewhere all the same;
- a request without a head was checked once only, and then awaited until its deadline;
- the break of a held stream was not reported, and its error response not delivered;
- a replica that answered 500 was recorded as the holder of the prefix, and one that didn't resume a stream as its responder.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -3,6 +3,7 @@
 //! The decisions are made in [`super::placement`] and [`super::attempt`]; this module does the I/O.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -37,6 +38,8 @@
 /// The fraction of the latency objective after which a stream is sent to another replica if its replica responds to no
 /// request.
 const STREAM_ATTEMPT_FRACTION: f64 = 1.0;
+/// The silence of a stream after which its connection may be dead, although its replica responds to other requests.
+const MAX_BUSY_SILENCE: Duration = Duration::from_millis(1_800);
 /// The minimum length of prefixes that are prefilled by one request at a time, saved and fetched; prefilling a shorter
 /// one again costs less than its transfer queued behind others on a link.
 const MIN_SHARED_PREFIX_TOKENS: u32 = 1_000;
@@ -52,8 +55,8 @@
     tried: SmallVec<[ReplicaId; 4]>,
     /// The replica whose response is forwarded.
     responder: Option<ReplicaId>,
-    /// Whether the latest attempt was sent and has not ended.
-    is_sending: bool,
+    /// Whether the latest attempt was sent, and has neither ended nor is its response forwarded.
+    is_unsettled: bool,
     /// The shared parts of the prompt.
     parts: SmallVec<[PartKey; 4]>,
     sends: u32,
@@ -82,7 +85,7 @@
             retry_state,
             tried: SmallVec::new(),
             responder: None,
-            is_sending: false,
+            is_unsettled: false,
             parts: parts.unwrap_or_default(),
             sends: 0,
             prefill_key: None,
@@ -100,13 +103,16 @@
         else {
             return unknown;
         };
+        let limit = self.call.route.objective.mul_f64(PREFILL_WAIT_FRACTION);
+        let time_left = (self.call.arrived_at + limit).saturating_sub(boot_time());
+        if time_left.is_zero() {
+            return unknown;
+        }
         self.end_prefill(None);
         let Ok(replica) = self.place(snapshot, unknown) else {
             return unknown;
         };
         let key = self.prefix_key(&replica, prefix);
-        let limit = self.call.route.objective.mul_f64(PREFILL_WAIT_FRACTION);
-        let time_left = (self.call.arrived_at + limit).saturating_sub(boot_time());
         match self.shared.request_prefill(key, time_left).await {
             Some(PrefillDecision::Compute) => {
                 self.prefill_key = Some(key);
@@ -144,20 +150,20 @@
         last_event: Option<&str>,
     ) -> Result<ReplicaResponse, LocalReply> {
         let call = Arc::clone(&self.call);
-        let mut held = HeldExchanges::new();
+        let mut held = HeldExchanges::default();
         let last = loop {
             let result = tokio::select! {
                 biased;
-                Some(response) = next_response_of(&call, &mut held), if !held.is_empty() => {
+                Some(response) = held.next_response(&call), if !held.is_empty() => {
                     self.held_went_on();
                     return Ok(self.accept(response));
                 }
                 result = self.attempt(last_event) => result,
             };
-            self.is_sending = false;
+            self.is_unsettled = false;
             match result {
                 Ok(AttemptResult::Response(response)) => return Ok(self.accept(response)),
-                Ok(AttemptResult::Silent(exchange)) => held.push(exchange),
+                Ok(AttemptResult::Silent(exchange)) => held.exchanges.push(exchange),
                 Err(AttemptError::Failed(failed)) => {
                     if let Some(last) = self.resolve_failure(*failed) {
                         break last;
@@ -167,22 +173,33 @@
                 Err(AttemptError::RefusedPart(time)) => break Err(self.refused_part_reply(time)),
             }
         };
-        if let Some(response) = next_response_of(&call, &mut held).await {
+        if let Some(response) = held.next_response(&call).await {
             self.held_went_on();
             return Ok(self.accept(response));
         }
+        let last = match (last, held.error_response.take()) {
+            (Err(_), Some(response)) => Ok(response),
+            (last, _) => last,
+        };
         last.map(|response| self.accept(response))
     }
 
     /// Records that a held attempt goes on, for which the latest one is abandoned.
     pub(crate) fn held_went_on(&mut self) {
-        let is_other_sent = std::mem::take(&mut self.is_sending);
+        let is_other_sent = std::mem::take(&mut self.is_unsettled);
         self.retry_state.held_went_on(is_other_sent);
     }
 
+    /// Sets the replica whose response is forwarded.
+    pub(crate) fn set_responder(&mut self, replica: &Replica) {
+        self.responder = Some(Arc::clone(&replica.known.record.id));
+    }
+
     fn accept(&mut self, response: ReplicaResponse) -> ReplicaResponse {
-        self.responder = Some(Arc::clone(&response.replica.known.record.id));
-        self.end_prefill(Some(response.replica.key));
+        self.set_responder(&response.replica);
+        if response.head.status.is_success() {
+            self.end_prefill(Some(response.replica.key));
+        }
         response
     }
 
@@ -245,10 +262,19 @@
     /// it to the retry budget if so.
     ///
     /// Silence alone is no failure: a busy replica may have preempted a stream. Another attempt is made only if the
-    /// replica responds to no other stream either, and if another replica can take the request.
-    pub(crate) fn may_hold(&mut self, replica: &Replica, silent_since: Duration) -> bool {
+    /// replica responds to no other stream within `window` either, or if the silence lasts so long that the connection
+    /// may be dead, and if another replica can take the request.
+    pub(crate) fn may_hold(
+        &mut self,
+        replica: &Replica,
+        silent_since: Duration,
+        window: Duration,
+    ) -> bool {
+        let now = boot_time();
+        let silence = now.saturating_sub(silent_since);
         let is_stream = self.call.route.kind.is_stream();
-        if is_stream && replica.load.has_responded_since(silent_since) {
+        let is_responsive = replica.load.has_responded_since(now.saturating_sub(window));
+        if is_stream && is_responsive && silence < MAX_BUSY_SILENCE {
             return false;
         }
         let mut next_state = self.retry_state;
@@ -260,16 +286,30 @@
             return false;
         }
         self.retry_state = next_state;
-        self.shared.record_outcome(replica, 1, boot_time());
+        self.shared.record_outcome(replica, 1, now);
         log::info!(
-            "request: Replica silent. id={} replica={} silent_ms={}",
+            "request: Replica silent. id={} replica={} silent_ms={} is_responsive={is_responsive}",
             self.call.id_text(),
             replica.known.record.id,
-            boot_time().saturating_sub(silent_since).as_millis()
+            silence.as_millis()
         );
         true
     }
 
+    /// Sets whether a replica has responded whose response is not forwarded yet.
+    pub(crate) const fn set_unsettled(&mut self, is_unsettled: bool) {
+        self.is_unsettled = is_unsettled;
+    }
+
+    /// Records that the replica that resumed a stream broke it off while another stream was held.
+    pub(crate) fn record_broken_resumption(&mut self) {
+        self.is_unsettled = false;
+        // The step is not taken: the held stream goes on.
+        let _ = self
+            .retry_state
+            .attempt_ended(AttemptEnd::Broken, self.call.remaining());
+    }
+
     /// Charges a resend to the retry budget; returns the fallback step if the budget is exhausted.
     fn charge_resend(&mut self, step: NextStep, end: AttemptEnd) -> NextStep {
         if step != NextStep::Resend {
@@ -330,7 +370,7 @@
 
     /// Returns the response to a request that has none when the process ends.
     pub(crate) fn closing_reply(&self) -> LocalReply {
-        if self.retry_state.runs > 0 || self.is_sending {
+        if self.retry_state.runs > 0 || self.is_unsettled {
             return LocalReply::bad_gateway("the router shut down before the replica responded");
         }
         LocalReply::not_run("the router is shutting down", RETRY_AFTER_LEAVING)
@@ -393,22 +433,26 @@
         self.sends += 1;
         // Later attempts use other replicas, whatever the outcome of this one.
         self.tried.push(Arc::clone(&record.id));
+        let has_head = Arc::new(AtomicBool::new(false));
         let exchange = Exchange {
             shared: Arc::clone(&self.shared),
             call: Arc::clone(&self.call),
             parts: self.parts.clone(),
             replica: Arc::clone(&replica),
             guard,
+            has_head: Arc::clone(&has_head),
         };
-        self.is_sending = true;
+        self.is_unsettled = true;
         let mut exchange: PendingExchange = Box::pin(exchange.run(connection, request));
-        if let Some(limit) = self.silence_limit() {
-            match tokio::time::timeout(limit, &mut exchange).await {
+        let mut check = self.silence_limit();
+        while let Some(wait) = check {
+            match tokio::time::timeout(wait, &mut exchange).await {
                 Ok(result) => return self.attempt_result(result),
-                Err(_) if self.may_hold(&replica, now) => {
+                Err(_) if has_head.load(Ordering::Relaxed) => break,
+                Err(_) if self.may_hold(&replica, now, wait) => {
                     return Ok(AttemptResult::Silent(exchange));
                 }
-                Err(_) => {}
+                Err(_) => check = self.silence_limit(),
             }
         }
         let result = exchange.await;
@@ -605,22 +649,36 @@
 }
 
 /// Exchanges whose replicas are silent, while another attempt is made.
-type HeldExchanges = FuturesUnordered<PendingExchange>;
+#[derive(Default)]
+struct HeldExchanges {
+    exchanges: FuturesUnordered<PendingExchange>,
+    /// The error response of one of the replicas, forwarded if there is no other response.
+    error_response: Option<ReplicaResponse>,
+}
 
-/// Returns the first response of the held exchanges; `None` if all of them fail.
-async fn next_response_of(call: &Call, held: &mut HeldExchanges) -> Option<ReplicaResponse> {
-    while let Some(result) = held.next().await {
-        match result {
-            Ok(response) => return Some(response),
-            Err(failed) => log::info!(
-                "request: Held attempt ended. id={} end={:?} reason=\"{}\"",
-                call.id_text(),
-                failed.end,
-                failed.reason
-            ),
+impl HeldExchanges {
+    fn is_empty(&self) -> bool {
+        self.exchanges.is_empty()
+    }
+
+    /// Returns the first response; `None` if all exchanges fail.
+    async fn next_response(&mut self, call: &Call) -> Option<ReplicaResponse> {
+        while let Some(result) = self.exchanges.next().await {
+            match result {
+                Ok(response) => return Some(response),
+                Err(failed) => {
+                    log::info!(
+                        "request: Held attempt ended. id={} end={:?} reason=\"{}\"",
+                        call.id_text(),
+                        failed.end,
+                        failed.reason
+                    );
+                    self.error_response = failed.error_response.or(self.error_response.take());
+                }
+            }
         }
+        None
     }
-    None
 }
 
 /// How an attempt went on.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -5,6 +5,7 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -96,6 +97,17 @@
     }
 }
 
+/// How a body goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Peek {
+    /// More of it has arrived.
+    Data,
+    /// It has ended.
+    End,
+    /// Its connection broke.
+    Broken,
+}
+
 impl ReplicaStream {
     /// Returns the next frame of the body; `None` at its end.
     pub(crate) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
@@ -110,12 +122,16 @@
         self.connection.release(self.idle_timeout);
     }
 
-    /// Waits until the body goes on, without taking its next frame; returns false if it broke instead.
-    pub(crate) async fn goes_on(&mut self) -> bool {
+    /// Waits until the body goes on, without taking its next frame.
+    pub(crate) async fn peek(&mut self) -> Peek {
         if self.peeked.is_none() {
             self.peeked = Some(self.body.frame().await);
         }
-        !matches!(self.peeked, Some(Some(Err(_))))
+        match self.peeked {
+            Some(Some(Ok(_))) => Peek::Data,
+            Some(None) => Peek::End,
+            _ => Peek::Broken,
+        }
     }
 }
 
@@ -129,6 +145,8 @@
     pub(crate) replica: Arc<Replica>,
     /// Counts the request towards the load of the replica.
     pub(crate) guard: LoadGuard,
+    /// Is set when the head of the response arrives.
+    pub(crate) has_head: Arc<AtomicBool>,
 }
 
 /// An exchange in progress.
@@ -156,6 +174,7 @@
         };
         let response = result.inspect_err(|failed| self.record_failure(failed.end))?;
         self.guard.response_started();
+        self.has_head.store(true, Ordering::Relaxed);
         let framing = BodyFraming::of_response(&response);
         let (head, body) = response.into_parts();
         let stream = ReplicaStream {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,8 +13,8 @@
 
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
-use super::exchange::{ReplicaBody, ReplicaResponse, ReplicaStream};
-use super::forwarding::{BodyEnd, Forwarding};
+use super::exchange::{Peek, ReplicaBody, ReplicaStream};
+use super::forwarding::{BodyEnd, BodyFraming, Forwarding};
 use super::response::TruncatedBody;
 use crate::request::quarantine::KEPT_EVENTS;
 
@@ -24,6 +24,10 @@
 const DEADLINE_SLACK: Duration = Duration::from_millis(200);
 /// How long a resumable stream may be silent before another replica may resume it.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+/// How often a stream that is silent for longer is checked again.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// How long two replicas may work on a stream, from the head of the second one on.
+const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(250);
 
 /// How relaying the response of one replica ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,8 +46,11 @@
 
 /// How an attempt to resume a stream ended.
 enum Resumption {
-    /// Another replica resumed the stream.
-    Resumed(Box<ReplicaStream>),
+    /// Another replica resumed the stream. `is_held_broken` tells whether the one that was held broke meanwhile.
+    Resumed {
+        next: Box<ReplicaStream>,
+        is_held_broken: bool,
+    },
     /// The stream that was held goes on.
     HeldWentOn,
     /// No replica resumed the stream.
@@ -60,6 +67,7 @@
 ) {
     let mut forwarding = Forwarding::of_kind(dispatch.call.route.kind);
     let end = loop {
+        dispatch.set_responder(&stream.replica);
         let end = relay_stream(&mut dispatch, &mut stream, &chunks, &mut forwarding).await;
         let is_held = end == RelayEnd::Silent;
         if end == RelayEnd::Broken {
@@ -74,15 +82,26 @@
         if !may_resume {
             break end;
         }
+        let held = is_held.then_some(&forwarding);
         let resumption = resume(
             &mut dispatch,
             &mut stream,
-            is_held,
+            held,
             last_event.as_deref(),
             &chunks,
         );
         match resumption.await {
-            Resumption::Resumed(next) => {
+            Resumption::Resumed {
+                next,
+                is_held_broken,
+            } => {
+                dispatch.set_unsettled(false);
+                if is_held_broken {
+                    dispatch
+                        .shared
+                        .record_outcome(&stream.replica, 1, boot_time());
+                    dispatch.report_broken_stream(stream.replica.key, forwarding.events());
+                }
                 if let Forwarding::CompleteEvents(splitter) = &mut forwarding {
                     splitter.begin_resumption();
                 }
@@ -117,22 +136,30 @@
     }
 }
 
-/// Resumes a stream after `last_event` at another replica. If `is_held` is set, `stream` may still go on, and does so
-/// unless another replica begins before.
+/// Resumes a stream after `last_event` at another replica.
+///
+/// If `held` is set, `stream`, which was forwarded so far as it says, may still go on, and does so unless another replica
+/// begins before. A head is no beginning: the replica may fail or fall silent after it.
 async fn resume(
     dispatch: &mut Dispatch,
     stream: &mut ReplicaStream,
-    mut is_held: bool,
+    held: Option<&Forwarding>,
     last_event: Option<&str>,
     chunks: &mpsc::Sender<Result<Bytes, TruncatedBody>>,
 ) -> Resumption {
     let id = dispatch.call.id.clone();
-    let mut resuming = pin!(dispatch.next_response(last_event));
+    let id = id.to_str().unwrap_or("?");
+    let framing = stream.framing;
+    let mut is_held = held.is_some();
+    let mut resuming = pin!(begin_resumption(dispatch, last_event, is_held));
     let resumed = loop {
         tokio::select! {
             biased;
-            goes_on = stream.goes_on(), if is_held => {
-                if goes_on {
+            peek = stream.peek(), if is_held => {
+                let is_whole = held.is_some_and(|forwarding| {
+                    framing != BodyFraming::Connection && forwarding.is_complete(framing)
+                });
+                if peek == Peek::Data || (peek == Peek::End && is_whole) {
                     return Resumption::HeldWentOn;
                 }
                 is_held = false;
@@ -141,30 +168,73 @@
             () = chunks.closed() => return Resumption::CallerLeft,
         }
     };
-    let id = id.to_str().unwrap_or("?");
     match resumed {
-        Ok(ReplicaResponse {
-            head,
-            body: ReplicaBody::Streaming(next),
-            ..
-        }) if head.status.is_success() => {
+        Ok(beginning) if is_held && !beginning.has_begun => {
+            log::info!(
+                "request: Stream not resumed. id={id} is_held=true reason=\"no first event\""
+            );
+            Resumption::Failed
+        }
+        Ok(Beginning { next, .. }) => {
             log::info!(
                 "request: Stream resumed. id={id} replica={} after={}",
                 next.replica.known.record.id,
                 last_event.unwrap_or("-")
             );
-            return Resumption::Resumed(next);
+            Resumption::Resumed {
+                next,
+                is_held_broken: held.is_some() && !is_held,
+            }
+        }
+        Err(reason) => {
+            log::info!(
+                "request: Stream not resumed. id={id} is_held={is_held} reason=\"{reason}\""
+            );
+            Resumption::Failed
         }
-        Ok(response) => log::info!(
-            "request: Stream not resumed. id={id} is_held={is_held} reason=\"status {}\"",
-            response.head.status.as_u16()
-        ),
-        Err(reply) => log::info!(
-            "request: Stream not resumed. id={id} is_held={is_held} reason=\"{}\"",
-            reply.reason
-        ),
     }
-    Resumption::Failed
+}
+
+/// A stream of another replica that resumes one.
+struct Beginning {
+    next: Box<ReplicaStream>,
+    /// Whether more than its head has arrived.
+    has_begun: bool,
+}
+
+/// Returns a stream of another replica that goes on after `last_event`.
+///
+/// If another stream is held, the first bytes are awaited too, but only for a short time, since two replicas work on the
+/// stream.
+async fn begin_resumption(
+    dispatch: &mut Dispatch,
+    last_event: Option<&str>,
+    is_other_held: bool,
+) -> Result<Beginning, Arc<str>> {
+    let response = dispatch.next_response(last_event).await;
+    let response = response.map_err(|reply| Arc::from(reply.reason))?;
+    let status = response.head.status;
+    let mut next = match response.body {
+        ReplicaBody::Streaming(next) if status.is_success() => next,
+        _ => return Err(format!("status {}", status.as_u16()).into()),
+    };
+    if !is_other_held {
+        let has_begun = true;
+        return Ok(Beginning { next, has_begun });
+    }
+    dispatch.set_unsettled(true);
+    let first = tokio::time::timeout(FIRST_EVENT_LIMIT, next.peek()).await;
+    if first == Ok(Peek::Broken) {
+        dispatch
+            .shared
+            .record_outcome(&next.replica, 1, boot_time());
+        dispatch.set_responder(&next.replica);
+        dispatch.report_broken_stream(next.replica.key, 0);
+        dispatch.record_broken_resumption();
+        return Err("the replica broke off before its first event".into());
+    }
+    let has_begun = first.is_ok();
+    Ok(Beginning { next, has_begun })
 }
 
 async fn relay_stream(
@@ -181,10 +251,12 @@
         return RelayEnd::CallerLeft;
     }
     let mut is_kept = false;
+    let mut silent_since = boot_time();
+    let mut limit = SILENCE_LIMIT;
     loop {
         let time_left = (dispatch.call.deadline + DEADLINE_SLACK).saturating_sub(boot_time());
         let wait = if is_resumable {
-            time_left.min(SILENCE_LIMIT)
+            time_left.min(limit)
         } else {
             time_left
         };
@@ -195,6 +267,8 @@
         let bytes = match frame {
             Ok(Some(Ok(frame))) => {
                 stream.guard.record_response();
+                silent_since = boot_time();
+                limit = SILENCE_LIMIT;
                 frame.into_data().unwrap_or_default()
             }
             Ok(None) => {
@@ -212,10 +286,13 @@
                 return RelayEnd::Broken;
             }
             Err(_) if wait == time_left => return RelayEnd::Late,
-            Err(_) if dispatch.may_hold(&replica, boot_time().saturating_sub(wait)) => {
+            Err(_) if dispatch.may_hold(&replica, silent_since, SILENCE_LIMIT) => {
                 return RelayEnd::Silent;
             }
-            Err(_) => continue,
+            Err(_) => {
+                limit = SILENCE_CHECK_INTERVAL;
+                continue;
+            }
         };
         let Ok(bytes) = forwarding.push(bytes) else {
             return RelayEnd::Broken;
