Close callers' connections by the limits in force

Callers that reused a connection within the idle limit of a new, higher configuration lost their request: the router closed the connection after the old limit. Heads that arrived in parts, within their own limit, were cut after the limit on idle connections.

Cause: hyper's timeout for heads was set to IdleTimeoutMs when a connection began. It is fixed for the connection and covers both the time between requests and the time of a head; HeaderTimeoutMs was not used at all.

caller_activity decides when a connection is quiet. An idle one is kept for the limit at its last response, or a higher one since; a head has its own limit, from its first byte; a caller that takes nothing of a response for 30 s is cut.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -15,12 +15,14 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio_util::task::TaskTracker;
 
 use super::call::Call;
+use super::caller_activity::{CallerActivity, QuietReason};
+use super::caller_stream::{CallerStream, RequestActivity, SharedActivity};
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
 use super::exchange::{ReplicaBody, ReplicaResponse};
@@ -29,7 +31,6 @@
 use super::open_requests::OpenRequest;
 use super::relay::{RELAY_BUFFER_LEN, relay};
 use super::response::{CallerResponse, LocalReply, NoError, ResponseBody};
-use super::route::CallerLimits;
 use super::shared::Shared;
 use super::upstream::set_keepalive_options;
 use crate::error::{Error, ErrorKind};
@@ -38,8 +39,10 @@
 const CALLER_DESCRIPTORS_FRACTION: f64 = 0.6;
 /// The delay after a failed accept, which is mostly caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// The minimum buffer size that hyper accepts.
-const MIN_HEAD_BYTES: usize = 8_192;
+/// The minimum size of a connection's buffer.
+const MIN_BUFFER_BYTES: usize = 8_192;
+/// The minimum time between two checks whether a connection is quiet.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// When a caller that connects to a router that shuts down may retry: at once, at another router.
 const RETRY_AFTER_LEAVING: Duration = Duration::from_millis(10);
@@ -116,38 +119,69 @@
         log::debug!("front: A connection closed before it was served. error={error}");
         return;
     }
-    let limits = limits(&shared);
+    let limits = shared.caller_limits();
+    let activity = SharedActivity::new(CallerActivity::new(boot_time(), limits));
+    let stream = CallerStream::new(stream, activity.clone());
+    let (handling, handling_activity) = (Arc::clone(&shared), activity.clone());
     let service = service_fn(move |request| {
-        let shared = Arc::clone(&shared);
-        async move { Ok::<_, NoError>(handle(shared, request).await) }
+        let request_activity = RequestActivity::begin(&handling, &handling_activity);
+        let shared = Arc::clone(&handling);
+        async move { Ok::<_, NoError>(handle(shared, request, request_activity).await) }
     });
     // A connection that is closed before its first response loses a request that is on its way.
     let is_closing = *closing.borrow_and_update();
     let connection = http1::Builder::new()
         .keep_alive(!is_closing)
-        .timer(TokioTimer::new())
-        // Also closes connections without a request, which may stay idle for as long as the configuration allows.
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BYTES))
+        .header_read_timeout(None)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => Some(result),
+    let reason = tokio::select! {
+        // Bytes that have arrived count before a time that has passed.
+        biased;
+        result = connection.as_mut() => return log_end(result),
         () = wait_for_closing(&mut closing), if !is_closing => None,
+        reason = wait_until_quiet(&activity, &shared) => Some(reason),
     };
-    let result = match result {
-        Some(result) => result,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    if let Some(reason) = reason {
+        log::debug!("front: A quiet connection is closed. reason={reason:?}");
+    }
+    if matches!(reason, Some(QuietReason::SlowHead | QuietReason::Stalled)) {
+        return;
+    }
+    connection.as_mut().graceful_shutdown();
+    tokio::select! {
+        result = connection => log_end(result),
+        reason = wait_until_quiet(&activity, &shared), if reason.is_none() => {
+            log::debug!("front: A closing connection is quiet. reason={reason:?}");
         }
-    };
+    }
+}
+
+fn log_end(result: Result<(), hyper::Error>) {
     if let Err(error) = result {
         log::debug!("front: Connection ended. error={error}");
     }
 }
 
+/// Waits until a connection was quiet for longer than the configuration in force allows.
+async fn wait_until_quiet(activity: &SharedActivity, shared: &Shared) -> QuietReason {
+    loop {
+        let limits = shared.caller_limits();
+        let now = boot_time();
+        let expiry = activity.lock().expiry(limits);
+        let check_at = match expiry {
+            Some((at, reason)) if at <= now => return reason,
+            Some((at, _)) => at,
+            None => now + limits.idle_timeout,
+        };
+        // The next phase of the connection may have a shorter limit.
+        let next_check = (check_at - now).min(limits.header_timeout);
+        tokio::time::sleep(next_check.max(MIN_CHECK_INTERVAL)).await;
+    }
+}
+
 async fn wait_for_closing(closing: &mut watch::Receiver<bool>) {
     if closing.wait_for(|is_closing| *is_closing).await.is_err() {
         // The gateway and its runtime are being dropped.
@@ -155,19 +189,17 @@
     }
 }
 
-fn limits(shared: &Shared) -> CallerLimits {
-    let snapshot = shared.snapshot.load();
-    let table = snapshot.table.as_ref();
-    table.map_or_else(CallerLimits::default, |table| table.configuration().limits)
-}
-
-async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> CallerResponse {
+async fn handle(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    activity: RequestActivity,
+) -> CallerResponse {
     let open = shared.open_requests.begin();
     let mut response = match respond(&shared, request, &open).await {
         Ok(response) => response,
         Err(reply) => reply.into_response(),
     };
-    response.body_mut().keep_open(open);
+    response.body_mut().keep_open(open, activity);
     if shared.is_leaving() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -215,7 +247,7 @@
 /// Reads the rest of a request that is answered without it: closing a connection with unread bytes resets it, and the
 /// caller may then lose the response.
 async fn discard_body(shared: &Shared, mut body: Incoming) {
-    let limit = limits(shared).body_bytes;
+    let limit = shared.caller_limits().body_bytes;
     let read_all = async {
         let mut bytes = 0;
         while let Some(Ok(frame)) = body.frame().await {
@@ -233,7 +265,7 @@
 /// Reads the whole body of a request, so that a replica that responds early and reads on afterwards still receives all
 /// of it.
 async fn read_body(shared: &Shared, body: Incoming, call: &Call) -> Result<Bytes, LocalReply> {
-    let limit = limits(shared).body_bytes;
+    let limit = shared.caller_limits().body_bytes;
     let result = tokio::time::timeout(call.remaining(), Limited::new(body, limit).collect());
     match result.await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,8 @@
 mod attempt;
 mod backpressure;
 mod call;
+mod caller_activity;
+mod caller_stream;
 mod clock;
 mod control;
 mod crash_report;
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::caller_stream::RequestActivity;
 use super::open_requests::OpenRequest;
 
 /// The error of a response body that ended early; the connection to the caller is closed without the final chunk.
@@ -29,8 +30,8 @@
 #[derive(Debug)]
 pub(crate) struct ResponseBody {
     content: Content,
-    /// Keeps the request open until the connection has taken the whole body.
-    open: Option<OpenRequest>,
+    /// Keep the request open until the connection has taken the whole body.
+    open: Option<(OpenRequest, RequestActivity)>,
 }
 
 #[derive(Debug)]
@@ -56,9 +57,9 @@
         }
     }
 
-    /// Keeps `open` until the connection has taken the whole body or is closed.
-    pub(crate) fn keep_open(&mut self, open: OpenRequest) {
-        self.open = Some(open);
+    /// Keeps `open` and `activity` until the connection has taken the whole body or is closed.
+    pub(crate) fn keep_open(&mut self, open: OpenRequest, activity: RequestActivity) {
+        self.open = Some((open, activity));
     }
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -23,7 +23,7 @@
 use super::open_requests::OpenRequests;
 use super::placement::WeightsBounds;
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
-use super::route::{ModelName, RouteTable};
+use super::route::{CallerLimits, ModelName, RouteTable};
 use super::settings::{GatewayBounds, GatewaySettings};
 use super::upstream::ReplicaPool;
 use crate::id::{ReplicaId, ServiceName, WeightsVersion, ZoneName};
@@ -373,6 +373,13 @@
         bounds.evaluate(self.confirmed_at(), now)
     }
 
+    /// Returns the limits on callers in force.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        let snapshot = self.snapshot.load();
+        let table = snapshot.table.as_ref();
+        table.map_or_else(CallerLimits::default, |table| table.configuration().limits)
+    }
+
     /// Returns whether this router is ready for new callers.
     pub(crate) fn is_ready(&self) -> bool {
         let snapshot = self.snapshot.load();
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod backpressure;
+mod caller_activity;
 mod events;
 mod fleet;
 mod fleet_size;
