Read on after the last response of a connection

Callers whose body was too large or too slow saw a reset instead of the response: 413 and 408 were sent, and the connection was closed with unread bytes, which resets it.

Evidence: platform/tests/configuration_changes.rs on the code before: body_too_large_gets_a_whole_response and body_too_slow_gets_a_whole_response failed with "Broken pipe (os error 32)".

A connection is now closed in two steps: the router ends its side, then reads and drops what the caller still sends, until the caller closes or 2 s have passed. A response to a body that was not read to its end says Connection: close.

Both tests pass, with requests, shutdown and endless_bytes.

--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -1,17 +1,27 @@
-//! The connection to a caller, which records its activity.
+//! The connection to a caller: records its activity and closes it without a reset.
+//!
+//! Closing a socket with unread bytes resets the connection, and the caller may then lose a response that it has not
+//! read yet. After the last response, the rest of what the caller sends is therefore read and dropped for a while.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
 use super::caller_activity::CallerActivity;
 use super::clock::boot_time;
 use super::shared::Shared;
 
+/// How long a caller's bytes are read after the last response.
+const LINGER_LIMIT: Duration = Duration::from_secs(2);
+/// The number of bytes that are dropped at once.
+const DROP_LEN: usize = 16 << 10;
+
 /// The activity of a connection, shared between the connection and its requests.
 #[derive(Clone, Debug)]
 pub(crate) struct SharedActivity(Arc<Mutex<CallerActivity>>);
@@ -28,6 +38,8 @@
 pub(crate) struct CallerStream {
     stream: TcpStream,
     activity: SharedActivity,
+    /// Ends the reading after the last response.
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl SharedActivity {
@@ -63,12 +75,28 @@
 impl CallerStream {
     /// Records in `activity` what passes through `stream`.
     pub(crate) const fn new(stream: TcpStream, activity: SharedActivity) -> Self {
-        Self { stream, activity }
+        Self {
+            stream,
+            activity,
+            linger: None,
+        }
     }
 
     fn record_sent(&self, result: &Poll<io::Result<usize>>) {
         self.activity.lock().sent(boot_time(), result.is_pending());
     }
+
+    /// Reads and drops bytes until the caller has closed the connection.
+    fn poll_drop_rest(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [0; DROP_LEN];
+        loop {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            let result = ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer));
+            if result.is_err() || buffer.filled().is_empty() {
+                return Poll::Ready(());
+            }
+        }
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -102,7 +130,15 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+            self.linger = Some(Box::pin(tokio::time::sleep(LINGER_LIMIT)));
+        }
+        let linger = self.linger.as_mut().expect("it was set above");
+        if linger.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        self.poll_drop_rest(context).map(Ok)
     }
 
     fn poll_write_vectored(
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -10,9 +10,9 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -31,6 +31,7 @@
 use super::open_requests::OpenRequest;
 use super::relay::{RELAY_BUFFER_LEN, relay};
 use super::response::{CallerResponse, LocalReply, NoError, ResponseBody};
+use super::route::CallerLimits;
 use super::shared::Shared;
 use super::upstream::set_keepalive_options;
 use crate::error::{Error, ErrorKind};
@@ -195,12 +196,15 @@
     activity: RequestActivity,
 ) -> CallerResponse {
     let open = shared.open_requests.begin();
-    let mut response = match respond(&shared, request, &open).await {
+    let (head, body) = request.into_parts();
+    let mut body = CallerBody::new(body);
+    let mut response = match respond(&shared, head, &mut body, &open).await {
         Ok(response) => response,
         Err(reply) => reply.into_response(),
     };
     response.body_mut().keep_open(open, activity);
-    if shared.is_leaving() {
+    // What is left of a body must not be taken for the next request.
+    if shared.is_leaving() || !body.is_complete {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -209,15 +213,15 @@
 
 async fn respond(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    head: request::Parts,
+    body: &mut CallerBody,
     open: &OpenRequest,
 ) -> Result<CallerResponse, LocalReply> {
     let arrived_at = boot_time();
-    let (head, body) = request.into_parts();
     if shared.refuses_requests() {
         let reply = LocalReply::not_run("the router is shutting down", RETRY_AFTER_LEAVING);
         shared.log_local_reply("-", "-", &reply);
-        discard_body(shared, body).await;
+        body.discard(shared.caller_limits()).await;
         return Err(reply);
     }
     let snapshot = shared.snapshot.load_full();
@@ -225,12 +229,12 @@
         Ok(call) => call,
         Err(reply) => {
             shared.log_local_reply("-", "-", &reply);
-            discard_body(shared, body).await;
+            body.discard(shared.caller_limits()).await;
             return Err(reply);
         }
     };
     open.set_id(call.id_text());
-    call.body = read_body(shared, body, &call).await?;
+    call.body = body.read(shared.caller_limits(), call.remaining()).await?;
     let mut dispatch = Dispatch::new(Arc::clone(shared), call);
     let response = match dispatch.next_response(None).await {
         Ok(response) => response,
@@ -244,43 +248,55 @@
     Ok(forward_response(dispatch, response))
 }
 
-/// Reads the rest of a request that is answered without it: closing a connection with unread bytes resets it, and the
-/// caller may then lose the response.
-async fn discard_body(shared: &Shared, mut body: Incoming) {
-    let limit = shared.caller_limits().body_bytes;
-    let read_all = async {
-        let mut bytes = 0;
-        while let Some(Ok(frame)) = body.frame().await {
-            bytes += frame.data_ref().map_or(0, Bytes::len);
-            if bytes > limit {
-                return;
+/// The body of a caller's request.
+struct CallerBody {
+    incoming: Incoming,
+    /// Whether it was read to its end.
+    is_complete: bool,
+}
+
+impl CallerBody {
+    fn new(incoming: Incoming) -> Self {
+        let is_complete = incoming.is_end_stream();
+        Self {
+            incoming,
+            is_complete,
+        }
+    }
+
+    /// Reads the rest of a request that is answered without it, so that its connection can be kept.
+    async fn discard(&mut self, limits: CallerLimits) {
+        let read_all = Limited::new(&mut self.incoming, limits.body_bytes).collect();
+        match tokio::time::timeout(DISCARD_LIMIT, read_all).await {
+            Ok(Ok(_)) => self.is_complete = true,
+            Ok(Err(_)) | Err(_) => {
+                log::debug!("front: A rejected request was not read to its end.");
             }
         }
-    };
-    if tokio::time::timeout(DISCARD_LIMIT, read_all).await.is_err() {
-        log::debug!("front: A rejected request was not read to its end.");
     }
-}
 
-/// Reads the whole body of a request, so that a replica that responds early and reads on afterwards still receives all
-/// of it.
-async fn read_body(shared: &Shared, body: Incoming, call: &Call) -> Result<Bytes, LocalReply> {
-    let limit = shared.caller_limits().body_bytes;
-    let result = tokio::time::timeout(call.remaining(), Limited::new(body, limit).collect());
-    match result.await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(LocalReply::denied(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is larger than the configuration allows",
-        )),
-        Ok(Err(_)) => Err(LocalReply::denied(
-            StatusCode::BAD_REQUEST,
-            "the body could not be read",
-        )),
-        Err(_) => Err(LocalReply::denied(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body took too long",
-        )),
+    /// Reads the whole body of a request, so that a replica that responds early and reads on afterwards still receives
+    /// all of it.
+    async fn read(&mut self, limits: CallerLimits, time: Duration) -> Result<Bytes, LocalReply> {
+        let limited = Limited::new(&mut self.incoming, limits.body_bytes);
+        match tokio::time::timeout(time, limited.collect()).await {
+            Ok(Ok(body)) => {
+                self.is_complete = true;
+                Ok(body.to_bytes())
+            }
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(LocalReply::denied(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is larger than the configuration allows",
+            )),
+            Ok(Err(_)) => Err(LocalReply::denied(
+                StatusCode::BAD_REQUEST,
+                "the body could not be read",
+            )),
+            Err(_) => Err(LocalReply::denied(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body took too long",
+            )),
+        }
     }
 }
 
