Limit heads by the configuration in force

After MaxHeaderBytes was raised, callers on kept connections got 431 for heads that the new configuration allows; 431 is never retried.

Cause: hyper's buffer limits heads, and its size is fixed when a connection begins.

Evidence: platform/tests/configuration_changes.rs on the code before: head_within_a_raised_limit_is_accepted_on_a_kept_connection failed with 431 instead of 200.

The buffer has room for 64 KiB, and the length of a head is compared with the limit in force.

The test passes, with requests and endless_bytes.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -40,8 +40,9 @@
 const CALLER_DESCRIPTORS_FRACTION: f64 = 0.6;
 /// The delay after a failed accept, which is mostly caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// The minimum size of a connection's buffer.
-const MIN_BUFFER_BYTES: usize = 8_192;
+/// The minimum size of a connection's buffer, which limits heads for as long as the connection lasts. It leaves room for
+/// a limit that is raised meanwhile.
+const MIN_BUFFER_BYTES: usize = 64 << 10;
 /// The minimum time between two checks whether a connection is quiet.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -224,6 +225,13 @@
         body.discard(shared.caller_limits()).await;
         return Err(reply);
     }
+    if head_len(&head) > shared.caller_limits().header_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        let reply = LocalReply::denied(status, "the head is larger than the configuration allows");
+        shared.log_local_reply("-", "-", &reply);
+        body.discard(shared.caller_limits()).await;
+        return Err(reply);
+    }
     let snapshot = shared.snapshot.load_full();
     let mut call = match Call::from_head(shared, &snapshot, head, arrived_at) {
         Ok(call) => call,
@@ -248,6 +256,18 @@
     Ok(forward_response(dispatch, response))
 }
 
+/// Returns the length of a request's head as the caller sent it, but for optional white space.
+fn head_len(head: &request::Parts) -> usize {
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    let line = head.method.as_str().len() + target + "  HTTP/1.1\r\n".len();
+    let headers = head.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    line + headers.sum::<usize>() + "\r\n".len()
+}
+
 /// The body of a caller's request.
 struct CallerBody {
     incoming: Incoming,
