--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -10,17 +10,19 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio_util::task::TaskTracker;
 
 use super::call::{Call, RETRY_AFTER_LEAVING};
+use super::caller_activity::{CallerActivity, QuietReason};
+use super::caller_stream::{CallerStream, RequestActivity, SharedActivity};
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
 use super::exchange::{ReplicaBody, ReplicaResponse};
@@ -38,8 +40,11 @@
 const CALLER_DESCRIPTORS_FRACTION: f64 = 0.6;
 /// The delay after a failed accept, which is mostly caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// The minimum buffer size that hyper accepts.
-const MIN_HEAD_BYTES: usize = 8_192;
+/// The minimum size of a connection's buffer, which limits heads for as long as the connection lasts. It leaves room for
+/// a limit that is raised meanwhile.
+const MIN_BUFFER_BYTES: usize = 64 << 10;
+/// The minimum time between two checks whether a connection is quiet.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// How long the rest of a request is read after the response is known.
 const DISCARD_LIMIT: Duration = Duration::from_millis(250);
@@ -114,38 +119,69 @@
         log::debug!("front: A connection closed before it was served. error={error}");
         return;
     }
-    let limits = limits(&shared);
+    let limits = shared.caller_limits();
+    let activity = SharedActivity::new(CallerActivity::new(boot_time(), limits));
+    let stream = CallerStream::new(stream, activity.clone());
+    let (handling, handling_activity) = (Arc::clone(&shared), activity.clone());
     let service = service_fn(move |request| {
-        let shared = Arc::clone(&shared);
-        async move { Ok::<_, NoError>(handle(shared, request).await) }
+        let request_activity = RequestActivity::begin(&handling, &handling_activity);
+        let shared = Arc::clone(&handling);
+        async move { Ok::<_, NoError>(handle(shared, request, request_activity).await) }
     });
     // A connection that is closed before its first response loses a request that is on its way.
     let is_closing = *closing.borrow_and_update();
     let connection = http1::Builder::new()
         .keep_alive(!is_closing)
-        .timer(TokioTimer::new())
-        // Also closes connections without a request, which may stay idle for as long as the configuration allows.
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BYTES))
+        .header_read_timeout(None)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => Some(result),
+    let reason = tokio::select! {
+        // Bytes that have arrived count before a time that has passed.
+        biased;
+        result = connection.as_mut() => return log_end(result),
         () = wait_for_closing(&mut closing), if !is_closing => None,
+        reason = wait_until_quiet(&activity, &shared) => Some(reason),
     };
-    let result = match result {
-        Some(result) => result,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    if let Some(reason) = reason {
+        log::debug!("front: A quiet connection is closed. reason={reason:?}");
+    }
+    if matches!(reason, Some(QuietReason::SlowHead | QuietReason::Stalled)) {
+        return;
+    }
+    connection.as_mut().graceful_shutdown();
+    tokio::select! {
+        result = connection => log_end(result),
+        reason = wait_until_quiet(&activity, &shared), if reason.is_none() => {
+            log::debug!("front: A closing connection is quiet. reason={reason:?}");
         }
-    };
+    }
+}
+
+fn log_end(result: Result<(), hyper::Error>) {
     if let Err(error) = result {
         log::debug!("front: Connection ended. error={error}");
     }
 }
 
+/// Waits until a connection was quiet for longer than the configuration in force allows.
+async fn wait_until_quiet(activity: &SharedActivity, shared: &Shared) -> QuietReason {
+    loop {
+        let limits = shared.caller_limits();
+        let now = boot_time();
+        let expiry = activity.lock().expiry(limits);
+        let check_at = match expiry {
+            Some((at, reason)) if at <= now => return reason,
+            Some((at, _)) => at,
+            None => now + limits.idle_timeout,
+        };
+        // The next phase of the connection may have a shorter limit.
+        let next_check = (check_at - now).min(limits.header_timeout);
+        tokio::time::sleep(next_check.max(MIN_CHECK_INTERVAL)).await;
+    }
+}
+
 async fn wait_for_closing(closing: &mut watch::Receiver<bool>) {
     if closing.wait_for(|is_closing| *is_closing).await.is_err() {
         // The gateway and its runtime are being dropped.
@@ -153,20 +189,21 @@
     }
 }
 
-fn limits(shared: &Shared) -> CallerLimits {
-    let snapshot = shared.snapshot.load();
-    let table = snapshot.table.as_ref();
-    table.map_or_else(CallerLimits::default, |table| table.configuration().limits)
-}
-
-async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> CallerResponse {
+async fn handle(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    activity: RequestActivity,
+) -> CallerResponse {
     let open = shared.open_requests.begin();
-    let mut response = match respond(&shared, request, &open).await {
+    let (head, body) = request.into_parts();
+    let mut body = CallerBody::new(body);
+    let mut response = match respond(&shared, head, &mut body, &open).await {
         Ok(response) => response,
         Err(reply) => reply.into_response(),
     };
-    response.body_mut().keep_open(open);
-    if shared.is_leaving() {
+    response.body_mut().keep_open(open, activity);
+    // What is left of a body must not be taken for the next request.
+    if shared.is_leaving() || !body.is_complete {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -175,15 +212,22 @@
 
 async fn respond(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    head: request::Parts,
+    body: &mut CallerBody,
     open: &OpenRequest,
 ) -> Result<CallerResponse, LocalReply> {
     let arrived_at = boot_time();
-    let (head, body) = request.into_parts();
     if shared.refuses_requests() {
         let reply = LocalReply::not_run("the router is shutting down", RETRY_AFTER_LEAVING);
         shared.log_local_reply("-", "-", &reply);
-        discard_body(shared, body).await;
+        body.discard(shared.caller_limits()).await;
+        return Err(reply);
+    }
+    if head_len(&head) > shared.caller_limits().header_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        let reply = LocalReply::denied(status, "the head is larger than the configuration allows");
+        shared.log_local_reply("-", "-", &reply);
+        body.discard(shared.caller_limits()).await;
         return Err(reply);
     }
     let snapshot = shared.snapshot.load_full();
@@ -191,12 +235,18 @@
         Ok(call) => call,
         Err(reply) => {
             shared.log_local_reply("-", "-", &reply);
-            discard_body(shared, body).await;
+            body.discard(shared.caller_limits()).await;
             return Err(reply);
         }
     };
     open.set_id(call.id_text());
-    call.body = read_body(shared, body, &call).await?;
+    call.body = tokio::select! {
+        result = body.read(shared.caller_limits(), call.remaining()) => result?,
+        () = shared.wait_until_closing() => {
+            let reason = "the router is shutting down";
+            return Err(LocalReply::not_run(reason, RETRY_AFTER_LEAVING));
+        }
+    };
     let mut dispatch = Dispatch::new(Arc::clone(shared), call);
     let result = tokio::select! {
         result = dispatch.next_response(None) => Some(result),
@@ -215,50 +265,67 @@
     Ok(forward_response(dispatch, response))
 }
 
-/// Reads the rest of a request that is answered without it: closing a connection with unread bytes resets it, and the
-/// caller may then lose the response.
-async fn discard_body(shared: &Shared, mut body: Incoming) {
-    let limit = limits(shared).body_bytes;
-    let read_all = async {
-        let mut bytes = 0;
-        while let Some(Ok(frame)) = body.frame().await {
-            bytes += frame.data_ref().map_or(0, Bytes::len);
-            if bytes > limit {
-                return;
+/// Returns the length of a request's head as the caller sent it, but for optional white space.
+fn head_len(head: &request::Parts) -> usize {
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    let line = head.method.as_str().len() + target + "  HTTP/1.1\r\n".len();
+    let headers = head.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    line + headers.sum::<usize>() + "\r\n".len()
+}
+
+/// The body of a caller's request.
+struct CallerBody {
+    incoming: Incoming,
+    /// Whether it was read to its end.
+    is_complete: bool,
+}
+
+impl CallerBody {
+    fn new(incoming: Incoming) -> Self {
+        let is_complete = incoming.is_end_stream();
+        Self {
+            incoming,
+            is_complete,
+        }
+    }
+
+    /// Reads the rest of a request that is answered without it, so that its connection can be kept.
+    async fn discard(&mut self, limits: CallerLimits) {
+        let read_all = Limited::new(&mut self.incoming, limits.body_bytes).collect();
+        match tokio::time::timeout(DISCARD_LIMIT, read_all).await {
+            Ok(Ok(_)) => self.is_complete = true,
+            Ok(Err(_)) | Err(_) => {
+                log::debug!("front: A rejected request was not read to its end.");
             }
         }
-    };
-    if tokio::time::timeout(DISCARD_LIMIT, read_all).await.is_err() {
-        log::debug!("front: A rejected request was not read to its end.");
     }
-}
 
-/// Reads the whole body of a request, so that a replica that responds early and reads on afterwards still receives all
-/// of it.
-async fn read_body(shared: &Shared, body: Incoming, call: &Call) -> Result<Bytes, LocalReply> {
-    let limit = limits(shared).body_bytes;
-    let reading = tokio::time::timeout(call.remaining(), Limited::new(body, limit).collect());
-    let result = tokio::select! {
-        result = reading => result,
-        () = shared.wait_until_closing() => {
-            let reason = "the router is shutting down";
-            return Err(LocalReply::not_run(reason, RETRY_AFTER_LEAVING));
+    /// Reads the whole body of a request, so that a replica that responds early and reads on afterwards still receives
+    /// all of it.
+    async fn read(&mut self, limits: CallerLimits, time: Duration) -> Result<Bytes, LocalReply> {
+        let limited = Limited::new(&mut self.incoming, limits.body_bytes);
+        match tokio::time::timeout(time, limited.collect()).await {
+            Ok(Ok(body)) => {
+                self.is_complete = true;
+                Ok(body.to_bytes())
+            }
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(LocalReply::denied(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is larger than the configuration allows",
+            )),
+            Ok(Err(_)) => Err(LocalReply::denied(
+                StatusCode::BAD_REQUEST,
+                "the body could not be read",
+            )),
+            Err(_) => Err(LocalReply::denied(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body took too long",
+            )),
         }
-    };
-    match result {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(LocalReply::denied(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is larger than the configuration allows",
-        )),
-        Ok(Err(_)) => Err(LocalReply::denied(
-            StatusCode::BAD_REQUEST,
-            "the body could not be read",
-        )),
-        Err(_) => Err(LocalReply::denied(
-            StatusCode::REQUEST_TIMEOUT,
-            "the body took too long",
-        )),
     }
 }
 
