Log which whole request a replica broke off

The logs of the crashing request could not tell whether the requests that replicas lost one after the other were the same one: bodies are not logged. A plain request whose replica breaks it off is now logged with a hash of its path, caller and body and with how long it ran there. The hash is computed only then.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -3,12 +3,13 @@
 //! [`Call::from_head`] parses and authorizes the head of a request, or rejects it with a response of the gateway. The
 //! attempts for the request are made in [`super::dispatch`].
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, StatusCode, Uri, request};
+use xxhash_rust::xxh3::Xxh3;
 
 use super::clock::boot_time;
 use super::headers::{HeaderNames, connection_header_names, header_text};
@@ -28,6 +29,9 @@
 /// The highest priority value that replicas support.
 const MAX_REPLICA_PRIORITY: u8 = 9;
 
+/// A hash that identifies a whole request.
+pub(crate) type RequestKey = u64;
+
 /// A request of a caller.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -52,6 +56,7 @@
     pub(crate) headers: HeaderMap,
     /// The complete body.
     pub(crate) body: Bytes,
+    request_key: OnceLock<RequestKey>,
 }
 
 impl Call {
@@ -135,6 +140,7 @@
             headers: forwarded_headers(header_names, &head.headers, account.as_ref()),
             account,
             body: Bytes::new(),
+            request_key: OnceLock::new(),
         })
     }
 
@@ -143,6 +149,24 @@
         self.account.as_ref().filter(|account| account.is_isolated)
     }
 
+    /// Returns the key of the whole request, which is the same each time that it comes with this path, caller and body.
+    ///
+    /// It is computed when it is first needed, which for most requests is never.
+    pub(crate) fn request_key(&self) -> RequestKey {
+        *self.request_key.get_or_init(|| {
+            let account = self.account.as_ref().map_or("", |account| &account.name);
+            let path = self.uri.path_and_query();
+            let path = path.map_or("", |path| path.as_str());
+            hash_request(
+                account,
+                self.method.as_str(),
+                &self.route.name,
+                path,
+                &self.body,
+            )
+        })
+    }
+
     /// Returns the priority of the request at a replica.
     pub(crate) fn replica_priority(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.priority);
@@ -163,6 +187,25 @@
     }
 }
 
+/// Hashes what makes a request the same one when it comes again.
+///
+/// The route stands for the host, which may name the port of a router.
+pub(crate) fn hash_request(
+    account: &str,
+    method: &str,
+    route: &str,
+    path: &str,
+    body: &[u8],
+) -> RequestKey {
+    let texts = [account, method, route, path].map(str::as_bytes);
+    let mut hasher = Xxh3::new();
+    for field in texts.into_iter().chain([body]) {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    hasher.digest()
+}
+
 fn read_deadline(
     headers: &HeaderMap,
     header_names: &HeaderNames,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -147,6 +147,7 @@
         mut connection: ReplicaConnection,
         request: Request<RequestBody>,
     ) -> Result<ReplicaResponse, FailedAttempt> {
+        let sent_at = boot_time();
         let result = tokio::select! {
             result = self.receive_head(&mut connection, request) => result,
             () = self.shared.wait_until_refused(&self.parts) => Err(FailedAttempt::new(
@@ -154,7 +155,7 @@
                 "a part of the prompt has crashed several replicas",
             )),
         };
-        let response = result.inspect_err(|failed| self.record_failure(failed.end))?;
+        let response = result.inspect_err(|failed| self.record_failure(failed, sent_at))?;
         self.guard.response_started();
         let framing = BodyFraming::of_response(&response);
         let (head, body) = response.into_parts();
@@ -190,10 +191,20 @@
         }
     }
 
-    fn record_failure(&self, end: AttemptEnd) {
+    fn record_failure(&self, failed: &FailedAttempt, sent_at: Duration) {
+        let end = failed.end;
         if !matches!(end, AttemptEnd::Unsent | AttemptEnd::Withdrawn) {
             self.shared.record_outcome(&self.replica, 1, boot_time());
         }
+        if end == AttemptEnd::Broken && self.call.prompt.is_none() {
+            log::info!(
+                "request: Replica broke a request off. id={} replica={} request_key={:016x} ran_ms={}",
+                self.call.id_text(),
+                self.replica.known.record.id,
+                self.call.request_key(),
+                boot_time().saturating_sub(sent_at).as_millis()
+            );
+        }
         if end == AttemptEnd::Broken && !self.parts.is_empty() {
             self.shared.observe(Observation::Crash(Crash {
                 parts: self.parts.clone(),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod backpressure;
+mod call;
 mod events;
 mod fleet;
 mod fleet_size;
