Refuse a plain request after it has crashed three replicas

Callers of a plain service were without replicas for seconds, again and again: a request that came again with the same path, caller and body crashed each replica that ran it, and no router connected the crashes. State about what travels with requests was kept for parts of prompts only.

The quarantine now holds suspects of both kinds: the shared parts of a prompt, or a whole request without one, by a hash that is computed only after a break or while a whole request is suspected. A router that loses a request tries to connect to its replica, which tells a crash from a lost answer.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, StatusCode, Uri, request};
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::clock::boot_time;
@@ -19,6 +20,7 @@
 use super::route::{GatewayAccount, Route};
 use super::shared::{Shared, Snapshot};
 use crate::id::ServiceName;
+use crate::request::quarantine::SuspectKey;
 
 /// When to retry at a router that has no configuration yet or can't confirm the one it has.
 const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(300);
@@ -29,9 +31,6 @@
 /// The highest priority value that replicas support.
 const MAX_REPLICA_PRIORITY: u8 = 9;
 
-/// A hash that identifies a whole request.
-pub(crate) type RequestKey = u64;
-
 /// A request of a caller.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -45,6 +44,8 @@
     pub(crate) account: Option<GatewayAccount>,
     /// The prompt, if the request has one.
     pub(crate) prompt: Option<Prompt>,
+    /// The keys of the shared parts of the prompt.
+    pub(crate) parts: SmallVec<[SuspectKey; 4]>,
     /// The inputs of replica selection.
     pub(crate) placement: PlacementRequest,
     /// When the request arrived.
@@ -56,7 +57,7 @@
     pub(crate) headers: HeaderMap,
     /// The complete body.
     pub(crate) body: Bytes,
-    request_key: OnceLock<RequestKey>,
+    request_key: OnceLock<SuspectKey>,
 }
 
 impl Call {
@@ -127,11 +128,13 @@
         let time = deadline_ms.map_or(route.timeout, |ms| {
             route.timeout.min(Duration::from_millis(ms))
         });
+        let parts = prompt.as_ref().map(Prompt::part_keys);
         Ok(Self {
             id,
             route: route.clone(),
             service: Arc::clone(service),
             prompt,
+            parts: parts.unwrap_or_default(),
             placement,
             arrived_at,
             deadline: arrived_at + time,
@@ -152,7 +155,7 @@
     /// Returns the key of the whole request, which is the same each time that it comes with this path, caller and body.
     ///
     /// It is computed when it is first needed, which for most requests is never.
-    pub(crate) fn request_key(&self) -> RequestKey {
+    pub(crate) fn request_key(&self) -> SuspectKey {
         *self.request_key.get_or_init(|| {
             let account = self.account.as_ref().map_or("", |account| &account.name);
             let path = self.uri.path_and_query();
@@ -167,6 +170,15 @@
         })
     }
 
+    /// Returns why requests like this one are refused.
+    pub(crate) const fn refusal_reason(&self) -> &'static str {
+        if self.prompt.is_some() {
+            "a part of the prompt has crashed several replicas"
+        } else {
+            "this request has crashed several replicas, it is useless to send it again"
+        }
+    }
+
     /// Returns the priority of the request at a replica.
     pub(crate) fn replica_priority(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.priority);
@@ -196,7 +208,7 @@
     route: &str,
     path: &str,
     body: &[u8],
-) -> RequestKey {
+) -> SuspectKey {
     let texts = [account, method, route, path].map(str::as_bytes);
     let mut hasher = Xxh3::new();
     for field in texts.into_iter().chain([body]) {
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -127,8 +127,8 @@
                 self.handle_crash(crash, now);
                 None
             }
-            Observation::PartKept(part) => {
-                self.handle_kept(part, now);
+            Observation::Kept(key) => {
+                self.handle_kept(key, now);
                 None
             }
             Observation::OtherWeights { replica } => {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -19,13 +19,13 @@
 use super::loads::ReplicaKey;
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
-use super::prompt::{Prompt, cache_scope};
+use super::prompt::cache_scope;
 use super::response::LocalReply;
 use super::route::CallKind;
 use super::shared::{Observation, Replica, Shared, Snapshot};
 use super::upstream::{RequestBody, SendFailure};
 use crate::id::ReplicaId;
-use crate::request::quarantine::{Crash, Evidence, PartKey};
+use crate::request::quarantine::{Crash, Evidence, MIN_RUN};
 
 /// The maximum idle time of a connection used for a request that must not be repeated; if the replica closes the
 /// connection meanwhile, the request is lost.
@@ -54,8 +54,10 @@
     responder: Option<ReplicaId>,
     /// Whether the latest attempt was sent and has not ended.
     is_sending: bool,
-    /// The shared parts of the prompt.
-    parts: SmallVec<[PartKey; 4]>,
+    /// When the latest attempt was sent.
+    sent_at: Duration,
+    /// The number of attempts that replicas broke off while they ran the request, or that are silent.
+    lost_attempts: u32,
     sends: u32,
     /// The key of the prefix that this request was allowed to prefill and whose outcome it must report.
     prefill_key: Option<PrefixKey>,
@@ -75,7 +77,6 @@
     pub(crate) fn new(shared: Arc<Shared>, call: Call) -> Self {
         let attempts = call.route.max_attempts.max(1);
         let retry_state = RetryState::new(call.route.kind, attempts, call.remaining());
-        let parts = call.prompt.as_ref().map(Prompt::part_keys);
         Self {
             shared,
             call: Arc::new(call),
@@ -83,7 +84,8 @@
             tried: SmallVec::new(),
             responder: None,
             is_sending: false,
-            parts: parts.unwrap_or_default(),
+            sent_at: Duration::ZERO,
+            lost_attempts: 0,
             sends: 0,
             prefill_key: None,
             is_budget_exhausted: false,
@@ -164,7 +166,7 @@
                     }
                 }
                 Err(AttemptError::NoReplica(reason)) => break Err(self.no_replica_reply(reason)),
-                Err(AttemptError::RefusedPart(time)) => break Err(self.refused_part_reply(time)),
+                Err(AttemptError::Refused(time)) => break Err(self.refusal_reply(time)),
             }
         };
         if let Some(response) = next_response_of(&call, &mut held).await {
@@ -199,6 +201,9 @@
             failed.reason,
             self.call.remaining().as_millis()
         );
+        if failed.end == AttemptEnd::Broken && boot_time() >= self.sent_at + MIN_RUN {
+            self.lost_attempts += 1;
+        }
         let step = self
             .retry_state
             .attempt_ended(failed.end, self.call.remaining());
@@ -218,7 +223,7 @@
         let parts = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
         let parts: Vec<String> = parts
             .iter()
-            .zip(&self.parts)
+            .zip(&self.call.parts)
             .map(|(part, key)| format!("{}/{key:016x}", part.id))
             .collect();
         log::info!(
@@ -254,12 +259,13 @@
         let mut next_state = self.retry_state;
         let snapshot = self.shared.snapshot.load_full();
         let may_send = next_state.hold(self.call.remaining())
-            && self.allows_resend()
+            && self.allows_resend(self.lost_attempts + 1)
             && self.place(&snapshot, PrefixState::default()).is_ok();
         if !may_send || !self.withdraw_retry() {
             return false;
         }
         self.retry_state = next_state;
+        self.lost_attempts += 1;
         self.shared.record_outcome(replica, 1, boot_time());
         log::info!(
             "request: Replica silent. id={} replica={} silent_ms={}",
@@ -276,7 +282,7 @@
             return step;
         }
         // Each repeat of a request that crashes replicas costs one more.
-        if end == AttemptEnd::Broken && !self.allows_resend() {
+        if end == AttemptEnd::Broken && !self.allows_resend(self.lost_attempts) {
             return self.retry_state.give_up();
         }
         if self.withdraw_retry() {
@@ -290,11 +296,13 @@
         }
     }
 
-    /// Returns whether the request may be sent again after a replica crashed under it.
-    fn allows_resend(&self) -> bool {
-        let suspects = self.shared.suspects.load();
-        let mut statuses = self.parts.iter().filter_map(|part| suspects.get(part));
-        statuses.all(|status| status.allows_resend())
+    /// Returns whether the request may be sent to another replica after it has lost `lost_attempts`.
+    ///
+    /// One crash is what any request may meet. A plain request that meets a second one, or that is suspected, is left to
+    /// its caller to repeat, since its next replica may crash too.
+    fn allows_resend(&self, lost_attempts: u32) -> bool {
+        let is_plain = self.call.prompt.is_none();
+        (!is_plain || lost_attempts <= 1) && self.shared.allows_resend(&self.call)
     }
 
     /// Withdraws a retry from the budget of the service; returns whether one was available.
@@ -328,8 +336,8 @@
         Some(Err(reply))
     }
 
-    fn refused_part_reply(&self, time: Duration) -> LocalReply {
-        let reason = "a part of the prompt has crashed several replicas";
+    fn refusal_reply(&self, time: Duration) -> LocalReply {
+        let reason = self.call.refusal_reason();
         if self.retry_state.runs > 0 {
             return LocalReply::bad_gateway(reason);
         }
@@ -350,10 +358,10 @@
     }
 
     async fn attempt(&mut self, last_event: Option<&str>) -> Result<AttemptResult, AttemptError> {
-        self.check_parts()?;
+        self.check_refusal()?;
         let snapshot = self.shared.snapshot.load_full();
         let prefix = self.wait_for_prefill(&snapshot).await;
-        self.check_parts()?;
+        self.check_refusal()?;
         // The snapshot may have changed during the wait.
         let snapshot = self.shared.snapshot.load_full();
         let replica = self.place(&snapshot, prefix)?;
@@ -388,11 +396,11 @@
         let exchange = Exchange {
             shared: Arc::clone(&self.shared),
             call: Arc::clone(&self.call),
-            parts: self.parts.clone(),
             replica: Arc::clone(&replica),
             guard,
         };
         self.is_sending = true;
+        self.sent_at = now;
         let mut exchange: PendingExchange = Box::pin(exchange.run(connection, request));
         if let Some(limit) = self.silence_limit() {
             match tokio::time::timeout(limit, &mut exchange).await {
@@ -422,19 +430,20 @@
         }
     }
 
-    /// Returns an error if requests with a part of the prompt are refused.
-    fn check_parts(&self) -> Result<(), AttemptError> {
-        let refused_for = self.shared.refused_for(&self.parts, boot_time());
-        refused_for.map_or(Ok(()), |time| Err(AttemptError::RefusedPart(time)))
+    /// Returns an error if requests like this one are refused.
+    fn check_refusal(&self) -> Result<(), AttemptError> {
+        let refused_for = self.shared.refused_for(&self.call, boot_time());
+        refused_for.map_or(Ok(()), |time| Err(AttemptError::Refused(time)))
     }
 
     /// Reports that a replica broke off the answer as it began.
     fn report_crash(&self, replica: ReplicaKey, evidence: Evidence) {
-        if self.parts.is_empty() {
+        if self.call.parts.is_empty() {
             return;
         }
         self.shared.observe(Observation::Crash(Crash {
-            parts: self.parts.clone(),
+            keys: self.call.parts.clone(),
+            request: None,
             replica,
             at: boot_time(),
             evidence,
@@ -443,7 +452,7 @@
 
     /// Records that the answer is whole, or went on for long enough to show that its prompt does not crash replicas.
     pub(crate) fn record_kept(&self) {
-        self.shared.record_kept(&self.parts, boot_time());
+        self.shared.record_kept(&self.call, boot_time());
     }
 
     fn place(
@@ -619,8 +628,8 @@
 /// Why an attempt yielded no response.
 enum AttemptError {
     Failed(Box<FailedAttempt>),
-    /// Requests with a part of the prompt are refused for this time.
-    RefusedPart(Duration),
+    /// Requests like this one are refused for this time.
+    Refused(Duration),
     NoReplica(NoReplica),
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,17 +12,17 @@
 use http::{Request, Response, StatusCode, response};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
-use smallvec::SmallVec;
 
 use super::attempt::AttemptEnd;
 use super::backpressure::Backpressure;
+use super::broken_request::report_broken_request;
 use super::call::Call;
 use super::clock::boot_time;
 use super::forwarding::BodyFraming;
 use super::headers::header_text;
 use super::shared::{LoadGuard, Observation, Replica, Shared};
 use super::upstream::{ReplicaConnection, RequestBody, SendFailure};
-use crate::request::quarantine::{Crash, Evidence, PartKey};
+use crate::request::quarantine::{Crash, Evidence};
 
 /// The maximum size of a response that is buffered until it is complete; a longer one is streamed.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
@@ -124,8 +124,6 @@
 pub(crate) struct Exchange {
     pub(crate) shared: Arc<Shared>,
     pub(crate) call: Arc<Call>,
-    /// The shared parts of the prompt.
-    pub(crate) parts: SmallVec<[PartKey; 4]>,
     pub(crate) replica: Arc<Replica>,
     /// Counts the request towards the load of the replica.
     pub(crate) guard: LoadGuard,
@@ -140,8 +138,8 @@
     ///
     /// # Errors
     ///
-    /// Returns why there is no response to forward. If a part of the prompt is refused before the head has arrived, the
-    /// exchange is withdrawn.
+    /// Returns why there is no response to forward. If requests like this one are refused before the head has arrived,
+    /// the exchange is withdrawn.
     pub(crate) async fn run(
         mut self,
         mut connection: ReplicaConnection,
@@ -150,9 +148,9 @@
         let sent_at = boot_time();
         let result = tokio::select! {
             result = self.receive_head(&mut connection, request) => result,
-            () = self.shared.wait_until_refused(&self.parts) => Err(FailedAttempt::new(
+            () = self.shared.wait_until_refused(&self.call) => Err(FailedAttempt::new(
                 AttemptEnd::Withdrawn,
-                "a part of the prompt has crashed several replicas",
+                self.call.refusal_reason(),
             )),
         };
         let response = result.inspect_err(|failed| self.record_failure(failed, sent_at))?;
@@ -196,18 +194,21 @@
         if !matches!(end, AttemptEnd::Unsent | AttemptEnd::Withdrawn) {
             self.shared.record_outcome(&self.replica, 1, boot_time());
         }
-        if end == AttemptEnd::Broken && self.call.prompt.is_none() {
-            log::info!(
-                "request: Replica broke a request off. id={} replica={} request_key={:016x} ran_ms={}",
-                self.call.id_text(),
-                self.replica.known.record.id,
-                self.call.request_key(),
-                boot_time().saturating_sub(sent_at).as_millis()
-            );
+        if end != AttemptEnd::Broken {
+            return;
         }
-        if end == AttemptEnd::Broken && !self.parts.is_empty() {
+        if self.call.prompt.is_none() {
+            let (shared, call) = (Arc::clone(&self.shared), Arc::clone(&self.call));
+            tokio::spawn(report_broken_request(
+                shared,
+                call,
+                Arc::clone(&self.replica),
+                sent_at,
+            ));
+        } else if !self.call.parts.is_empty() {
             self.shared.observe(Observation::Crash(Crash {
-                parts: self.parts.clone(),
+                keys: self.call.parts.clone(),
+                request: None,
                 replica: self.replica.key,
                 at: boot_time(),
                 evidence: Evidence::Weak,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 
 mod attempt;
 mod backpressure;
+mod broken_request;
 mod call;
 mod clock;
 mod control;
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -10,7 +10,7 @@
 use super::headers::{HeaderNames, header_text};
 use super::placement::PlacementRequest;
 use super::route::{GatewayAccount, ModelName};
-use crate::request::quarantine::PartKey;
+use crate::request::quarantine::SuspectKey;
 
 /// The maximum number of parts of a prompt.
 const MAX_PARTS: usize = 64;
@@ -78,7 +78,7 @@
 
     /// Returns the keys of the shared parts, in order.
     #[must_use]
-    pub(crate) fn part_keys(&self) -> SmallVec<[PartKey; 4]> {
+    pub(crate) fn part_keys(&self) -> SmallVec<[SuspectKey; 4]> {
         let seed = xxh3_64(self.model.as_bytes());
         let shared = self.shared_parts().iter();
         shared
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -11,8 +11,10 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use smallvec::SmallVec;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use super::call::Call;
 use super::clock::boot_time;
 use super::control::Event;
 use super::fleet::KnownReplica;
@@ -29,7 +31,7 @@
 use crate::id::{ReplicaId, ServiceName, WeightsVersion, ZoneName};
 use crate::request::ejection::{Ejection, EjectionOptions};
 use crate::request::kept_parts::KeptParts;
-use crate::request::quarantine::{Crash, PartKey, Suspects};
+use crate::request::quarantine::{Crash, SuspectKey, Suspects};
 use crate::request::retry::RetryBudget;
 
 /// The fraction of the users' retry share that this router uses; the rest is reserved for requests that never arrived.
@@ -139,8 +141,8 @@
     },
     /// A replica broke off an answer as it began.
     Crash(Crash),
-    /// An answer went on under a suspected part.
-    PartKept(PartKey),
+    /// An answer went on under a suspected key.
+    Kept(SuspectKey),
     /// The address now belongs to another replica.
     AddressReused {
         /// The replica that was expected.
@@ -168,8 +170,10 @@
     health: Mutex<HashMap<ServiceName, Ejection>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     others_load: ArcSwap<LoadMap>,
-    /// The parts of prompts that are suspected to crash replicas.
+    /// The parts of prompts and whole requests that are suspected to crash replicas.
     pub(crate) suspects: ArcSwap<Suspects>,
+    /// Whether whole requests are among the suspects.
+    suspects_requests: AtomicBool,
     suspects_changed: watch::Sender<()>,
     kept_parts: Mutex<KeptParts>,
     observations: mpsc::Sender<Observation>,
@@ -311,6 +315,7 @@
             budgets: Mutex::default(),
             others_load: ArcSwap::default(),
             suspects: ArcSwap::default(),
+            suspects_requests: AtomicBool::new(false),
             suspects_changed: watch::Sender::new(()),
             kept_parts: Mutex::default(),
             observations,
@@ -423,44 +428,71 @@
         self.others_load.load_full()
     }
 
-    /// Replaces the suspected parts.
+    /// Replaces the suspects.
     pub(crate) fn set_suspects(&self, suspects: Suspects) {
+        let has_requests = suspects.values().any(|status| status.is_request);
         self.suspects.store(Arc::new(suspects));
+        self.suspects_requests
+            .store(has_requests, Ordering::Relaxed);
         self.suspects_changed.send_replace(());
     }
 
-    /// Returns for how long requests with one of `parts` are refused; `None` if they aren't.
-    pub(crate) fn refused_for(&self, parts: &[PartKey], now: Duration) -> Option<Duration> {
+    /// Returns the keys under which a request may be suspected.
+    ///
+    /// The key of a whole request is left out while there are no such suspects, since it costs a hash of the body.
+    pub(crate) fn suspect_keys(&self, call: &Call) -> SmallVec<[SuspectKey; 4]> {
+        if call.prompt.is_some() {
+            return call.parts.clone();
+        }
+        let has_requests = self.suspects_requests.load(Ordering::Relaxed);
+        has_requests
+            .then(|| call.request_key())
+            .into_iter()
+            .collect()
+    }
+
+    /// Returns for how long requests like `call` are refused; `None` if they aren't.
+    pub(crate) fn refused_for(&self, call: &Call, now: Duration) -> Option<Duration> {
         let suspects = self.suspects.load();
-        let statuses = parts.iter().filter_map(|part| suspects.get(part));
+        let keys = self.suspect_keys(call);
+        let statuses = keys.iter().filter_map(|key| suspects.get(key));
         statuses.filter_map(|status| status.refused_for(now)).max()
     }
 
-    /// Waits until requests with one of `parts` are refused.
-    pub(crate) async fn wait_until_refused(&self, parts: &[PartKey]) {
+    /// Returns whether `call` may be sent again, or to a second replica, after replicas crashed under its keys.
+    pub(crate) fn allows_resend(&self, call: &Call) -> bool {
+        let suspects = self.suspects.load();
+        let keys = self.suspect_keys(call);
+        let mut statuses = keys.iter().filter_map(|key| suspects.get(key));
+        statuses.all(|status| status.allows_resend())
+    }
+
+    /// Waits until requests like `call` are refused.
+    pub(crate) async fn wait_until_refused(&self, call: &Call) {
         let mut changes = self.suspects_changed.subscribe();
-        while self.refused_for(parts, boot_time()).is_none() {
-            if parts.is_empty() || changes.changed().await.is_err() {
+        while self.refused_for(call, boot_time()).is_none() {
+            if changes.changed().await.is_err() {
                 return std::future::pending().await;
             }
         }
     }
 
-    /// Records that an answer went on under `parts`, which clears those that are suspected.
-    pub(crate) fn record_kept(&self, parts: &[PartKey], now: Duration) {
+    /// Records that the answer to `call` went on, which clears those of its keys that are suspected.
+    pub(crate) fn record_kept(&self, call: &Call, now: Duration) {
         let mut kept_parts = lock(&self.kept_parts);
-        for part in parts {
+        for part in &call.parts {
             kept_parts.record(*part, now);
         }
         drop(kept_parts);
         let suspects = self.suspects.load();
-        for part in parts.iter().filter(|part| suspects.contains_key(*part)) {
-            self.observe(Observation::PartKept(*part));
+        let keys = self.suspect_keys(call);
+        for key in keys.iter().filter(|key| suspects.contains_key(*key)) {
+            self.observe(Observation::Kept(*key));
         }
     }
 
     /// Returns when an answer last went on under `part`, unless it is long ago.
-    pub(crate) fn last_kept(&self, part: PartKey, now: Duration) -> Option<Duration> {
+    pub(crate) fn last_kept(&self, part: SuspectKey, now: Duration) -> Option<Duration> {
         lock(&self.kept_parts).last(part, now)
     }
 
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -121,6 +121,15 @@
         self.connect().await
     }
 
+    /// Returns whether the replica accepts a new connection.
+    pub(crate) async fn accepts_connections(&self) -> bool {
+        let connecting = TcpStream::connect(self.address);
+        matches!(
+            tokio::time::timeout(CONNECT_TIMEOUT, connecting).await,
+            Ok(Ok(_))
+        )
+    }
+
     /// Closes expired idle connections, or all idle connections if `all` is set.
     pub(crate) fn close_idle(&self, all: bool) {
         let now = boot_time();
--- a/src/request/kept_parts.rs
+++ b/src/request/kept_parts.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::quarantine::PartKey;
+use super::quarantine::SuspectKey;
 
 /// How long a kept answer is remembered.
 const KEPT_TTL: Duration = Duration::from_mins(2);
@@ -17,12 +17,12 @@
 /// The last kept answer under each recent part.
 #[derive(Debug, Default)]
 pub(crate) struct KeptParts {
-    kept: HashMap<PartKey, Duration>,
+    kept: HashMap<SuspectKey, Duration>,
 }
 
 impl KeptParts {
     /// Records that an answer under `part` went on at `now`.
-    pub(crate) fn record(&mut self, part: PartKey, now: Duration) {
+    pub(crate) fn record(&mut self, part: SuspectKey, now: Duration) {
         if self.kept.len() >= MAX_PARTS && !self.kept.contains_key(&part) {
             let mut ttl = KEPT_TTL;
             while self.kept.len() >= MAX_PARTS {
@@ -34,7 +34,7 @@
     }
 
     /// Returns the last kept answer under `part`, unless it is long ago.
-    pub(crate) fn last(&self, part: PartKey, now: Duration) -> Option<Duration> {
+    pub(crate) fn last(&self, part: SuspectKey, now: Duration) -> Option<Duration> {
         self.kept
             .get(&part)
             .copied()
--- a/src/request/quarantine.rs
+++ b/src/request/quarantine.rs
@@ -1,30 +1,39 @@
-//! Finds the parts of prompts under which replicas crash, so that requests with them can be refused.
+//! Finds the parts of prompts and the whole requests under which replicas crash, so that they can be refused.
 //!
-//! A part of a prompt may crash each replica that begins an answer under it, whatever else the prompt holds. Retries and
-//! other requests with the part then end one replica after the other, and with each one all that it was answering. Such
-//! requests are known as queries of death. No router sees enough of them, so routers exchange what they see:
+//! A part of a prompt may crash each replica that begins an answer under it, whatever else the prompt holds; a request
+//! without a prompt may do so whenever it comes again with the same path, caller and body. Retries and other requests
+//! then end one replica after the other, and with each one all that it was answering. Such requests are known as queries
+//! of death. No router sees enough of them, so routers exchange what they see:
 //!
-//! - A [`Crash`]: a replica broke an answer off as it began. All shared parts of that prompt are suspects.
-//! - A kept answer: one that went on under a part. It clears the part of all crashes before.
+//! - A [`Crash`]: a replica broke an answer off as it began, or a whole request that it ran. All shared parts of that
+//!   prompt, or the request, are suspects.
+//! - A kept answer: one that went on under a suspect. It clears the suspect of all crashes before.
 //!
 //! Both merge in any order and count nothing twice. Crashes at the same moment count once, since a rack that loses power
-//! ends many replicas, and with them answers that happened to begin. A part is refused after a few separate crashes
-//! without a kept answer in between. Where parts come together in all crashes, only one of them is refused: one under
-//! which no answer was kept before a part with kept ones, then the later one in the prompt, which fewer requests share.
+//! ends many replicas, and with them answers that happened to begin. A request that was sent after a crash and ran for a
+//! while belongs to a later one. A suspect is refused after a few separate crashes without a kept answer in between.
+//! Where parts come together in all crashes, only one of them is refused: one under which no answer was kept before a
+//! part with kept ones, then the later one in the prompt, which fewer requests share. Whole requests that come together
+//! in all crashes wait for one crash more: an answer to one of them tells them apart.
 //!
 //! Load patterns handled: one in twenty requests has the part, at all routers in turn; the same beside crashes of racks;
-//! a shared part of most requests while replicas crash at random; two such parts at once; a router that is cut off.
+//! a shared part of most requests while replicas crash at random; two such parts at once; a router that is cut off; the
+//! same whole request beside a sound one that runs on each replica that it crashes, while all replicas are down.
+//!
+//! Whole requests with a prompt are no suspects: the parts before it are, and a key of its own for each request that a
+//! crash broke off would crowd out the crashes of parts.
 //!
 //! Rejected: refusing a caller, a route or a whole prompt, since sound requests share those; a probe that lets one
 //! request through from time to time, which costs a replica each time.
 
 use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
-/// A hash that identifies a part of a prompt for one model.
-pub(crate) type PartKey = u64;
+/// A hash that identifies a part of a prompt for one model, or a whole request.
+pub(crate) type SuspectKey = u64;
 /// A hash that identifies one incarnation of a replica.
 pub(crate) type IncarnationKey = u32;
 
@@ -34,21 +43,28 @@
 const STRONG_POINTS: u32 = 5;
 /// The points of a crash with weak evidence; five are enough for a refusal.
 const WEAK_POINTS: u32 = 3;
-/// The points from which a part is refused.
+/// The points from which a suspect is refused.
 const REFUSAL_POINTS: u32 = 15;
-/// The points from which a part is refused under which answers were kept.
+/// The points from which a suspect is refused under which answers were kept.
 const KEPT_REFUSAL_POINTS: u32 = 25;
-/// The points from which a request is not sent again after a replica crashed under it.
+/// The points from which a whole request is refused that came together with another one in all crashes.
+const TIED_REFUSAL_POINTS: u32 = 20;
+/// The points of a part from which a request is not sent again after a replica crashed under it.
 const RESEND_POINTS: u32 = 10;
+/// The points of a whole request for the same. An answer clears it soon if it is sound.
+const REQUEST_RESEND_POINTS: u32 = STRONG_POINTS;
 /// Crashes within this time of the first one count as one; routers notice a crash within a few tens of milliseconds.
 const CRASH_WINDOW: Duration = Duration::from_millis(150);
+/// The least time that a request runs before its replica's crash can be its own doing. One that breaks sooner may have
+/// been sent to a replica that had crashed already.
+pub(crate) const MIN_RUN: Duration = Duration::from_millis(20);
 /// The number of different parts that must have followed a part in crashes before it is refused instead of them.
 const MIN_SUCCESSORS: usize = 3;
 /// The number of replicas that crashed under a part, but not under one that followed it, for the same.
 const MIN_OWN_CRASHES: usize = 2;
-/// How long after its last crash a part is refused.
+/// How long after its last crash a suspect is refused.
 const REFUSAL_TIME: Duration = Duration::from_mins(10);
-/// How long crashes are remembered. A part that is released and crashes another replica is refused again at once.
+/// How long crashes are remembered. A suspect that is released and crashes another replica is refused again at once.
 const CRASH_TTL: Duration = Duration::from_hours(1);
 /// How long a kept answer is remembered, so that crashes before it that arrive late from other routers don't count.
 const KEPT_TTL: Duration = REFUSAL_TIME;
@@ -57,52 +73,68 @@
 /// The number of remembered kept answers above which the oldest one is forgotten.
 const MAX_KEPT: usize = 512;
 
-/// How far an answer had come when its replica broke it off.
+/// How well a broken answer shows that its request crashed the replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Evidence {
     /// The request was waiting, as most of a crashed replica's requests are, or its answer had got past its first event.
+    /// For a whole request: the replica accepted connections soon afterwards.
     Weak,
-    /// The answer had begun and had no complete event yet.
+    /// The answer had begun and had no complete event yet. For a whole request: the replica was down afterwards.
     Strong,
 }
 
-/// A replica that broke off an answer as it began.
+/// A whole request that a replica broke off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct BrokenRequest {
+    /// The ID of the caller's attempt.
+    pub(crate) id: Arc<str>,
+    /// The time since it was sent to the replica.
+    pub(crate) ran: Duration,
+}
+
+/// A replica that broke off an answer as it began, or a whole request that it ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Crash {
-    /// The shared parts of the prompt, in order.
-    pub(crate) parts: SmallVec<[PartKey; 4]>,
+    /// The shared parts of the prompt, in order, or the key of the whole request.
+    pub(crate) keys: SmallVec<[SuspectKey; 4]>,
+    /// The whole request; `None` if the keys are those of parts.
+    pub(crate) request: Option<BrokenRequest>,
     /// The replica.
     pub(crate) replica: IncarnationKey,
     /// When this router learned of it.
     pub(crate) at: Duration,
-    /// How far the answer had come.
+    /// What it shows.
     pub(crate) evidence: Evidence,
 }
 
-/// What is held against a part.
+/// What is held against a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct PartStatus {
+pub(crate) struct SuspectStatus {
     /// The points of its crashes since the last kept answer.
     pub(crate) points: u32,
-    /// Until when requests with the part are refused; `None` if they aren't.
+    /// Until when its requests are refused; `None` if they aren't.
     pub(crate) refused_until: Option<Duration>,
+    /// Whether it is a whole request instead of a part.
+    pub(crate) is_request: bool,
 }
 
-/// The suspected parts.
-pub(crate) type Suspects = HashMap<PartKey, PartStatus>;
+/// The suspects.
+pub(crate) type Suspects = HashMap<SuspectKey, SuspectStatus>;
 
 /// The crashes and kept answers known to one router.
 #[derive(Debug, Default)]
 pub(crate) struct Quarantine {
     /// Sorted by time.
     crashes: Vec<Crash>,
-    /// The last kept answer under each part that has or had crashes.
-    kept: HashMap<PartKey, Duration>,
+    /// The last kept answer under each key that has or had crashes.
+    kept: HashMap<SuspectKey, Duration>,
 }
 
-/// A part whose points suffice for a refusal.
+/// A suspect whose points suffice for a refusal.
 struct Candidate {
-    part: PartKey,
+    key: SuspectKey,
+    points: u32,
+    is_request: bool,
     was_kept: bool,
     /// The replicas of the crashes with the strongest evidence.
     replicas: BTreeSet<IncarnationKey>,
@@ -127,29 +159,42 @@
     }
 }
 
-impl PartStatus {
-    /// Returns for how long after `now` requests with the part are refused; `None` if they aren't.
+impl SuspectStatus {
+    /// Returns for how long after `now` its requests are refused; `None` if they aren't.
     #[must_use]
     pub(crate) fn refused_for(self, now: Duration) -> Option<Duration> {
         let left = self.refused_until?.saturating_sub(now);
         (!left.is_zero()).then_some(left)
     }
 
-    /// Returns whether a request with the part may be sent again after a replica crashed under it.
+    /// Returns whether a request may be sent again after a replica crashed under it.
     #[must_use]
     pub(crate) const fn allows_resend(self) -> bool {
-        self.points < RESEND_POINTS
+        let limit = if self.is_request {
+            REQUEST_RESEND_POINTS
+        } else {
+            RESEND_POINTS
+        };
+        self.points < limit
+    }
+}
+
+impl Crash {
+    /// Returns whether a whole request was sent after `time` and ran until its replica crashed.
+    fn began_after(&self, time: Duration) -> bool {
+        let request = self.request.as_ref();
+        request.is_some_and(|request| request.ran >= MIN_RUN && self.at > time + request.ran)
     }
 }
 
 impl Quarantine {
     /// Records a crash; returns whether it is news.
     pub(crate) fn record_crash(&mut self, crash: Crash) -> bool {
-        if crash.parts.is_empty() || self.is_cleared(&crash) {
+        if crash.keys.is_empty() || self.is_cleared(&crash) {
             return false;
         }
         let is_same =
-            |known: &&mut Crash| known.replica == crash.replica && known.parts == crash.parts;
+            |known: &&mut Crash| known.replica == crash.replica && known.keys == crash.keys;
         if let Some(known) = self.crashes.iter_mut().find(is_same) {
             let is_stronger = known.evidence < crash.evidence;
             known.evidence = known.evidence.max(crash.evidence);
@@ -160,17 +205,35 @@
         if self.crashes.len() > MAX_CRASHES {
             let mut weak = self.crashes.iter();
             let oldest_weak = weak.position(|known| known.evidence == Evidence::Weak);
-            self.crashes.remove(oldest_weak.unwrap_or(0));
+            let dropped = oldest_weak.or_else(|| self.oldest_single_request());
+            self.crashes.remove(dropped.unwrap_or(0));
         }
         true
     }
 
-    /// Records that an answer under `part` went on at `at`; returns whether this clears the part of a crash.
-    pub(crate) fn record_kept(&mut self, part: PartKey, at: Duration) -> bool {
-        let clears = self.live_crashes(part).any(|crash| crash.at <= at);
-        let is_suspected = self.crashes.iter().any(|crash| crash.parts.contains(&part));
+    /// Returns the oldest crash under a whole request that has no other one, as most that a crash breaks off.
+    fn oldest_single_request(&self) -> Option<usize> {
+        let repeated = self.repeated_keys();
+        let mut crashes = self.crashes.iter();
+        crashes.position(|crash| {
+            let is_repeated = crash.keys.iter().any(|key| repeated.contains(key));
+            crash.request.is_some() && !is_repeated
+        })
+    }
+
+    /// Returns the keys that have more than one crash.
+    pub(crate) fn repeated_keys(&self) -> BTreeSet<SuspectKey> {
+        let mut seen = BTreeSet::new();
+        let keys = self.crashes.iter().flat_map(|crash| crash.keys.iter());
+        keys.copied().filter(|key| !seen.insert(*key)).collect()
+    }
+
+    /// Records that an answer under `key` went on at `at`; returns whether this clears the key of a crash.
+    pub(crate) fn record_kept(&mut self, key: SuspectKey, at: Duration) -> bool {
+        let clears = self.live_crashes(key).any(|crash| crash.at <= at);
+        let is_suspected = self.crashes.iter().any(|crash| crash.keys.contains(&key));
         if is_suspected {
-            let known = self.kept.entry(part).or_insert(at);
+            let known = self.kept.entry(key).or_insert(at);
             *known = (*known).max(at);
             self.remove_cleared();
         }
@@ -194,62 +257,72 @@
         &self.crashes
     }
 
-    /// Returns the last kept answer under each part that has or had crashes.
-    pub(crate) fn kept(&self) -> impl Iterator<Item = (PartKey, Duration)> {
-        self.kept.iter().map(|(part, at)| (*part, *at))
+    /// Returns the last kept answer under each key that has or had crashes.
+    pub(crate) fn kept(&self) -> impl Iterator<Item = (SuspectKey, Duration)> {
+        self.kept.iter().map(|(key, at)| (*key, *at))
     }
 
-    /// Returns what is held against each part that is not cleared.
+    /// Returns what is held against each suspect that is not cleared.
     pub(crate) fn suspects(&self) -> Suspects {
-        let parts: BTreeSet<PartKey> = self
+        let keys: BTreeSet<(SuspectKey, bool)> = self
             .crashes
             .iter()
-            .flat_map(|crash| crash.parts.iter().copied())
+            .flat_map(|crash| {
+                let is_request = crash.request.is_some();
+                crash.keys.iter().map(move |key| (*key, is_request))
+            })
             .collect();
-        let points = parts.into_iter().map(|part| (part, self.points(part)));
-        let points: Vec<(PartKey, u32)> = points.filter(|(_, points)| *points > 0).collect();
-        let candidates: Vec<Candidate> = points
-            .iter()
-            .filter_map(|(part, points)| self.candidate(*part, *points))
+        let mut suspects: Suspects = keys
+            .into_iter()
+            .map(|(key, is_request)| {
+                let status = SuspectStatus {
+                    points: self.points(key),
+                    refused_until: None,
+                    is_request,
+                };
+                (key, status)
+            })
+            .filter(|(_, status)| status.points > 0)
             .collect();
-        let refused: HashMap<PartKey, Duration> = candidates
+        let candidates: Vec<Candidate> = suspects
             .iter()
-            .filter(|candidate| !self.is_explained(candidate, &candidates))
-            .map(|candidate| (candidate.part, candidate.last_crash_at + REFUSAL_TIME))
+            .filter_map(|(key, status)| self.candidate(*key, *status))
             .collect();
-        let status = |points, part| PartStatus {
-            points,
-            refused_until: refused.get(&part).copied(),
-        };
-        points
-            .into_iter()
-            .map(|(part, points)| (part, status(points, part)))
-            .collect()
+        for candidate in &candidates {
+            if !is_tied(candidate, &candidates) && !self.is_explained(candidate, &candidates) {
+                let refused_until = candidate.last_crash_at + REFUSAL_TIME;
+                let status = suspects.get_mut(&candidate.key);
+                status.expect("candidates are suspects").refused_until = Some(refused_until);
+            }
+        }
+        suspects
     }
 
-    /// Returns the crashes under `part` since the last kept answer.
-    fn live_crashes(&self, part: PartKey) -> impl Iterator<Item = &Crash> {
-        let kept_at = self.kept.get(&part).copied();
+    /// Returns the crashes under `key` since the last kept answer.
+    pub(crate) fn live_crashes(&self, key: SuspectKey) -> impl Iterator<Item = &Crash> {
+        let kept_at = self.kept.get(&key).copied();
         self.crashes.iter().filter(move |crash| {
-            crash.parts.contains(&part) && kept_at.is_none_or(|at| at < crash.at)
+            crash.keys.contains(&key) && kept_at.is_none_or(|at| at < crash.at)
         })
     }
 
-    /// Returns the crashes under `part` that have the strongest evidence of all.
-    fn strongest_crashes(&self, part: PartKey) -> impl Iterator<Item = &Crash> {
-        let strongest = self.live_crashes(part).map(|crash| crash.evidence).max();
-        self.live_crashes(part)
+    /// Returns the crashes under `key` that have the strongest evidence of all.
+    fn strongest_crashes(&self, key: SuspectKey) -> impl Iterator<Item = &Crash> {
+        let strongest = self.live_crashes(key).map(|crash| crash.evidence).max();
+        self.live_crashes(key)
             .filter(move |crash| Some(crash.evidence) == strongest)
     }
 
-    /// Returns the points of `part`: of each wave of crashes, the strongest.
-    fn points(&self, part: PartKey) -> u32 {
+    /// Returns the points of `key`: of each wave of crashes, the strongest.
+    fn points(&self, key: SuspectKey) -> u32 {
         let mut total = 0;
         let mut wave: Option<(Duration, u32)> = None;
-        for crash in self.live_crashes(part) {
+        for crash in self.live_crashes(key) {
             let points = crash.evidence.points();
             match &mut wave {
-                Some((begun_at, strongest)) if crash.at < *begun_at + CRASH_WINDOW => {
+                Some((begun_at, strongest))
+                    if crash.at < *begun_at + CRASH_WINDOW && !crash.began_after(*begun_at) =>
+                {
                     *strongest = (*strongest).max(points);
                 }
                 _ => {
@@ -261,21 +334,23 @@
         total + wave.map_or(0, |(_, strongest)| strongest)
     }
 
-    fn candidate(&self, part: PartKey, points: u32) -> Option<Candidate> {
-        let was_kept = self.kept.contains_key(&part);
+    fn candidate(&self, key: SuspectKey, status: SuspectStatus) -> Option<Candidate> {
+        let was_kept = self.kept.contains_key(&key);
         let limit = if was_kept {
             KEPT_REFUSAL_POINTS
         } else {
             REFUSAL_POINTS
         };
-        if points < limit || !self.is_separable(part) {
+        if status.points < limit || !self.is_separable(key) {
             return None;
         }
-        let replicas = self.strongest_crashes(part);
+        let replicas = self.strongest_crashes(key);
         let replicas = replicas.map(|crash| crash.replica).collect();
-        let last_crash_at = self.live_crashes(part).last()?.at;
+        let last_crash_at = self.live_crashes(key).last()?.at;
         Some(Candidate {
-            part,
+            key,
+            points: status.points,
+            is_request: status.is_request,
             was_kept,
             replicas,
             last_crash_at,
@@ -285,11 +360,11 @@
     /// Returns whether the crashes under `part` can't as well be those of a few parts that follow it in prompts.
     ///
     /// Two deadly parts behind one sound part look like crashes of the sound one, until each has enough of its own.
-    fn is_separable(&self, part: PartKey) -> bool {
+    fn is_separable(&self, part: SuspectKey) -> bool {
         let mut successors = BTreeSet::new();
         let (mut theirs, mut others) = (BTreeSet::new(), BTreeSet::new());
         for crash in self.strongest_crashes(part) {
-            let mut after = crash.parts.iter().skip_while(|known| **known != part);
+            let mut after = crash.keys.iter().skip_while(|known| **known != part);
             match after
                 .nth(1)
                 .filter(|successor| !self.kept.contains_key(successor))
@@ -326,21 +401,21 @@
             return other.replicas.is_superset(&candidate.replicas);
         }
         self.crashes.iter().any(|crash| {
-            let position = |part| crash.parts.iter().position(|known| *known == part);
-            matches!((position(candidate.part), position(other.part)), (Some(before), Some(after)) if before < after)
+            let position = |key| crash.keys.iter().position(|known| *known == key);
+            matches!((position(candidate.key), position(other.key)), (Some(before), Some(after)) if before < after)
         })
     }
 
     fn is_cleared(&self, crash: &Crash) -> bool {
-        let is_kept_after = |part: &PartKey| {
+        let is_kept_after = |key: &SuspectKey| {
             self.kept
-                .get(part)
+                .get(key)
                 .is_some_and(|kept_at| crash.at <= *kept_at)
         };
-        crash.parts.iter().all(is_kept_after)
+        crash.keys.iter().all(is_kept_after)
     }
 
-    /// Forgets crashes whose parts are all cleared.
+    /// Forgets crashes whose keys are all cleared.
     fn remove_cleared(&mut self) {
         let crashes = std::mem::take(&mut self.crashes);
         self.crashes = crashes
@@ -349,3 +424,14 @@
             .collect();
     }
 }
+
+/// Returns whether another whole request came together with `candidate` in all crashes, so that either may be the cause.
+fn is_tied(candidate: &Candidate, candidates: &[Candidate]) -> bool {
+    let is_same = |other: &Candidate| {
+        other.key != candidate.key
+            && other.is_request
+            && other.was_kept == candidate.was_kept
+            && other.replicas == candidate.replicas
+    };
+    candidate.is_request && candidate.points < TIED_REFUSAL_POINTS && candidates.iter().any(is_same)
+}
--- a/src/request/tests/quarantine.rs
+++ b/src/request/tests/quarantine.rs
@@ -9,11 +9,11 @@
 use yare::parameterized;
 
 use crate::request::kept_parts::KeptParts;
-use crate::request::quarantine::{Crash, Evidence, PartKey, Quarantine};
+use crate::request::quarantine::{Crash, Evidence, Quarantine, SuspectKey};
 
 const STEP: Duration = Duration::from_millis(10);
-const DEADLY: PartKey = 1_000;
-const OTHER_DEADLY: PartKey = 1_001;
+const DEADLY: SuspectKey = 1_000;
+const OTHER_DEADLY: SuspectKey = 1_001;
 /// The number of first parts, as in the users' deployment.
 const FIRST_PARTS: u64 = 83;
 /// The bound of the users on the time after the fifth crash.
@@ -24,16 +24,17 @@
     Duration::from_millis(value)
 }
 
-fn crash(parts: &[PartKey], replica: u32, at: Duration, evidence: Evidence) -> Crash {
+fn crash(parts: &[SuspectKey], replica: u32, at: Duration, evidence: Evidence) -> Crash {
     Crash {
-        parts: parts.into(),
+        keys: parts.into(),
+        request: None,
         replica,
         at,
         evidence,
     }
 }
 
-fn refused(quarantine: &Quarantine, now: Duration) -> Vec<PartKey> {
+fn refused(quarantine: &Quarantine, now: Duration) -> Vec<SuspectKey> {
     let suspects = quarantine.suspects().into_iter();
     let refused = suspects.filter(|(_, status)| status.refused_for(now).is_some());
     let mut refused: Vec<_> = refused.map(|(part, _)| part).collect();
@@ -45,21 +46,21 @@
 #[derive(Clone)]
 enum Message {
     Crash(Crash),
-    Kept(PartKey, Duration),
+    Kept(SuspectKey, Duration),
 }
 
 #[derive(Default)]
 struct Router {
     quarantine: Quarantine,
     /// The last kept answer under each part.
-    kept: HashMap<PartKey, Duration>,
+    kept: HashMap<SuspectKey, Duration>,
     is_cut: bool,
 }
 
 struct Running {
     router: usize,
     replica: usize,
-    parts: SmallVec<[PartKey; 4]>,
+    parts: SmallVec<[SuspectKey; 4]>,
     begins_at: Duration,
     /// When the answer has gone on for long enough to clear its parts.
     kept_at: Duration,
@@ -101,7 +102,7 @@
         }
     }
 
-    fn send(&mut self, router: usize, parts: SmallVec<[PartKey; 4]>) {
+    fn send(&mut self, router: usize, parts: SmallVec<[SuspectKey; 4]>) {
         let is_deadly = parts.iter().any(|part| *part >= DEADLY);
         let refused = refused(&self.routers[router].quarantine, self.now);
         if parts.iter().any(|part| refused.contains(part)) {
@@ -143,7 +144,7 @@
                 self.routers[to].quarantine.record_kept(part, at);
             }
             Message::Crash(crash) => {
-                let parts = crash.parts.clone();
+                let parts = crash.keys.clone();
                 if self.routers[to].quarantine.record_crash(crash) {
                     for part in parts {
                         if let Some(at) = self.routers[to].kept.get(&part).copied() {
@@ -155,7 +156,7 @@
         }
     }
 
-    fn record_kept(&mut self, router: usize, part: PartKey, at: Duration) {
+    fn record_kept(&mut self, router: usize, part: SuspectKey, at: Duration) {
         let quarantine = &mut self.routers[router].quarantine;
         let was_known = quarantine.kept().any(|(known, _)| known == part);
         if quarantine.record_kept(part, at) || !was_known {
@@ -220,7 +221,7 @@
         time: Duration,
         per_s: f64,
         deadly: f64,
-        deadly_part: impl Fn(u64) -> (PartKey, PartKey),
+        deadly_part: impl Fn(u64) -> (SuspectKey, SuspectKey),
     ) {
         let until = self.now + time;
         while self.now < until {
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -107,6 +107,13 @@
         &[],
         "Parts of prompts under which requests are refused, since replicas crashed under them.",
     ),
+    metric(
+        "crocuswharf_gateway_refused_requests",
+        MetricKind::Gauge,
+        Unit::Count,
+        &[],
+        "Whole requests without a prompt that are refused, since replicas crashed under them.",
+    ),
     metric(
         "crocuswharf_gateway_replica_signals_total",
         MetricKind::Counter,
@@ -142,6 +149,13 @@
         &[],
         "Parts of prompts under which a replica crashed, and no answer was kept since.",
     ),
+    metric(
+        "crocuswharf_gateway_suspected_requests",
+        MetricKind::Gauge,
+        Unit::Count,
+        &[],
+        "Whole requests without a prompt under which replicas crashed and none has answered since.",
+    ),
     metric(
         "crocuswharf_observations_dropped_total",
         MetricKind::Counter,
