Count crashes of a request that come shortly after one another

Crashes under whole requests are now separate from 40 ms apart; when a replica crashed is the earliest report about it, so that reports that arrive late do not look like later crashes.

Of requests that ran together at all crashes, only the one that ran longest is refused, and what runs when its key is refused is left to run: the answer to a sound one ends the refusal.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -138,8 +138,8 @@
     ///
     /// # Errors
     ///
-    /// Returns why there is no response to forward. If requests like this one are refused before the head has arrived,
-    /// the exchange is withdrawn.
+    /// Returns why there is no response to forward. If a part of the prompt is refused before the head has arrived, the
+    /// exchange is withdrawn.
     pub(crate) async fn run(
         mut self,
         mut connection: ReplicaConnection,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -467,8 +467,14 @@
         statuses.all(|status| status.allows_resend())
     }
 
-    /// Waits until requests like `call` are refused.
+    /// Waits until a part of the prompt of `call` is refused.
+    ///
+    /// A whole request is not awaited: its replica may be running it by now, and if it is sound, its answer ends the
+    /// refusal.
     pub(crate) async fn wait_until_refused(&self, call: &Call) {
+        if call.parts.is_empty() {
+            return std::future::pending().await;
+        }
         let mut changes = self.suspects_changed.subscribe();
         while self.refused_for(call, boot_time()).is_none() {
             if changes.changed().await.is_err() {
--- a/src/request/quarantine.rs
+++ b/src/request/quarantine.rs
@@ -13,8 +13,9 @@
 //! ends many replicas, and with them answers that happened to begin. A request that was sent after a crash and ran for a
 //! while belongs to a later one. A suspect is refused after a few separate crashes without a kept answer in between.
 //! Where parts come together in all crashes, only one of them is refused: one under which no answer was kept before a
-//! part with kept ones, then the later one in the prompt, which fewer requests share. Whole requests that come together
-//! in all crashes wait for one crash more: an answer to one of them tells them apart.
+//! part with kept ones, then the later one in the prompt, which fewer requests share. Of whole requests that come together
+//! in all crashes, only the one that ran longest is refused, since the one that crashed the replicas ran to the end each
+//! time. The next answer or crash of the other one shows which it is.
 //!
 //! Load patterns handled: one in twenty requests has the part, at all routers in turn; the same beside crashes of racks;
 //! a shared part of most requests while replicas crash at random; two such parts at once; a router that is cut off; the
@@ -47,14 +48,15 @@
 const REFUSAL_POINTS: u32 = 15;
 /// The points from which a suspect is refused under which answers were kept.
 const KEPT_REFUSAL_POINTS: u32 = 25;
-/// The points from which a whole request is refused that came together with another one in all crashes.
-const TIED_REFUSAL_POINTS: u32 = 20;
 /// The points of a part from which a request is not sent again after a replica crashed under it.
 const RESEND_POINTS: u32 = 10;
 /// The points of a whole request for the same. An answer clears it soon if it is sound.
 const REQUEST_RESEND_POINTS: u32 = STRONG_POINTS;
 /// Crashes within this time of the first one count as one; routers notice a crash within a few tens of milliseconds.
 const CRASH_WINDOW: Duration = Duration::from_millis(150);
+/// The same for crashes under whole requests. All reports about a replica together tell well when it crashed, and a few
+/// replicas may crash shortly after one another under several requests with the same key.
+const REQUEST_CRASH_WINDOW: Duration = Duration::from_millis(40);
 /// The least time that a request runs before its replica's crash can be its own doing. One that breaks sooner may have
 /// been sent to a replica that had crashed already.
 pub(crate) const MIN_RUN: Duration = Duration::from_millis(20);
@@ -133,8 +135,8 @@
 /// A suspect whose points suffice for a refusal.
 struct Candidate {
     key: SuspectKey,
-    points: u32,
-    is_request: bool,
+    /// The least time that the whole request ran before a crash; `None` for parts.
+    ran: Option<Duration>,
     was_kept: bool,
     /// The replicas of the crashes with the strongest evidence.
     replicas: BTreeSet<IncarnationKey>,
@@ -179,14 +181,6 @@
     }
 }
 
-impl Crash {
-    /// Returns whether a whole request was sent after `time` and ran until its replica crashed.
-    fn began_after(&self, time: Duration) -> bool {
-        let request = self.request.as_ref();
-        request.is_some_and(|request| request.ran >= MIN_RUN && self.at > time + request.ran)
-    }
-}
-
 impl Quarantine {
     /// Records a crash; returns whether it is news.
     pub(crate) fn record_crash(&mut self, crash: Crash) -> bool {
@@ -197,6 +191,9 @@
             |known: &&mut Crash| known.replica == crash.replica && known.keys == crash.keys;
         if let Some(known) = self.crashes.iter_mut().find(is_same) {
             let is_stronger = known.evidence < crash.evidence;
+            if let (Some(known), Some(request)) = (&mut known.request, crash.request) {
+                known.ran = known.ran.max(request.ran);
+            }
             known.evidence = known.evidence.max(crash.evidence);
             return is_stronger;
         }
@@ -264,6 +261,7 @@
 
     /// Returns what is held against each suspect that is not cleared.
     pub(crate) fn suspects(&self) -> Suspects {
+        let crash_times = self.crash_times();
         let keys: BTreeSet<(SuspectKey, bool)> = self
             .crashes
             .iter()
@@ -276,7 +274,7 @@
             .into_iter()
             .map(|(key, is_request)| {
                 let status = SuspectStatus {
-                    points: self.points(key),
+                    points: self.points(key, &crash_times),
                     refused_until: None,
                     is_request,
                 };
@@ -289,7 +287,7 @@
             .filter_map(|(key, status)| self.candidate(*key, *status))
             .collect();
         for candidate in &candidates {
-            if !is_tied(candidate, &candidates) && !self.is_explained(candidate, &candidates) {
+            if !is_outlasted(candidate, &candidates) && !self.is_explained(candidate, &candidates) {
                 let refused_until = candidate.last_crash_at + REFUSAL_TIME;
                 let status = suspects.get_mut(&candidate.key);
                 status.expect("candidates are suspects").refused_until = Some(refused_until);
@@ -313,21 +311,38 @@
             .filter(move |crash| Some(crash.evidence) == strongest)
     }
 
+    /// Returns when each replica crashed, which is when the first request that it broke off was noticed.
+    fn crash_times(&self) -> HashMap<IncarnationKey, Duration> {
+        let mut times = HashMap::new();
+        for crash in &self.crashes {
+            let time = times.entry(crash.replica).or_insert(crash.at);
+            *time = (*time).min(crash.at);
+        }
+        times
+    }
+
     /// Returns the points of `key`: of each wave of crashes, the strongest.
-    fn points(&self, key: SuspectKey) -> u32 {
+    fn points(&self, key: SuspectKey, crash_times: &HashMap<IncarnationKey, Duration>) -> u32 {
+        let time_of = |crash: &Crash| match crash.request {
+            Some(_) => crash_times.get(&crash.replica).copied(),
+            None => None,
+        };
+        let mut crashes: Vec<(Duration, &Crash)> = self
+            .live_crashes(key)
+            .map(|crash| (time_of(crash).unwrap_or(crash.at), crash))
+            .collect();
+        crashes.sort_by_key(|(at, _)| *at);
         let mut total = 0;
         let mut wave: Option<(Duration, u32)> = None;
-        for crash in self.live_crashes(key) {
+        for (at, crash) in crashes {
             let points = crash.evidence.points();
             match &mut wave {
-                Some((begun_at, strongest))
-                    if crash.at < *begun_at + CRASH_WINDOW && !crash.began_after(*begun_at) =>
-                {
+                Some((begun_at, strongest)) if is_same_wave(*begun_at, at, crash) => {
                     *strongest = (*strongest).max(points);
                 }
                 _ => {
                     total += wave.map_or(0, |(_, strongest)| strongest);
-                    wave = Some((crash.at, points));
+                    wave = Some((at, points));
                 }
             }
         }
@@ -347,10 +362,12 @@
         let replicas = self.strongest_crashes(key);
         let replicas = replicas.map(|crash| crash.replica).collect();
         let last_crash_at = self.live_crashes(key).last()?.at;
+        let requests = self.live_crashes(key);
+        let requests = requests.filter_map(|crash| crash.request.as_ref());
+        let ran = requests.map(|request| request.ran).min();
         Some(Candidate {
             key,
-            points: status.points,
-            is_request: status.is_request,
+            ran,
             was_kept,
             replicas,
             last_crash_at,
@@ -425,13 +442,23 @@
     }
 }
 
-/// Returns whether another whole request came together with `candidate` in all crashes, so that either may be the cause.
-fn is_tied(candidate: &Candidate, candidates: &[Candidate]) -> bool {
-    let is_same = |other: &Candidate| {
-        other.key != candidate.key
-            && other.is_request
+/// Returns whether `crash`, which was at `at`, may be part of the same event as one at `begun_at`, such as a rack that
+/// loses power.
+fn is_same_wave(begun_at: Duration, at: Duration, crash: &Crash) -> bool {
+    let Some(request) = &crash.request else {
+        return at < begun_at + CRASH_WINDOW;
+    };
+    let was_sent_later = request.ran >= MIN_RUN && at > begun_at + request.ran;
+    at < begun_at + REQUEST_CRASH_WINDOW && !was_sent_later
+}
+
+/// Returns whether another whole request came together with `candidate` in all crashes and ran for longer.
+fn is_outlasted(candidate: &Candidate, candidates: &[Candidate]) -> bool {
+    let outlasts = |other: &Candidate| {
+        other.ran.is_some()
+            && (other.ran, other.key) > (candidate.ran, candidate.key)
             && other.was_kept == candidate.was_kept
             && other.replicas == candidate.replicas
     };
-    candidate.is_request && candidate.points < TIED_REFUSAL_POINTS && candidates.iter().any(is_same)
+    candidate.ran.is_some() && candidates.iter().any(outlasts)
 }
