--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -3,12 +3,14 @@
 //! [`Call::from_head`] parses and authorizes the head of a request, or rejects it with a response of the gateway. The
 //! attempts for the request are made in [`super::dispatch`].
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, StatusCode, Uri, request};
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::Xxh3;
 
 use super::clock::boot_time;
 use super::headers::{HeaderNames, connection_header_names, header_text};
@@ -18,6 +20,7 @@
 use super::route::{GatewayAccount, Route};
 use super::shared::{Shared, Snapshot};
 use crate::id::ServiceName;
+use crate::request::quarantine::SuspectKey;
 
 /// When to retry at a router that has no configuration yet or can't confirm the one it has.
 const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(300);
@@ -43,6 +46,8 @@
     pub(crate) account: Option<GatewayAccount>,
     /// The prompt, if the request has one.
     pub(crate) prompt: Option<Prompt>,
+    /// The keys of the shared parts of the prompt.
+    pub(crate) parts: SmallVec<[SuspectKey; 4]>,
     /// The inputs of replica selection.
     pub(crate) placement: PlacementRequest,
     /// When the request arrived.
@@ -54,6 +59,7 @@
     pub(crate) headers: HeaderMap,
     /// The complete body.
     pub(crate) body: Bytes,
+    request_key: OnceLock<SuspectKey>,
 }
 
 impl Call {
@@ -124,11 +130,13 @@
         let time = deadline_ms.map_or(route.timeout, |ms| {
             route.timeout.min(Duration::from_millis(ms))
         });
+        let parts = prompt.as_ref().map(Prompt::part_keys);
         Ok(Self {
             id,
             route: route.clone(),
             service: Arc::clone(service),
             prompt,
+            parts: parts.unwrap_or_default(),
             placement,
             arrived_at,
             deadline: arrived_at + time,
@@ -137,6 +145,7 @@
             headers: forwarded_headers(header_names, &head.headers, account.as_ref()),
             account,
             body: Bytes::new(),
+            request_key: OnceLock::new(),
         })
     }
 
@@ -145,6 +154,33 @@
         self.account.as_ref().filter(|account| account.is_isolated)
     }
 
+    /// Returns the key of the whole request, which is the same each time that it comes with this path, caller and body.
+    ///
+    /// It is computed when it is first needed, which for most requests is never.
+    pub(crate) fn request_key(&self) -> SuspectKey {
+        *self.request_key.get_or_init(|| {
+            let account = self.account.as_ref().map_or("", |account| &account.name);
+            let path = self.uri.path_and_query();
+            let path = path.map_or("", |path| path.as_str());
+            hash_request(
+                account,
+                self.method.as_str(),
+                &self.route.name,
+                path,
+                &self.body,
+            )
+        })
+    }
+
+    /// Returns why requests like this one are refused.
+    pub(crate) const fn refusal_reason(&self) -> &'static str {
+        if self.prompt.is_some() {
+            "a part of the prompt has crashed several replicas"
+        } else {
+            "this request has crashed several replicas, it is useless to send it again"
+        }
+    }
+
     /// Returns the priority of the request at a replica.
     pub(crate) fn replica_priority(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.priority);
@@ -165,6 +201,25 @@
     }
 }
 
+/// Hashes what makes a request the same one when it comes again.
+///
+/// The route stands for the host, which may name the port of a router.
+pub(crate) fn hash_request(
+    account: &str,
+    method: &str,
+    route: &str,
+    path: &str,
+    body: &[u8],
+) -> SuspectKey {
+    let texts = [account, method, route, path].map(str::as_bytes);
+    let mut hasher = Xxh3::new();
+    for field in texts.into_iter().chain([body]) {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    hasher.digest()
+}
+
 fn read_deadline(
     headers: &HeaderMap,
     header_names: &HeaderNames,
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod backpressure;
+mod call;
 mod caller_activity;
 mod events;
 mod fleet;
