Hold a silent chat stream until another connection has responded

Callers of /v1/chat/completions saw a stream end with an error event, or nothing more at all, although their engine would have gone on within their time.

Cause: the relay closed a stream that was silent for stream_silence_ms before it had another one.

Evidence: three tests in standin/tests/streams.rs, which failed before. Engine silent for 1.5 s, all engines refuse: "no replica could continue the answer". Silent for 3 s, resumptions are silent too: "the answer broke off too often". Silent for 1.5 s, resumption unanswered: no further event in 30 s.

Change: a silent connection is held while another one is tried; the first of them to go on is kept. Where nothing replaces the stream, it is awaited until the deadline of the request.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::engine::{CallError, ChatCall, ChatResponse};
 use crate::explain::AttemptCause;
 use crate::id::{AccountId, Incarnation, RequestId, ServiceName};
-use crate::policy::Choice;
+use crate::policy::{Choice, InstanceTag};
 use crate::pool::Replica;
 use crate::preference::Preference;
 use crate::prefix::PromptPrefix;
@@ -44,6 +44,8 @@
     deadline: Instant,
     excluded: SmallVec<[usize; 4]>,
     in_flight: Option<InFlightGuard>,
+    /// The replica of an attempt without a response.
+    pending: Option<Arc<Replica>>,
     selector: ReplicaSelector,
     has_first_token: bool,
     record: RequestRecord,
@@ -117,6 +119,7 @@
             deadline: request.deadline,
             excluded: SmallVec::new(),
             in_flight: None,
+            pending: None,
             record: request.record,
             _open_request: request.open_request,
         }
@@ -143,6 +146,15 @@
     pub(crate) async fn send(
         &mut self,
         body: Bytes,
+    ) -> Result<(Target, ChatResponse), ErrorResponse> {
+        let result = self.try_send(body).await;
+        result.inspect_err(|response| self.record_failure(response))
+    }
+
+    /// Does the same as [`send`](Self::send) for a request that does not end if no replica responds.
+    pub(crate) async fn try_send(
+        &mut self,
+        body: Bytes,
     ) -> Result<(Target, ChatResponse), ErrorResponse> {
         let mut ran = RunState::NotRun;
         for tries in 1.. {
@@ -152,7 +164,7 @@
                     self.record.record_choice(&self.pool, &placement, view);
                     placement.position
                 }
-                Choice::Shed { expected_ttft } => return Err(self.fail(shed(ran, expected_ttft))),
+                Choice::Shed { expected_ttft } => return Err(shed(ran, expected_ttft)),
                 Choice::NoReplica => break,
             };
             let failure = match self.attempt(index, body.clone()).await {
@@ -172,7 +184,7 @@
             };
             tokio::time::sleep(delay).await;
         }
-        Err(self.fail(no_replica(ran)))
+        Err(no_replica(ran))
     }
 
     /// Selects a replica that has not been tried; an ejected one only if no other is left.
@@ -210,11 +222,6 @@
         }
     }
 
-    fn fail(&mut self, response: ErrorResponse) -> ErrorResponse {
-        self.record_failure(&response);
-        response
-    }
-
     async fn attempt(
         &mut self,
         index: usize,
@@ -224,6 +231,7 @@
         let in_flight = InFlightGuard::new(&view.in_flight);
         let cause = self.record.next_cause();
         self.record.start_attempt(&view.replica, cause);
+        self.pending = Some(Arc::clone(&view.replica));
         let call = ChatCall {
             request_id: self.request_id,
             priority: self.priority,
@@ -238,14 +246,15 @@
                     "the engine sent no head in time".to_owned(),
                 ))
             })
-            .and_then(check_status)
-            .inspect_err(|error| {
-                log::warn!(
-                    "request: Attempt failed. request={} replica={} error={error:?}",
-                    self.request_id,
-                    view.replica.id
-                );
-            })?;
+            .and_then(check_status);
+        self.pending = None;
+        let answer = answer.inspect_err(|error| {
+            log::warn!(
+                "request: Attempt failed. request={} replica={} error={error:?}",
+                self.request_id,
+                view.replica.id
+            );
+        })?;
         if answer.weights_version != self.pool.pool.weights_version {
             log::debug!(
                 "request: Engine serves an unexpected weights version. request={} replica={} weights_version={}",
@@ -271,18 +280,33 @@
     pub(crate) async fn resume(&mut self, target: &Target, sequence: u64) -> Option<ChatResponse> {
         self.record
             .start_attempt(&target.replica, AttemptCause::Resume);
-        let answer = self
+        let resumed = self
             .shared
             .engines
-            .resume(target.replica.address, self.request_id, sequence)
-            .await
-            .and_then(check_status)
-            .ok()?;
+            .resume(target.replica.address, self.request_id, sequence);
+        let answer = tokio::time::timeout(RESUME_TIMEOUT, resumed).await.ok()?;
+        let answer = answer.and_then(check_status).ok()?;
         let is_same_incarnation = answer.incarnation == target.incarnation;
         let is_success = answer.response.status().is_success();
         (is_same_incarnation && is_success).then_some(answer)
     }
 
+    /// Returns the replica that was selected last, in the state in which it was selected.
+    pub(crate) const fn selected(&self) -> Option<InstanceTag> {
+        self.selector.selected()
+    }
+
+    /// Keeps the stream from `target`, which was `selected`, after other attempts beside it; these are abandoned.
+    pub(crate) fn keep(&mut self, target: &Target, selected: Option<InstanceTag>) {
+        if let Some(replica) = self.pending.take() {
+            self.cancel(replica);
+        }
+        self.selector.keep(selected);
+        self.record
+            .start_attempt(&target.replica, AttemptCause::Resume);
+        self.record.set_incarnation(target.incarnation);
+    }
+
     /// Cancels the request on its engine without waiting for the confirmation.
     pub(crate) fn cancel(&self, replica: Arc<Replica>) {
         let engines = self.shared.engines.clone();
@@ -316,8 +340,7 @@
             incarnation: id.incarnation,
         };
         let in_flight = InFlightGuard::new(&view.in_flight);
-        let resumed = self.resume(&target, id.sequence);
-        let answer = tokio::time::timeout(RESUME_TIMEOUT, resumed).await.ok()??;
+        let answer = self.resume(&target, id.sequence).await?;
         self.record.set_incarnation(answer.incarnation);
         self.in_flight = Some(in_flight);
         Some((target, answer))
@@ -380,7 +403,8 @@
         log::debug!("request: Ended. request={}", self.request_id);
     }
 
-    fn remaining(&self) -> Duration {
+    /// Returns the time left until the deadline of the complete response.
+    pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -4,7 +4,11 @@
 //! sequence number, it is resumed on a new connection: on the same engine after the last number, otherwise on another
 //! replica with the prompt plus the text so far. Duplicate events are dropped. A stream always ends with its terminal
 //! event or an error event, never with just a closed connection. See docs/design/requests.md.
+//!
+//! A silent stream may be a sound one that goes on, so its connection is held until another one has responded. Rejected:
+//! closing it first, because the engine may refuse the resumption and the other replicas may be full or silent too.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +30,9 @@
 
 type EngineEvents = BoxStream<'static, Result<Event, EventStreamError<reqwest::Error>>>;
 
+/// The result of reading the next event; `None` is the end of the stream.
+type NextEvent = Option<Result<Event, EventStreamError<reqwest::Error>>>;
+
 /// A response stream that is relayed from an engine to the caller.
 pub(crate) struct Relay {
     dispatch: Dispatch,
@@ -40,6 +47,8 @@
     /// Whether `sent` holds the response from its start; false if the caller resumed it from another router.
     has_full_text: bool,
     resumptions: u32,
+    /// Whether the engine has sent nothing since it resumed the stream.
+    is_resumed_in_vain: bool,
     idle_timeout: Duration,
     finished: bool,
 }
@@ -49,6 +58,24 @@
     Send(SseEvent),
     Skip,
     Broken(String),
+    Silent,
+}
+
+/// A new connection for an interrupted stream.
+struct Replacement {
+    /// The replica, if it is not the one that served the stream so far.
+    new_target: Option<Target>,
+    events: EngineEvents,
+}
+
+/// What became of a silent stream.
+enum SilenceEnd {
+    /// It went on or broke.
+    Held(NextEvent),
+    /// Another connection replaces it.
+    Replaced(Replacement),
+    /// It is still silent, and nothing replaces it.
+    NotReplaced,
 }
 
 impl Relay {
@@ -68,6 +95,7 @@
             sent: Vec::new(),
             has_full_text: true,
             resumptions: 0,
+            is_resumed_in_vain: false,
             idle_timeout,
             finished: false,
         }
@@ -101,20 +129,41 @@
                         return Some(error);
                     }
                 }
+                Step::Silent => {
+                    if let Some(event) = self.handle_silence().await {
+                        return Some(event);
+                    }
+                }
             }
         }
         None
     }
 
     async fn step(&mut self) -> Step {
+        let limit = self.silence_limit();
         let Some(upstream) = self.upstream.as_mut() else {
             return Step::Broken("no connection".to_owned());
         };
-        match tokio::time::timeout(self.idle_timeout, upstream.next()).await {
-            Ok(Some(Ok(event))) => self.handle_event(event),
-            Ok(Some(Err(error))) => Step::Broken(error.to_string()),
-            Ok(None) => Step::Broken("the stream ended before its terminal event".to_owned()),
-            Err(_) => Step::Broken("the stream fell silent".to_owned()),
+        match tokio::time::timeout(limit, upstream.next()).await {
+            Ok(next) => self.handle_next(next),
+            Err(_) => Step::Silent,
+        }
+    }
+
+    /// Returns how long the engine may be silent before another connection is tried, or before the stream is given up
+    /// because no further one may be tried.
+    fn silence_limit(&self) -> Duration {
+        if self.resumptions < MAX_RESUMPTIONS {
+            return self.idle_timeout;
+        }
+        self.dispatch.remaining().max(self.idle_timeout)
+    }
+
+    fn handle_next(&mut self, next: NextEvent) -> Step {
+        match next {
+            Some(Ok(event)) => self.handle_event(event),
+            Some(Err(error)) => Step::Broken(error.to_string()),
+            None => Step::Broken("the stream ended before its terminal event".to_owned()),
         }
     }
 
@@ -129,6 +178,7 @@
             let expected = self.engine_sequence + 1;
             return Step::Broken(format!("event {sequence} came in place of {expected}"));
         }
+        self.is_resumed_in_vain = false;
         self.engine_sequence = sequence;
         self.caller_sequence += 1;
         Step::Send(self.forward_event(event))
@@ -158,61 +208,118 @@
         self.upstream = None;
     }
 
-    /// Resumes the response on a new connection; returns the error event if that is not possible.
+    /// Resumes a broken stream on a new connection; returns the error event if that is not possible.
     async fn recover(&mut self, reason: &str) -> Option<SseEvent> {
-        let request_id = self.dispatch.request_id();
-        log::warn!(
-            "request: Resuming stream on a new connection. request={request_id} replica={} after={} reason={reason:?}",
-            self.target.replica.id,
-            self.engine_sequence,
-        );
         self.dispatch.record_interruption(reason);
         self.upstream = None;
-        self.resumptions += 1;
-        if self.resumptions > MAX_RESUMPTIONS {
+        if self.resumptions >= MAX_RESUMPTIONS {
             return Some(self.fail("the answer broke off too often"));
         }
-        if self.resume_at_engine().await || self.continue_on_other_replica().await {
-            return None;
+        match self.replace(reason).await {
+            Some(replacement) => {
+                self.accept(replacement);
+                None
+            }
+            None => Some(self.fail("no replica could continue the answer")),
         }
-        Some(self.fail("no replica could continue the answer"))
     }
 
-    async fn resume_at_engine(&mut self) -> bool {
-        match self
-            .dispatch
-            .resume(&self.target, self.engine_sequence)
-            .await
+    /// Holds a silent stream while another connection is tried; returns the event for the caller, if there is one yet.
+    async fn handle_silence(&mut self) -> Option<SseEvent> {
+        if self.resumptions >= MAX_RESUMPTIONS {
+            return Some(self.fail("the answer fell silent"));
+        }
+        let mut held = self.upstream.take()?;
+        let selected = self.dispatch.selected();
+        let end = {
+            let mut replacing = pin!(self.replace("the stream fell silent"));
+            tokio::select! {
+                biased;
+                next = held.next() => SilenceEnd::Held(next),
+                replacement = &mut replacing => match replacement {
+                    Some(replacement) => SilenceEnd::Replaced(replacement),
+                    None => SilenceEnd::NotReplaced,
+                },
+            }
+        };
+        match end {
+            SilenceEnd::Held(next) => {
+                self.dispatch.keep(&self.target, selected);
+                self.upstream = Some(held);
+                match self.handle_next(next) {
+                    Step::Send(event) => Some(event),
+                    Step::Broken(reason) => self.recover(&reason).await,
+                    Step::Skip | Step::Silent => None,
+                }
+            }
+            SilenceEnd::Replaced(replacement) => {
+                self.accept(replacement);
+                None
+            }
+            SilenceEnd::NotReplaced if self.dispatch.remaining().is_zero() => {
+                Some(self.fail("no replica could continue the answer"))
+            }
+            SilenceEnd::NotReplaced => {
+                self.dispatch.keep(&self.target, selected);
+                self.upstream = Some(held);
+                None
+            }
+        }
+    }
+
+    /// Returns a new connection for the stream: to the engine that produced it, otherwise to another replica.
+    async fn replace(&mut self, reason: &str) -> Option<Replacement> {
+        log::warn!(
+            "request: Resuming stream on a new connection. request={} replica={} after={} reason={reason:?}",
+            self.dispatch.request_id(),
+            self.target.replica.id,
+            self.engine_sequence,
+        );
+        self.resumptions += 1;
+        if !std::mem::take(&mut self.is_resumed_in_vain)
+            && let Some(events) = self.resume_at_engine().await
         {
-            Some(answer) => {
-                self.upstream = Some(events(answer));
-                true
+            return Some(Replacement {
+                new_target: None,
+                events,
+            });
+        }
+        self.continue_on_other_replica().await
+    }
+
+    fn accept(&mut self, replacement: Replacement) {
+        self.upstream = Some(replacement.events);
+        match replacement.new_target {
+            Some(target) => {
+                self.target = target;
+                self.engine_sequence = 0;
             }
-            None => false,
+            None => self.is_resumed_in_vain = true,
         }
     }
 
-    async fn continue_on_other_replica(&mut self) -> bool {
+    async fn resume_at_engine(&mut self) -> Option<EngineEvents> {
+        let resumed = self.dispatch.resume(&self.target, self.engine_sequence);
+        Some(events(resumed.await?))
+    }
+
+    async fn continue_on_other_replica(&mut self) -> Option<Replacement> {
         if self.sent.last().is_some_and(|data| has_finish_reason(data)) {
-            self.upstream = Some(terminal_event(self.engine_sequence + 1));
-            return true;
+            return Some(Replacement {
+                new_target: None,
+                events: terminal_event(self.engine_sequence + 1),
+            });
         }
         if !self.has_full_text {
-            return false;
+            return None;
         }
-        let Some(body) = continuation_body(self.dispatch.body(), &self.sent) else {
-            return false;
-        };
+        let body = continuation_body(self.dispatch.body(), &self.sent)?;
         self.dispatch.exclude(&self.target);
-        match self.dispatch.send(body).await {
-            Ok((target, answer)) => {
-                self.target = target;
-                self.engine_sequence = 0;
-                self.upstream = Some(events(answer));
-                true
-            }
-            Err(_) => false,
-        }
+        let (target, answer) = self.dispatch.try_send(body).await.ok()?;
+        Some(Replacement {
+            new_target: Some(target),
+            events: events(answer),
+        })
     }
 
     fn fail(&mut self, message: &str) -> SseEvent {
--- a/src/entry/selector.rs
+++ b/src/entry/selector.rs
@@ -168,6 +168,19 @@
         }
     }
 
+    /// Returns the replica that was selected last, in the state in which it was selected.
+    pub(crate) const fn selected(&self) -> Option<InstanceTag> {
+        self.instance
+    }
+
+    /// Withdraws what was selected after `kept`, which stays the selected replica.
+    pub(crate) fn keep(&mut self, kept: Option<InstanceTag>) {
+        if self.instance != kept {
+            self.record_withdrawn();
+            self.instance = kept;
+        }
+    }
+
     /// Reports that the response ended.
     pub(crate) fn record_finished(&self) {
         if let Some((instance, at)) = self.instance_and_time() {
--- a/standin/src/demo/fleet.rs
+++ b/standin/src/demo/fleet.rs
@@ -72,6 +72,20 @@
         deployment: Deployment,
         router_count: usize,
         adjust: impl Fn(&mut EngineSettings),
+    ) -> anyhow::Result<Self> {
+        Self::start_with_times(deployment, router_count, default_times(), adjust).await
+    }
+
+    /// Starts `router_count` routers with `times`, and engines whose settings `adjust` may change.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address can't be bound.
+    pub async fn start_with_times(
+        deployment: Deployment,
+        router_count: usize,
+        times: Times,
+        adjust: impl Fn(&mut EngineSettings),
     ) -> anyhow::Result<Self> {
         let platform = Platform::new();
         let platform_server = platform.serve(any_port()).await?;
@@ -81,7 +95,7 @@
         for _ in 0..deployment.plain_replicas {
             plain_servers.push(plain.serve(any_port()).await?);
         }
-        let routers = start_routers(&deployment, router_count, platform_server.address)?;
+        let routers = start_routers(&deployment, router_count, platform_server.address, &times)?;
         let fleet = Self {
             deployment,
             engines,
@@ -250,6 +264,14 @@
     deployment.zones[index % deployment.zones.len()]
 }
 
+/// Returns the timeouts and intervals of the demonstration's routers.
+pub fn default_times() -> Times {
+    Times {
+        directory_life_ms: DIRECTORY_LIFE_MS,
+        ..Times::default()
+    }
+}
+
 async fn start_engines(
     deployment: &Deployment,
     adjust: impl Fn(&mut EngineSettings),
@@ -278,11 +300,15 @@
     deployment: &Deployment,
     router_count: usize,
     platform: SocketAddr,
+    times: &Times,
 ) -> anyhow::Result<Vec<Option<Arc<Router>>>> {
     let mut routers: Vec<Option<Arc<Router>>> = Vec::new();
     let mut seeds: Vec<SocketAddr> = Vec::new();
     for index in 0..router_count {
-        let router = Router::start(router_settings(deployment, index, platform, &seeds))?;
+        let router = Router::start(RouterSettings {
+            times: *times,
+            ..router_settings(deployment, index, platform, &seeds)
+        })?;
         if seeds.len() < 3 {
             seeds.push(router.addresses().peers);
         }
@@ -310,10 +336,7 @@
         seeds: seeds.to_vec(),
         peer_keys: vec![PEER_KEY.into()],
         operator_key_sha256: vec![key_digest(OPERATOR_KEY).into()],
-        times: Times {
-            directory_life_ms: DIRECTORY_LIFE_MS,
-            ..Times::default()
-        },
+        times: default_times(),
         bounds: Bounds::default(),
         traffic_threads: 1,
         log: LogSettings::default(),
--- a/standin/src/demo/mod.rs
+++ b/standin/src/demo/mod.rs
@@ -18,7 +18,7 @@
 pub use self::caller::{Callers, ChatAsk, Outcome};
 pub use self::deployment::{CEDARBUNK, Deployment, SHINEWELL};
 pub use self::fleet::{
-    Fleet, OPERATOR_KEY, ROUTERS, RunningEngine, account_key, account_name, any_port,
+    Fleet, OPERATOR_KEY, ROUTERS, RunningEngine, account_key, account_name, any_port, default_times,
 };
 use self::report::DemoReport;
 use self::traffic::{Planned, PlannedKind, plan};
--- a/standin/src/engine/http.rs
+++ b/standin/src/engine/http.rs
@@ -83,6 +83,10 @@
             res.status_code(StatusCode::BAD_REQUEST);
             return;
         };
+        if self.0.lock().faults.is_busy {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
         let request_id = header(request, HEADER_REQUEST_ID)
             .unwrap_or("direct")
             .to_owned();
@@ -178,6 +182,14 @@
     ) {
         let id = request.param::<String>("id").unwrap_or_default();
         let after = request.query::<usize>("after").unwrap_or(0);
+        let faults = self.0.lock().faults;
+        if faults.is_busy {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
+        if faults.is_mute_to_resumptions {
+            std::future::pending::<()>().await;
+        }
         let log = self.0.lock().answers.get(&id).cloned();
         let Some(log) = log else {
             res.status_code(StatusCode::NOT_FOUND);
@@ -245,10 +257,14 @@
         let engine = engine.clone();
         async move {
             let data = log.event_after(sequence).await?;
-            let silent_before = engine.lock().faults.silent_streams_before;
+            let faults = engine.lock().faults;
+            let silent_before = faults.silent_streams_before;
             if silent_before.is_some_and(|before| opened < before) {
                 std::future::pending::<()>().await;
             }
+            if let Some(until) = faults.silent_until {
+                tokio::time::sleep_until(until).await;
+            }
             let next = sequence + 1;
             Some((
                 Ok(SseEvent::default().id(next.to_string()).text(data)),
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -78,6 +78,12 @@
 pub struct EngineFaults {
     /// Open streams send nothing more, while new connections work.
     pub silent_streams_before: Option<Instant>,
+    /// No stream sends anything before this time.
+    pub silent_until: Option<Instant>,
+    /// New requests and resumptions are refused with 503.
+    pub is_busy: bool,
+    /// Resumptions get no response.
+    pub is_mute_to_resumptions: bool,
 }
 
 #[derive(Debug)]
@@ -163,6 +169,11 @@
         self.lock().faults.silent_streams_before = Some(Instant::now());
     }
 
+    /// Changes how the engine fails.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.lock().faults = faults;
+    }
+
     /// Says that the engine is about to leave.
     pub fn leave(&self) {
         self.lock().leaving = true;
--- a/standin/src/plain/mod.rs
+++ b/standin/src/plain/mod.rs
@@ -23,6 +23,8 @@
     pub cut_after_run: bool,
     /// How long a payment takes.
     pub delay: Duration,
+    /// How much text a receipt has beside its number.
+    pub receipt_bytes: usize,
 }
 
 #[derive(Debug, Default)]
@@ -105,8 +107,13 @@
         _ctrl: &mut FlowCtrl,
     ) {
         let id = request.param::<String>("id").unwrap_or_default();
-        let paid = self.0.lock().runs.contains_key(&id);
-        res.render(Json(json!({"receipt": id, "paid": paid})));
+        let (paid, bytes) = {
+            let state = self.0.lock();
+            (state.runs.contains_key(&id), state.faults.receipt_bytes)
+        };
+        res.render(Json(
+            json!({"receipt": id, "paid": paid, "text": "x".repeat(bytes)}),
+        ));
     }
 }
 
--- a/standin/tests/streams.rs
+++ b/standin/tests/streams.rs
@@ -3,12 +3,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crocuswharf_standin::demo::{Fleet, SHINEWELL, account_key, submit_ticket, wait_until_ready};
-use crocuswharf_standin::engine::expected_answer;
+use crocuswharf::Times;
+use crocuswharf_standin::demo::{
+    Fleet, SHINEWELL, account_key, default_times, submit_ticket, wait_until_ready,
+};
+use crocuswharf_standin::engine::{EngineFaults, expected_answer};
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
 use reqwest::{RequestBuilder, StatusCode};
 use serde_json::{Value, json};
+use tokio::time::Instant;
 
 /// How long a test waits for what must come.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -129,3 +133,71 @@
     tokio::join!(reading, silencing);
     check_whole(&received);
 }
+
+/// Starts routers that take a stream for silent after `silence`.
+async fn start_impatient_fleet(silence: Duration) -> Fleet {
+    let times = Times {
+        stream_silence_ms: u64::try_from(silence.as_millis()).unwrap(),
+        ..default_times()
+    };
+    let fleet = Fleet::start_with_times(SHINEWELL, 1, times, |_| {})
+        .await
+        .unwrap();
+    submit_ticket(&fleet).await.unwrap();
+    wait_until_ready(&fleet).await.unwrap();
+    fleet
+}
+
+/// Reads a whole answer while each engine has `faults` from the moment at which the stream is running.
+async fn read_whole_beside(fleet: &Fleet, faults: impl Fn() -> EngineFaults) {
+    let mut received = Received::default();
+    let router = fleet.addresses()[0].callers;
+    let reading = read(chat(router, 0), usize::MAX, &mut received);
+    let failing = async {
+        let is_running = || {
+            let mut loads = fleet.engines.iter().map(|running| running.engine.load());
+            loads.any(|load| load.running_requests > 0)
+        };
+        while !is_running() {
+            tokio::task::yield_now().await;
+        }
+        let faults = faults();
+        for running in &fleet.engines {
+            running.engine.set_faults(faults);
+        }
+    };
+    tokio::join!(reading, failing);
+    check_whole(&received);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_silent_for_a_while_others_refuse_goes_on() {
+    let fleet = start_impatient_fleet(Duration::from_millis(300)).await;
+    read_whole_beside(&fleet, || EngineFaults {
+        silent_until: Some(Instant::now() + Duration::from_millis(1_500)),
+        is_busy: true,
+        ..EngineFaults::default()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_silent_longer_than_all_resumptions_goes_on() {
+    let fleet = start_impatient_fleet(Duration::from_millis(100)).await;
+    read_whole_beside(&fleet, || EngineFaults {
+        silent_until: Some(Instant::now() + Duration::from_secs(3)),
+        ..EngineFaults::default()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_silent_for_a_while_resumption_unanswered_goes_on() {
+    let fleet = start_impatient_fleet(Duration::from_millis(300)).await;
+    read_whole_beside(&fleet, || EngineFaults {
+        silent_until: Some(Instant::now() + Duration::from_millis(1_500)),
+        is_mute_to_resumptions: true,
+        ..EngineFaults::default()
+    })
+    .await;
+}
