Read the last answer that a broken chat answer was replaced by

Callers got 502 "the engine's answer broke off" although a fourth replica had accepted their request.

Cause: write_response read three answers and asked for a fourth after the last one had broken off, which it dropped.

Evidence: answer_cut_three_times_is_read_from_fourth_replica in standin/tests/streams.rs; before: 502 instead of 200.

Change: each answer that was asked for is read, and an answer that breaks off is logged.

--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -24,8 +24,8 @@
 
 /// The header with the id of the last event that the caller received, as browsers and other SSE clients send it.
 const HEADER_LAST_EVENT_ID: &str = "last-event-id";
-/// The maximum number of attempts to read a complete response that is not streamed.
-const MAX_RESPONSE_ATTEMPTS: usize = 3;
+/// The maximum number of responses of which one that is not streamed is read.
+const MAX_RESPONSES: usize = 4;
 
 /// Handles chat completions requests.
 pub(crate) struct ChatHandler {
@@ -191,14 +191,24 @@
     mut target: Target,
     mut answer: ChatResponse,
 ) -> Result<(), ErrorResponse> {
-    for _ in 0..MAX_RESPONSE_ATTEMPTS {
+    for responses in 1.. {
         let status = answer.response.status();
-        if let Ok(bytes) = answer.response.bytes().await {
-            dispatch.record_response(status.as_u16());
-            res.status_code(status);
-            set_header(res, "content-type", "application/json");
-            res.body(bytes);
-            return Ok(());
+        match answer.response.bytes().await {
+            Ok(bytes) => {
+                dispatch.record_response(status.as_u16());
+                res.status_code(status);
+                set_header(res, "content-type", "application/json");
+                res.body(bytes);
+                return Ok(());
+            }
+            Err(error) => log::warn!(
+                "request: Response broke off. request={} replica={} error={error}",
+                dispatch.request_id(),
+                target.replica.id
+            ),
+        }
+        if responses == MAX_RESPONSES {
+            break;
         }
         dispatch.exclude(&target);
         (target, answer) = dispatch.send(dispatch.body().clone()).await?;
--- a/standin/src/engine/http.rs
+++ b/standin/src/engine/http.rs
@@ -1,6 +1,7 @@
 //! The fake engine's HTTP interface.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crocuswharf::{
@@ -26,6 +27,8 @@
 const CACHE_EVENTS_WAIT: Duration = Duration::from_millis(500);
 /// How often a waiting reader of cache events looks.
 const CACHE_EVENTS_POLL: Duration = Duration::from_millis(50);
+/// How long after its head an answer breaks off.
+const CUT_DELAY: Duration = Duration::from_millis(20);
 
 /// Returns the routes of `engine`.
 pub(crate) fn routes(engine: &Engine) -> Router {
@@ -104,6 +107,22 @@
             salvo::sse::stream(res, events(self.0.clone(), log, 0));
             return;
         }
+        let faults = self.0.lock().faults.clone();
+        let count = |count: u32| count.checked_sub(1);
+        if faults
+            .answers_to_cut
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, count)
+            .is_ok()
+        {
+            res.stream(unfold(true, |is_first| async move {
+                if is_first {
+                    return Some((Ok("{"), false));
+                }
+                tokio::time::sleep(CUT_DELAY).await;
+                Some((Err(std::io::Error::other("cut after the head")), false))
+            }));
+            return;
+        }
         let text = log.whole_text().await;
         res.render(Json(json!({
             "object": "chat.completion",
@@ -182,7 +201,7 @@
     ) {
         let id = request.param::<String>("id").unwrap_or_default();
         let after = request.query::<usize>("after").unwrap_or(0);
-        let faults = self.0.lock().faults;
+        let faults = self.0.lock().faults.clone();
         if faults.is_busy {
             res.status_code(StatusCode::SERVICE_UNAVAILABLE);
             return;
@@ -257,7 +276,7 @@
         let engine = engine.clone();
         async move {
             let data = log.event_after(sequence).await?;
-            let faults = engine.lock().faults;
+            let faults = engine.lock().faults.clone();
             let silent_before = faults.silent_streams_before;
             if silent_before.is_some_and(|before| opened < before) {
                 std::future::pending::<()>().await;
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -74,7 +75,7 @@
 }
 
 /// How an engine fails at present.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct EngineFaults {
     /// Open streams send nothing more, while new connections work.
     pub silent_streams_before: Option<Instant>,
@@ -84,6 +85,8 @@
     pub is_busy: bool,
     /// Resumptions get no response.
     pub is_mute_to_resumptions: bool,
+    /// How many answers that are not streamed break off after their head. Engines with the same faults share the count.
+    pub answers_to_cut: Arc<AtomicU32>,
 }
 
 #[derive(Debug)]
--- a/standin/tests/streams.rs
+++ b/standin/tests/streams.rs
@@ -1,6 +1,8 @@
 //! Answer streams through whole routers on loopback while routers and engines fail.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
 use crocuswharf::Times;
@@ -163,7 +165,7 @@
         }
         let faults = faults();
         for running in &fleet.engines {
-            running.engine.set_faults(faults);
+            running.engine.set_faults(faults.clone());
         }
     };
     tokio::join!(reading, failing);
@@ -201,3 +203,25 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_cut_three_times_is_read_from_fourth_replica() {
+    let fleet = start_fleet().await;
+    let faults = EngineFaults {
+        answers_to_cut: Arc::new(AtomicU32::new(3)),
+        ..EngineFaults::default()
+    };
+    for running in &fleet.engines {
+        running.engine.set_faults(faults.clone());
+    }
+    let request = chat(fleet.addresses()[0].callers, 0).json(&json!({
+        "model": SHINEWELL.model_service,
+        "max_tokens": 2,
+        "messages": [{"role": "user", "content": QUESTION}],
+    }));
+    let response = request.send().await.unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+    let answer: Value = response.json().await.unwrap();
+    let text = answer["choices"][0]["message"]["content"].as_str();
+    assert_eq!(text, Some(&*expected_answer(QUESTION, 2)));
+}
