Don't count a connection as idle while its request runs

Callers saw their connection closed without a response when the response took longer than times.idle_timeout_ms (75 s), although the time limit of a request is 120 s by default and up to an hour.

Cause: the server's idle timeout counts bytes on the connection and knows no requests.

Evidence: payment_slower_than_idle_timeout_is_answered in standin/tests/payments.rs, a payment of 1 s with an idle timeout of 0.3 s; before: the connection was closed (reqwest: error sending request).

Change: the idle timeout of a connection covers the longest time limit of a request in the configuration at the time when it is accepted. A caller that takes no bytes is cut off after times.idle_timeout_ms as before, and the timeout for a head still closes kept HTTP/1 connections that wait for a request.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use salvo::conn::tcp::TcpAcceptor;
-use salvo::fuse::FuseConfig;
+use salvo::fuse::{FuseAction, FuseConfig, FuseInfo};
 use salvo::{Router, Server};
 use tokio::runtime::Runtime;
 
@@ -79,13 +79,12 @@
             .and_then(TcpAcceptor::try_from)
             .map_err(|error| Error::new(ErrorKind::Io, format!("listener: {error}")))?
     };
-    let times = &shared.settings.times;
-    let fuse = FuseConfig::default()
-        .with_http1_header_timeout(Duration::from_millis(times.header_timeout_ms))
-        .with_connection_idle_timeout(Duration::from_millis(times.idle_timeout_ms))
-        .with_request_body_timeout(Duration::from_millis(times.body_timeout_ms));
+    let timeouts = {
+        let shared = Arc::clone(shared);
+        move |_: &FuseInfo| FuseAction::Accept(connection_timeouts(&shared))
+    };
     let server = Server::new(acceptor)
-        .fuse_config(fuse)
+        .fuse_policy(timeouts)
         .max_connections(shared.settings.bounds.connections);
     runtime.spawn(async move {
         if let Err(error) = server.try_serve(routes).await {
@@ -94,3 +93,21 @@
     });
     Ok(())
 }
+
+/// Returns the timeouts of a connection that is accepted now.
+///
+/// The server also counts a connection as idle while a request on it waits for its response, so the idle timeout covers
+/// the longest time that the configuration gives a request. A caller that takes no more bytes is cut off earlier.
+fn connection_timeouts(shared: &Shared) -> FuseConfig {
+    let times = &shared.settings.times;
+    let idle_timeout = Duration::from_millis(times.idle_timeout_ms);
+    let snapshot = shared.snapshot.load();
+    let services = snapshot.configuration.services.values();
+    let longest_request_ms = services.map(|service| service.request_timeout_ms).max();
+    let longest_request = Duration::from_millis(longest_request_ms.unwrap_or(0));
+    FuseConfig::default()
+        .with_http1_header_timeout(Duration::from_millis(times.header_timeout_ms))
+        .with_connection_idle_timeout(idle_timeout + longest_request)
+        .with_write_stall_timeout(idle_timeout)
+        .with_request_body_timeout(Duration::from_millis(times.body_timeout_ms))
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -79,7 +79,7 @@
     pub header_timeout_ms: u64,
     /// The timeout for receiving the body of a caller's request.
     pub body_timeout_ms: u64,
-    /// The idle timeout of a caller's connection.
+    /// The idle timeout of a caller's connection, beside the longest time limit of a request.
     pub idle_timeout_ms: u64,
     /// The timeout for connecting to a backend server.
     pub connect_timeout_ms: u64,
--- a/standin/tests/payments.rs
+++ b/standin/tests/payments.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use crocuswharf::refusal::HEADER_SEND_NUMBER;
-use crocuswharf::{HEADER_IDEMPOTENCY_KEY, HEADER_RUN};
-use crocuswharf_standin::demo::{Fleet, SHINEWELL, account_key, submit_ticket, wait_until_ready};
+use crocuswharf::{HEADER_IDEMPOTENCY_KEY, HEADER_RUN, Times};
+use crocuswharf_standin::demo::{
+    Fleet, SHINEWELL, account_key, default_times, submit_ticket, wait_until_ready,
+};
 use crocuswharf_standin::plain::PlainFaults;
 use crocuswharf_standin::platform::PlatformFaults;
 use reqwest::StatusCode;
@@ -215,3 +217,22 @@
     assert!(other.body.contains("idempotency_key_reused"));
     assert_eq!(runs(&fleet, key), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn payment_slower_than_idle_timeout_is_answered() {
+    let times = Times {
+        idle_timeout_ms: 300,
+        ..default_times()
+    };
+    let fleet = Fleet::start_with_times(SHINEWELL, 1, times, |_| {})
+        .await
+        .unwrap();
+    submit_ticket(&fleet).await.unwrap();
+    wait_until_ready(&fleet).await.unwrap();
+    fleet.plain.set_faults(PlainFaults {
+        delay: Duration::from_millis(1_000),
+        ..PlainFaults::default()
+    });
+    let answer = pay(callers(&fleet, 0), Uuid::now_v7()).await;
+    assert_eq!(answer.run, "ran");
+}
