Count a chat request as open while its body is read

Callers whose request was being uploaded when a router shut down saw their connection closed without a response.

Cause: a chat request counted as open only after its body had been read, so a drain didn't wait for it and reported no cut request.

Evidence: drain_waits_for_upload in standin/tests/drains.rs; before: "the connection was closed after \"\"".

Result: it passes.

--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -14,7 +14,7 @@
 use super::record::RequestRecord;
 use super::relay::Relay;
 use crate::account::NamedAccount;
-use crate::control::{Shared, Snapshot};
+use crate::control::{OpenRequest, Shared, Snapshot};
 use crate::engine::ChatResponse;
 use crate::id::{RequestId, ServiceName};
 use crate::prefix::{PrefixScope, PromptPrefix};
@@ -43,6 +43,7 @@
         request: &mut Request,
         res: &mut Response,
     ) -> Result<(), ErrorResponse> {
+        let open_request = self.shared.open_request();
         let snapshot = self.shared.snapshot.load_full();
         let account = authenticate(request, &snapshot)?;
         let last_event_id = self.parse_last_event_id(request, &account)?;
@@ -51,7 +52,8 @@
         set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
         let limit_bytes = self.shared.settings.bounds.body_limit_bytes;
         let body = read_body(request, limit_bytes).await?;
-        let (mut dispatch, is_streaming) = self.prepare(request_id, &snapshot, &account, &body)?;
+        let (mut dispatch, is_streaming) =
+            self.prepare(open_request, request_id, &snapshot, &account, &body)?;
         if let Some(id) = last_event_id {
             return self.resume_stream(res, dispatch, &id).await;
         }
@@ -104,6 +106,7 @@
 
     fn prepare(
         &self,
+        open_request: OpenRequest,
         request_id: RequestId,
         snapshot: &Snapshot,
         account: &NamedAccount,
@@ -143,7 +146,7 @@
             body: bytes.clone(),
             deadline: Instant::now() + Duration::from_millis(service.request_timeout_ms),
             preference: snapshot.configuration.preference_of(&service),
-            open_request: self.shared.open_request(),
+            open_request,
         };
         let dispatch = Dispatch::new(Arc::clone(&self.shared), Arc::clone(pool), request);
         Ok((dispatch, body.stream))
