Wait for callers that are still reading when a router drains

Callers saw a long response cut when its router shut down.

Cause: a request counted as open until its handler had ended, but the response is written afterwards. The process ended as soon as no handler ran, and a request that had just arrived was cut too.

Change: once no request is open, the server for callers stops accepting, and each connection is closed after its current response, within the drain limit.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,12 +5,12 @@
 
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::time::Duration;
 
 use salvo::conn::tcp::TcpAcceptor;
-use salvo::fuse::{FuseAction, FuseConfig, FuseInfo};
+use salvo::fuse::{FuseAction, FuseInfo};
 use salvo::{Router, Server};
 use tokio::runtime::Runtime;
+use tokio::sync::watch;
 
 use crate::control::Shared;
 use crate::error::{Error, ErrorKind};
@@ -19,6 +19,7 @@
 mod chat;
 mod chat_body;
 mod claimed;
+mod connection;
 mod continuation;
 mod directory;
 mod dispatch;
@@ -31,12 +32,15 @@
 mod selector;
 mod tickets;
 
+pub(crate) use self::connection::RunningServer;
+use self::connection::connection_timeouts;
+
 /// Starts the HTTP server for callers on `listener`.
 pub(crate) fn serve_callers(
     runtime: &Runtime,
     listener: TcpListener,
     shared: &Arc<Shared>,
-) -> Result<(), Error> {
+) -> Result<RunningServer, Error> {
     let routes = Router::new()
         .push(
             Router::with_path("services/{name}/{**rest}")
@@ -64,7 +68,8 @@
         .push(reports::routes(shared)?)
         .push(Router::with_path("healthz").get(health::LivenessHandler))
         .push(Router::with_path("readyz").get(health::ReadinessHandler::new(Arc::clone(shared))));
-    serve(runtime, listener, shared, routes)
+    serve(runtime, listener, shared, routes)?;
+    Ok(())
 }
 
 fn serve(
@@ -72,7 +77,7 @@
     listener: TcpListener,
     shared: &Arc<Shared>,
     routes: Router,
-) -> Result<(), Error> {
+) -> Result<RunningServer, Error> {
     let acceptor = {
         let _context = runtime.enter();
         tokio::net::TcpListener::from_std(listener)
@@ -86,28 +91,13 @@
     let server = Server::new(acceptor)
         .fuse_policy(timeouts)
         .max_connections(shared.settings.bounds.connections);
+    let handle = server.handle();
+    let (ended, has_ended) = watch::channel(false);
     runtime.spawn(async move {
         if let Err(error) = server.try_serve(routes).await {
             log::error!("entry: HTTP server stopped. error={error}");
         }
+        ended.send_replace(true);
     });
-    Ok(())
-}
-
-/// Returns the timeouts of a connection that is accepted now.
-///
-/// The server also counts a connection as idle while a request on it waits for its response, so the idle timeout covers
-/// the longest time that the configuration gives a request. A caller that takes no more bytes is cut off earlier.
-fn connection_timeouts(shared: &Shared) -> FuseConfig {
-    let times = &shared.settings.times;
-    let idle_timeout = Duration::from_millis(times.idle_timeout_ms);
-    let snapshot = shared.snapshot.load();
-    let services = snapshot.configuration.services.values();
-    let longest_request_ms = services.map(|service| service.request_timeout_ms).max();
-    let longest_request = Duration::from_millis(longest_request_ms.unwrap_or(0));
-    FuseConfig::default()
-        .with_http1_header_timeout(Duration::from_millis(times.header_timeout_ms))
-        .with_connection_idle_timeout(idle_timeout + longest_request)
-        .with_write_stall_timeout(idle_timeout)
-        .with_request_body_timeout(Duration::from_millis(times.body_timeout_ms))
+    Ok(RunningServer { handle, has_ended })
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -6,12 +6,12 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::runtime::Runtime;
 
 use crate::control::{ControlThread, Shared};
-use crate::entry;
+use crate::entry::{self, RunningServer};
 use crate::error::{Error, ErrorKind};
 use crate::listener::bind_listener;
 use crate::settings::RouterSettings;
@@ -42,6 +42,7 @@
 pub struct Router {
     addresses: RouterAddresses,
     shared: Arc<Shared>,
+    callers: RunningServer,
     traffic: Option<Runtime>,
     // Dropped after `traffic`, whose requests read the snapshots that the control thread publishes.
     _control: ControlThread,
@@ -70,11 +71,11 @@
             let shared = Arc::new(shared);
             let control =
                 ControlThread::start(Arc::clone(&shared), events, peers, addresses.callers)?;
-            entry::serve_callers(&traffic, callers, &shared)?;
+            let callers = entry::serve_callers(&traffic, callers, &shared)?;
             entry::serve_operators(&traffic, operators, &shared)?;
-            Ok((shared, control))
+            Ok((shared, control, callers))
         })();
-        let (shared, control) = match started {
+        let (shared, control, callers) = match started {
             Ok(started) => started,
             Err(error) => {
                 // Dropping a runtime panics in an asynchronous context, which would hide the error.
@@ -92,6 +93,7 @@
         Ok(Self {
             addresses,
             shared,
+            callers,
             traffic: Some(traffic),
             _control: control,
         })
@@ -106,18 +108,26 @@
     /// Shuts down gracefully.
     ///
     /// The router leaves the directory, keeps accepting requests until cached directory responses have expired, and
-    /// then waits up to `limit` for requests in flight. Requests that are still open after `limit` are counted in the
-    /// report.
+    /// then waits up to `limit` for requests in flight and for callers that are still reading their responses. Requests
+    /// that are still open after `limit` are counted in the report.
     pub async fn drain(&self, limit: Duration) -> DrainReport {
         let router = &self.shared.settings.router;
         self.shared.draining.store(true, Ordering::Relaxed);
         log::info!("drain: Removed this router from the directory. router={router}");
         tokio::time::sleep(self.shared.settings.times.directory_ttl()).await;
+        let started = Instant::now();
         let waited = tokio::time::timeout(limit, self.wait_for_requests()).await;
         let cut_requests = match waited {
             Ok(()) => 0,
             Err(_) => self.shared.open_requests(),
         };
+        let is_written = self
+            .callers
+            .stop(limit.saturating_sub(started.elapsed()))
+            .await;
+        if !is_written {
+            log::warn!("drain: Cut connections that callers were still reading. router={router}");
+        }
         log::info!("drain: Completed. router={router} cut_requests={cut_requests}");
         DrainReport { cut_requests }
     }
--- a/standin/tests/drains.rs
+++ b/standin/tests/drains.rs
@@ -1,4 +1,4 @@
-//! Routers on loopback that shut down while callers upload.
+//! Routers on loopback that shut down while callers upload, read slowly or keep their connections.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,6 +8,7 @@
 use crocuswharf_standin::demo::{
     Fleet, SHINEWELL, account_key, default_times, submit_ticket, wait_until_ready,
 };
+use crocuswharf_standin::plain::PlainFaults;
 use serde_json::json;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -17,6 +18,8 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 /// How long a caller pauses, which is longer than the life of a directory answer.
 const PAUSE: Duration = Duration::from_millis(600);
+/// More than the buffers of a connection hold.
+const RECEIPT_BYTES: usize = 32 << 20;
 
 async fn start_fleet() -> Fleet {
     let times = Times {
@@ -48,6 +51,12 @@
     BufReader::new(TcpStream::connect(address).await.unwrap())
 }
 
+fn receipt_request() -> String {
+    let key = account_key(0);
+    let path = format!("/services/{}/receipts/1", SHINEWELL.plain_service);
+    format!("GET {path} HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {key}\r\n\r\n")
+}
+
 /// Reads the head of a response, in lower case.
 async fn read_head(connection: &mut BufReader<TcpStream>) -> String {
     let mut head = String::new();
@@ -94,3 +103,21 @@
     read_body(&mut connection, &head).await;
     assert_eq!(draining.await.unwrap().cut_requests, 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_waits_for_response_that_is_read_slowly() {
+    let mut fleet = start_fleet().await;
+    fleet.plain.set_faults(PlainFaults {
+        receipt_bytes: RECEIPT_BYTES,
+        ..PlainFaults::default()
+    });
+    let mut connection = connect(&fleet).await;
+    let request = receipt_request();
+    connection.write_all(request.as_bytes()).await.unwrap();
+    let head = read_head(&mut connection).await;
+    let draining = drain(&mut fleet);
+    tokio::time::sleep(PAUSE).await;
+    let body = read_body(&mut connection, &head).await;
+    assert!(body.len() > RECEIPT_BYTES);
+    assert_eq!(draining.await.unwrap().cut_requests, 0);
+}
