Tell callers on kept connections that a draining router closes them

Callers that kept their connection saw it closed under a request that they had just sent.

Cause: no response of a draining router said that its connection would be closed.

Change: each HTTP/1 response of a draining router says Connection: close.

--- a/src/entry/connection.rs
+++ b/src/entry/connection.rs
@@ -4,10 +4,14 @@
 //! A server that stops therefore closes each connection after its current response. Rejected: dropping the connections
 //! once no handler runs, because that cuts responses that callers are still reading.
 
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use salvo::fuse::FuseConfig;
+use salvo::http::{HeaderValue, Version, header};
 use salvo::server::ServerHandle;
+use salvo::{Depot, FlowCtrl, Request, Response, async_trait};
 use tokio::sync::watch;
 
 use crate::control::Shared;
@@ -20,6 +24,11 @@
     pub(super) has_ended: watch::Receiver<bool>,
 }
 
+/// Announces in each response of a router that drains that its connection closes.
+pub(crate) struct CloseWhileDraining {
+    shared: Arc<Shared>,
+}
+
 impl RunningServer {
     /// Stops accepting connections, and waits up to `limit` until each open one is closed after its current response.
     ///
@@ -41,6 +50,31 @@
     }
 }
 
+impl CloseWhileDraining {
+    /// Creates the middleware.
+    pub(crate) const fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+#[async_trait]
+impl salvo::Handler for CloseWhileDraining {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        ctrl.call_next(request, depot, res).await;
+        // HTTP/2 has no such header; its connections are closed when the server stops.
+        if request.version() <= Version::HTTP_11 && self.shared.draining.load(Ordering::Relaxed) {
+            res.headers_mut()
+                .insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+}
+
 /// Returns the timeouts of a connection that is accepted now.
 ///
 /// The server also counts a connection as idle while a request on it waits for its response, so the idle timeout covers
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -42,6 +42,7 @@
     shared: &Arc<Shared>,
 ) -> Result<RunningServer, Error> {
     let routes = Router::new()
+        .hoop(connection::CloseWhileDraining::new(Arc::clone(shared)))
         .push(
             Router::with_path("services/{name}/{**rest}")
                 .goal(plain::PlainHandler::new(Arc::clone(shared))),
--- a/standin/tests/drains.rs
+++ b/standin/tests/drains.rs
@@ -121,3 +121,22 @@
     assert!(body.len() > RECEIPT_BYTES);
     assert_eq!(draining.await.unwrap().cut_requests, 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_tells_kept_connections_that_they_close() {
+    let mut fleet = start_fleet().await;
+    let mut connection = connect(&fleet).await;
+    let request = receipt_request();
+    let mut draining = None;
+    loop {
+        connection.write_all(request.as_bytes()).await.unwrap();
+        let head = read_head(&mut connection).await;
+        read_body(&mut connection, &head).await;
+        if head.contains("connection: close") {
+            break;
+        }
+        draining.get_or_insert_with(|| drain(&mut fleet));
+    }
+    let draining = draining.expect("the first response keeps the connection");
+    assert_eq!(draining.await.unwrap().cut_requests, 0);
+}
