End a chat answer that is not streamed at its deadline

Callers waited without end, or until their connection was closed as idle, for an answer whose engine fell silent after the head.

Cause: the body of an answer that is not streamed was read without a time limit.

Change: the body is read until the deadline of the request, after which the caller gets 502 and "unknown".

--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -196,21 +196,24 @@
 ) -> Result<(), ErrorResponse> {
     for responses in 1.. {
         let status = answer.response.status();
-        match answer.response.bytes().await {
-            Ok(bytes) => {
+        let reading = tokio::time::timeout(dispatch.remaining(), answer.response.bytes());
+        let error = match reading.await {
+            Ok(Ok(bytes)) => {
                 dispatch.record_response(status.as_u16());
                 res.status_code(status);
                 set_header(res, "content-type", "application/json");
                 res.body(bytes);
                 return Ok(());
             }
-            Err(error) => log::warn!(
-                "request: Response broke off. request={} replica={} error={error}",
-                dispatch.request_id(),
-                target.replica.id
-            ),
-        }
-        if responses == MAX_RESPONSES {
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "the deadline has passed".to_owned(),
+        };
+        log::warn!(
+            "request: Response broke off. request={} replica={} error={error:?}",
+            dispatch.request_id(),
+            target.replica.id
+        );
+        if responses == MAX_RESPONSES || dispatch.remaining().is_zero() {
             break;
         }
         dispatch.exclude(&target);
--- a/standin/src/engine/http.rs
+++ b/standin/src/engine/http.rs
@@ -108,19 +108,17 @@
             return;
         }
         let faults = self.0.lock().faults.clone();
+        if faults.is_mute_after_head {
+            res.stream(first_byte_and_cut(None));
+            return;
+        }
         let count = |count: u32| count.checked_sub(1);
         if faults
             .answers_to_cut
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, count)
             .is_ok()
         {
-            res.stream(unfold(true, |is_first| async move {
-                if is_first {
-                    return Some((Ok("{"), false));
-                }
-                tokio::time::sleep(CUT_DELAY).await;
-                Some((Err(std::io::Error::other("cut after the head")), false))
-            }));
+            res.stream(first_byte_and_cut(Some(CUT_DELAY)));
             return;
         }
         let text = log.whole_text().await;
@@ -293,6 +291,22 @@
     })
 }
 
+/// Returns the first byte of an answer, which breaks off after `delay`, or never ends.
+fn first_byte_and_cut(
+    delay: Option<Duration>,
+) -> impl Stream<Item = std::io::Result<&'static str>> + Send + 'static {
+    unfold(true, move |is_first| async move {
+        if is_first {
+            return Some((Ok("{"), false));
+        }
+        match delay {
+            Some(delay) => tokio::time::sleep(delay).await,
+            None => std::future::pending().await,
+        }
+        Some((Err(std::io::Error::other("cut after the head")), false))
+    })
+}
+
 fn describe(res: &mut Response, engine: &Engine, request_id: &str) {
     let (incarnation, weights_version) = {
         let state = engine.lock();
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -85,6 +85,8 @@
     pub is_busy: bool,
     /// Resumptions get no response.
     pub is_mute_to_resumptions: bool,
+    /// Answers that are not streamed go silent after their head.
+    pub is_mute_after_head: bool,
     /// How many answers that are not streamed break off after their head. Engines with the same faults share the count.
     pub answers_to_cut: Arc<AtomicU32>,
 }
--- a/standin/tests/streams.rs
+++ b/standin/tests/streams.rs
@@ -5,9 +5,9 @@
 use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
-use crocuswharf::Times;
+use crocuswharf::{HEADER_RUN, Times};
 use crocuswharf_standin::demo::{
-    Fleet, SHINEWELL, account_key, default_times, submit_ticket, wait_until_ready,
+    Fleet, SHINEWELL, account_key, default_times, submit_document, submit_ticket, wait_until_ready,
 };
 use crocuswharf_standin::engine::{EngineFaults, expected_answer};
 use eventsource_stream::Eventsource;
@@ -50,6 +50,15 @@
         }))
 }
 
+/// Returns a request for an answer of two tokens that is not streamed.
+fn short_answer(router: SocketAddr) -> RequestBuilder {
+    chat(router, 0).json(&json!({
+        "model": SHINEWELL.model_service,
+        "max_tokens": 2,
+        "messages": [{"role": "user", "content": QUESTION}],
+    }))
+}
+
 /// Reads events until the end, or until `most` have come.
 async fn read(request: RequestBuilder, most: usize, received: &mut Received) {
     let response = request.send().await.unwrap().error_for_status().unwrap();
@@ -214,14 +223,29 @@
     for running in &fleet.engines {
         running.engine.set_faults(faults.clone());
     }
-    let request = chat(fleet.addresses()[0].callers, 0).json(&json!({
-        "model": SHINEWELL.model_service,
-        "max_tokens": 2,
-        "messages": [{"role": "user", "content": QUESTION}],
-    }));
+    let request = short_answer(fleet.addresses()[0].callers);
     let response = request.send().await.unwrap();
     assert_eq!(response.status(), StatusCode::OK);
     let answer: Value = response.json().await.unwrap();
     let text = answer["choices"][0]["message"]["content"].as_str();
     assert_eq!(text, Some(&*expected_answer(QUESTION, 2)));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_never_ends_is_refused_at_deadline() {
+    let fleet = start_fleet().await;
+    let mut service = fleet.ticket(2)["services"][SHINEWELL.model_service].clone();
+    service["request_timeout_ms"] = json!(1_000);
+    let ticket = json!({"ticket": 2, "services": {SHINEWELL.model_service: service}});
+    submit_document(&fleet, &ticket).await.unwrap();
+    for running in &fleet.engines {
+        running.engine.set_faults(EngineFaults {
+            is_mute_after_head: true,
+            ..EngineFaults::default()
+        });
+    }
+    let request = short_answer(fleet.addresses()[0].callers);
+    let response = request.send().await.unwrap();
+    assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+    assert_eq!(response.headers()[HEADER_RUN], "unknown");
+}
