Test that a connection without a request is closed

The timeout for the next head closes a kept HTTP/1 connection, independently of the idle timeout, which now covers the time limit of a request.

--- a/standin/tests/limits.rs
+++ b/standin/tests/limits.rs
@@ -1,12 +1,16 @@
 //! The limits of client accounts, and replicas that keep failing, through whole routers on loopback.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use crocuswharf::Times;
 use crocuswharf_standin::demo::{
-    Fleet, SHINEWELL, account_key, submit_document, submit_ticket, wait_until_ready,
+    Fleet, SHINEWELL, account_key, default_times, submit_document, submit_ticket, wait_until_ready,
 };
 use reqwest::{Response, StatusCode};
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// More requests than any router admits at once to an account whose limit is next to nothing.
 const REQUESTS: usize = 20;
@@ -71,3 +75,23 @@
     let candidates = explanation["choice"]["candidates"].as_array().unwrap();
     assert_eq!(candidates[0]["replica"], replica);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_without_request_is_closed() {
+    let times = Times {
+        header_timeout_ms: 300,
+        ..default_times()
+    };
+    let fleet = Fleet::start_with_times(SHINEWELL, 1, times, |_| {})
+        .await
+        .unwrap();
+    let router = fleet.addresses()[0].callers;
+    let mut connection = TcpStream::connect(router).await.unwrap();
+    let request = b"GET /v1/entries HTTP/1.1\r\nhost: router\r\n\r\n";
+    connection.write_all(request).await.unwrap();
+    let mut response = Vec::new();
+    let reading = connection.read_to_end(&mut response);
+    let closed = tokio::time::timeout(Duration::from_secs(10), reading).await;
+    closed.expect("the connection is closed").unwrap();
+    assert!(response.starts_with(b"HTTP/1.1"));
+}
