Try a broken chat stream again while all replicas refuse it

Callers saw a stream end with an error event when its engine crashed while the other engines refused for a moment, with all of their time left.

Cause: a broken stream was tried once, at the replicas that the retry budget paid for, and ended when these refused.

Evidence: stream_engine_crashes_others_refuse_for_a_while_goes_on in standin/tests/streams.rs, the other engines refuse for 1 s; before: "no replica could continue the answer".

Change: a broken stream that another replica can continue is tried again with a doubling delay and jitter, until the limit of resumptions or the deadline of the request.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -140,6 +140,11 @@
         self.excluded.push(target.index);
     }
 
+    /// Allows attempts at all replicas again.
+    pub(crate) fn include_all(&mut self) {
+        self.excluded.clear();
+    }
+
     /// Sends the request to one replica after another until one responds, within the service's retry budget.
     ///
     /// Chat requests are idempotent, so one that may have reached an engine can be retried on another replica.
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -12,8 +12,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures_util::stream::{BoxStream, Stream, StreamExt, iter, unfold};
+use rand::RngExt;
 use salvo::http::StatusCode;
 use salvo::sse::SseEvent;
 
@@ -25,6 +27,8 @@
 
 /// The data of the terminal event.
 const TERMINAL_DATA: &str = "[DONE]";
+/// The delay before a broken stream is tried again after all replicas refused it; it doubles each time.
+const RECOVERY_BACKOFF: Duration = Duration::from_millis(100);
 /// The maximum number of resumptions of one stream.
 const MAX_RESUMPTIONS: u32 = 8;
 
@@ -212,16 +216,23 @@
     async fn recover(&mut self, reason: &str) -> Option<SseEvent> {
         self.dispatch.record_interruption(reason);
         self.upstream = None;
-        if self.resumptions >= MAX_RESUMPTIONS {
-            return Some(self.fail("the answer broke off too often"));
-        }
-        match self.replace(reason).await {
-            Some(replacement) => {
+        let mut backoff = RECOVERY_BACKOFF;
+        while self.resumptions < MAX_RESUMPTIONS {
+            if let Some(replacement) = self.replace(reason).await {
                 self.accept(replacement);
-                None
+                return None;
             }
-            None => Some(self.fail("no replica could continue the answer")),
+            // The jitter spreads out the streams of an engine that has crashed.
+            let delay = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
+            backoff *= 2;
+            if self.continuation().is_none() || delay >= self.dispatch.remaining() {
+                return Some(self.fail("no replica could continue the answer"));
+            }
+            tokio::time::sleep(delay).await;
+            // A replica that refused the stream may have been full only for a moment.
+            self.dispatch.include_all();
         }
+        Some(self.fail("the answer broke off too often"))
     }
 
     /// Holds a silent stream while another connection is tried; returns the event for the caller, if there is one yet.
@@ -303,6 +314,14 @@
         Some(events(resumed.await?))
     }
 
+    /// Returns the request with which another replica continues the response; `None` if none can.
+    fn continuation(&self) -> Option<Bytes> {
+        if !self.has_full_text {
+            return None;
+        }
+        continuation_body(self.dispatch.body(), &self.sent)
+    }
+
     async fn continue_on_other_replica(&mut self) -> Option<Replacement> {
         if self.sent.last().is_some_and(|data| has_finish_reason(data)) {
             return Some(Replacement {
@@ -310,10 +329,7 @@
                 events: terminal_event(self.engine_sequence + 1),
             });
         }
-        if !self.has_full_text {
-            return None;
-        }
-        let body = continuation_body(self.dispatch.body(), &self.sent)?;
+        let body = self.continuation()?;
         self.dispatch.exclude(&self.target);
         let (target, answer) = self.dispatch.try_send(body).await.ok()?;
         Some(Replacement {
--- a/standin/tests/streams.rs
+++ b/standin/tests/streams.rs
@@ -249,3 +249,34 @@
     assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
     assert_eq!(response.headers()[HEADER_RUN], "unknown");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_engine_crashes_others_refuse_for_a_while_goes_on() {
+    let mut fleet = start_fleet().await;
+    let mut received = Received::default();
+    let router = fleet.addresses()[0].callers;
+    let reading = read(chat(router, 0), usize::MAX, &mut received);
+    let failing = async {
+        let crashed = loop {
+            let mut engines = fleet.engines.iter();
+            let serving = engines.position(|running| running.engine.load().running_requests > 0);
+            if let Some(index) = serving {
+                break index;
+            }
+            tokio::task::yield_now().await;
+        };
+        for running in &fleet.engines {
+            running.engine.set_faults(EngineFaults {
+                is_busy: true,
+                ..EngineFaults::default()
+            });
+        }
+        fleet.engines[crashed].served = None;
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        for running in &fleet.engines {
+            running.engine.set_faults(EngineFaults::default());
+        }
+    };
+    tokio::join!(reading, failing);
+    check_whole(&received);
+}
