Close a drained router's connections in a step of its own

Change: Router::close does that, and the daemon, the demonstration and the tests call it after drain() with what is left of the drain limit.

--- a/src/bin/crocuswharf-router.rs
+++ b/src/bin/crocuswharf-router.rs
@@ -58,7 +58,8 @@
         .context("can't create the signal runtime")?;
     signals.block_on(async {
         wait_for_signal().await?;
-        router.drain(drain_limit).await;
+        let report = router.drain(drain_limit).await;
+        router.close(report.time_left).await;
         Ok(())
     })
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -35,6 +35,8 @@
 pub struct DrainReport {
     /// The number of requests that were still open when the drain limit expired and are cut off.
     pub cut_requests: usize,
+    /// What is left of the drain limit.
+    pub time_left: Duration,
 }
 
 /// A running router.
@@ -108,8 +110,8 @@
     /// Shuts down gracefully.
     ///
     /// The router leaves the directory, keeps accepting requests until cached directory responses have expired, and
-    /// then waits up to `limit` for requests in flight and for callers that are still reading their responses. Requests
-    /// that are still open after `limit` are counted in the report.
+    /// then waits up to `limit` for requests in flight. Requests that are still open after `limit` are counted in the
+    /// report. The router goes on serving callers until it is closed with [`close`](Self::close).
     pub async fn drain(&self, limit: Duration) -> DrainReport {
         let router = &self.shared.settings.router;
         self.shared.draining.store(true, Ordering::Relaxed);
@@ -121,15 +123,23 @@
             Ok(()) => 0,
             Err(_) => self.shared.open_requests(),
         };
-        let is_written = self
-            .callers
-            .stop(limit.saturating_sub(started.elapsed()))
-            .await;
-        if !is_written {
+        log::info!("drain: Completed. router={router} cut_requests={cut_requests}");
+        DrainReport {
+            cut_requests,
+            time_left: limit.saturating_sub(started.elapsed()),
+        }
+    }
+
+    /// Stops accepting callers' connections, and waits up to `limit` until the open ones are closed, each after its
+    /// current response.
+    ///
+    /// A response is written after its request has ended, so a router that is dropped without this cuts responses that
+    /// callers are still reading.
+    pub async fn close(&self, limit: Duration) {
+        if !self.callers.stop(limit).await {
+            let router = &self.shared.settings.router;
             log::warn!("drain: Cut connections that callers were still reading. router={router}");
         }
-        log::info!("drain: Completed. router={router} cut_requests={cut_requests}");
-        DrainReport { cut_requests }
     }
 
     async fn wait_for_requests(&self) {
--- a/standin/src/demo/mod.rs
+++ b/standin/src/demo/mod.rs
@@ -214,6 +214,7 @@
             return;
         };
         let report = router.drain(DRAIN_LIMIT).await;
+        router.close(report.time_left).await;
         if report.cut_requests > 0 {
             log::error!(
                 "demo: The drain cut requests. requests={}",
--- a/standin/tests/drains.rs
+++ b/standin/tests/drains.rs
@@ -39,6 +39,7 @@
     let router: Arc<Router> = fleet.routers[0].take().unwrap();
     tokio::spawn(async move {
         let report = router.drain(PATIENCE).await;
+        router.close(report.time_left).await;
         tokio::task::spawn_blocking(move || drop(router))
             .await
             .unwrap();
