--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -14,7 +14,7 @@
 use super::record::RequestRecord;
 use super::relay::Relay;
 use crate::account::NamedAccount;
-use crate::control::{Shared, Snapshot};
+use crate::control::{OpenRequest, Shared, Snapshot};
 use crate::engine::ChatResponse;
 use crate::id::{RequestId, ServiceName};
 use crate::prefix::{PrefixScope, PromptPrefix};
@@ -24,8 +24,8 @@
 
 /// The header with the id of the last event that the caller received, as browsers and other SSE clients send it.
 const HEADER_LAST_EVENT_ID: &str = "last-event-id";
-/// The maximum number of attempts to read a complete response that is not streamed.
-const MAX_RESPONSE_ATTEMPTS: usize = 3;
+/// The maximum number of responses of which one that is not streamed is read.
+const MAX_RESPONSES: usize = 4;
 
 /// Handles chat completions requests.
 pub(crate) struct ChatHandler {
@@ -43,6 +43,7 @@
         request: &mut Request,
         res: &mut Response,
     ) -> Result<(), ErrorResponse> {
+        let open_request = self.shared.open_request();
         let snapshot = self.shared.snapshot.load_full();
         let account = authenticate(request, &snapshot)?;
         let last_event_id = self.parse_last_event_id(request, &account)?;
@@ -51,7 +52,8 @@
         set_header(res, HEADER_REQUEST_ID, &request_id.to_string());
         let limit_bytes = self.shared.settings.bounds.body_limit_bytes;
         let body = read_body(request, limit_bytes).await?;
-        let (mut dispatch, is_streaming) = self.prepare(request_id, &snapshot, &account, &body)?;
+        let (mut dispatch, is_streaming) =
+            self.prepare(open_request, request_id, &snapshot, &account, &body)?;
         if let Some(id) = last_event_id {
             return self.resume_stream(res, dispatch, &id).await;
         }
@@ -104,6 +106,7 @@
 
     fn prepare(
         &self,
+        open_request: OpenRequest,
         request_id: RequestId,
         snapshot: &Snapshot,
         account: &NamedAccount,
@@ -143,7 +146,7 @@
             body: bytes.clone(),
             deadline: Instant::now() + Duration::from_millis(service.request_timeout_ms),
             preference: snapshot.configuration.preference_of(&service),
-            open_request: self.shared.open_request(),
+            open_request,
         };
         let dispatch = Dispatch::new(Arc::clone(&self.shared), Arc::clone(pool), request);
         Ok((dispatch, body.stream))
@@ -191,14 +194,27 @@
     mut target: Target,
     mut answer: ChatResponse,
 ) -> Result<(), ErrorResponse> {
-    for _ in 0..MAX_RESPONSE_ATTEMPTS {
+    for responses in 1.. {
         let status = answer.response.status();
-        if let Ok(bytes) = answer.response.bytes().await {
-            dispatch.record_response(status.as_u16());
-            res.status_code(status);
-            set_header(res, "content-type", "application/json");
-            res.body(bytes);
-            return Ok(());
+        let reading = tokio::time::timeout(dispatch.remaining(), answer.response.bytes());
+        let error = match reading.await {
+            Ok(Ok(bytes)) => {
+                dispatch.record_response(status.as_u16());
+                res.status_code(status);
+                set_header(res, "content-type", "application/json");
+                res.body(bytes);
+                return Ok(());
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "the deadline has passed".to_owned(),
+        };
+        log::warn!(
+            "request: Response broke off. request={} replica={} error={error:?}",
+            dispatch.request_id(),
+            target.replica.id
+        );
+        if responses == MAX_RESPONSES || dispatch.remaining().is_zero() {
+            break;
         }
         dispatch.exclude(&target);
         (target, answer) = dispatch.send(dispatch.body().clone()).await?;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,12 +5,12 @@
 
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::time::Duration;
 
 use salvo::conn::tcp::TcpAcceptor;
-use salvo::fuse::FuseConfig;
+use salvo::fuse::{FuseAction, FuseInfo};
 use salvo::{Router, Server};
 use tokio::runtime::Runtime;
+use tokio::sync::watch;
 
 use crate::control::Shared;
 use crate::error::{Error, ErrorKind};
@@ -19,6 +19,7 @@
 mod chat;
 mod chat_body;
 mod claimed;
+mod connection;
 mod continuation;
 mod directory;
 mod dispatch;
@@ -31,13 +32,17 @@
 mod selector;
 mod tickets;
 
+pub(crate) use self::connection::RunningServer;
+use self::connection::connection_timeouts;
+
 /// Starts the HTTP server for callers on `listener`.
 pub(crate) fn serve_callers(
     runtime: &Runtime,
     listener: TcpListener,
     shared: &Arc<Shared>,
-) -> Result<(), Error> {
+) -> Result<RunningServer, Error> {
     let routes = Router::new()
+        .hoop(connection::CloseWhileDraining::new(Arc::clone(shared)))
         .push(
             Router::with_path("services/{name}/{**rest}")
                 .goal(plain::PlainHandler::new(Arc::clone(shared))),
@@ -64,7 +69,8 @@
         .push(reports::routes(shared)?)
         .push(Router::with_path("healthz").get(health::LivenessHandler))
         .push(Router::with_path("readyz").get(health::ReadinessHandler::new(Arc::clone(shared))));
-    serve(runtime, listener, shared, routes)
+    serve(runtime, listener, shared, routes)?;
+    Ok(())
 }
 
 fn serve(
@@ -72,25 +78,27 @@
     listener: TcpListener,
     shared: &Arc<Shared>,
     routes: Router,
-) -> Result<(), Error> {
+) -> Result<RunningServer, Error> {
     let acceptor = {
         let _context = runtime.enter();
         tokio::net::TcpListener::from_std(listener)
             .and_then(TcpAcceptor::try_from)
             .map_err(|error| Error::new(ErrorKind::Io, format!("listener: {error}")))?
     };
-    let times = &shared.settings.times;
-    let fuse = FuseConfig::default()
-        .with_http1_header_timeout(Duration::from_millis(times.header_timeout_ms))
-        .with_connection_idle_timeout(Duration::from_millis(times.idle_timeout_ms))
-        .with_request_body_timeout(Duration::from_millis(times.body_timeout_ms));
+    let timeouts = {
+        let shared = Arc::clone(shared);
+        move |_: &FuseInfo| FuseAction::Accept(connection_timeouts(&shared))
+    };
     let server = Server::new(acceptor)
-        .fuse_config(fuse)
+        .fuse_policy(timeouts)
         .max_connections(shared.settings.bounds.connections);
+    let handle = server.handle();
+    let (ended, has_ended) = watch::channel(false);
     runtime.spawn(async move {
         if let Err(error) = server.try_serve(routes).await {
             log::error!("entry: HTTP server stopped. error={error}");
         }
+        ended.send_replace(true);
     });
-    Ok(())
+    Ok(RunningServer { handle, has_ended })
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -6,12 +6,12 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::runtime::Runtime;
 
 use crate::control::{ControlThread, Shared};
-use crate::entry;
+use crate::entry::{self, RunningServer};
 use crate::error::{Error, ErrorKind};
 use crate::listener::bind_listener;
 use crate::settings::RouterSettings;
@@ -35,6 +35,8 @@
 pub struct DrainReport {
     /// The number of requests that were still open when the drain limit expired and are cut off.
     pub cut_requests: usize,
+    /// What is left of the drain limit.
+    pub time_left: Duration,
 }
 
 /// A running router.
@@ -42,6 +44,7 @@
 pub struct Router {
     addresses: RouterAddresses,
     shared: Arc<Shared>,
+    callers: RunningServer,
     traffic: Option<Runtime>,
     // Dropped after `traffic`, whose requests read the snapshots that the control thread publishes.
     _control: ControlThread,
@@ -70,11 +73,11 @@
             let shared = Arc::new(shared);
             let control =
                 ControlThread::start(Arc::clone(&shared), events, peers, addresses.callers)?;
-            entry::serve_callers(&traffic, callers, &shared)?;
+            let callers = entry::serve_callers(&traffic, callers, &shared)?;
             entry::serve_operators(&traffic, operators, &shared)?;
-            Ok((shared, control))
+            Ok((shared, control, callers))
         })();
-        let (shared, control) = match started {
+        let (shared, control, callers) = match started {
             Ok(started) => started,
             Err(error) => {
                 // Dropping a runtime panics in an asynchronous context, which would hide the error.
@@ -92,6 +95,7 @@
         Ok(Self {
             addresses,
             shared,
+            callers,
             traffic: Some(traffic),
             _control: control,
         })
@@ -107,19 +111,35 @@
     ///
     /// The router leaves the directory, keeps accepting requests until cached directory responses have expired, and
     /// then waits up to `limit` for requests in flight. Requests that are still open after `limit` are counted in the
-    /// report.
+    /// report. The router goes on serving callers until it is closed with [`close`](Self::close).
     pub async fn drain(&self, limit: Duration) -> DrainReport {
         let router = &self.shared.settings.router;
         self.shared.draining.store(true, Ordering::Relaxed);
         log::info!("drain: Removed this router from the directory. router={router}");
         tokio::time::sleep(self.shared.settings.times.directory_ttl()).await;
+        let started = Instant::now();
         let waited = tokio::time::timeout(limit, self.wait_for_requests()).await;
         let cut_requests = match waited {
             Ok(()) => 0,
             Err(_) => self.shared.open_requests(),
         };
         log::info!("drain: Completed. router={router} cut_requests={cut_requests}");
-        DrainReport { cut_requests }
+        DrainReport {
+            cut_requests,
+            time_left: limit.saturating_sub(started.elapsed()),
+        }
+    }
+
+    /// Stops accepting callers' connections, and waits up to `limit` until the open ones are closed, each after its
+    /// current response.
+    ///
+    /// A response is written after its request has ended, so a router that is dropped without this cuts responses that
+    /// callers are still reading.
+    pub async fn close(&self, limit: Duration) {
+        if !self.callers.stop(limit).await {
+            let router = &self.shared.settings.router;
+            log::warn!("drain: Cut connections that callers were still reading. router={router}");
+        }
     }
 
     async fn wait_for_requests(&self) {
--- a/standin/src/demo/mod.rs
+++ b/standin/src/demo/mod.rs
@@ -18,7 +18,7 @@
 pub use self::caller::{Callers, ChatAsk, Outcome};
 pub use self::deployment::{CEDARBUNK, Deployment, SHINEWELL};
 pub use self::fleet::{
-    Fleet, OPERATOR_KEY, ROUTERS, RunningEngine, account_key, account_name, any_port,
+    Fleet, OPERATOR_KEY, ROUTERS, RunningEngine, account_key, account_name, any_port, default_times,
 };
 use self::report::DemoReport;
 use self::traffic::{Planned, PlannedKind, plan};
@@ -214,6 +214,7 @@
             return;
         };
         let report = router.drain(DRAIN_LIMIT).await;
+        router.close(report.time_left).await;
         if report.cut_requests > 0 {
             log::error!(
                 "demo: The drain cut requests. requests={}",
--- a/standin/src/engine/http.rs
+++ b/standin/src/engine/http.rs
@@ -1,6 +1,7 @@
 //! The fake engine's HTTP interface.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crocuswharf::{
@@ -26,6 +27,8 @@
 const CACHE_EVENTS_WAIT: Duration = Duration::from_millis(500);
 /// How often a waiting reader of cache events looks.
 const CACHE_EVENTS_POLL: Duration = Duration::from_millis(50);
+/// How long after its head an answer breaks off.
+const CUT_DELAY: Duration = Duration::from_millis(20);
 
 /// Returns the routes of `engine`.
 pub(crate) fn routes(engine: &Engine) -> Router {
@@ -83,6 +86,10 @@
             res.status_code(StatusCode::BAD_REQUEST);
             return;
         };
+        if self.0.lock().faults.is_busy {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
         let request_id = header(request, HEADER_REQUEST_ID)
             .unwrap_or("direct")
             .to_owned();
@@ -100,6 +107,20 @@
             salvo::sse::stream(res, events(self.0.clone(), log, 0));
             return;
         }
+        let faults = self.0.lock().faults.clone();
+        if faults.is_mute_after_head {
+            res.stream(first_byte_and_cut(None));
+            return;
+        }
+        let count = |count: u32| count.checked_sub(1);
+        if faults
+            .answers_to_cut
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, count)
+            .is_ok()
+        {
+            res.stream(first_byte_and_cut(Some(CUT_DELAY)));
+            return;
+        }
         let text = log.whole_text().await;
         res.render(Json(json!({
             "object": "chat.completion",
@@ -178,6 +199,14 @@
     ) {
         let id = request.param::<String>("id").unwrap_or_default();
         let after = request.query::<usize>("after").unwrap_or(0);
+        let faults = self.0.lock().faults.clone();
+        if faults.is_busy {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
+        if faults.is_mute_to_resumptions {
+            std::future::pending::<()>().await;
+        }
         let log = self.0.lock().answers.get(&id).cloned();
         let Some(log) = log else {
             res.status_code(StatusCode::NOT_FOUND);
@@ -245,10 +274,14 @@
         let engine = engine.clone();
         async move {
             let data = log.event_after(sequence).await?;
-            let silent_before = engine.lock().faults.silent_streams_before;
+            let faults = engine.lock().faults.clone();
+            let silent_before = faults.silent_streams_before;
             if silent_before.is_some_and(|before| opened < before) {
                 std::future::pending::<()>().await;
             }
+            if let Some(until) = faults.silent_until {
+                tokio::time::sleep_until(until).await;
+            }
             let next = sequence + 1;
             Some((
                 Ok(SseEvent::default().id(next.to_string()).text(data)),
@@ -258,6 +291,22 @@
     })
 }
 
+/// Returns the first byte of an answer, which breaks off after `delay`, or never ends.
+fn first_byte_and_cut(
+    delay: Option<Duration>,
+) -> impl Stream<Item = std::io::Result<&'static str>> + Send + 'static {
+    unfold(true, move |is_first| async move {
+        if is_first {
+            return Some((Ok("{"), false));
+        }
+        match delay {
+            Some(delay) => tokio::time::sleep(delay).await,
+            None => std::future::pending().await,
+        }
+        Some((Err(std::io::Error::other("cut after the head")), false))
+    })
+}
+
 fn describe(res: &mut Response, engine: &Engine, request_id: &str) {
     let (incarnation, weights_version) = {
         let state = engine.lock();
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -74,10 +75,20 @@
 }
 
 /// How an engine fails at present.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct EngineFaults {
     /// Open streams send nothing more, while new connections work.
     pub silent_streams_before: Option<Instant>,
+    /// No stream sends anything before this time.
+    pub silent_until: Option<Instant>,
+    /// New requests and resumptions are refused with 503.
+    pub is_busy: bool,
+    /// Resumptions get no response.
+    pub is_mute_to_resumptions: bool,
+    /// Answers that are not streamed go silent after their head.
+    pub is_mute_after_head: bool,
+    /// How many answers that are not streamed break off after their head. Engines with the same faults share the count.
+    pub answers_to_cut: Arc<AtomicU32>,
 }
 
 #[derive(Debug)]
@@ -163,6 +174,11 @@
         self.lock().faults.silent_streams_before = Some(Instant::now());
     }
 
+    /// Changes how the engine fails.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.lock().faults = faults;
+    }
+
     /// Says that the engine is about to leave.
     pub fn leave(&self) {
         self.lock().leaving = true;
