Detect callers that are gone by keep-alive probes again

The limit of 10 s on unacknowledged bytes replaced the count of probes, so a caller that lost power was noticed after 10 s instead of 3 s, and it is not needed: caller_activity closes a connection whose caller takes nothing of a response for 30 s.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -33,7 +33,7 @@
 use super::response::{CallerResponse, LocalReply, NoError, ResponseBody};
 use super::route::CallerLimits;
 use super::shared::Shared;
-use super::upstream::set_caller_options;
+use super::upstream::set_keepalive_options;
 use crate::error::{Error, ErrorKind};
 
 /// The fraction of the process's file descriptors available to callers; the rest is for replicas, peers and files.
@@ -115,7 +115,7 @@
     shared: Arc<Shared>,
     mut closing: watch::Receiver<bool>,
 ) {
-    if let Err(error) = set_caller_options(&stream) {
+    if let Err(error) = set_keepalive_options(&stream) {
         log::debug!("front: A connection closed before it was served. error={error}");
         return;
     }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -30,8 +30,6 @@
 /// How long sent bytes may stay unacknowledged. This leaves time for two retransmissions but detects a replica that
 /// lost power. Long requests raise it, see [`super::limited_stream`].
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(700);
-/// The same for callers, which may pause within a response for as long as their deadline allows.
-const CALLER_UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(10);
 /// How long an idle connection is kept if the replica does not announce a keep-alive timeout.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// The safety margin subtracted from the announced keep-alive timeout, which is in whole seconds.
@@ -175,7 +173,7 @@
             Ok(Err(error)) => return Err(unsent(&error)),
             Err(_) => return Err(unsent(&"connection timed out")),
         };
-        set_liveness_options(&stream, UNACKNOWLEDGED_LIMIT).map_err(|error| unsent(&error))?;
+        set_liveness_options(&stream).map_err(|error| unsent(&error))?;
         let allowance = ReadAllowance::unlimited();
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -238,20 +236,19 @@
     }
 }
 
-/// Sets the socket options by which the kernel detects that a caller is gone.
-pub(crate) fn set_caller_options(stream: &TcpStream) -> io::Result<()> {
-    set_liveness_options(stream, CALLER_UNACKNOWLEDGED_LIMIT)
-}
-
-/// Sets the socket options by which the kernel detects dead connections: keep-alive probes and a limit on unacknowledged
-/// bytes, which also ends a connection whose receive window is closed for that long.
-fn set_liveness_options(stream: &TcpStream, unacknowledged_limit: Duration) -> io::Result<()> {
+/// Sets the keep-alive probes by which the kernel detects that the other end of an idle connection is gone.
+pub(crate) fn set_keepalive_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(unacknowledged_limit))
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
+
+/// Sets the keep-alive probes, and the limit on unacknowledged bytes by which the kernel detects a replica that is gone
+/// while it is sent to. It also ends a connection whose receive window is closed for that long.
+fn set_liveness_options(stream: &TcpStream) -> io::Result<()> {
+    set_keepalive_options(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
 }
