Truncate a streamed response whose relay ends without saying that it is whole

A relay that ended early, as by a panic, closed its channel, which looked like the end of the body: the caller got the last chunk of a complete response. The end is now said explicitly.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,14 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::sync::mpsc;
 
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
 use super::exchange::{Peek, ReplicaBody, ReplicaStream};
 use super::forwarding::{BodyEnd, BodyFraming, Forwarding};
-use super::response::TruncatedBody;
+use super::response::Chunk;
 use crate::request::quarantine::KEPT_EVENTS;
 
 /// The number of chunks buffered for a slow caller; beyond that, the replica's connection is not read.
@@ -63,7 +62,7 @@
 pub(crate) async fn relay(
     mut dispatch: Dispatch,
     mut stream: Box<ReplicaStream>,
-    chunks: mpsc::Sender<Result<Bytes, TruncatedBody>>,
+    chunks: mpsc::Sender<Chunk>,
 ) {
     let mut forwarding = Forwarding::of_kind(dispatch.call.route.kind);
     let end = loop {
@@ -126,13 +125,10 @@
     dispatch
         .shared
         .log_completion(&dispatch, 200, outcome, body_end);
-    match end {
-        RelayEnd::Complete => stream.release(),
-        RelayEnd::CallerLeft => {}
-        RelayEnd::Broken | RelayEnd::Silent | RelayEnd::Late => {
-            // The caller may have disconnected in the meantime and then needs no error.
-            let _ = chunks.send(Err(TruncatedBody)).await;
-        }
+    if end == RelayEnd::Complete {
+        stream.release();
+        // The caller may have disconnected in the meantime and then needs no end.
+        let _ = chunks.send(Chunk::End).await;
     }
 }
 
@@ -145,7 +141,7 @@
     stream: &mut ReplicaStream,
     held: Option<&Forwarding>,
     last_event: Option<&str>,
-    chunks: &mpsc::Sender<Result<Bytes, TruncatedBody>>,
+    chunks: &mpsc::Sender<Chunk>,
 ) -> Resumption {
     let id = dispatch.call.id.clone();
     let id = id.to_str().unwrap_or("?");
@@ -240,14 +236,14 @@
 async fn relay_stream(
     dispatch: &mut Dispatch,
     stream: &mut ReplicaStream,
-    chunks: &mpsc::Sender<Result<Bytes, TruncatedBody>>,
+    chunks: &mpsc::Sender<Chunk>,
     forwarding: &mut Forwarding,
 ) -> RelayEnd {
     let is_resumable = matches!(forwarding, Forwarding::CompleteEvents(_));
     let replica = Arc::clone(&stream.replica);
     // Only responses that are forwarded as they arrive have been received in part.
     let received = std::mem::take(&mut stream.received);
-    if !received.is_empty() && chunks.send(Ok(received)).await.is_err() {
+    if !received.is_empty() && chunks.send(Chunk::Data(received)).await.is_err() {
         return RelayEnd::CallerLeft;
     }
     let mut is_kept = false;
@@ -301,7 +297,7 @@
             is_kept = true;
             dispatch.record_kept();
         }
-        if !bytes.is_empty() && chunks.send(Ok(bytes)).await.is_err() {
+        if !bytes.is_empty() && chunks.send(Chunk::Data(bytes)).await.is_err() {
             return RelayEnd::CallerLeft;
         }
     }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -26,6 +26,15 @@
 
 impl std::error::Error for TruncatedBody {}
 
+/// A part of a response body that is streamed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Chunk {
+    /// The next bytes.
+    Data(Bytes),
+    /// The body is complete. A body whose sender is dropped before is truncated.
+    End,
+}
+
 /// The body of a response to a caller.
 #[derive(Debug)]
 pub(crate) struct ResponseBody {
@@ -37,7 +46,7 @@
 #[derive(Debug)]
 enum Content {
     Full(Option<Bytes>),
-    Stream(mpsc::Receiver<Result<Bytes, TruncatedBody>>),
+    Stream(mpsc::Receiver<Chunk>),
 }
 
 impl ResponseBody {
@@ -50,7 +59,7 @@
     }
 
     /// Creates a body that is streamed in chunks.
-    pub(crate) const fn stream(chunks: mpsc::Receiver<Result<Bytes, TruncatedBody>>) -> Self {
+    pub(crate) const fn stream(chunks: mpsc::Receiver<Chunk>) -> Self {
         Self {
             content: Content::Stream(chunks),
             open: None,
@@ -73,9 +82,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
         match &mut self.get_mut().content {
             Content::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Content::Stream(chunks) => chunks
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Content::Stream(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
+                Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Chunk::End) => None,
+                None => Some(Err(TruncatedBody)),
+            }),
         }
     }
 
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod prefill;
 mod prompt;
+mod response;
 mod revision;
 mod route;
 mod settings;
