Separate crashes under whole requests from 20 ms apart

A request that was sent after the crash before needs no rule of its own then.

The only crash under a whole request is forgotten after ten minutes, since most requests that a crash broke off never have another.

--- a/src/request/quarantine.rs
+++ b/src/request/quarantine.rs
@@ -10,12 +10,11 @@
 //! - A kept answer: one that went on under a suspect. It clears the suspect of all crashes before.
 //!
 //! Both merge in any order and count nothing twice. Crashes at the same moment count once, since a rack that loses power
-//! ends many replicas, and with them answers that happened to begin. A request that was sent after a crash and ran for a
-//! while belongs to a later one. A suspect is refused after a few separate crashes without a kept answer in between.
-//! Where parts come together in all crashes, only one of them is refused: one under which no answer was kept before a
-//! part with kept ones, then the later one in the prompt, which fewer requests share. Of whole requests that come together
-//! in all crashes, only the one that ran longest is refused, since the one that crashed the replicas ran to the end each
-//! time. The next answer or crash of the other one shows which it is.
+//! ends many replicas, and with them answers that happened to begin. A suspect is refused after a few separate crashes
+//! without a kept answer in between. Where parts come together in all crashes, only one of them is refused: one under
+//! which no answer was kept before a part with kept ones, then the later one in the prompt, which fewer requests share. Of
+//! whole requests that come together in all crashes, only the one that ran longest is refused, since the one that crashed
+//! the replicas ran to the end each time. The next answer or crash of the other one shows which it is.
 //!
 //! Load patterns handled: one in twenty requests has the part, at all routers in turn; the same beside crashes of racks;
 //! a shared part of most requests while replicas crash at random; two such parts at once; a router that is cut off; the
@@ -56,7 +55,7 @@
 const CRASH_WINDOW: Duration = Duration::from_millis(150);
 /// The same for crashes under whole requests. All reports about a replica together tell well when it crashed, and a few
 /// replicas may crash shortly after one another under several requests with the same key.
-const REQUEST_CRASH_WINDOW: Duration = Duration::from_millis(40);
+const REQUEST_CRASH_WINDOW: Duration = Duration::from_millis(20);
 /// The least time that a request runs before its replica's crash can be its own doing. One that breaks sooner may have
 /// been sent to a replica that had crashed already.
 pub(crate) const MIN_RUN: Duration = Duration::from_millis(20);
@@ -68,6 +67,8 @@
 const REFUSAL_TIME: Duration = Duration::from_mins(10);
 /// How long crashes are remembered. A suspect that is released and crashes another replica is refused again at once.
 const CRASH_TTL: Duration = Duration::from_hours(1);
+/// The same for the only crash under a whole request, which most requests that a crash broke off never have again.
+const SINGLE_REQUEST_TTL: Duration = REFUSAL_TIME;
 /// How long a kept answer is remembered, so that crashes before it that arrive late from other routers don't count.
 const KEPT_TTL: Duration = REFUSAL_TIME;
 /// The maximum number of remembered crashes.
@@ -181,6 +182,16 @@
     }
 }
 
+impl Crash {
+    /// Returns the time within which crashes count as one.
+    const fn window(&self) -> Duration {
+        match self.request {
+            Some(_) => REQUEST_CRASH_WINDOW,
+            None => CRASH_WINDOW,
+        }
+    }
+}
+
 impl Quarantine {
     /// Records a crash; returns whether it is news.
     pub(crate) fn record_crash(&mut self, crash: Crash) -> bool {
@@ -245,7 +256,16 @@
 
     /// Forgets old crashes.
     pub(crate) fn expire(&mut self, now: Duration) {
-        self.crashes.retain(|crash| now < crash.at + CRASH_TTL);
+        let repeated = self.repeated_keys();
+        self.crashes.retain(|crash| {
+            let is_single = !crash.keys.iter().any(|key| repeated.contains(key));
+            let ttl = if crash.request.is_some() && is_single {
+                SINGLE_REQUEST_TTL
+            } else {
+                CRASH_TTL
+            };
+            now < crash.at + ttl
+        });
         self.kept.retain(|_, at| now < *at + KEPT_TTL);
     }
 
@@ -337,7 +357,7 @@
         for (at, crash) in crashes {
             let points = crash.evidence.points();
             match &mut wave {
-                Some((begun_at, strongest)) if is_same_wave(*begun_at, at, crash) => {
+                Some((begun_at, strongest)) if at < *begun_at + crash.window() => {
                     *strongest = (*strongest).max(points);
                 }
                 _ => {
@@ -442,16 +462,6 @@
     }
 }
 
-/// Returns whether `crash`, which was at `at`, may be part of the same event as one at `begun_at`, such as a rack that
-/// loses power.
-fn is_same_wave(begun_at: Duration, at: Duration, crash: &Crash) -> bool {
-    let Some(request) = &crash.request else {
-        return at < begun_at + CRASH_WINDOW;
-    };
-    let was_sent_later = request.ran >= MIN_RUN && at > begun_at + request.ran;
-    at < begun_at + REQUEST_CRASH_WINDOW && !was_sent_later
-}
-
 /// Returns whether another whole request came together with `candidate` in all crashes and ran for longer.
 fn is_outlasted(candidate: &Candidate, candidates: &[Candidate]) -> bool {
     let outlasts = |other: &Candidate| {
--- a/src/request/tests/crashing_request.rs
+++ b/src/request/tests/crashing_request.rs
@@ -383,3 +383,95 @@
         assert_eq!(world.refused_sound, 0, "seed {seed}");
     }
 }
+
+fn request_crash(key: SuspectKey, replica: u32, at: Duration, ran: Duration) -> Crash {
+    Crash {
+        keys: smallvec![key],
+        request: Some(BrokenRequest {
+            id: "r".into(),
+            ran,
+        }),
+        replica,
+        at,
+        evidence: Evidence::Strong,
+    }
+}
+
+fn refused(quarantine: &Quarantine) -> Vec<SuspectKey> {
+    let suspects = quarantine.suspects().into_iter();
+    let refused = suspects.filter(|(_, status)| status.refused_until.is_some());
+    let mut refused: Vec<_> = refused.map(|(key, _)| key).collect();
+    refused.sort_unstable();
+    refused
+}
+
+#[test]
+fn refusal_requests_that_ran_together_at_all_crashes_are_told_apart_by_an_answer_or_a_crash() {
+    let mut quarantine = Quarantine::default();
+    for (replica, at) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
+        quarantine.record_crash(request_crash(DEADLY, replica, ms(at), ms(90)));
+        quarantine.record_crash(request_crash(HOT, replica, ms(at), ms(25)));
+    }
+    assert_eq!(refused(&quarantine), [DEADLY], "the one that ran longest");
+    quarantine.record_kept(DEADLY, ms(3_500));
+    assert_eq!(refused(&quarantine), [HOT], "the other one was answered");
+    quarantine.record_kept(HOT, ms(3_600));
+    assert_eq!(refused(&quarantine), [0; 0]);
+}
+
+#[test]
+fn refusal_request_of_each_crash_is_refused_instead_of_one_of_most() {
+    let mut quarantine = Quarantine::default();
+    for (replica, at) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
+        quarantine.record_crash(request_crash(HOT, replica, ms(at), ms(300)));
+        quarantine.record_crash(request_crash(DEADLY, replica, ms(at), ms(90)));
+    }
+    quarantine.record_crash(request_crash(DEADLY, 4, ms(4_000), ms(90)));
+    assert_eq!(refused(&quarantine), [DEADLY]);
+}
+
+#[parameterized(
+    same_moment = { 1_010, 5 },
+    later = { 1_030, 10 },
+)]
+fn suspects_crashes_shortly_after_one_another_count(second_at: u64, points: u32) {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_crash(request_crash(DEADLY, 1, ms(1_000), ms(90)));
+    quarantine.record_crash(request_crash(DEADLY, 2, ms(second_at), ms(90)));
+    assert_eq!(quarantine.suspects()[&DEADLY].points, points);
+}
+
+#[test]
+fn suspects_crash_reported_late_counts_from_its_first_report() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_crash(request_crash(HOT, 1, ms(1_000), ms(20)));
+    quarantine.record_crash(request_crash(FIRST_UNIQUE, 2, ms(1_005), ms(30)));
+    quarantine.record_crash(request_crash(HOT, 2, ms(1_300), ms(20)));
+    assert_eq!(quarantine.suspects()[&HOT].points, 5);
+}
+
+#[test]
+fn expire_forgets_requests_with_one_crash_sooner() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_crash(request_crash(FIRST_UNIQUE, 1, ms(1_000), ms(20)));
+    for (replica, at) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
+        quarantine.record_crash(request_crash(DEADLY, replica, ms(at), ms(90)));
+    }
+    quarantine.expire(ms(1_000) + Duration::from_mins(10));
+    assert!(!quarantine.suspects().contains_key(&FIRST_UNIQUE));
+    assert_eq!(quarantine.suspects()[&DEADLY].points, 15);
+}
+
+#[test]
+fn record_crash_many_single_requests_leave_the_repeated_one() {
+    let mut quarantine = Quarantine::default();
+    for (replica, at) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
+        quarantine.record_crash(request_crash(DEADLY, replica, ms(at), ms(90)));
+    }
+    for replica in 10..2_000 {
+        let key = FIRST_UNIQUE + u64::from(replica);
+        quarantine.record_crash(request_crash(key, replica, ms(9_000), ms(20)));
+    }
+    assert!(quarantine.crashes().len() <= 256);
+    assert_eq!(refused(&quarantine), [DEADLY]);
+}
