Let replicas fall silent and the configuration change in the soak

Replicas were slow or mute, but none fell silent in the middle of its responses and went on; the configuration changed its keys only; and a response that was given up beside a sound replica was no finding, since a stream may be truncated visibly.

Change: two overlays, from generators of their own, so that the base plan of a seed stays as it is. `Silence` lets one, half or all replicas of a service send nothing for 0.5 to 3 s, beside others that refuse, break or never respond. `Configuration` writes series of changes: idle, header and route timeouts, MaxConns, order, removal and return of routes. The checker counts a request whose caller got neither a whole response nor a refusal, although its router ran all the time, a replica that ran it was sound and went on 0.3 s before the caller's deadline and the route's timeout, and no other replica had begun a response. It also counts runs on a route that all recent configurations lack, and 404 on one that none lacked. The callers are more and the streams longer in these runs, so that a silence finds streams open.

A test of the checker let any visibly truncated stream pass. It now passes one that its replica truncated; one that the router truncates beside a sound replica is a finding.

--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -9,6 +9,8 @@
 use crocuswharf_platform_fakes::replica::{ReceivedOrder, ReceivedRequest, stream_text};
 
 use crate::callers::{Outcome, RequestKind, SentRequest, request_body};
+use crate::configuration::Changes;
+use crate::loss::{AvailabilityChange, Silence, check_loss, check_route};
 
 /// The maximum time from the start of a request to its complete response: the route allows 3 s, and the users allow
 /// another half second.
@@ -60,6 +62,12 @@
     pub keys: Vec<KeyRecord>,
     /// The periods in which routers were unavailable.
     pub outages: Vec<RouterOutage>,
+    /// The changes in the availability of routers and replicas, all of which are available at first.
+    pub availability: Vec<AvailabilityChange>,
+    /// The periods in which replicas were silent.
+    pub silences: Vec<Silence>,
+    /// When the store acknowledged each configuration, with the operator's changes in it.
+    pub configurations: Vec<(Instant, Changes)>,
     /// The weights version published in the final phase, and when.
     pub published_weights: Option<(u64, Instant)>,
     /// The replica that registered as draining in the final phase, and when.
@@ -79,6 +87,8 @@
         let runs = runs.remove(sent.id.as_str()).unwrap_or_default();
         findings.extend(check_runs(records, sent, &runs));
         findings.extend(check_outcome(sent, &runs));
+        findings.extend(check_loss(records, sent, &runs));
+        findings.extend(check_route(records, sent, &runs));
         findings.extend(check_response_time(records, sent));
         let replicas: BTreeSet<_> = runs.iter().map(|run| run.replica).collect();
         excess += usize::from(replicas.len() > MAX_ATTEMPTS);
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -15,11 +15,17 @@
 
 use crate::callers::{CallerState, lock, run_caller};
 use crate::checker::{Finding, KeyRecord, Records, RouterOutage, Served, check_records, finding};
-use crate::plan::{Fault, FaultPlan, Size};
+use crate::configuration::Changes;
+use crate::loss::{AvailabilityChange, Member, Silence};
+use crate::plan::{Fault, FaultPlan, Overlay, Size};
 use crate::proxy::{Link, Proxy};
 
 /// The number of callers for each router.
 const CALLERS_PER_ROUTER: usize = 2;
+/// The number of callers for each router in runs with silent replicas, which have to find many streams open.
+const CALLERS_AT_SILENCES: usize = 5;
+/// The delay between two events of a stream in such runs.
+const EVENT_INTERVAL_AT_SILENCES: Duration = Duration::from_millis(30);
 /// The maximum number of seed peers in a router's settings.
 const MAX_SEED_PEERS: usize = 3;
 /// The time after the last fault within which all routers must serve again, by the users' sheets.
@@ -78,6 +84,9 @@
     pub(crate) records: Records,
     pub(crate) findings: Vec<Finding>,
     configuration_version: u64,
+    changes: Changes,
+    /// The index of the first key in the configuration.
+    first_key: usize,
     pub(crate) weights_version: u64,
     replica_starts: u64,
     /// The scheduled actions, each with its time.
@@ -109,7 +118,14 @@
     let plan = FaultPlan::generate(seed, size);
     let mut cluster = Cluster::start(binary, size).await?;
     let mut callers = JoinSet::new();
-    for number in 0..size.routers * CALLERS_PER_ROUTER {
+    let callers_per_router = if size.overlays.contains(&Overlay::Silence) {
+        let replicas = cluster.replicas.iter();
+        replicas.for_each(|(replica, _)| replica.set_event_interval(EVENT_INTERVAL_AT_SILENCES));
+        CALLERS_AT_SILENCES
+    } else {
+        CALLERS_PER_ROUTER
+    };
+    for number in 0..size.routers * callers_per_router {
         let caller_seed = seed.wrapping_mul(1_000).wrapping_add(number as u64);
         callers.spawn(run_caller(Arc::clone(&cluster.callers), caller_seed));
     }
@@ -169,6 +185,8 @@
             records: Records::default(),
             findings: Vec::new(),
             configuration_version: 0,
+            changes: Changes::default(),
+            first_key: 0,
             weights_version: 1,
             replica_starts: 10,
             scheduled: Vec::new(),
@@ -236,16 +254,21 @@
                 self.schedule(*time, Action::RestoreStore);
             }
             Fault::StoreCompacted => self.store.compact(),
+            Fault::ReplicasSilent(replicas, time) => self.silence(replicas, *time),
+            Fault::ConfigurationChanged(change) => {
+                self.changes.add(*change);
+                self.put_configuration();
+            }
             Fault::Replica(replica, mode, time) => {
                 self.replicas[*replica].0.set_mode(*mode);
                 self.schedule(*time, Action::RestoreReplica(*replica));
             }
             Fault::ReplicaLink(replica, link, time) => {
-                self.replicas[*replica].1.set(*link);
+                self.set_replica_link(*replica, *link);
                 self.schedule(*time, Action::OpenReplicaLink(*replica));
             }
             Fault::ReplicaCrashed(replica, time) => {
-                self.replicas[*replica].1.set(Link::Reset);
+                self.set_replica_link(*replica, Link::Reset);
                 self.schedule(*time, Action::RestartReplica(*replica));
             }
             Fault::ReplicaDrained(replica, time) => {
@@ -280,14 +303,16 @@
             Action::OpenStoreLink(router) => self.routers[router].store_link.set(Link::Open),
             Action::RestoreStore => self.store.set_mode(StoreMode::Serve),
             Action::RestoreReplica(replica) => self.replicas[replica].0.set_mode(Mode::Serve),
-            Action::OpenReplicaLink(replica) => self.replicas[replica].1.set(Link::Open),
+            Action::OpenReplicaLink(replica) => self.set_replica_link(replica, Link::Open),
             Action::RestartReplica(replica) => {
                 self.replica_starts += 1;
                 // Every third start is reported by a clock that stepped back by one second.
                 let clock_stepped_back = self.replica_starts.is_multiple_of(3);
                 let born_ms = FIRST_START_MS + self.replica_starts
                     - if clock_stepped_back { 1_000 } else { 0 };
-                self.replicas[replica].1.set(Link::Open);
+                // What the previous instance was running is lost.
+                self.note_availability(Member::Replica(self.replicas[replica].0.id), false);
+                self.set_replica_link(replica, Link::Open);
                 self.replicas[replica].0.restart(born_ms);
             }
             Action::UnregisterReplica(replica) => self.replicas[replica].0.unregister(),
@@ -302,9 +327,48 @@
             return false;
         };
         daemon.signal(signal);
+        match signal {
+            Signal::STOP => self.note_availability(Member::Router(router), false),
+            Signal::CONT => self.note_availability(Member::Router(router), true),
+            // What is still open in the last sixth of the grace period may be lost.
+            Signal::TERM => self.records.availability.push(AvailabilityChange {
+                member: Member::Router(router),
+                at: Instant::now() + GRACE * 5 / 6,
+                is_available: false,
+            }),
+            _ => {}
+        }
         true
     }
 
+    fn note_availability(&mut self, member: Member, is_available: bool) {
+        self.records.availability.push(AvailabilityChange {
+            member,
+            at: Instant::now(),
+            is_available,
+        });
+    }
+
+    fn set_replica_link(&mut self, replica: usize, link: Link) {
+        let (replica, proxy) = &self.replicas[replica];
+        let member = Member::Replica(replica.id);
+        proxy.set(link);
+        self.note_availability(member, link == Link::Open);
+    }
+
+    fn silence(&mut self, replicas: &[usize], time: Duration) {
+        for replica in replicas {
+            let replica = &self.replicas[*replica].0;
+            replica.fall_silent(time);
+            let from = Instant::now();
+            self.records.silences.push(Silence {
+                replica: replica.id,
+                from,
+                to: from + time,
+            });
+        }
+    }
+
     /// Adds a finding if a router has exited without being told to.
     fn check_unexpected_exit(&mut self, router: usize) {
         let is_terminating = self.routers[router].is_terminating;
@@ -343,6 +407,7 @@
     /// Removes a router's process, killing it if it still runs, and keeps its log.
     fn remove_process(&mut self, router: usize) {
         lock(&self.callers.routers)[router] = None;
+        self.note_availability(Member::Router(router), false);
         let router = &mut self.routers[router];
         if let Some(daemon) = router.daemon.take() {
             let log = Arc::clone(&daemon.log);
@@ -377,6 +442,7 @@
         let settings = self.router_settings(router);
         let daemon = Daemon::start_with(&self.binary, &settings).await;
         lock(&self.callers.routers)[router] = Some(daemon.callers());
+        self.note_availability(Member::Router(router), true);
         let started = &mut self.routers[router];
         started.daemon = Some(daemon);
         started.generation += 1;
@@ -412,13 +478,15 @@
             index
         };
         self.records.keys.push(KeyRecord::default());
-        self.put_configuration(index.saturating_sub(1));
+        self.first_key = index.saturating_sub(1);
+        self.put_configuration();
     }
 
     /// Revokes all keys but the newest.
     fn revoke_old_keys(&mut self) {
         let newest = lock(&self.callers.keys).len() - 1;
-        self.put_configuration(newest);
+        self.first_key = newest;
+        self.put_configuration();
         let now = Instant::now();
         for key in &mut self.records.keys[..newest] {
             key.revoked_at.get_or_insert(now);
@@ -426,12 +494,16 @@
         *lock(&self.callers.first_valid_key) = newest;
     }
 
-    fn put_configuration(&mut self, first_key: usize) {
+    fn put_configuration(&mut self) {
         self.configuration_version += 1;
         let keys = lock(&self.callers.keys);
-        let valid: Vec<&str> = keys[first_key..].iter().map(String::as_str).collect();
-        let configuration = configuration(self.configuration_version, &valid);
+        let valid: Vec<&str> = keys[self.first_key..].iter().map(String::as_str).collect();
+        let mut configuration = configuration(self.configuration_version, &valid);
+        self.changes.apply_to(&mut configuration);
         self.store.put("config", "main", configuration);
+        self.records
+            .configurations
+            .push((Instant::now(), self.changes.clone()));
     }
 
     pub(crate) fn publish_weights(&mut self) {
@@ -446,6 +518,10 @@
 
     /// Ends all faults at once, and starts the routers that are down.
     async fn end_faults(&mut self) {
+        if self.changes != Changes::default() {
+            self.changes = Changes::default();
+            self.put_configuration();
+        }
         let scheduled = std::mem::take(&mut self.scheduled);
         for (_, action) in &scheduled {
             // A router that is shutting down keeps its grace period.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -3,6 +3,7 @@
 //! A test cluster consists of a fake store, fake replicas, proxies on the links to them, real router processes and
 //! callers. A fault plan, generated from a seed, injects faults from outside: signals pause, kill and restart routers,
 //! links stop passing bytes, the store and the replicas misbehave, keys are revoked and new weights are published.
+//! Overlays add series of faults that overlap these: silent replicas and changes of the configuration.
 //! Callers and replicas record what they observe, and a checker compares the two sides afterwards. DEVELOPERS.md explains
 //! how to run it.
 //!
@@ -12,6 +13,8 @@
 mod callers;
 mod checker;
 mod cluster;
+mod configuration;
+mod loss;
 mod plan;
 mod proxy;
 mod recovery;
@@ -19,5 +22,7 @@
 pub use callers::{Outcome, RequestKind, SentRequest};
 pub use checker::{Finding, KeyRecord, Records, RouterOutage, check_records};
 pub use cluster::{Report, run};
-pub use plan::{Fault, FaultPlan, Size};
+pub use configuration::{Changes, ConfigurationChange};
+pub use loss::{AvailabilityChange, Member, Silence};
+pub use plan::{Fault, FaultPlan, Overlay, Size};
 pub use proxy::{Link, Proxy};
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,7 +6,7 @@
 
 use anyhow::Context;
 use argh::FromArgs;
-use crocuswharf_soak::{Report, Size, run};
+use crocuswharf_soak::{Overlay, Report, Size, run};
 
 /// Inject faults into real router processes and their dependencies, and check what callers and replicas observe.
 #[derive(Debug, FromArgs)]
@@ -26,6 +26,9 @@
     /// how long faults are injected for each seed, in seconds (default 20)
     #[argh(option, default = "20.0")]
     disturbed_s: f64,
+    /// inject the faults of the base plan only, without silent replicas and changes of the configuration
+    #[argh(switch)]
+    base_only: bool,
     /// the daemon's executable (default: crocuswharf-platform in the folder of this program)
     #[argh(option)]
     daemon: Option<PathBuf>,
@@ -51,6 +54,11 @@
         app_replicas: 3,
         model_replicas: 4,
         length: Duration::from_secs_f64(args.disturbed_s),
+        overlays: if args.base_only {
+            &[]
+        } else {
+            &[Overlay::Silence, Overlay::Configuration]
+        },
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -4,9 +4,11 @@
 
 use crocuswharf_platform_fakes::replica::Mode;
 use crocuswharf_platform_fakes::store::StoreMode;
+use rand::seq::SliceRandom;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::configuration::ConfigurationChange;
 use crate::proxy::Link;
 
 /// The mean interval between two faults in a cluster with few routers.
@@ -25,6 +27,17 @@
     pub model_replicas: usize,
     /// How long faults are injected.
     pub length: Duration,
+    /// Faults that are injected beside those of the base plan, which doesn't depend on them.
+    pub overlays: &'static [Overlay],
+}
+
+/// A kind of faults that overlap those of the base plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Overlay {
+    /// Replicas fall silent and go on, while others refuse, break or don't respond.
+    Silence,
+    /// The operator changes the configuration in quick series.
+    Configuration,
 }
 
 /// One injected fault. Routers and replicas are given by index; the replicas of the service without a model come first.
@@ -46,6 +59,10 @@
     Store(StoreMode, Duration),
     /// The store drops its change history, so that watchers must list the objects again.
     StoreCompacted,
+    /// These replicas send nothing for this time, and then go on.
+    ReplicasSilent(Vec<usize>, Duration),
+    /// The operator changes the configuration.
+    ConfigurationChanged(ConfigurationChange),
     /// A replica misbehaves for this time.
     Replica(usize, Mode, Duration),
     /// The link to a replica changes its state for this time.
@@ -86,6 +103,15 @@
             }
             at += MEAN_FAULT_INTERVAL.mul_f64(rng.random_range(0.1..1.9));
         }
+        for overlay in size.overlays {
+            // A generator of its own keeps the base plan and the other overlays as they are.
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            rng.set_stream(1 + *overlay as u64);
+            match overlay {
+                Overlay::Silence => add_silences(&mut rng, size, &mut faults),
+                Overlay::Configuration => add_changes(&mut rng, size, &mut faults),
+            }
+        }
         faults.retain(|(at, _)| *at < size.length);
         faults.sort_by_key(|(at, _)| *at);
         Self { faults }
@@ -115,6 +141,55 @@
     }
 }
 
+/// Lets one, half or all replicas of a service fall silent, while some of the others take no requests.
+fn add_silences(rng: &mut impl Rng, size: Size, faults: &mut Vec<(Duration, Fault)>) {
+    let mut at = MEAN_FAULT_INTERVAL;
+    while at < size.length {
+        // Most silences end before their requests' deadlines.
+        let longest_ms = if rng.random_bool(0.75) { 1_800 } else { 3_000 };
+        let time = Duration::from_millis(rng.random_range(500..longest_ms));
+        let mut replicas: Vec<usize> = if rng.random_bool(0.4) {
+            (0..size.app_replicas).collect()
+        } else {
+            (size.app_replicas..size.app_replicas + size.model_replicas).collect()
+        };
+        replicas.shuffle(rng);
+        let silent = match rng.random_range(0..3) {
+            0 => 1,
+            1 => replicas.len() / 2,
+            _ => replicas.len(),
+        };
+        let others = replicas.split_off(silent);
+        faults.push((at, Fault::ReplicasSilent(replicas, time)));
+        let refusing_share = rng.random_range(0.0..1.5_f64).min(1.0);
+        for other in others {
+            if rng.random_bool(refusing_share) {
+                let mode = match rng.random_range(0..4) {
+                    0 => Mode::Break,
+                    1 => Mode::Mute,
+                    _ => Mode::Refuse,
+                };
+                let from = at + time.mul_f64(rng.random_range(0.0..0.7));
+                faults.push((from, Fault::Replica(other, mode, time)));
+            }
+        }
+        at += time + MEAN_FAULT_INTERVAL.mul_f64(rng.random_range(0.0..2.0));
+    }
+}
+
+/// Adds changes of the configuration in quick series.
+fn add_changes(rng: &mut impl Rng, size: Size, faults: &mut Vec<(Duration, Fault)>) {
+    let mut at = MEAN_FAULT_INTERVAL;
+    while at < size.length {
+        for _ in 0..rng.random_range(2..9) {
+            let change = ConfigurationChange::random(rng);
+            faults.push((at, Fault::ConfigurationChanged(change)));
+            at += Duration::from_millis(rng.random_range(30..500));
+        }
+        at += MEAN_FAULT_INTERVAL.mul_f64(rng.random_range(0.0..3.0));
+    }
+}
+
 fn random_link(rng: &mut impl Rng) -> Link {
     match rng.random_range(0..5) {
         0 => Link::Slow(Duration::from_millis(rng.random_range(5..400))),
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use crocuswharf_platform_fakes::daemon::{REVOCATION_LIMIT, WEIGHTS_LIMIT};
-use crocuswharf_platform_fakes::replica::{ReceivedOrder, ReceivedRequest, stream_text};
+use crocuswharf_platform_fakes::replica::{Mode, ReceivedOrder, ReceivedRequest, stream_text};
 use crocuswharf_soak::{
-    KeyRecord, Outcome, Records, RequestKind, RouterOutage, SentRequest, check_records,
+    AvailabilityChange, Changes, ConfigurationChange, KeyRecord, Member, Outcome, Records,
+    RequestKind, RouterOutage, SentRequest, Silence, check_records,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -103,7 +104,8 @@
     let mut records = valid_records(RequestKind::Resumable);
     records.sent[0].outcome = answer(200, "a", "id: 1\ndata: e1\n\n", true);
     assert_single_finding(&records, promise);
-    // A stream that is visibly truncated is allowed; one that repeats an event is not.
+    // A stream that its replica visibly truncates is allowed; one that repeats an event is not.
+    records.received[0].mode = Mode::BreakStream;
     records.sent[0].outcome = answer(200, "a", "id: 1\ndata: e1\n\n", false);
     assert_eq!(check_records(&records), []);
     let twice = "id: 1\ndata: e1\n\nid: 1\ndata: e1\n\n";
@@ -212,3 +214,104 @@
     }
     assert_single_finding(&records, "runs stay within the route's attempts");
 }
+
+const LOSS: &str = "what a sound replica can still answer is not lost";
+
+/// Returns the records of a stream that was cut after one event, while its replica `a` was silent for a second.
+fn cut_stream() -> Records {
+    let mut records = valid_records(RequestKind::Resumable);
+    records.sent[0].outcome = answer(200, "a", "id: 1\ndata: e1\n\n", false);
+    records.silences.push(Silence {
+        replica: "a",
+        from: records.sent[0].at,
+        to: records.sent[0].at + SECOND,
+    });
+    records
+}
+
+#[test]
+fn check_records_cut_stream_of_a_silent_replica_is_found() {
+    assert_single_finding(&cut_stream(), LOSS);
+    let mut records = cut_stream();
+    records.sent[0].outcome = answer(502, "", "", true);
+    assert_single_finding(&records, LOSS);
+    records.sent[0].outcome = Outcome::NoAnswer("closed".into());
+    assert_single_finding(&records, LOSS);
+    records.sent[0].outcome = answer(503, "", "", true);
+    assert_eq!(check_records(&records), []);
+}
+
+#[test]
+fn check_records_cut_stream_is_found_unless_another_replica_began_a_response() {
+    for (mode, is_found) in [
+        (Mode::Break, true),
+        (Mode::Mute, true),
+        (Mode::BreakStream, false),
+    ] {
+        let mut records = cut_stream();
+        let mut other = seen_run("b", "r1", RequestKind::Resumable);
+        other.mode = mode;
+        records.received.push(other);
+        if is_found {
+            assert_single_finding(&records, LOSS);
+        } else {
+            assert_eq!(check_records(&records), []);
+        }
+    }
+}
+
+#[test]
+fn check_records_stream_of_a_replica_that_is_silent_past_the_deadline_may_be_cut() {
+    let mut records = cut_stream();
+    let sent_at = records.sent[0].at;
+    let mut changes = Changes::default();
+    changes.add(ConfigurationChange::RouteTimeout(SECOND));
+    records.configurations.push((sent_at, changes));
+    assert_eq!(check_records(&records), []);
+    let mut records = cut_stream();
+    records.silences[0].to = sent_at + 2 * SECOND;
+    assert_eq!(check_records(&records), []);
+}
+
+#[test]
+fn check_records_cut_stream_is_found_unless_a_process_or_link_failed() {
+    for (member, is_found) in [
+        (Member::Router(0), false),
+        (Member::Replica("a"), false),
+        (Member::Router(1), true),
+        (Member::Replica("b"), true),
+    ] {
+        let mut records = cut_stream();
+        let at = records.sent[0].at + SECOND / 2;
+        for (at, is_available) in [(at, false), (at + SECOND / 10, true)] {
+            records.availability.push(AvailabilityChange {
+                member,
+                at,
+                is_available,
+            });
+        }
+        if is_found {
+            assert_single_finding(&records, LOSS);
+        } else {
+            assert_eq!(check_records(&records), []);
+        }
+    }
+}
+
+#[test]
+fn check_records_route_that_the_configuration_lacks_or_has_is_found() {
+    let mut records = valid_records(RequestKind::Safe);
+    let sent_at = records.sent[0].at;
+    let mut removed = Changes::default();
+    removed.add(ConfigurationChange::RouteRemoved("safe"));
+    let removed_at = sent_at - REVOCATION_LIMIT;
+    records.configurations = vec![(removed_at - SECOND, Changes::default())];
+    records.configurations.push((removed_at, removed));
+    assert_eq!(check_records(&records), []);
+    records.configurations[1].0 -= SECOND;
+    assert_single_finding(&records, "a removed route stops working in time");
+    let mut records = valid_records(RequestKind::Pay);
+    records.received.clear();
+    records.sent[0].outcome = answer(404, "", "", true);
+    assert_single_finding(&records, "routes of all configurations are found");
+}
--- a/soak/tests/plan_and_proxy.rs
+++ b/soak/tests/plan_and_proxy.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crocuswharf_soak::{FaultPlan, Link, Proxy, Size};
+use crocuswharf_soak::{Fault, FaultPlan, Link, Overlay, Proxy, Size};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -14,6 +14,7 @@
     app_replicas: 3,
     model_replicas: 4,
     length: Duration::from_secs(20),
+    overlays: &[Overlay::Silence, Overlay::Configuration],
 };
 
 #[test]
@@ -25,6 +26,21 @@
     assert!(plan.faults.is_sorted_by_key(|(at, _)| *at));
 }
 
+#[test]
+fn plan_overlays_leave_the_base_plan_as_it_is() {
+    let base = Size {
+        overlays: &[],
+        ..SIZE
+    };
+    let plan = FaultPlan::generate(7, SIZE);
+    let mut rest = plan.faults.iter();
+    for fault in &FaultPlan::generate(7, base).faults {
+        assert!(rest.any(|other| other == fault), "{fault:?}");
+    }
+    let is_silence = |fault: &Fault| matches!(fault, Fault::ReplicasSilent(..));
+    assert!(plan.faults.iter().any(|(_, fault)| is_silence(fault)));
+}
+
 /// Returns a proxy with the client's and the server's end of a connection through it.
 async fn connect_through_proxy() -> (Proxy, TcpStream, TcpStream) {
     let server = TcpListener::bind("127.0.0.1:0").await.unwrap();
