End the soak's faults in the order of their times

The routers' logs show the entry of llm-2 added and then removed in the same millisecond, when the faults ended: the actions that were still scheduled ran in any order, so the replica of a drain was registered first and removed afterwards, and stayed away in the final phase. They now run in the order of their times. No fault of the routers.

--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -522,7 +522,9 @@
             self.changes = Changes::default();
             self.put_configuration();
         }
-        let scheduled = std::mem::take(&mut self.scheduled);
+        let mut scheduled = std::mem::take(&mut self.scheduled);
+        // A replica that leaves is removed before it starts again.
+        scheduled.sort_by_key(|(at, _)| *at);
         for (_, action) in &scheduled {
             // A router that is shutting down keeps its grace period.
             if !matches!(action, Action::CheckRouterExit(..)) {
