Send a request that crashes replicas in the soak

Change: with `--crashing-request`, a caller sends the same plain request (path, caller, body) to random routers every 0.2 s, beside the other callers and faults. The checker counts how often it reached replicas later than 3 s after it had crashed the third one, at most three times allowed. Only routers in touch count: those that have run for 4 s without a pause or restart. Where all routers were down at once, the count begins anew. Sound requests have to be served to 95 % in the final phase, as before.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -11,6 +11,10 @@
 
 /// The pause of a caller before each request.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
+/// The pause before each request that crashes replicas.
+const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
+/// The body of the request that crashes the replicas that run it.
+pub(crate) const CRASH_BODY: &str = "a body that crashes replicas";
 /// The time after which a caller replaces its client, and so opens new connections.
 const CLIENT_LIFETIME: Duration = Duration::from_secs(3);
 
@@ -25,6 +29,8 @@
     Stream,
     /// A streamed response that may be resumed.
     Resumable,
+    /// An idempotent call that crashes the replicas that run it, always with the same body.
+    Crashing,
 }
 
 impl RequestKind {
@@ -33,7 +39,7 @@
     pub const fn route(self) -> &'static str {
         match self {
             Self::Pay => "pay",
-            Self::Safe => "safe",
+            Self::Safe | Self::Crashing => "safe",
             Self::Stream => "stream",
             Self::Resumable => "resume",
         }
@@ -42,7 +48,7 @@
     /// Returns whether the request may run more than once.
     #[must_use]
     pub const fn may_repeat(self) -> bool {
-        matches!(self, Self::Safe | Self::Resumable)
+        matches!(self, Self::Safe | Self::Resumable | Self::Crashing)
     }
 
     /// Returns whether the response is a stream.
@@ -142,16 +148,40 @@
         let Some((router, address)) = pick_router(&shared, None, &mut rng) else {
             continue;
         };
-        let sent = send_request(&shared, &client.1, (router, address), &mut rng).await;
+        let kind = random_kind(&mut rng);
+        let sent = send_request(&shared, &client.1, (router, address), kind, &mut rng).await;
         let is_turned_away = sent.outcome.is_turned_away();
         lock(&shared.sent).push(sent);
         if is_turned_away && let Some(other) = pick_router(&shared, Some(router), &mut rng) {
-            let sent = send_request(&shared, &client.1, other, &mut rng).await;
+            let kind = random_kind(&mut rng);
+            let sent = send_request(&shared, &client.1, other, kind, &mut rng).await;
             lock(&shared.sent).push(sent);
         }
     }
 }
 
+/// Sends the request that crashes replicas to a random router again and again until the run stops.
+pub(crate) async fn run_crashing_caller(shared: Arc<CallerState>, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    while !shared.is_stopped.load(Ordering::Relaxed) {
+        tokio::time::sleep(CRASHING_REQUEST_INTERVAL).await;
+        if let Some(router) = pick_router(&shared, None, &mut rng) {
+            let kind = RequestKind::Crashing;
+            let sent = send_request(&shared, &new_client(), router, kind, &mut rng).await;
+            lock(&shared.sent).push(sent);
+        }
+    }
+}
+
+fn random_kind(rng: &mut impl Rng) -> RequestKind {
+    match rng.random_range(0..10) {
+        0..=3 => RequestKind::Pay,
+        4..=6 => RequestKind::Safe,
+        7 => RequestKind::Stream,
+        _ => RequestKind::Resumable,
+    }
+}
+
 fn new_client() -> reqwest::Client {
     let builder = reqwest::Client::builder().no_proxy().http1_only();
     let builder = builder.retry(reqwest::retry::never());
@@ -188,14 +218,9 @@
     shared: &CallerState,
     client: &reqwest::Client,
     (router, address): (usize, SocketAddr),
+    kind: RequestKind,
     rng: &mut impl Rng,
 ) -> SentRequest {
-    let kind = match rng.random_range(0..10) {
-        0..=3 => RequestKind::Pay,
-        4..=6 => RequestKind::Safe,
-        7 => RequestKind::Stream,
-        _ => RequestKind::Resumable,
-    };
     let id = format!("r{}", shared.next_id.fetch_add(1, Ordering::Relaxed));
     let (key, key_text) = pick_key(shared, rng);
     let request = if kind.is_stream() {
@@ -204,7 +229,7 @@
         caller_post(client, address, kind.route(), &id, &key_text)
     };
     let at = Instant::now();
-    let outcome = receive_outcome(request.body(request_body(&id))).await;
+    let outcome = receive_outcome(request.body(request_body(kind, &id))).await;
     SentRequest {
         id,
         kind,
@@ -216,8 +241,11 @@
     }
 }
 
-/// Returns the body of the request with this id.
-pub(crate) fn request_body(id: &str) -> String {
+/// Returns the body of a request of this kind with this id.
+pub(crate) fn request_body(kind: RequestKind, id: &str) -> String {
+    if kind == RequestKind::Crashing {
+        return CRASH_BODY.to_owned();
+    }
     format!("body of {id}")
 }
 
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -10,6 +10,7 @@
 
 use crate::callers::{Outcome, RequestKind, SentRequest, request_body};
 use crate::configuration::Changes;
+use crate::crashes::check_crashing_request;
 use crate::loss::{AvailabilityChange, Silence, check_loss, check_route};
 
 /// The maximum time from the start of a request to its complete response: the route allows 3 s, and the users allow
@@ -66,6 +67,8 @@
     pub availability: Vec<AvailabilityChange>,
     /// The periods in which replicas were silent.
     pub silences: Vec<Silence>,
+    /// When no router was running, so that what routers know of crashes was lost.
+    pub all_routers_down: Vec<Instant>,
     /// When the store acknowledged each configuration, with the operator's changes in it.
     pub configurations: Vec<(Instant, Changes)>,
     /// The weights version published in the final phase, and when.
@@ -103,6 +106,7 @@
     }
     findings.extend(check_cache_scopes(&records.received));
     findings.extend(check_orders(&records.orders));
+    findings.extend(check_crashing_request(records));
     findings.extend(check_final_phase(records));
     findings
 }
@@ -127,7 +131,7 @@
     }
     let target = format!("POST /{}/x?y=1", sent.kind.route());
     for run in runs {
-        let is_whole = run.target == target && run.body == request_body(id).as_bytes();
+        let is_whole = run.target == target && run.body == request_body(sent.kind, id).as_bytes();
         if !is_whole || run.account() != Some("dues") || run.has_key() {
             let seen = format!("{id} ran as {} for {:?}", run.target, run.account());
             findings.push(finding("requests run as their callers sent them", seen));
@@ -274,6 +278,9 @@
     pub(crate) fn since(sent: &[SentRequest], from: Instant, first_valid_key: usize) -> Self {
         let mut share = Self::default();
         for sent in sent.iter().filter(|sent| sent.at >= from) {
+            if sent.kind == RequestKind::Crashing {
+                continue;
+            }
             // A caller whose connection can't be opened would use another router.
             if sent.key < first_valid_key || sent.outcome == Outcome::NoConnection {
                 continue;
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 use tokio::task::JoinSet;
 
-use crate::callers::{CallerState, lock, run_caller};
+use crate::callers::{CRASH_BODY, CallerState, lock, run_caller, run_crashing_caller};
 use crate::checker::{Finding, KeyRecord, Records, RouterOutage, Served, check_records, finding};
 use crate::configuration::Changes;
 use crate::loss::{AvailabilityChange, Member, Silence};
@@ -37,6 +37,8 @@
 /// The base of the replicas' start times, in milliseconds since the Unix epoch; far enough from 0 for clocks that step
 /// back.
 const FIRST_START_MS: u64 = 1_000_000;
+/// The interval of start times that leaves room for those of replicas that crash and start by themselves.
+const START_INTERVAL_MS: u64 = 1_300;
 /// The ids of the replicas, which must be `'static`.
 const APP_REPLICAS: [&str; 4] = ["app-1", "app-2", "app-3", "app-4"];
 const MODEL_REPLICAS: [&str; 6] = ["llm-1", "llm-2", "llm-3", "llm-4", "llm-5", "llm-6"];
@@ -88,7 +90,11 @@
     /// The index of the first key in the configuration.
     first_key: usize,
     pub(crate) weights_version: u64,
+    /// Whether a request is sent that crashes replicas.
+    pub(crate) has_crashing_request: bool,
     replica_starts: u64,
+    /// The difference between the start times of two replicas, apart from clocks that step back.
+    start_interval_ms: u64,
     /// The scheduled actions, each with its time.
     scheduled: Vec<(Instant, Action)>,
 }
@@ -129,6 +135,14 @@
         let caller_seed = seed.wrapping_mul(1_000).wrapping_add(number as u64);
         callers.spawn(run_caller(Arc::clone(&cluster.callers), caller_seed));
     }
+    if size.overlays.contains(&Overlay::CrashingRequest) {
+        cluster.has_crashing_request = true;
+        for replica in 0..cluster.replicas.len() {
+            cluster.restore_replica(replica);
+        }
+        cluster.start_interval_ms = START_INTERVAL_MS;
+        callers.spawn(run_crashing_caller(Arc::clone(&cluster.callers), seed));
+    }
     let started_at = Instant::now();
     for (at, fault) in &plan.faults {
         cluster.wait_until(started_at + *at).await;
@@ -188,7 +202,9 @@
             changes: Changes::default(),
             first_key: 0,
             weights_version: 1,
+            has_crashing_request: false,
             replica_starts: 10,
+            start_interval_ms: 1,
             scheduled: Vec::new(),
         };
         cluster.add_key();
@@ -302,13 +318,13 @@
             }
             Action::OpenStoreLink(router) => self.routers[router].store_link.set(Link::Open),
             Action::RestoreStore => self.store.set_mode(StoreMode::Serve),
-            Action::RestoreReplica(replica) => self.replicas[replica].0.set_mode(Mode::Serve),
+            Action::RestoreReplica(replica) => self.restore_replica(replica),
             Action::OpenReplicaLink(replica) => self.set_replica_link(replica, Link::Open),
             Action::RestartReplica(replica) => {
                 self.replica_starts += 1;
                 // Every third start is reported by a clock that stepped back by one second.
                 let clock_stepped_back = self.replica_starts.is_multiple_of(3);
-                let born_ms = FIRST_START_MS + self.replica_starts
+                let born_ms = FIRST_START_MS + self.replica_starts * self.start_interval_ms
                     - if clock_stepped_back { 1_000 } else { 0 };
                 // What the previous instance was running is lost.
                 self.note_availability(Member::Replica(self.replicas[replica].0.id), false);
@@ -414,6 +430,9 @@
             drop(daemon);
             router.logs.push(lock(&log).clone());
         }
+        if self.routers.iter().all(|router| router.daemon.is_none()) {
+            self.records.all_routers_down.push(Instant::now());
+        }
     }
 
     /// Checks that a router that was told to shut down has exited, and starts it again.
@@ -506,6 +525,18 @@
             .push((Instant::now(), self.changes.clone()));
     }
 
+    /// Lets a replica serve again; plain ones crash under the crashing request.
+    fn restore_replica(&self, replica: usize) {
+        let replica = &self.replicas[replica].0;
+        let is_plain = APP_REPLICAS.contains(&replica.id);
+        let mode = if self.has_crashing_request && is_plain {
+            Mode::CrashOnBody(CRASH_BODY)
+        } else {
+            Mode::Serve
+        };
+        replica.set_mode(mode);
+    }
+
     pub(crate) fn publish_weights(&mut self) {
         self.weights_version += 1;
         self.store.name_weights("m0", self.weights_version);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod checker;
 mod cluster;
 mod configuration;
+mod crashes;
 mod loss;
 mod plan;
 mod proxy;
--- a/soak/src/loss.rs
+++ b/soak/src/loss.rs
@@ -5,7 +5,7 @@
 use crocuswharf_platform_fakes::daemon::REVOCATION_LIMIT;
 use crocuswharf_platform_fakes::replica::{Mode, ReceivedRequest};
 
-use crate::callers::{Outcome, SentRequest};
+use crate::callers::{Outcome, RequestKind, SentRequest};
 use crate::checker::{Finding, Records, finding};
 use crate::configuration::Changes;
 
@@ -71,7 +71,8 @@
         }
         Outcome::Answer { .. } => return None,
     };
-    if !records.is_available(Member::Router(sent.router), sent.at, sent.ended_at) {
+    let is_available = records.is_available(Member::Router(sent.router), sent.at, sent.ended_at);
+    if sent.kind == RequestKind::Crashing || !is_available {
         return None;
     }
     let deadline = records.deadline(sent);
@@ -131,7 +132,7 @@
 
 impl Records {
     /// Returns whether `member` was available all the time.
-    fn is_available(&self, member: Member, from: Instant, to: Instant) -> bool {
+    pub(crate) fn is_available(&self, member: Member, from: Instant, to: Instant) -> bool {
         let changes = self.availability.iter();
         let mut changes: Vec<_> = changes.filter(|change| change.member == member).collect();
         changes.sort_by_key(|change| change.at);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -29,6 +29,9 @@
     /// inject the faults of the base plan only, without silent replicas and changes of the configuration
     #[argh(switch)]
     base_only: bool,
+    /// also send a request again and again that crashes the replicas that run it
+    #[argh(switch)]
+    crashing_request: bool,
     /// the daemon's executable (default: crocuswharf-platform in the folder of this program)
     #[argh(option)]
     daemon: Option<PathBuf>,
@@ -54,10 +57,15 @@
         app_replicas: 3,
         model_replicas: 4,
         length: Duration::from_secs_f64(args.disturbed_s),
-        overlays: if args.base_only {
-            &[]
-        } else {
-            &[Overlay::Silence, Overlay::Configuration]
+        overlays: match (args.base_only, args.crashing_request) {
+            (true, false) => &[],
+            (true, true) => &[Overlay::CrashingRequest],
+            (false, false) => &[Overlay::Silence, Overlay::Configuration],
+            (false, true) => &[
+                Overlay::Silence,
+                Overlay::Configuration,
+                Overlay::CrashingRequest,
+            ],
         },
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -38,6 +38,8 @@
     Silence,
     /// The operator changes the configuration in quick series.
     Configuration,
+    /// A request that crashes the replicas that run it comes again and again. It adds no faults to the plan.
+    CrashingRequest,
 }
 
 /// One injected fault. Routers and replicas are given by index; the replicas of the service without a model come first.
@@ -110,6 +112,7 @@
             match overlay {
                 Overlay::Silence => add_silences(&mut rng, size, &mut faults),
                 Overlay::Configuration => add_changes(&mut rng, size, &mut faults),
+                Overlay::CrashingRequest => {}
             }
         }
         faults.retain(|(at, _)| *at < size.length);
--- a/soak/src/recovery.rs
+++ b/soak/src/recovery.rs
@@ -39,9 +39,12 @@
         let phase_start = Instant::now();
         self.publish_weights();
         self.records.published_weights = Some((self.weights_version, phase_start));
-        let drained = &self.replicas[0].0;
-        drained.register("draining");
-        self.records.draining_replica = Some((drained.id, phase_start));
+        // A replica that the crashing request restarts would register as ready again.
+        if !self.has_crashing_request {
+            let drained = &self.replicas[0].0;
+            drained.register("draining");
+            self.records.draining_replica = Some((drained.id, phase_start));
+        }
         self.wait_until(phase_start + WEIGHTS_LIMIT).await;
         self.check_termination().await;
         self.wait_until(phase_start + FINAL_PHASE).await;
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -315,3 +315,43 @@
     records.sent[0].outcome = answer(404, "", "", true);
     assert_single_finding(&records, "routes of all configurations are found");
 }
+
+#[test]
+fn check_records_request_that_goes_on_to_crash_replicas_is_found() {
+    let arrivals_ms = [0, 100, 200, 3_100, 3_300, 3_400, 3_500, 3_600];
+    let mut records = Records::default();
+    let start = Instant::now();
+    for (number, ms) in arrivals_ms.into_iter().enumerate() {
+        let at = start + Duration::from_millis(ms);
+        let id = format!("c{number}");
+        let mut run = seen_run("a", &id, RequestKind::Crashing);
+        run.body = "a body that crashes replicas".into();
+        run.at = at;
+        records.received.push(run);
+        records.sent.push(SentRequest {
+            id,
+            kind: RequestKind::Crashing,
+            key: 0,
+            router: 0,
+            at,
+            ended_at: at + SECOND / 10,
+            outcome: answer(502, "", "", true),
+        });
+    }
+    let last = records.sent.len() - 1;
+    assert_single_finding(&records, "a request that crashes replicas is refused");
+    let mut without_last = records.clone();
+    without_last.received.remove(last);
+    assert_eq!(check_records(&without_last), []);
+    // A router that has just started knows nothing yet.
+    records.sent[last].router = 1;
+    let member = Member::Router(1);
+    for (at, is_available) in [(start + SECOND, false), (start + 2 * SECOND, true)] {
+        records.availability.push(AvailabilityChange {
+            member,
+            at,
+            is_available,
+        });
+    }
+    assert_eq!(check_records(&records), []);
+}
