Name what holds an attempt as a change of state, and the right replica in the log of a held break

try_hold changes the state and charges the budget, so it is no question. A held stream that broke while another replica resumed it was logged with the other replica.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -263,13 +263,13 @@
         step == NextStep::Resend
     }
 
-    /// Returns whether another attempt may be made beside one whose replica is silent since `silent_since`, and charges
-    /// it to the retry budget if so.
+    /// Holds the latest attempt, whose replica is silent since `silent_since`, and charges another one to the retry budget;
+    /// returns false if no other attempt may be made.
     ///
     /// Silence alone is no failure: a busy replica may have preempted a stream. Another attempt is made only if the
     /// replica responds to no other stream within `window` either, or if the silence lasts so long that the connection
     /// may be dead, and if another replica can take the request.
-    pub(crate) fn may_hold(
+    pub(crate) fn try_hold(
         &mut self,
         replica: &Replica,
         silent_since: Duration,
@@ -321,7 +321,7 @@
         if step != NextStep::Resend {
             return step;
         }
-        // Each repeat of a request that crashes replicas costs one more.
+        // A repeat of a request that crashes replicas would end another one.
         if end == AttemptEnd::Broken && !self.allows_resend(self.lost_attempts) {
             return self.retry_state.give_up();
         }
@@ -457,7 +457,7 @@
             match tokio::time::timeout(wait, &mut exchange).await {
                 Ok(result) => return self.attempt_result(result),
                 Err(_) if has_head.load(Ordering::Relaxed) => break,
-                Err(_) if self.may_hold(&replica, now, wait) => {
+                Err(_) if self.try_hold(&replica, now, wait) => {
                     return Ok(AttemptResult::Silent(exchange));
                 }
                 Err(_) => check = self.silence_limit(),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -99,6 +99,7 @@
                     dispatch
                         .shared
                         .record_outcome(&stream.replica, 1, boot_time());
+                    dispatch.set_responder(&stream.replica);
                     dispatch.report_broken_stream(stream.replica.key, forwarding.events());
                 }
                 if let Forwarding::CompleteEvents(splitter) = &mut forwarding {
@@ -282,7 +283,7 @@
                 return RelayEnd::Broken;
             }
             Err(_) if wait == time_left => return RelayEnd::Late,
-            Err(_) if dispatch.may_hold(&replica, silent_since, SILENCE_LIMIT) => {
+            Err(_) if dispatch.try_hold(&replica, silent_since, SILENCE_LIMIT) => {
                 return RelayEnd::Silent;
             }
             Err(_) => {
