Show that a model request that crashes replicas is never refused

One request of a model route, whose first part sound requests share, crashes two replicas each time that it comes (rule BUDGET).

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+CASE=repeated
+. "$(dirname "$0")/../run-case.sh"
