Show that an entry that is not text blinds all routers

One entry of another writer among the servers, whose bytes are not UTF-8, makes routers reject each list and watch as a whole (rule DRAIN).

--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -79,7 +79,8 @@
             folder,
         };
         for zone in ZONES {
-            deployment.add_router(zone, store).await?;
+            let name = format!("front-{zone}-1");
+            deployment.add_router(zone, &name, store).await?;
         }
         let caller = Caller::new(record)?;
         let deadline = Instant::now() + READY_LIMIT;
@@ -95,10 +96,15 @@
         Ok(deployment)
     }
 
-    async fn add_router(&mut self, zone: &str, store: SocketAddr) -> anyhow::Result<()> {
+    /// Starts another router, whose seeds are those that run.
+    pub(crate) async fn add_router(
+        &mut self,
+        zone: &str,
+        name: &str,
+        store: SocketAddr,
+    ) -> anyhow::Result<()> {
         let seeds: Vec<SocketAddr> = self.routers.iter().map(Router::peers).collect();
-        let name = format!("front-{zone}-1");
-        let router = Router::start(&self.folder, &name, zone, store, &seeds).await?;
+        let router = Router::start(&self.folder, name, zone, store, &seeds).await?;
         self.routers.push(router);
         Ok(())
     }
--- a/review/harness/src/unreadable.rs
+++ b/review/harness/src/unreadable.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use crocuswharf_platform_fakes::serve;
@@ -56,14 +56,27 @@
     Ok(address)
 }
 
+/// The times after which the replicas have to be left alone, and gone: `DrainMs` is 2 s.
+const DRAINED: Duration = Duration::from_secs(4);
+const REQUESTS: usize = 30;
+/// How long a router that starts later may take to be ready.
+const START_LIMIT: Duration = Duration::from_secs(12);
+
+const OLD: [&str; 3] = ["i-01", "i-02", "i-03"];
+const NEW: [&str; 3] = ["i-04", "i-05", "i-06"];
+
 pub(crate) async fn run(record: &Arc<Record>, has_trouble: bool) -> anyhow::Result<bool> {
     let store = store_with(configuration(1, &[TENANT], "desk")).await;
-    let mut servers = Vec::new();
-    for (index, id) in ["i-01", "i-02", "i-03"].into_iter().enumerate() {
-        let zone = ZONES[index % ZONES.len()];
-        servers.push(Server::start(&store, record, id, "desk", zone, |_| Act::Serve).await);
-    }
-    let deployment = Deployment::start(record, serve_store(store.address).await?).await?;
+    let start = async |ids: [&'static str; 3]| {
+        let mut servers = Vec::new();
+        for (id, zone) in ids.into_iter().zip(ZONES) {
+            servers.push(Server::start(&store, record, id, "desk", zone, |_| Act::Serve).await);
+        }
+        servers
+    };
+    let old = start(OLD).await;
+    let store_address = serve_store(store.address).await?;
+    let mut deployment = Deployment::start(record, store_address).await?;
     let caller = Caller::new(record)?;
     let routers: Vec<_> = deployment
         .routers
@@ -72,31 +85,59 @@
         .collect();
     tokio::time::sleep(Duration::from_secs(4)).await;
     if has_trouble {
-        store.put("servers", "x-other", json!(String::from_utf8_lossy(MARK)));
+        let mark = String::from_utf8_lossy(MARK);
+        store.put("servers", "x-other", json!(mark));
         record.add("another writer's entry x-other written");
     }
     tokio::time::sleep(Duration::from_secs(2)).await;
-    servers[0].register("draining");
-    tokio::time::sleep(Duration::from_secs(4)).await;
-    let bound = record.now();
-    for index in 0..60 {
-        let ask = Ask {
-            path: "/place/2f",
-            id: format!("late-{index}"),
-            key: Some(TENANT.key),
-            parts: String::new(),
-            deadline_ms: 1_500,
-        };
-        caller.send(routers[index % routers.len()], ask).await;
-        tokio::time::sleep(Duration::from_millis(50)).await;
+    // The replicas are replaced: the new ones start, the old ones report that they leave.
+    let new = start(NEW).await;
+    for server in &old {
+        server.register("draining");
     }
-    let arrivals = all_arrivals(&servers);
+    tokio::time::sleep(DRAINED).await;
+    let send = async |name: &str| {
+        let mut served = 0;
+        for index in 0..REQUESTS {
+            let ask = Ask {
+                path: "/place/2f",
+                id: format!("{name}-{index}"),
+                key: Some(TENANT.key),
+                parts: String::new(),
+                deadline_ms: 1_000,
+            };
+            let outcome = caller.send(routers[index % routers.len()], ask).await;
+            served += usize::from(outcome.status == Some(200) && outcome.is_complete);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        served
+    };
+    let bound = record.now();
+    send("draining").await;
+    let arrivals = all_arrivals(&old);
     let late = arrivals
         .iter()
-        .filter(|arrival| arrival.at >= bound && arrival.server == "i-01" && arrival.ran)
+        .filter(|arrival| arrival.at >= bound)
         .count();
+    for server in &old {
+        server.unregister();
+        server.crash(Duration::from_mins(10));
+    }
+    let served = send("gone").await;
+    deployment
+        .add_router(ZONES[0], "front-catania-2", store_address)
+        .await?;
+    let added = deployment.routers.last().expect("it was added");
+    let begun = Instant::now();
+    while !caller.is_ready(added.readiness()).await && begun.elapsed() < START_LIMIT {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let is_ready = caller.is_ready(added.readiness()).await;
     record.add(format!(
-        "{late} requests ran at i-01 over 4 s after it reported draining"
+        "{late} requests reached replicas over {DRAINED:?} after they reported draining; {served} of {REQUESTS} were \
+         served once these had gone, by {} new replicas; a router that started then was ready within {START_LIMIT:?}: \
+         {is_ready}",
+        new.len()
     ));
     Ok(late > 0)
 }
