--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -8,10 +8,12 @@
 mod deployment;
 mod isolation;
 mod keepalive;
+mod left;
 mod record;
 mod repeated;
 mod router;
 mod server;
+mod unmarked;
 mod unreadable;
 
 use std::path::PathBuf;
@@ -61,6 +63,8 @@
         "batches" => batches::run(record, has_trouble).await,
         "isolation" => isolation::run(record, has_trouble).await,
         "keepalive" => keepalive::run(record, has_trouble).await,
+        "left" => left::run(record, has_trouble).await,
+        "unmarked" => unmarked::run(record, has_trouble).await,
         "repeated" => repeated::run(record, has_trouble).await,
         "unreadable" => unreadable::run(record, has_trouble).await,
         _ => anyhow::bail!("there is no case {case}"),
--- a/review/harness/src/server.rs
+++ b/review/harness/src/server.rs
@@ -27,6 +27,8 @@
     Serve,
     /// Crashes once the head of the answer is out, and is back after this time.
     Crash(Duration),
+    /// Crashes after the first time, whether or not its caller still waits, and is back after the second one.
+    CrashAfter(Duration, Duration),
 }
 
 /// A request that reached a replica.
@@ -216,14 +218,23 @@
             .await;
             let mut reply = match act {
                 Act::Serve => self.stream(text(&headers, "last-event-id").parse().unwrap_or(0)),
-                Act::Crash(time) => self.crash_in_answer(time),
+                Act::Crash(time) | Act::CrashAfter(_, time) => self.crash_in_answer(time),
             };
             reply
                 .headers_mut()
                 .insert("x-crocuswharf-server-stamp", self.id.parse().ok()?);
             reply
         } else {
+            let act = (self.behaviour)(&arrival);
             self.note(arrival);
+            if let Act::CrashAfter(time, down) = act {
+                let server = self.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(time).await;
+                    server.crash(down);
+                });
+                return std::future::pending().await;
+            }
             tokio::time::sleep(Duration::from_millis(15)).await;
             let mut reply = response(200, self.id);
             reply
