Refuse whole requests with a prompt that crash replicas

Callers saw: one request of a model route came again and again and ended each replica that ran it, without end.

Cause: a crash under a request with a prompt was held against the shared parts of that prompt only. Each answer to a sound request with the same part cleared it, so that nothing was left to hold the crash against; a prompt without shared parts had no suspect at all. The same narrowness was elsewhere: an attempt was only watched until the head of its response on plain routes and until its second event on model routes; one that was dropped with its caller was not watched; streams were resumed on one replica after the other; an address that still accepts connections made all evidence weak.

Change: the request, by path, caller, body and prompt, is a suspect of each crash beside the parts of its prompt, and one decision is made over both (src/request/verdict.rs). Repeats of one request count once against its parts, so a part is found by requests of which no two are alike. An answer clears the crashes that came no later in their answers than it got. All crashes at one moment count for a part that was never kept if all replicas that ended had it (batches). src/gateway/attempt_watch.rs follows each attempt from its send to the end of its response, on all routes and however it ends, and replaces broken_request.rs and the reports of dispatch.rs and exchange.rs. A request that has lost two attempts, or is suspected, is no longer repeated by routers on model routes either. Full reports between routers have at most 32 crashes, those of suspects with several first, since each has more bytes now.

Changed assertions: a crash without parts is no longer ignored, since its request is a suspect, so that line of record_crash_repeated_counts_once is gone with the case; a crash that arrives after its part was cleared may still count against its request, so the test asserts that the part is no suspect; silent_replica.rs looks for the one log line of all broken attempts, which comes after the check of the replica.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -154,7 +154,8 @@
         self.account.as_ref().filter(|account| account.is_isolated)
     }
 
-    /// Returns the key of the whole request, which is the same each time that it comes with this path, caller and body.
+    /// Returns the key of the whole request, which is the same each time that it comes with this path, caller, body and
+    /// prompt.
     ///
     /// It is computed when it is first needed, which for most requests is never.
     pub(crate) fn request_key(&self) -> SuspectKey {
@@ -168,19 +169,11 @@
                 &self.route.name,
                 path,
                 &self.body,
+                self.prompt.as_ref(),
             )
         })
     }
 
-    /// Returns why requests like this one are refused.
-    pub(crate) const fn refusal_reason(&self) -> &'static str {
-        if self.prompt.is_some() {
-            "a part of the prompt has crashed several replicas"
-        } else {
-            "this request has crashed several replicas, it is useless to send it again"
-        }
-    }
-
     /// Returns the priority of the request at a replica.
     pub(crate) fn replica_priority(&self) -> u8 {
         let account = self.account.as_ref().and_then(|account| account.priority);
@@ -210,10 +203,15 @@
     route: &str,
     path: &str,
     body: &[u8],
+    prompt: Option<&Prompt>,
 ) -> SuspectKey {
     let texts = [account, method, route, path].map(str::as_bytes);
+    let model = prompt.map(|prompt| prompt.model.as_bytes());
+    let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+    let parts = parts.iter().map(|part| part.id.as_bytes());
+    let fields = texts.into_iter().chain([body]).chain(model).chain(parts);
     let mut hasher = Xxh3::new();
-    for field in texts.into_iter().chain([body]) {
+    for field in fields {
         hasher.update(&(field.len() as u64).to_le_bytes());
         hasher.update(field);
     }
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -127,8 +127,8 @@
                 self.handle_crash(crash, now);
                 None
             }
-            Observation::Kept(key) => {
-                self.handle_kept(key, now);
+            Observation::Kept(kept) => {
+                self.handle_kept(kept, now);
                 None
             }
             Observation::OtherWeights { replica } => {
--- a/src/gateway/control/quarantine.rs
+++ b/src/gateway/control/quarantine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::gateway::crash_report::CrashReport;
-use crate::request::quarantine::{Crash, SuspectKey, Suspects};
+use crate::request::quarantine::{Crash, Kept, SuspectKey, SuspectKind, SuspectStatus, Suspects};
 
 use super::Control;
 
@@ -12,6 +12,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// The least time between publications; a crash brings many changes at once.
 const PUBLICATION_INTERVAL: Duration = Duration::from_millis(5);
+/// The maximum number of crashes named in one line of the log.
+const MAX_LOGGED_CRASHES: usize = 12;
 /// The delay after which a crash is reported, with all others that this router sees meanwhile.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
 
@@ -19,7 +21,7 @@
 #[derive(Debug, Default)]
 pub(super) struct PendingCrashes {
     crashes: Vec<Crash>,
-    kept: Vec<(SuspectKey, Duration)>,
+    kept: Vec<Kept>,
     /// When to report it; `None` if there is nothing.
     report_at: Option<Duration>,
     next_full_report: Duration,
@@ -61,9 +63,9 @@
     }
 
     /// Handles an answer that this router relayed under a suspected key.
-    pub(super) fn handle_kept(&mut self, key: SuspectKey, now: Duration) {
-        if self.quarantine.record_kept(key, now) {
-            self.pending_crashes.kept.push((key, now));
+    pub(super) fn handle_kept(&mut self, kept: Kept, now: Duration) {
+        if self.quarantine.record_kept(kept) {
+            self.pending_crashes.kept.push(kept);
             self.pending_crashes.schedule_report(now);
             self.pending_crashes.schedule_publication(now);
         }
@@ -73,8 +75,8 @@
     pub(super) fn handle_crash_report(&mut self, report: CrashReport, now: Duration) {
         let (crashes, kept) = report.into_parts(now);
         let mut is_changed = false;
-        for (key, at) in kept {
-            is_changed |= self.quarantine.record_kept(key, at);
+        for kept in kept {
+            is_changed |= self.quarantine.record_kept(kept);
         }
         for crash in crashes {
             if self.quarantine.record_crash(crash.clone()) {
@@ -89,14 +91,18 @@
 
     /// Tells all routers of answers that this router kept under the parts of a crash.
     fn recall_kept(&mut self, crash: &Crash, now: Duration) {
-        for part in &crash.keys {
-            let is_known = self.quarantine.kept().any(|(known, _)| known == *part);
-            if is_known {
+        for part in &crash.parts {
+            if self.quarantine.has_kept(*part) {
                 continue;
             }
             if let Some(at) = self.shared.last_kept(*part, now) {
-                self.quarantine.record_kept(*part, at);
-                self.pending_crashes.kept.push((*part, at));
+                let kept = Kept {
+                    key: *part,
+                    at,
+                    is_complete: false,
+                };
+                self.quarantine.record_kept(kept);
+                self.pending_crashes.kept.push(kept);
                 self.pending_crashes.schedule_report(now);
             }
         }
@@ -146,10 +152,9 @@
             return;
         }
         self.log_suspects(&before, &suspects);
-        let requests = suspects.values().filter(|status| status.is_request).count();
-        metrics::gauge!("crocuswharf_gateway_suspected_parts")
-            .set((suspects.len() - requests) as f64);
-        metrics::gauge!("crocuswharf_gateway_suspected_requests").set(requests as f64);
+        let (parts, requests) = count_kinds(suspects.values());
+        metrics::gauge!("crocuswharf_gateway_suspected_parts").set(parts);
+        metrics::gauge!("crocuswharf_gateway_suspected_requests").set(requests);
         self.shared.set_suspects(suspects);
     }
 
@@ -163,37 +168,36 @@
         let refused_before = std::mem::replace(&mut self.pending_crashes.refused, refused.clone());
         for key in refused.difference(&refused_before) {
             let status = suspects[key];
-            let refused_ms = status.refused_for(now).unwrap_or_default().as_millis();
-            if status.is_request {
-                log::warn!(
-                    "quarantine: A request that crashes replicas is refused. request_key={key:016x} points={} refused_ms={refused_ms} crashes={}",
-                    status.points,
-                    self.describe_crashes(*key)
-                );
-            } else {
-                log::warn!(
-                    "quarantine: Requests with a part of prompts are refused. prompt_part={key:016x} points={} refused_ms={refused_ms}",
-                    status.points
-                );
-            }
+            let text = match status.kind {
+                SuspectKind::Part => "Requests with a part of prompts are refused.",
+                SuspectKind::Request => "A request that crashes replicas is refused.",
+            };
+            log::warn!(
+                "quarantine: {text} kind={:?} key={key:016x} points={} refused_ms={} crashes={}",
+                status.kind,
+                status.points,
+                status.refused_for(now).unwrap_or_default().as_millis(),
+                self.describe_crashes(*key)
+            );
         }
         for key in refused_before.difference(refused) {
-            let status = suspects.get(key).or_else(|| before.get(key));
-            if status.is_some_and(|status| status.is_request) {
-                let is_cleared = !suspects.contains_key(key);
-                log::info!(
-                    "quarantine: A request is no longer refused. request_key={key:016x} is_cleared={is_cleared}"
-                );
-            } else {
-                log::info!(
-                    "quarantine: Requests with a part of prompts are no longer refused. prompt_part={key:016x}"
-                );
-            }
+            let Some(status) = suspects.get(key).or_else(|| before.get(key)) else {
+                continue;
+            };
+            let text = match status.kind {
+                SuspectKind::Part => "Requests with a part of prompts are no longer refused.",
+                SuspectKind::Request => "A request is no longer refused.",
+            };
+            log::info!(
+                "quarantine: {text} kind={:?} key={key:016x} is_cleared={} crashes={}",
+                status.kind,
+                !suspects.contains_key(key),
+                self.describe_crashes(*key)
+            );
         }
-        let is_request = |key: &&SuspectKey| suspects[*key].is_request;
-        let requests = refused.iter().filter(is_request).count();
-        metrics::gauge!("crocuswharf_gateway_refused_parts").set((refused.len() - requests) as f64);
-        metrics::gauge!("crocuswharf_gateway_refused_requests").set(requests as f64);
+        let (parts, requests) = count_kinds(refused.iter().map(|key| &suspects[key]));
+        metrics::gauge!("crocuswharf_gateway_refused_parts").set(parts);
+        metrics::gauge!("crocuswharf_gateway_refused_requests").set(requests);
     }
 
     /// Logs the suspects whose requests are no longer sent again after a crash, and those whose requests are again.
@@ -208,45 +212,53 @@
             if is_suspected(before, key) || !is_suspected(after, key) {
                 continue;
             }
-            if status.is_request {
-                log::info!(
-                    "quarantine: A request is suspected. request_key={key:016x} points={} crashes={}",
-                    status.points,
-                    self.describe_crashes(*key)
-                );
-            } else {
-                log::info!(
-                    "quarantine: A part of prompts is suspected. prompt_part={key:016x} points={}",
-                    status.points
-                );
-            }
+            let text = match status.kind {
+                SuspectKind::Part => "A part of prompts is suspected.",
+                SuspectKind::Request => "A request is suspected.",
+            };
+            log::info!(
+                "quarantine: {text} kind={:?} key={key:016x} points={} crashes={}",
+                status.kind,
+                status.points,
+                self.describe_crashes(*key)
+            );
         }
         for (key, status) in before {
             if !is_suspected(before, key) || is_suspected(after, key) {
                 continue;
             }
-            if status.is_request {
-                log::info!("quarantine: A request is cleared. request_key={key:016x}");
-            } else {
-                log::info!("quarantine: A part of prompts is cleared. prompt_part={key:016x}");
-            }
+            let text = match status.kind {
+                SuspectKind::Part => "A part of prompts is cleared.",
+                SuspectKind::Request => "A request is cleared.",
+            };
+            log::info!("quarantine: {text} kind={:?} key={key:016x}", status.kind);
         }
     }
 
-    /// Returns the crashes under the key of a whole request: for each, the request's id, how long it ran, the replica's
-    /// incarnation and the evidence.
+    /// Returns the newest crashes under `key`: for each, the request's id, how long it ran, the replica's incarnation, how
+    /// far the answer had got, and whether the replica was down afterwards.
     fn describe_crashes(&self, key: SuspectKey) -> String {
-        let crashes = self.quarantine.live_crashes(key);
-        let texts: Vec<String> = crashes
-            .filter_map(|crash| {
-                let request = crash.request.as_ref()?;
-                let (id, ran_ms) = (&request.id, request.ran.as_millis());
-                let (replica, evidence) = (crash.replica, crash.evidence);
-                Some(format!("{id}/{ran_ms}ms/{replica:08x}/{evidence:?}"))
-            })
-            .collect();
-        texts.join(",")
+        let crashes: Vec<_> = self.quarantine.live_crashes(key).collect();
+        let newest = crashes.len().saturating_sub(MAX_LOGGED_CRASHES);
+        let texts = crashes[newest..].iter().map(|crash| {
+            let (id, ran_ms, replica) = (&crash.id, crash.ran.as_millis(), crash.replica);
+            let state = if crash.is_down { "down" } else { "up" };
+            format!("{id}/{ran_ms}ms/{replica:08x}/{:?}/{state}", crash.progress)
+        });
+        texts.collect::<Vec<_>>().join(",")
+    }
+}
+
+/// Returns how many of `statuses` are those of parts, and of whole requests.
+fn count_kinds<'a>(statuses: impl Iterator<Item = &'a SuspectStatus>) -> (f64, f64) {
+    let mut counts = (0, 0);
+    for status in statuses {
+        match status.kind {
+            SuspectKind::Part => counts.0 += 1,
+            SuspectKind::Request => counts.1 += 1,
+        }
     }
+    (f64::from(counts.0), f64::from(counts.1))
 }
 
 fn refused_keys(suspects: &Suspects, now: Duration) -> BTreeSet<SuspectKey> {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -23,10 +23,10 @@
 use super::prompt::cache_scope;
 use super::response::LocalReply;
 use super::route::CallKind;
-use super::shared::{Observation, Replica, Shared, Snapshot};
+use super::shared::{Refusal, Replica, Shared, Snapshot};
 use super::upstream::{RequestBody, SendFailure};
 use crate::id::ReplicaId;
-use crate::request::quarantine::{Crash, Evidence, MIN_RUN};
+use crate::request::quarantine::MIN_RUN;
 
 /// The maximum idle time of a connection used for a request that must not be repeated; if the replica closes the
 /// connection meanwhile, the request is lost.
@@ -59,7 +59,7 @@
     is_unsettled: bool,
     /// When the latest attempt was sent.
     sent_at: Duration,
-    /// The number of attempts that replicas broke off while they ran the request, or that are silent.
+    /// The number of attempts that replicas broke off while they ran the request, or that are silent without a stream.
     lost_attempts: u32,
     sends: u32,
     /// The key of the prefix that this request was allowed to prefill and whose outcome it must report.
@@ -172,7 +172,7 @@
                     }
                 }
                 Err(AttemptError::NoReplica(reason)) => break Err(self.no_replica_reply(reason)),
-                Err(AttemptError::Refused(time)) => break Err(self.refusal_reply(time)),
+                Err(AttemptError::Refused(refusal)) => break Err(self.refusal_reply(refusal)),
             }
         };
         if let Some(response) = held.next_response(&call).await {
@@ -234,28 +234,9 @@
         (replica.map_or("-", |replica| &**replica), self.sends)
     }
 
-    /// Reports a stream that `replica` broke off after `events` complete events, with the shared parts of its prompt.
-    pub(crate) fn report_broken_stream(&self, replica: ReplicaKey, events: u32) {
-        let prompt = self.call.prompt.as_ref();
-        let parts = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
-        let parts: Vec<String> = parts
-            .iter()
-            .zip(&self.call.parts)
-            .map(|(part, key)| format!("{}/{key:016x}", part.id))
-            .collect();
-        log::info!(
-            "request: Stream broken. id={} replica={} events={events} parts={}",
-            self.call.id_text(),
-            self.last_attempt().0,
-            parts.join(",")
-        );
-        if let Some(evidence) = Evidence::of_broken_answer(events) {
-            self.report_crash(replica, evidence);
-        }
-    }
-
     /// Records that the relayed response broke and returns whether the stream may be resumed at another replica.
     pub(crate) fn may_resume(&mut self) -> bool {
+        self.lost_attempts += 1;
         let step = self
             .retry_state
             .attempt_ended(AttemptEnd::Broken, self.call.remaining());
@@ -282,16 +263,18 @@
         if is_stream && is_responsive && silence < MAX_BUSY_SILENCE {
             return false;
         }
+        // A stream that is silent for long is more likely to be at a busy replica than at one that it has crashed.
+        let lost_attempts = self.lost_attempts + u32::from(!is_stream);
         let mut next_state = self.retry_state;
         let snapshot = self.shared.snapshot.load_full();
         let may_send = next_state.hold(self.call.remaining())
-            && self.allows_resend(self.lost_attempts + 1)
+            && self.allows_resend(lost_attempts)
             && self.place(&snapshot, PrefixState::default()).is_ok();
         if !may_send || !self.withdraw_retry() {
             return false;
         }
         self.retry_state = next_state;
-        self.lost_attempts += 1;
+        self.lost_attempts = lost_attempts;
         self.shared.record_outcome(replica, 1, now);
         log::info!(
             "request: Replica silent. id={} replica={} silent_ms={} is_responsive={is_responsive}",
@@ -310,6 +293,7 @@
     /// Records that the replica that resumed a stream broke it off while another stream was held.
     pub(crate) fn record_broken_resumption(&mut self) {
         self.is_unsettled = false;
+        self.lost_attempts += 1;
         // The step is not taken: the held stream goes on.
         let _ = self
             .retry_state
@@ -338,11 +322,10 @@
 
     /// Returns whether the request may be sent to another replica after it has lost `lost_attempts`.
     ///
-    /// One crash is what any request may meet. A plain request that meets a second one, or that is suspected, is left to
-    /// its caller to repeat, since its next replica may crash too.
+    /// One crash is what any request may meet. A request that meets a second one, or that is suspected, is left to its
+    /// caller to repeat, since its next replica may crash too.
     fn allows_resend(&self, lost_attempts: u32) -> bool {
-        let is_plain = self.call.prompt.is_none();
-        (!is_plain || lost_attempts <= 1) && self.shared.allows_resend(&self.call)
+        lost_attempts <= 1 && self.shared.allows_resend(&self.call)
     }
 
     /// Withdraws a retry from the budget of the service; returns whether one was available.
@@ -384,12 +367,11 @@
         LocalReply::not_run("the router is shutting down", RETRY_AFTER_LEAVING)
     }
 
-    fn refusal_reply(&self, time: Duration) -> LocalReply {
-        let reason = self.call.refusal_reason();
+    fn refusal_reply(&self, refusal: Refusal) -> LocalReply {
         if self.retry_state.runs > 0 {
-            return LocalReply::bad_gateway(reason);
+            return LocalReply::bad_gateway(refusal.reason());
         }
-        LocalReply::not_run(reason, time)
+        LocalReply::not_run(refusal.reason(), refusal.time)
     }
 
     fn no_replica_reply(&self, reason: NoReplica) -> LocalReply {
@@ -484,27 +466,8 @@
 
     /// Returns an error if requests like this one are refused.
     fn check_refusal(&self) -> Result<(), AttemptError> {
-        let refused_for = self.shared.refused_for(&self.call, boot_time());
-        refused_for.map_or(Ok(()), |time| Err(AttemptError::Refused(time)))
-    }
-
-    /// Reports that a replica broke off the answer as it began.
-    fn report_crash(&self, replica: ReplicaKey, evidence: Evidence) {
-        if self.call.parts.is_empty() {
-            return;
-        }
-        self.shared.observe(Observation::Crash(Crash {
-            keys: self.call.parts.clone(),
-            request: None,
-            replica,
-            at: boot_time(),
-            evidence,
-        }));
-    }
-
-    /// Records that the answer is whole, or went on for long enough to show that its prompt does not crash replicas.
-    pub(crate) fn record_kept(&self) {
-        self.shared.record_kept(&self.call, boot_time());
+        let refusal = self.shared.refusal(&self.call, boot_time());
+        refusal.map_or(Ok(()), |refusal| Err(AttemptError::Refused(refusal)))
     }
 
     fn place(
@@ -700,8 +663,8 @@
 /// Why an attempt yielded no response.
 enum AttemptError {
     Failed(Box<FailedAttempt>),
-    /// Requests like this one are refused for this time.
-    Refused(Duration),
+    /// Requests like this one are refused.
+    Refused(Refusal),
     NoReplica(NoReplica),
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,15 +15,14 @@
 use hyper::body::{Frame, Incoming};
 
 use super::attempt::AttemptEnd;
+use super::attempt_watch::AttemptWatch;
 use super::backpressure::Backpressure;
-use super::broken_request::report_broken_request;
 use super::call::Call;
 use super::clock::boot_time;
 use super::forwarding::BodyFraming;
 use super::headers::header_text;
 use super::shared::{LoadGuard, Observation, Replica, Shared};
 use super::upstream::{ReplicaConnection, RequestBody, SendFailure};
-use crate::request::quarantine::{Crash, Evidence};
 
 /// The maximum size of a response that is buffered until it is complete; a longer one is streamed.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
@@ -74,6 +73,8 @@
     pub(crate) guard: LoadGuard,
     /// The replica.
     pub(crate) replica: Arc<Replica>,
+    /// Follows the attempt to the end of the response.
+    pub(crate) watch: AttemptWatch,
     /// The keep-alive timeout that the replica announced, if any; zero if it closes the connection.
     pub(crate) idle_timeout: Option<Duration>,
 }
@@ -163,15 +164,20 @@
         mut connection: ReplicaConnection,
         request: Request<RequestBody>,
     ) -> Result<ReplicaResponse, FailedAttempt> {
-        let sent_at = boot_time();
+        let mut watch = AttemptWatch::new(
+            Arc::clone(&self.shared),
+            Arc::clone(&self.call),
+            Arc::clone(&self.replica),
+        );
         let result = tokio::select! {
             result = self.receive_head(&mut connection, request) => result,
-            () = self.shared.wait_until_refused(&self.call) => Err(FailedAttempt::new(
+            refusal = self.shared.wait_until_part_refused(&self.call) => Err(FailedAttempt::new(
                 AttemptEnd::Withdrawn,
-                self.call.refusal_reason(),
+                refusal.reason(),
             )),
         };
-        let response = result.inspect_err(|failed| self.record_failure(failed, sent_at))?;
+        let response = result.inspect_err(|failed| self.record_failure(failed, &mut watch))?;
+        watch.record_head();
         self.guard.response_started();
         self.has_head.store(true, Ordering::Relaxed);
         let framing = BodyFraming::of_response(&response);
@@ -184,6 +190,7 @@
             connection,
             guard: self.guard,
             replica: Arc::clone(&self.replica),
+            watch,
             idle_timeout: keep_alive_timeout(&head.headers),
         };
         let receiver = Receiver {
@@ -208,30 +215,15 @@
         }
     }
 
-    fn record_failure(&self, failed: &FailedAttempt, sent_at: Duration) {
-        let end = failed.end;
-        if !matches!(end, AttemptEnd::Unsent | AttemptEnd::Withdrawn) {
+    fn record_failure(&self, failed: &FailedAttempt, watch: &mut AttemptWatch) {
+        if !matches!(failed.end, AttemptEnd::Unsent | AttemptEnd::Withdrawn) {
             self.shared.record_outcome(&self.replica, 1, boot_time());
         }
-        if end != AttemptEnd::Broken {
-            return;
-        }
-        if self.call.prompt.is_none() {
-            let (shared, call) = (Arc::clone(&self.shared), Arc::clone(&self.call));
-            tokio::spawn(report_broken_request(
-                shared,
-                call,
-                Arc::clone(&self.replica),
-                sent_at,
-            ));
-        } else if !self.call.parts.is_empty() {
-            self.shared.observe(Observation::Crash(Crash {
-                keys: self.call.parts.clone(),
-                request: None,
-                replica: self.replica.key,
-                at: boot_time(),
-                evidence: Evidence::Weak,
-            }));
+        match failed.end {
+            AttemptEnd::Unsent => watch.settle(),
+            AttemptEnd::Broken => watch.broken(),
+            // The replica may still run the request; the watch is dropped with the attempt.
+            _ => {}
         }
     }
 }
@@ -248,12 +240,13 @@
     async fn handle_response(
         &self,
         head: response::Parts,
-        stream: ReplicaStream,
+        mut stream: ReplicaStream,
     ) -> Result<ReplicaResponse, FailedAttempt> {
         let header_names = &self.shared.header_names;
         let replica = Arc::clone(&stream.replica);
         self.observe_weights(&head.headers, &replica);
         if head.headers.get(&header_names.request_id) != Some(&self.call.id) {
+            stream.watch.settle();
             self.shared.record_outcome(&replica, 1, boot_time());
             return Err(FailedAttempt::new(
                 AttemptEnd::Broken,
@@ -264,11 +257,13 @@
         if head.status == StatusCode::MISDIRECTED_REQUEST
             || head.headers.contains_key(&header_names.not_run)
         {
+            stream.watch.settle();
             return Err(self.handle_refusal(&head, stream).await);
         }
         let is_signed = head.headers.contains_key(&header_names.signature);
         let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
         if is_encoded || (head.status.is_success() && !is_signed) {
+            stream.watch.settle();
             self.shared.record_outcome(&replica, 1, boot_time());
             return Err(FailedAttempt::new(
                 AttemptEnd::Broken,
@@ -454,8 +449,12 @@
                     received.extend_from_slice(bytes);
                 }
             }
-            Some(Err(_)) => return BufferedBody::Broken,
+            Some(Err(_)) => {
+                stream.watch.broken();
+                return BufferedBody::Broken;
+            }
             None => {
+                stream.watch.complete();
                 stream.release();
                 return BufferedBody::Complete(received.freeze());
             }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -342,7 +342,6 @@
     }
     let body = match body {
         ReplicaBody::Full { bytes, framing } => {
-            dispatch.record_kept();
             let status = head.status.as_u16();
             let outcome = if head.status.is_success() {
                 "complete"
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,8 +19,8 @@
 use crate::listener::bind_listener;
 
 mod attempt;
+mod attempt_watch;
 mod backpressure;
-mod broken_request;
 mod call;
 mod caller_activity;
 mod caller_stream;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,7 +15,6 @@
 use super::exchange::{Peek, ReplicaBody, ReplicaStream};
 use super::forwarding::{BodyEnd, BodyFraming, Forwarding};
 use super::response::Chunk;
-use crate::request::quarantine::KEPT_EVENTS;
 
 /// The number of chunks buffered for a slow caller; beyond that, the replica's connection is not read.
 pub(crate) const RELAY_BUFFER_LEN: usize = 16;
@@ -70,7 +69,7 @@
         let end = relay_stream(&mut dispatch, &mut stream, &chunks, &mut forwarding).await;
         let is_held = end == RelayEnd::Silent;
         if end == RelayEnd::Broken {
-            dispatch.report_broken_stream(stream.replica.key, forwarding.events());
+            stream.watch.broken();
         }
         let last_event = match &forwarding {
             Forwarding::CompleteEvents(splitter) => splitter.last_id().cloned(),
@@ -100,7 +99,7 @@
                         .shared
                         .record_outcome(&stream.replica, 1, boot_time());
                     dispatch.set_responder(&stream.replica);
-                    dispatch.report_broken_stream(stream.replica.key, forwarding.events());
+                    stream.watch.broken();
                 }
                 if let Forwarding::CompleteEvents(splitter) = &mut forwarding {
                     splitter.begin_resumption();
@@ -226,7 +225,7 @@
             .shared
             .record_outcome(&next.replica, 1, boot_time());
         dispatch.set_responder(&next.replica);
-        dispatch.report_broken_stream(next.replica.key, 0);
+        next.watch.broken();
         dispatch.record_broken_resumption();
         return Err("the replica broke off before its first event".into());
     }
@@ -247,7 +246,6 @@
     if !received.is_empty() && chunks.send(Chunk::Data(received)).await.is_err() {
         return RelayEnd::CallerLeft;
     }
-    let mut is_kept = false;
     let mut silent_since = boot_time();
     let mut limit = SILENCE_LIMIT;
     loop {
@@ -273,9 +271,7 @@
                     dispatch.shared.record_outcome(&replica, 1, boot_time());
                     return RelayEnd::Broken;
                 }
-                if !is_kept {
-                    dispatch.record_kept();
-                }
+                stream.watch.complete();
                 return RelayEnd::Complete;
             }
             Ok(Some(Err(_))) => {
@@ -294,10 +290,7 @@
         let Ok(bytes) = forwarding.push(bytes) else {
             return RelayEnd::Broken;
         };
-        if !is_kept && forwarding.events() >= KEPT_EVENTS {
-            is_kept = true;
-            dispatch.record_kept();
-        }
+        stream.watch.record_events(forwarding.events());
         if !bytes.is_empty() && chunks.send(Chunk::Data(bytes)).await.is_err() {
             return RelayEnd::CallerLeft;
         }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -31,7 +31,7 @@
 use crate::id::{ReplicaId, ServiceName, WeightsVersion, ZoneName};
 use crate::request::ejection::{Ejection, EjectionOptions};
 use crate::request::kept_parts::KeptParts;
-use crate::request::quarantine::{Crash, SuspectKey, Suspects};
+use crate::request::quarantine::{Crash, Kept, SuspectKey, SuspectKind, Suspects};
 use crate::request::retry::RetryBudget;
 
 /// The fraction of the users' retry share that this router uses; the rest is reserved for requests that never arrived.
@@ -139,10 +139,10 @@
         /// The start time of the replica, in milliseconds since the Unix epoch.
         born_ms: u64,
     },
-    /// A replica broke off an answer as it began.
+    /// A replica broke a request off.
     Crash(Crash),
-    /// An answer went on under a suspected key.
-    Kept(SuspectKey),
+    /// An answer went on under a suspect.
+    Kept(Kept),
     /// The address now belongs to another replica.
     AddressReused {
         /// The replica that was expected.
@@ -183,6 +183,15 @@
     control: OnceLock<mpsc::Sender<Event>>,
 }
 
+/// Why and for how long requests like one are refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    /// What has crashed replicas.
+    pub(crate) kind: SuspectKind,
+    /// How long the refusal still lasts.
+    pub(crate) time: Duration,
+}
+
 /// Counts one request towards the load of a replica until it is dropped.
 #[derive(Debug)]
 pub(crate) struct LoadGuard {
@@ -190,6 +199,20 @@
     prefill_tokens: u64,
 }
 
+impl Refusal {
+    /// Returns the reason given to the caller.
+    pub(crate) const fn reason(self) -> &'static str {
+        match self.kind {
+            SuspectKind::Part => {
+                "a part of the prompt has crashed several replicas, it is useless to send it again"
+            }
+            SuspectKind::Request => {
+                "this request has crashed several replicas, it is useless to send it again"
+            }
+        }
+    }
+}
+
 impl ReplicaLoad {
     /// Counts a request with `tokens` prompt tokens that the replica still has to prefill.
     pub(crate) fn begin(self: &Arc<Self>, tokens: u32) -> LoadGuard {
@@ -453,7 +476,8 @@
 
     /// Replaces the suspects.
     pub(crate) fn set_suspects(&self, suspects: Suspects) {
-        let has_requests = suspects.values().any(|status| status.is_request);
+        let mut kinds = suspects.values().map(|status| status.kind);
+        let has_requests = kinds.any(|kind| kind == SuspectKind::Request);
         self.suspects.store(Arc::new(suspects));
         self.suspects_requests
             .store(has_requests, Ordering::Relaxed);
@@ -462,24 +486,29 @@
 
     /// Returns the keys under which a request may be suspected.
     ///
-    /// The key of a whole request is left out while there are no such suspects, since it costs a hash of the body.
+    /// The key of the whole request is left out while there are no such suspects, since it costs a hash of the body.
     pub(crate) fn suspect_keys(&self, call: &Call) -> SmallVec<[SuspectKey; 4]> {
-        if call.prompt.is_some() {
-            return call.parts.clone();
+        let mut keys = call.parts.clone();
+        if self.suspects_requests.load(Ordering::Relaxed) {
+            keys.push(call.request_key());
         }
-        let has_requests = self.suspects_requests.load(Ordering::Relaxed);
-        has_requests
-            .then(|| call.request_key())
-            .into_iter()
-            .collect()
+        keys
+    }
+
+    /// Returns why and for how long requests like `call` are refused; `None` if they aren't.
+    pub(crate) fn refusal(&self, call: &Call, now: Duration) -> Option<Refusal> {
+        self.refusal_under(&self.suspect_keys(call), now)
     }
 
-    /// Returns for how long requests like `call` are refused; `None` if they aren't.
-    pub(crate) fn refused_for(&self, call: &Call, now: Duration) -> Option<Duration> {
+    fn refusal_under(&self, keys: &[SuspectKey], now: Duration) -> Option<Refusal> {
         let suspects = self.suspects.load();
-        let keys = self.suspect_keys(call);
         let statuses = keys.iter().filter_map(|key| suspects.get(key));
-        statuses.filter_map(|status| status.refused_for(now)).max()
+        let refusals = statuses.filter_map(|status| {
+            let time = status.refused_for(now)?;
+            let kind = status.kind;
+            Some(Refusal { kind, time })
+        });
+        refusals.max_by_key(|refusal| refusal.time)
     }
 
     /// Returns whether `call` may be sent again, or to a second replica, after replicas crashed under its keys.
@@ -494,29 +523,36 @@
     ///
     /// A whole request is not awaited: its replica may be running it by now, and if it is sound, its answer ends the
     /// refusal.
-    pub(crate) async fn wait_until_refused(&self, call: &Call) {
+    pub(crate) async fn wait_until_part_refused(&self, call: &Call) -> Refusal {
         if call.parts.is_empty() {
             return std::future::pending().await;
         }
         let mut changes = self.suspects_changed.subscribe();
-        while self.refused_for(call, boot_time()).is_none() {
+        loop {
+            if let Some(refusal) = self.refusal_under(&call.parts, boot_time()) {
+                return refusal;
+            }
             if changes.changed().await.is_err() {
                 return std::future::pending().await;
             }
         }
     }
 
-    /// Records that the answer to `call` went on, which clears those of its keys that are suspected.
-    pub(crate) fn record_kept(&self, call: &Call, now: Duration) {
+    /// Records that the answer to `call` went on, or is whole, which clears those of its keys that are suspected.
+    pub(crate) fn record_kept(&self, call: &Call, at: Duration, is_complete: bool) {
         let mut kept_parts = lock(&self.kept_parts);
         for part in &call.parts {
-            kept_parts.record(*part, now);
+            kept_parts.record(*part, at);
         }
         drop(kept_parts);
         let suspects = self.suspects.load();
         let keys = self.suspect_keys(call);
-        for key in keys.iter().filter(|key| suspects.contains_key(*key)) {
-            self.observe(Observation::Kept(*key));
+        for key in keys.into_iter().filter(|key| suspects.contains_key(key)) {
+            self.observe(Observation::Kept(Kept {
+                key,
+                at,
+                is_complete,
+            }));
         }
     }
 
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -39,6 +39,9 @@
 /// The number of unacknowledged probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// How long a proxy may take to close a connection that it has accepted for a replica without a process.
+const PROXY_CLOSE_TIME: Duration = Duration::from_millis(20);
+
 /// The maximum size of the head of a response, and of what is read at once of its body; a replica that sends a longer
 /// head is not answering.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -57,6 +60,8 @@
     idle: Mutex<Vec<IdleConnection>>,
     open: AtomicU32,
     limit: AtomicU32,
+    /// Is held while it is checked whether the replica is down, so that the others use the result.
+    check: tokio::sync::Mutex<()>,
 }
 
 #[derive(Debug)]
@@ -101,6 +106,7 @@
             idle: Mutex::default(),
             open: AtomicU32::new(0),
             limit: AtomicU32::new(limit),
+            check: tokio::sync::Mutex::default(),
         }
     }
 
@@ -123,13 +129,40 @@
         self.connect().await
     }
 
-    /// Returns whether the replica accepts a new connection.
-    pub(crate) async fn accepts_connections(&self) -> bool {
-        let connecting = TcpStream::connect(self.address);
-        matches!(
-            tokio::time::timeout(CONNECT_TIMEOUT, connecting).await,
-            Ok(Ok(_))
-        )
+    /// Returns whether the replica has no process, as far as connections show.
+    ///
+    /// An address without one refuses connections, or closes them at once if a proxy accepts them. Silence shows nothing:
+    /// the link may be cut. A connection that is opened for this is kept for the next request.
+    pub(crate) async fn is_down(self: &Arc<Self>) -> bool {
+        let _check = self.check.lock().await;
+        if self.has_open_idle() {
+            return false;
+        }
+        if self.open.load(Ordering::Relaxed) >= self.limit.load(Ordering::Relaxed) {
+            return false;
+        }
+        let stream = match self.open_stream().await {
+            Ok(stream) => stream,
+            Err(error) => {
+                return matches!(
+                    error.kind(),
+                    io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+                );
+            }
+        };
+        let Ok(connection) = self.handshake(stream).await else {
+            return false;
+        };
+        tokio::time::sleep(PROXY_CLOSE_TIME).await;
+        let is_down = connection.sender.is_closed();
+        connection.release(None);
+        is_down
+    }
+
+    fn has_open_idle(&self) -> bool {
+        let idle = self.lock_idle();
+        idle.iter()
+            .any(|entry| !entry.connection.sender.is_closed())
     }
 
     /// Closes expired idle connections, or all idle connections if `all` is set.
@@ -165,14 +198,25 @@
     }
 
     async fn connect(self: &Arc<Self>) -> Result<ReplicaConnection, SendFailure> {
-        let unsent =
-            |reason: &dyn std::fmt::Display| SendFailure::Unsent(reason.to_string().into());
+        let stream = self.open_stream().await.map_err(|error| unsent(&error))?;
+        self.handshake(stream).await
+    }
+
+    async fn open_stream(&self) -> io::Result<TcpStream> {
         let connecting = TcpStream::connect(self.address);
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(unsent(&error)),
-            Err(_) => return Err(unsent(&"connection timed out")),
-        };
+        let timeout = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        timeout.unwrap_or_else(|_| {
+            Err(io::Error::new(
+                io::ErrorKind::TimedOut,
+                "connection timed out",
+            ))
+        })
+    }
+
+    async fn handshake(
+        self: &Arc<Self>,
+        stream: TcpStream,
+    ) -> Result<ReplicaConnection, SendFailure> {
         set_liveness_options(&stream).map_err(|error| unsent(&error))?;
         let allowance = ReadAllowance::unlimited();
         let handshake = http1::Builder::new()
@@ -195,6 +239,10 @@
     }
 }
 
+fn unsent(reason: &dyn std::fmt::Display) -> SendFailure {
+    SendFailure::Unsent(reason.to_string().into())
+}
+
 impl ReplicaConnection {
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -15,6 +15,7 @@
 pub mod refusal;
 pub mod retry;
 pub mod stream;
+mod verdict;
 
 #[cfg(test)]
 mod tests;
