Keep crash reports readable between versions, and doubt breaks that come at once

Cause: routers of both versions run during an update, and the new reports gave the tags of old ones other types; each report would have failed to decode. And a request that breaks a few milliseconds after its send was most likely sent to a replica that had crashed before, such as behind a proxy that still accepts; with such an address now known to be down, each sound request sent there would have been strong evidence against itself. Change: old tags keep their types; a crash without the key of its request is left out.

--- a/src/gateway/crash_report.rs
+++ b/src/gateway/crash_report.rs
@@ -30,34 +30,44 @@
 }
 
 /// The wire format of a [`Crash`].
+///
+/// Tag 4 told whether the evidence is strong, and is not used again: routers of both versions run during an update.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 struct CrashMessage {
     /// The shared parts of the prompt, in order.
     #[prost(fixed64, repeated, tag = "1")]
     parts: Vec<u64>,
-    /// The key of the whole request.
-    #[prost(fixed64, tag = "2")]
-    request: u64,
-    /// The ID of the caller's attempt, cut off if it is long.
-    #[prost(string, tag = "3")]
-    id: String,
-    /// The time for which it ran, in milliseconds.
-    #[prost(uint64, tag = "4")]
-    ran_ms: u64,
     /// The incarnation of the replica.
-    #[prost(fixed32, tag = "5")]
+    #[prost(fixed32, tag = "2")]
     replica: u32,
     /// The time since the crash, in milliseconds.
-    #[prost(uint64, tag = "6")]
+    #[prost(uint64, tag = "3")]
     age_ms: u64,
+    /// The whole request.
+    #[prost(message, optional, tag = "5")]
+    request: Option<RequestMessage>,
     /// How far the answer had got, as the number of its [`Progress`].
-    #[prost(uint32, tag = "7")]
+    #[prost(uint32, tag = "6")]
     progress: u32,
     /// Whether the replica was down afterwards.
-    #[prost(bool, tag = "8")]
+    #[prost(bool, tag = "7")]
     is_down: bool,
 }
 
+/// The wire format of the request that a crash broke off.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct RequestMessage {
+    /// The ID of the caller's attempt, cut off if it is long.
+    #[prost(string, tag = "1")]
+    id: String,
+    /// The time for which it ran, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    ran_ms: u64,
+    /// The key of the whole request; absent in messages of routers that know no such key for every request.
+    #[prost(fixed64, optional, tag = "3")]
+    key: Option<u64>,
+}
+
 /// The wire format of a [`Kept`] answer.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 struct KeptMessage {
@@ -82,11 +92,13 @@
         let age_ms = |at: Duration| millis(now.saturating_sub(at));
         let crashes = crashes.into_iter().map(|crash| CrashMessage {
             parts: crash.parts.to_vec(),
-            request: crash.request,
-            id: crash.id.chars().take(MAX_ID_CHARS).collect(),
-            ran_ms: millis(crash.ran),
             replica: crash.replica,
             age_ms: age_ms(crash.at),
+            request: Some(RequestMessage {
+                id: crash.id.chars().take(MAX_ID_CHARS).collect(),
+                ran_ms: millis(crash.ran),
+                key: Some(crash.request),
+            }),
             progress: encode_progress(crash.progress),
             is_down: crash.is_down,
         });
@@ -121,21 +133,25 @@
         self.crashes.is_empty() && self.kept.is_empty()
     }
 
-    /// Decodes the crashes and the kept answers of a report that arrived at `now`.
+    /// Decodes the crashes and the kept answers of a report that arrived at `now`; crashes without the key of a request are
+    /// left out.
     pub(crate) fn into_parts(
         self,
         now: Duration,
     ) -> (impl Iterator<Item = Crash>, impl Iterator<Item = Kept>) {
         let time = move |age_ms| now.saturating_sub(Duration::from_millis(age_ms));
-        let crashes = self.crashes.into_iter().map(move |crash| Crash {
-            parts: crash.parts.into(),
-            request: crash.request,
-            id: crash.id.into(),
-            ran: Duration::from_millis(crash.ran_ms),
-            replica: crash.replica,
-            at: time(crash.age_ms),
-            progress: decode_progress(crash.progress),
-            is_down: crash.is_down,
+        let crashes = self.crashes.into_iter().filter_map(move |crash| {
+            let request = crash.request?;
+            Some(Crash {
+                parts: crash.parts.into(),
+                request: request.key?,
+                id: request.id.into(),
+                ran: Duration::from_millis(request.ran_ms),
+                replica: crash.replica,
+                at: time(crash.age_ms),
+                progress: decode_progress(crash.progress),
+                is_down: crash.is_down,
+            })
         });
         let kept = self.kept.into_iter().map(move |kept| Kept {
             key: kept.key,
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -4,6 +4,7 @@
 mod backpressure;
 mod call;
 mod caller_activity;
+mod crash_report;
 mod events;
 mod fleet;
 mod fleet_size;
--- a/src/request/tests/crashing_request.rs
+++ b/src/request/tests/crashing_request.rs
@@ -450,6 +450,13 @@
     assert_eq!(quarantine.suspects()[&DEADLY].points, points);
 }
 
+#[test]
+fn suspects_request_that_broke_at_once_is_weak_evidence() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_crash(request_crash(DEADLY, 1, ms(1_000), ms(2)));
+    assert_eq!(quarantine.suspects()[&DEADLY].points, 3);
+}
+
 #[test]
 fn suspects_crash_reported_late_counts_from_its_first_report() {
     let mut quarantine = Quarantine::default();
--- a/src/request/verdict.rs
+++ b/src/request/verdict.rs
@@ -28,7 +28,8 @@
 use smallvec::SmallVec;
 
 use super::quarantine::{
-    Crash, IncarnationKey, Progress, REFUSAL_TIME, SuspectKey, SuspectKind, SuspectStatus, Suspects,
+    Crash, IncarnationKey, MIN_RUN, Progress, REFUSAL_TIME, SuspectKey, SuspectKind, SuspectStatus,
+    Suspects,
 };
 
 /// The points of a crash with strong evidence; three are enough for a refusal.
@@ -109,16 +110,23 @@
     /// Returns how well it shows that its suspect of `kind` caused it; `None` if it doesn't.
     ///
     /// A part crashes replicas as they begin an answer, which most of the requests of a crashed replica don't. A request
-    /// may do so at any time, but not if only its answer was lost.
-    pub(super) const fn evidence_against(&self, kind: SuspectKind) -> Option<Evidence> {
+    /// may do so at any time, but not if only its answer was lost, or if its replica had crashed before it came.
+    pub(super) fn evidence_against(&self, kind: SuspectKind) -> Option<Evidence> {
         match (kind, self.progress) {
             (SuspectKind::Part, Progress::Begun) => Some(Evidence::Strong),
             (SuspectKind::Part, Progress::WentOn) => None,
             (SuspectKind::Part, _) | (SuspectKind::Request, Progress::WentOn) => {
                 Some(Evidence::Weak)
             }
-            (SuspectKind::Request, _) if self.is_down => Some(Evidence::Strong),
-            (SuspectKind::Request, _) => Some(Evidence::Weak),
+            (SuspectKind::Request, progress) => {
+                let has_run = progress != Progress::Waiting || self.ran >= MIN_RUN;
+                let is_strong = self.is_down && has_run;
+                Some(if is_strong {
+                    Evidence::Strong
+                } else {
+                    Evidence::Weak
+                })
+            }
         }
     }
 }
