Share one check of a replica among the requests that its crash broke off

Cause: each attempt that a crash broke off checked by itself, one after the other, whether the replica is down. On a link that is cut, each check takes its whole timeout of 250 ms, so that the last of 64 would have been reported after 16 s (calculated). Change: those that wait for a running check use its result.

--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -60,8 +60,8 @@
     idle: Mutex<Vec<IdleConnection>>,
     open: AtomicU32,
     limit: AtomicU32,
-    /// Is held while it is checked whether the replica is down, so that the others use the result.
-    check: tokio::sync::Mutex<()>,
+    /// The last check whether the replica is down; locked while it runs.
+    check: tokio::sync::Mutex<Option<Check>>,
 }
 
 #[derive(Debug)]
@@ -80,6 +80,13 @@
     pool: Arc<ReplicaPool>,
 }
 
+/// The result of a check whether a replica is down.
+#[derive(Clone, Copy, Debug)]
+struct Check {
+    ended_at: Duration,
+    is_down: bool,
+}
+
 /// How sending a request failed.
 #[derive(Debug)]
 pub(crate) enum SendFailure {
@@ -132,9 +139,23 @@
     /// Returns whether the replica has no process, as far as connections show.
     ///
     /// An address without one refuses connections, or closes them at once if a proxy accepts them. Silence shows nothing:
-    /// the link may be cut. A connection that is opened for this is kept for the next request.
+    /// the link may be cut. A crash brings many calls at once, which share one check.
     pub(crate) async fn is_down(self: &Arc<Self>) -> bool {
-        let _check = self.check.lock().await;
+        let asked_at = boot_time();
+        let mut last = self.check.lock().await;
+        if let Some(check) = last.filter(|check| check.ended_at >= asked_at) {
+            return check.is_down;
+        }
+        let is_down = self.check_connection().await;
+        *last = Some(Check {
+            ended_at: boot_time(),
+            is_down,
+        });
+        is_down
+    }
+
+    /// Returns whether the replica refuses or closes connections. One that is opened for this is kept for the next request.
+    async fn check_connection(self: &Arc<Self>) -> bool {
         if self.has_open_idle() {
             return false;
         }
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -112,7 +112,7 @@
         MetricKind::Gauge,
         Unit::Count,
         &[],
-        "Whole requests without a prompt that are refused, since replicas crashed under them.",
+        "Whole requests that are refused, since replicas crashed under them.",
     ),
     metric(
         "crocuswharf_gateway_replica_signals_total",
@@ -154,7 +154,7 @@
         MetricKind::Gauge,
         Unit::Count,
         &[],
-        "Whole requests without a prompt under which replicas crashed and none has answered since.",
+        "Whole requests under which replicas crashed and none has answered since.",
     ),
     metric(
         "crocuswharf_observations_dropped_total",
