--- a/src/request/tests/crashing_prompt.rs
+++ b/src/request/tests/crashing_prompt.rs
@@ -565,8 +565,8 @@
 
 #[test]
 fn refusal_part_and_request_at_once_are_both_found() {
-    for seed_interval_ms in [300, 600, 1_500] {
-        let part = deadly_part(ms(seed_interval_ms), 1);
+    for interval_ms in [300, 600, 1_500] {
+        let part = deadly_part(ms(interval_ms), 1);
         let request = deadly(&[FIRST], CrashPoint::BeforeHead(ms(80)), ms(600));
         for world in replay(9, ms(100), &[part, request], &[FIRST], 10) {
             world.assert_bounds(0, PART_CRASHES, "part");
