Assert what a crash without parts counts against

Cause: the line that asserted that such a crash is ignored went with the case, since its request is a suspect now; nothing held what it counts against instead. Change: a test of its own. No code changes.

--- a/src/request/tests/quarantine.rs
+++ b/src/request/tests/quarantine.rs
@@ -392,6 +392,14 @@
     assert_eq!(quarantine.suspects()[&1].points, 5);
 }
 
+#[test]
+fn record_crash_without_parts_counts_against_its_request_only() {
+    let mut quarantine = Quarantine::default();
+    assert!(quarantine.record_crash(crash(&[], 6, ms(2_000), Progress::Begun)));
+    let suspects: Vec<_> = quarantine.suspects().into_keys().collect();
+    assert_eq!(suspects, [FIRST_REQUEST + 6]);
+}
+
 #[test]
 fn record_kept_clears_crashes_before_it_only() {
     let mut quarantine = Quarantine::default();
