Name the shared cache scope by the set of isolated accounts

Cause: an account that became isolated got a scope of its own, but its parts stayed in the scope of all others, whose name did not depend on who is isolated. The KV store, which is never cleared, keeps them there as well. The scope was also taken from the configuration that had accepted a request, so that attempts after a change used the old one; and an account name that no header can hold left the scope out, which replicas take for one that all share. An isolated account without a name had the scope of the others.

Change: src/gateway/cache_isolation.rs names the scope of all accounts that share by the set of isolated accounts, and that of an isolated account by its encoded name. Whoever filled a scope had a configuration with the same set, so this holds for any order of changes and follows from one configuration. The scope is chosen when an attempt is sent; a request that waited for a prefill under another scope waits again. One log line for each new scope in force.

Two assertions of tests/prompt.rs moved to tests/cache_isolation.rs, which asserts the same for more names.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -118,14 +118,14 @@
                 RETRY_AFTER_BUSY,
             ));
         };
-        let isolated_account = account.as_ref().filter(|account| account.is_isolated);
+        let cache_domain = table.cache_isolation().domain(account.as_ref());
         let placement = prompt.as_ref().map_or(
             PlacementRequest {
                 prefix: None,
                 shared_tokens: 0,
                 own_tokens: 0,
             },
-            |prompt| prompt.placement_request(isolated_account),
+            |prompt| prompt.placement_request(cache_domain.account()),
         );
         let time = deadline_ms.map_or(route.timeout, |ms| {
             route.timeout.min(Duration::from_millis(ms))
@@ -149,11 +149,6 @@
         })
     }
 
-    /// Returns the caller's account if its cache entries are isolated from other accounts.
-    pub(crate) fn isolated_account(&self) -> Option<&GatewayAccount> {
-        self.account.as_ref().filter(|account| account.is_isolated)
-    }
-
     /// Returns the key of the whole request, which is the same each time that it comes with this path, caller, body and
     /// prompt.
     ///
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use tokio::sync::{mpsc, watch};
 
+use crate::gateway::cache_isolation::IsolationChange;
 use crate::gateway::clock::boot_time;
 use crate::gateway::fleet::ReplicaEntry;
 use crate::gateway::list_watch::{ListWatchEvent, store_backoff, wait_until};
@@ -202,7 +203,9 @@
             );
             self.platform.configuration_revision = revision;
             self.platform.configuration = bytes;
-            self.table = Some(Arc::new(RouteTable::new(configuration)));
+            let table = RouteTable::new(configuration);
+            log_cache_isolation(self.table.as_deref(), &table);
+            self.table = Some(Arc::new(table));
             self.is_dirty = true;
             // Traffic must use the new table before it counts as confirmed.
             self.publish();
@@ -526,3 +529,28 @@
         }
     }
 }
+
+/// Logs the scope of the accounts that share cached parts when it is new, and how many accounts find nothing cached.
+fn log_cache_isolation(before: Option<&RouteTable>, table: &RouteTable) {
+    let isolation = table.cache_isolation();
+    let isolated = isolation.isolated_len();
+    let sharing = table
+        .configuration()
+        .accounts
+        .len()
+        .saturating_sub(isolated);
+    // A router that has just started names the same scope as the others, so its first configuration makes nothing cold.
+    let (change, cold) = match before.map(|before| isolation.change_since(before.cache_isolation()))
+    {
+        None => (IsolationChange::default(), 0),
+        Some(Some(change)) => (change, sharing + change.added),
+        Some(None) => return,
+    };
+    log::info!(
+        "config: Cache scope in force. version={} scope={} isolated_accounts={isolated} newly_isolated={} no_longer_isolated={} cold_accounts={cold}",
+        table.version(),
+        isolation.domain(None),
+        change.added,
+        change.removed,
+    );
+}
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -14,13 +14,13 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::attempt::{AttemptEnd, NextStep, RetryState};
+use super::cache_isolation::CacheDomain;
 use super::call::{Call, RETRY_AFTER_BUSY, RETRY_AFTER_LEAVING};
 use super::clock::boot_time;
 use super::exchange::{Exchange, FailedAttempt, PendingExchange, ReplicaResponse, failed_send};
 use super::loads::ReplicaKey;
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
-use super::prompt::cache_scope;
 use super::response::LocalReply;
 use super::route::CallKind;
 use super::shared::{Refusal, Replica, Shared, Snapshot};
@@ -114,7 +114,7 @@
         let Ok(replica) = self.place(snapshot, unknown) else {
             return unknown;
         };
-        let key = self.prefix_key(&replica, prefix);
+        let key = self.prefix_key(snapshot, &replica, prefix);
         match self.shared.request_prefill(key, time_left).await {
             Some(PrefillDecision::Compute) => {
                 self.prefill_key = Some(key);
@@ -128,13 +128,36 @@
     }
 
     /// Returns the key of this request's prefix for the weights of `replica`.
-    fn prefix_key(&self, replica: &Replica, prefix: u64) -> PrefixKey {
+    fn prefix_key(&self, snapshot: &Snapshot, replica: &Replica, prefix: u64) -> PrefixKey {
         let prompt = self.call.prompt.as_ref();
         let version = prompt.and_then(|prompt| replica.known.version_of(&prompt.model));
-        let scope = cache_scope(version.unwrap_or_default(), self.call.isolated_account());
+        let domain = self.cache_domain(snapshot);
+        let scope = domain.scope(version.unwrap_or_default());
         xxh3_64_with_seed(scope.as_bytes(), prefix)
     }
 
+    /// Returns the cache isolation domain of this request under the configuration of `snapshot`, which may be newer than
+    /// the one that accepted the request.
+    fn cache_domain<'a>(&'a self, snapshot: &'a Snapshot) -> CacheDomain<'a> {
+        let table = snapshot.table.as_ref();
+        let table = table.expect("a configuration accepted the request, and none is withdrawn");
+        table.cache_isolation().domain(self.call.account.as_ref())
+    }
+
+    /// Waits for the prefill of the prefix, once more if the cache isolation domain changed meanwhile; also returns the
+    /// snapshot in force afterwards.
+    async fn prefix_and_snapshot(&mut self) -> (PrefixState, Arc<Snapshot>) {
+        let mut snapshot = self.shared.snapshot.load_full();
+        loop {
+            let prefix = self.wait_for_prefill(&snapshot).await;
+            let current = self.shared.snapshot.load_full();
+            if self.cache_domain(&current) == self.cache_domain(&snapshot) {
+                return (prefix, current);
+            }
+            snapshot = current;
+        }
+    }
+
     /// Reports that a replica holds the prefix, or, with `None`, that this request will not prefill it.
     fn end_prefill(&mut self, holder: Option<ReplicaKey>) {
         if let Some(key) = self.prefill_key.take() {
@@ -389,11 +412,8 @@
 
     async fn attempt(&mut self, last_event: Option<&str>) -> Result<AttemptResult, AttemptError> {
         self.check_refusal()?;
-        let snapshot = self.shared.snapshot.load_full();
-        let prefix = self.wait_for_prefill(&snapshot).await;
+        let (prefix, snapshot) = self.prefix_and_snapshot().await;
         self.check_refusal()?;
-        // The snapshot may have changed during the wait.
-        let snapshot = self.shared.snapshot.load_full();
         let replica = self.place(&snapshot, prefix)?;
         let record = &replica.known.record;
         let is_retryable = self.call.route.kind.is_retryable();
@@ -415,6 +435,8 @@
             }
         };
         let now = boot_time();
+        // The configuration may have changed while the connection was opened.
+        let snapshot = self.shared.snapshot.load_full();
         let request = self.request_to(&snapshot, &replica, last_event, now);
         if self.sends == 0 {
             self.shared
@@ -581,7 +603,7 @@
         }
         if let Some(prompt) = &call.prompt {
             let version = replica.known.version_of(&prompt.model).unwrap_or_default();
-            let scope = cache_scope(version, call.isolated_account());
+            let scope = self.cache_domain(snapshot).scope(version);
             set(&header_names.expected_weights, &version.to_string());
             set(&header_names.cache_scope, &scope);
             set(&header_names.priority, &call.replica_priority().to_string());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod attempt;
 mod attempt_watch;
 mod backpressure;
+mod cache_isolation;
 mod call;
 mod caller_activity;
 mod caller_stream;
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -9,7 +9,7 @@
 
 use super::headers::{HeaderNames, header_text};
 use super::placement::PlacementRequest;
-use super::route::{GatewayAccount, ModelName};
+use super::route::ModelName;
 use crate::request::quarantine::SuspectKey;
 
 /// The maximum number of parts of a prompt.
@@ -86,9 +86,9 @@
             .collect()
     }
 
-    /// Returns the placement inputs of this prompt; pass `account` only if the client account is isolated.
+    /// Returns the placement inputs of this prompt; pass the name of the client account only if it is isolated.
     #[must_use]
-    pub(crate) fn placement_request(&self, account: Option<&GatewayAccount>) -> PlacementRequest {
+    pub(crate) fn placement_request(&self, account: Option<&str>) -> PlacementRequest {
         let shared = self.shared_parts();
         let shared_tokens: u32 = shared.iter().map(|part| part.tokens).sum();
         PlacementRequest {
@@ -100,11 +100,12 @@
 
     /// Returns the hash of the shared prefix.
     ///
-    /// It leaves out the weights version, so that the home of a prefix stays the same during a rollout.
-    fn prefix_hash(&self, account: Option<&GatewayAccount>) -> u64 {
+    /// It leaves out the weights version and which other accounts are isolated, so that the home of a prefix stays the
+    /// same when its cached parts have to be computed again.
+    fn prefix_hash(&self, account: Option<&str>) -> u64 {
         let mut hasher = Xxh3::new();
         hasher.update(self.model.as_bytes());
-        hasher.update(account.map_or(&[][..], |account| account.name.as_bytes()));
+        hasher.update(account.unwrap_or_default().as_bytes());
         for part in self.shared_parts() {
             hasher.update(&[0]);
             hasher.update(part.id.as_bytes());
@@ -130,13 +131,3 @@
     }
     Ok(parts)
 }
-
-/// Returns the cache salt under which a replica isolates KV cache entries.
-///
-/// It contains the weights version, so that entries computed with older weights never match, and the name of the client
-/// account if that is isolated.
-#[must_use]
-pub(crate) fn cache_scope(version: u64, account: Option<&GatewayAccount>) -> String {
-    let account_name = account.map_or("", |account| &*account.name);
-    format!("{version}/{account_name}")
-}
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, RngExt};
 use smallvec::SmallVec;
 
+use super::cache_isolation::CacheIsolation;
 use crate::id::{AccountId, ServiceName, ZoneName};
 
 /// The name of a model served by replicas.
@@ -202,6 +203,7 @@
     by_host: HashMap<Arc<str>, Vec<usize>>,
     by_key: HashMap<Arc<str>, usize>,
     by_service: HashMap<ServiceName, usize>,
+    cache_isolation: CacheIsolation,
 }
 
 impl RouteTable {
@@ -229,6 +231,7 @@
             .map(|(index, service)| (Arc::clone(&service.name), index))
             .collect();
         Self {
+            cache_isolation: CacheIsolation::new(&configuration.accounts),
             configuration,
             by_host,
             by_key,
@@ -278,6 +281,12 @@
         Some(&self.configuration.services[*index])
     }
 
+    /// Returns which accounts share cached prompt parts.
+    #[must_use]
+    pub(crate) const fn cache_isolation(&self) -> &CacheIsolation {
+        &self.cache_isolation
+    }
+
     /// Returns the KV cache store for replicas in `zone`, preferring one in the same zone.
     #[must_use]
     pub(crate) fn kv_store(&self, zone: &str) -> Option<&KvStoreTraits> {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod backpressure;
+mod cache_isolation;
 mod call;
 mod caller_activity;
 mod crash_report;
--- a/src/gateway/tests/prompt.rs
+++ b/src/gateway/tests/prompt.rs
@@ -4,8 +4,7 @@
 use yare::parameterized;
 
 use crate::gateway::headers::HeaderNames;
-use crate::gateway::prompt::{Prompt, PromptError, cache_scope};
-use crate::gateway::route::GatewayAccount;
+use crate::gateway::prompt::{Prompt, PromptError};
 
 /// Returns header names that are used in tests only.
 pub(crate) fn header_names() -> HeaderNames {
@@ -73,16 +72,8 @@
     let prompt = Prompt::from_headers(&headers, &header_names())
         .unwrap()
         .unwrap();
-    let account = GatewayAccount {
-        name: "dues".into(),
-        keys: Vec::new(),
-        priority: None,
-        is_isolated: true,
-    };
     assert_ne!(
         prompt.placement_request(None).prefix,
-        prompt.placement_request(Some(&account)).prefix
+        prompt.placement_request(Some("dues")).prefix
     );
-    assert_ne!(cache_scope(1, None), cache_scope(1, Some(&account)));
-    assert_ne!(cache_scope(1, None), cache_scope(2, None));
 }
