Look at the socket before an idle connection of a caller is closed

What callers saw: a whole request on a kept connection got neither a response nor a refusal; its connection was closed hundreds of milliseconds after its last byte. So it may be beside a change of the configuration: a raised limit on idle connections is used by callers before every router has read it, and reading a configuration takes the processor from the traffic thread.

Cause: the router decided by what the runtime had reported. When the process got no processor between the runtime's look at its sockets and the turn of the connection's task, a request that had arrived meanwhile was not known yet, and the limit had passed. The connection was closed, and what followed was read and dropped. The same holds for the limit on heads, and for the close of idle connections at a shutdown.

Change: before a connection that awaits a request is closed, the socket itself is asked for unread bytes; if there are any, the connection reads them first. Refusals and closed connections now name the version of the configuration in their log lines.

--- a/src/gateway/caller_activity.rs
+++ b/src/gateway/caller_activity.rs
@@ -90,6 +90,11 @@
         self.since = now;
     }
 
+    /// Returns whether the next bytes from the caller are those of a request that is not being handled yet.
+    pub(crate) const fn awaits_request(&self) -> bool {
+        matches!(self.phase, Phase::Idle { .. } | Phase::Head)
+    }
+
     /// Returns when the connection has to be closed unless something happens before, and why.
     pub(crate) fn expiry(&self, limits: CallerLimits) -> Option<(Duration, QuietReason)> {
         if let Some(blocked_since) = self.blocked_since {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -22,7 +22,7 @@
 
 use super::call::{Call, RETRY_AFTER_LEAVING};
 use super::caller_activity::{CallerActivity, QuietReason};
-use super::caller_stream::{CallerStream, RequestActivity, SharedActivity};
+use super::caller_stream::{CallerSocket, CallerStream, RequestActivity, SharedActivity};
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
 use super::exchange::{ReplicaBody, ReplicaResponse};
@@ -121,7 +121,7 @@
     }
     let limits = shared.caller_limits();
     let activity = SharedActivity::new(CallerActivity::new(boot_time(), limits));
-    let stream = CallerStream::new(stream, activity.clone());
+    let (stream, socket) = CallerStream::new(stream, activity.clone());
     let (handling, handling_activity) = (Arc::clone(&shared), activity.clone());
     let service = service_fn(move |request| {
         let request_activity = RequestActivity::begin(&handling, &handling_activity);
@@ -137,15 +137,24 @@
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let reason = tokio::select! {
-        // Bytes that have arrived count before a time that has passed.
-        biased;
-        result = connection.as_mut() => return log_end(result),
-        () = wait_for_closing(&mut closing), if !is_closing => None,
-        reason = wait_until_quiet(&activity, &shared) => Some(reason),
+    let reason = loop {
+        let reason = tokio::select! {
+            // Bytes that have arrived count before a time that has passed.
+            biased;
+            result = connection.as_mut() => return log_end(result),
+            () = wait_for_closing(&mut closing), if !is_closing => None,
+            reason = wait_until_quiet(&activity, &shared) => Some(reason),
+        };
+        if reason == Some(QuietReason::Stalled) || !has_unread_request(&activity, &socket) {
+            break reason;
+        }
+        tokio::task::yield_now().await;
     };
     if let Some(reason) = reason {
-        log::debug!("front: A quiet connection is closed. reason={reason:?}");
+        log::debug!(
+            "front: A quiet connection is closed. reason={reason:?} configuration_version={}",
+            shared.configuration_version()
+        );
     }
     if matches!(reason, Some(QuietReason::SlowHead | QuietReason::Stalled)) {
         return;
@@ -159,6 +168,11 @@
     }
 }
 
+/// Returns whether bytes of a request have arrived of which the connection does not know yet.
+fn has_unread_request(activity: &SharedActivity, socket: &CallerSocket) -> bool {
+    activity.lock().awaits_request() && socket.has_unread()
+}
+
 fn log_end(result: Result<(), hyper::Error>) {
     if let Err(error) = result {
         log::debug!("front: Connection ended. error={error}");
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -23,12 +23,7 @@
         let took = boot_time().saturating_sub(call.arrived_at);
         record_metrics(call, outcome, took);
         let (replica, sends) = dispatch.last_attempt();
-        let version = self
-            .snapshot
-            .load()
-            .table
-            .as_ref()
-            .map_or(0, |table| table.version());
+        let version = self.configuration_version();
         // Served and other requests use different sentences, so that log rate limiting does not let one kind suppress
         // the other.
         let sentence = if outcome == "complete" {
@@ -59,9 +54,10 @@
         .increment(1);
         let age = self.freshness(boot_time()).age;
         log::info!(
-            "request: Answered by the gateway. id={id} route={route} status={} reason=\"{}\" configuration_age_ms={}",
+            "request: Answered by the gateway. id={id} route={route} status={} reason=\"{}\" configuration_version={} configuration_age_ms={}",
             answer.status.as_u16(),
             answer.reason,
+            self.configuration_version(),
             age.as_millis()
         );
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -416,6 +416,13 @@
         table.map_or_else(CallerLimits::default, |table| table.configuration().limits)
     }
 
+    /// Returns the version of the configuration in force; 0 before the first one.
+    pub(crate) fn configuration_version(&self) -> u64 {
+        let snapshot = self.snapshot.load();
+        let table = snapshot.table.as_ref();
+        table.map_or(0, |table| table.version())
+    }
+
     /// Returns whether this router is ready for new callers.
     pub(crate) fn is_ready(&self) -> bool {
         let snapshot = self.snapshot.load();
