Limit the keep-alive timeout that a replica announces

Cause: the control thread adds the timeout to the time since which a connection is idle when it closes idle connections. The sum overflows, which ends the thread. Change: a timeout is limited to an hour when it is read. Values that no number of 64 bits holds were ignored before and are now.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -30,6 +30,8 @@
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
 /// How long the rest of a refusal is read.
 const REFUSAL_READ_LIMIT: Duration = Duration::from_millis(20);
+/// The longest keep-alive timeout of a replica that is used.
+pub(crate) const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
 
 /// The response of a replica.
 #[derive(Debug)]
@@ -474,7 +476,9 @@
 }
 
 /// Returns the keep-alive timeout announced by a replica; zero if it closes the connection.
-fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+///
+/// A replica may announce any number of seconds; times beyond the limit could not be added to a point in time.
+pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let connection = header_text(headers, &http::header::CONNECTION).unwrap_or_default();
     if connection
         .split(',')
@@ -486,5 +490,6 @@
     let seconds = text
         .split(',')
         .find_map(|token| token.trim().strip_prefix("timeout="))?;
-    Some(Duration::from_secs(seconds.trim().parse().ok()?))
+    let timeout = Duration::from_secs(seconds.trim().parse().ok()?);
+    Some(timeout.min(MAX_KEEP_ALIVE))
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -7,6 +7,7 @@
 mod caller_activity;
 mod crash_report;
 mod events;
+mod exchange;
 mod fleet;
 mod fleet_size;
 mod forwarding;
