Reply to an accepted ticket once its router serves with it

What callers saw: after an operator's ticket was answered as accepted, a request to the same router could still be served with the configuration before it.

Cause: TicketApi::submit promises that the state is adopted before the reply, but the router only queued it for its control thread.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,7 +13,7 @@
 
 use arc_swap::ArcSwap;
 use tokio::runtime::Handle;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::configuration::{StateSource, StoredState};
 use crate::engine::EngineClient;
@@ -154,6 +154,20 @@
         let _ = self.events.send(event).await;
     }
 
+    /// Sends the configuration that an accepted ticket created to the control thread, and waits until requests that arrive
+    /// at this router are served with it or with a newer one.
+    ///
+    /// Without the wait, an operator could be told that a ticket was accepted while this router still serves the
+    /// configuration before it.
+    pub(crate) async fn activate_accepted(&self, state: StoredState) {
+        let (activated, activation) = oneshot::channel();
+        let event = Event::TicketAccepted(Box::new(state), activated);
+        // Both fail only if the router is stopping.
+        if self.events.send(event).await.is_ok() {
+            let _ = activation.await;
+        }
+    }
+
     /// Counts a request as open until the returned guard is dropped.
     pub(crate) fn open_request(&self) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -33,8 +33,11 @@
 /// An event handled by the control thread.
 #[derive(Debug)]
 pub(crate) enum Event {
-    /// A configuration was loaded from the platform or a peer, or accepted from a change ticket.
+    /// A configuration was loaded from the platform or a peer.
     Configuration(StateSource, Box<StoredState>),
+    /// This router accepted a change ticket, which created a configuration. The sender is used once requests are served
+    /// with it.
+    TicketAccepted(Box<StoredState>, oneshot::Sender<()>),
     /// An engine was polled for its load.
     Load {
         /// The pool of the replica.
@@ -308,6 +311,13 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Configuration(source, state) => self.adopt(source, *state),
+            Event::TicketAccepted(state, activated) => {
+                self.adopt(StateSource::Ticket, *state);
+                self.publish();
+                // Sending fails if the operator's connection was closed.
+                let _ = activated.send(());
+                return;
+            }
             Event::Load {
                 pool,
                 replica,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -32,6 +32,9 @@
 mod selector;
 mod tickets;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use self::connection::RunningServer;
 use self::connection::connection_timeouts;
 
--- a/src/entry/tickets.rs
+++ b/src/entry/tickets.rs
@@ -12,7 +12,7 @@
 
 use super::auth::bearer_key;
 use crate::account::key_matches;
-use crate::configuration::{Fetch, StateSource, StoredState, UpdatePart};
+use crate::configuration::{Fetch, StoredState, UpdatePart};
 use crate::control::Shared;
 use crate::id::Revision;
 use crate::membership::Member;
@@ -60,9 +60,9 @@
     }
 }
 
-fn apply_state(shared: Arc<Shared>, state: StoredState) -> BoxFuture<'static, ()> {
+pub(crate) fn apply_state(shared: Arc<Shared>, state: StoredState) -> BoxFuture<'static, ()> {
     Box::pin(async move {
-        shared.offer_configuration(StateSource::Ticket, state).await;
+        shared.activate_accepted(state).await;
     })
 }
 
