End the last flush of the log within the grace period

At the end of a full shutdown, 0.06 of the grace period is left.

The soak's finding now names the state of each thread of a process that is late, when it exited, and how late the check itself was.

--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -32,6 +32,8 @@
 pub(crate) const RECOVERY: Duration = Duration::from_secs(12);
 /// The time that a replica takes to load weights, by the users' sheets.
 const LOAD_TIME: Duration = Duration::from_millis(570);
+/// How long a process that has not exited in time is watched, for the report.
+const EXIT_WATCH_LIMIT: Duration = Duration::from_secs(2);
 /// The time for which old and new keys are both valid, so that callers can switch to the new one.
 const KEY_OVERLAP: Duration = Duration::from_millis(500);
 /// The base of the replicas' start times, in milliseconds since the Unix epoch; far enough from 0 for clocks that step
@@ -105,7 +107,7 @@
     ResumeRouter(usize),
     StartRouter(usize),
     /// Checks that a router that was told to shut down has exited, unless its generation has changed.
-    CheckRouterExit(usize, u32),
+    CheckRouterExit(usize, u32, Instant),
     OpenStoreLink(usize),
     RestoreStore,
     RestoreReplica(usize),
@@ -257,7 +259,8 @@
                     self.record_outage(*router, GRACE + RECOVERY);
                     self.routers[*router].is_terminating = true;
                     let generation = self.routers[*router].generation;
-                    self.schedule(GRACE, Action::CheckRouterExit(*router, generation));
+                    let due = Instant::now() + GRACE;
+                    self.schedule(GRACE, Action::CheckRouterExit(*router, generation, due));
                 }
             }
             Fault::RouterReloaded(router) => self.reload(*router),
@@ -311,9 +314,9 @@
                     self.start_router(router).await;
                 }
             }
-            Action::CheckRouterExit(router, generation) => {
+            Action::CheckRouterExit(router, generation, due) => {
                 if self.routers[router].generation == generation {
-                    self.check_exit(router).await;
+                    self.check_exit(router, due).await;
                 }
             }
             Action::OpenStoreLink(router) => self.routers[router].store_link.set(Link::Open),
@@ -435,8 +438,8 @@
         }
     }
 
-    /// Checks that a router that was told to shut down has exited, and starts it again.
-    pub(crate) async fn check_exit(&mut self, router: usize) {
+    /// Checks that a router that was told to shut down and had to exit by `due` has exited, and starts it again.
+    pub(crate) async fn check_exit(&mut self, router: usize, due: Instant) {
         let state = &mut self.routers[router];
         let was_paused = state
             .paused_until
@@ -448,10 +451,19 @@
             Some(Some(0)) => {}
             // Signals are pending while a process is paused, and its grace period starts when it resumes.
             None if was_paused => {}
-            ended => self.findings.push(finding(
-                "a router that is told to leave ends well and in time",
-                format!("router {router} after {GRACE:?}: {ended:?}"),
-            )),
+            ended => {
+                let late = Instant::now().saturating_duration_since(due);
+                let threads = daemon.thread_states();
+                let exit = tokio::time::timeout(EXIT_WATCH_LIMIT, daemon.exit_code()).await;
+                self.findings.push(finding(
+                    "a router that is told to leave ends well and in time",
+                    format!(
+                        "router {router} after {GRACE:?}: {ended:?}, threads {threads:?}, then {exit:?} after {:?}, \
+                         checked {late:?} late",
+                        due.elapsed()
+                    ),
+                ));
+            }
         }
         self.remove_process(router);
         self.start_router(router).await;
--- a/soak/src/recovery.rs
+++ b/soak/src/recovery.rs
@@ -57,7 +57,7 @@
         self.signal(0, Signal::TERM);
         self.routers[0].is_terminating = true;
         self.wait_until(signal_at + GRACE).await;
-        self.check_exit(0).await;
+        self.check_exit(0, signal_at + GRACE).await;
         self.records.sent = lock(&self.callers.sent).clone();
         self.records.received = self.received();
         let lost = lost_requests(&self.records, 0, signal_at);
--- a/src/gateway/leaving.rs
+++ b/src/gateway/leaving.rs
@@ -19,6 +19,8 @@
 const END_FRACTION_OF_GRACE: f64 = 0.94;
 /// The fraction of the grace period that is left after the end for writing the last responses.
 const FLUSH_FRACTION_OF_GRACE: f64 = 0.03;
+/// The fraction of the grace period after which the process exits even with log lines that nobody has read.
+const EXIT_FRACTION_OF_GRACE: f64 = 0.98;
 /// How long no request may have arrived before the process ends early.
 const MIN_QUIET: Duration = Duration::from_millis(500);
 
@@ -38,6 +40,7 @@
 pub(crate) struct LeaveSchedule {
     refuse_at: Duration,
     close_at: Duration,
+    exit_at: Duration,
     quiet: Duration,
     flush: Duration,
 }
@@ -50,6 +53,7 @@
         Self {
             refuse_at: begun + serve,
             close_at: begun + grace.mul_f64(END_FRACTION_OF_GRACE),
+            exit_at: begun + grace.mul_f64(EXIT_FRACTION_OF_GRACE),
             quiet: directory_life.max(MIN_QUIET),
             flush: grace.mul_f64(FLUSH_FRACTION_OF_GRACE),
         }
@@ -81,4 +85,9 @@
     pub(crate) const fn flush_limit(&self) -> Duration {
         self.flush
     }
+
+    /// Returns how long the process may still run at `now`.
+    pub(crate) fn time_left(&self, now: Duration) -> Duration {
+        self.exit_at.saturating_sub(now)
+    }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -219,8 +219,8 @@
     /// Shuts down gracefully: leaves the directory at once, keeps serving callers with old directory responses, refuses
     /// later requests as not run, and closes the connections when all is answered and nothing more arrives.
     ///
-    /// Returns the number of requests that were cut at the end of the grace period.
-    pub async fn leave(&self) -> usize {
+    /// Returns how long the process may still run within the grace period.
+    pub async fn leave(&self) -> Duration {
         let bounds = self.shared.bounds();
         let life = Duration::from_millis(bounds.directory_life_ms);
         let schedule = LeaveSchedule::new(clock::boot_time(), bounds.grace(), life);
@@ -260,7 +260,7 @@
             self.connections.len(),
             flushed.is_ok()
         );
-        cut.len()
+        schedule.time_left(clock::boot_time())
     }
 }
 
--- a/src/gateway/tests/leaving.rs
+++ b/src/gateway/tests/leaving.rs
@@ -27,3 +27,13 @@
     assert!(!schedule.refuses_at(ms(1_299)));
     assert!(schedule.refuses_at(ms(1_300)));
 }
+
+#[parameterized(
+    at_close = { 7_520, 320 },
+    responses_flushed_to_the_last = { 7_760, 80 },
+    late = { 8_100, 0 },
+)]
+fn time_left_case(now_ms: u64, expected_ms: u64) {
+    let schedule = LeaveSchedule::new(ms(0), ms(8_000), ms(1_000));
+    assert_eq!(schedule.time_left(ms(now_ms)), ms(expected_ms));
+}
--- a/src/telemetry/json.rs
+++ b/src/telemetry/json.rs
@@ -10,7 +10,7 @@
 
 use std::collections::HashMap;
 use std::io::Write;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError, mpsc};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use log::{LevelFilter, Log, Metadata, Record};
@@ -28,10 +28,10 @@
 const MAX_KINDS: usize = 256;
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Flushes the queued lines when dropped.
+/// Flushes the queued lines when dropped, for up to about a second if standard output is not read.
 #[derive(Debug)]
 pub struct LogGuard {
-    _worker: WorkerGuard,
+    worker: WorkerGuard,
 }
 
 /// Writes log lines as JSON objects to a non-blocking writer.
@@ -74,7 +74,28 @@
     log::set_max_level(sink.level);
     log::set_boxed_logger(Box::new(sink))
         .map_err(|error| Error::new(ErrorKind::Io, format!("failed to start the log: {error}")))?;
-    Ok(LogGuard { _worker: worker })
+    Ok(LogGuard { worker })
+}
+
+impl LogGuard {
+    /// Flushes the queued lines for at most `limit`.
+    ///
+    /// A process that has to exit in time uses this, since its reader may be stuck. Lines that are lost then can't be
+    /// reported: they would need the same reader.
+    pub fn flush_within(self, limit: Duration) {
+        let (flushed, end) = mpsc::channel();
+        let flushing = std::thread::Builder::new()
+            .name("log-flush".to_owned())
+            .spawn(move || {
+                drop(self.worker);
+                // Nothing waits for it once the limit has passed.
+                let _ = flushed.send(());
+            });
+        if flushing.is_ok() {
+            // Both a flush and the limit end the wait.
+            let _ = end.recv_timeout(limit);
+        }
+    }
 }
 
 impl Log for JsonLog {
