Read a caller's socket a last time instead of sharing it

Cause: since the connection reads through a shared socket, so that the task that closes it can look for unread bytes. tokio's reads through a shared socket don't use that a read that fills less than its buffer has emptied the socket: one more system call for each read, and the buffer was filled with zeros before each.

Change: the connection owns its socket again. Before a close, the task asks for a last read of the socket itself, and polls the connection once. A request that the runtime has not reported is read by that poll, not only seen.

--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -4,12 +4,14 @@
 //! read yet. After the last response, the rest of what the caller sends is therefore read and dropped for a while.
 //!
 //! A connection must not be closed over a request that has arrived. The runtime may not have reported it yet if the
-//! process got no processor for a while, so the socket itself is asked.
+//! process got no processor for a while, so a last read asks the socket itself.
+//!
+//! Rejected: sharing the socket with the task that closes it, which can look into it at any time. A shared socket can't
+//! use that a read that fills less than its buffer has emptied the socket, and makes one more system call for each read.
 
-use std::io;
-use std::mem::MaybeUninit;
-use std::net::Shutdown;
+use std::io::{self, Read};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -30,7 +32,16 @@
 
 /// The activity of a connection, shared between the connection and its requests.
 #[derive(Clone, Debug)]
-pub(crate) struct SharedActivity(Arc<Mutex<CallerActivity>>);
+pub(crate) struct SharedActivity(Arc<ConnectionState>);
+
+#[derive(Debug)]
+struct ConnectionState {
+    activity: Mutex<CallerActivity>,
+    /// Whether the next read asks the socket itself.
+    asks_socket: AtomicBool,
+    /// Whether the socket had bytes that the runtime had not reported.
+    had_unread: AtomicBool,
+}
 
 /// Records that a request occupies its connection, until it is dropped.
 #[derive(Debug)]
@@ -42,34 +53,45 @@
 /// A connection to a caller.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
-    stream: Arc<TcpStream>,
+    stream: TcpStream,
     activity: SharedActivity,
     /// Ends the reading after the last response.
     linger: Option<Pin<Box<Sleep>>>,
 }
 
-/// The socket of a connection that a [`CallerStream`] reads.
-#[derive(Debug)]
-pub(crate) struct CallerSocket(Arc<TcpStream>);
-
-impl CallerSocket {
-    /// Returns whether bytes have arrived that were not read yet.
-    pub(crate) fn has_unread(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.0).peek(&mut byte);
-        peeked.is_ok_and(|length| length > 0)
-    }
-}
-
 impl SharedActivity {
     /// Shares an activity.
     pub(crate) fn new(activity: CallerActivity) -> Self {
-        Self(Arc::new(Mutex::new(activity)))
+        Self(Arc::new(ConnectionState {
+            activity: Mutex::new(activity),
+            asks_socket: AtomicBool::new(false),
+            had_unread: AtomicBool::new(false),
+        }))
     }
 
     /// Returns the activity for a short time.
     pub(crate) fn lock(&self) -> MutexGuard<'_, CallerActivity> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0
+            .activity
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets the next read ask the socket itself, whatever the runtime has reported.
+    pub(crate) fn ask_socket(&self) {
+        self.0.had_unread.store(false, Ordering::Relaxed);
+        self.0.asks_socket.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the read after [`ask_socket`](Self::ask_socket) got bytes.
+    pub(crate) fn had_unread(&self) -> bool {
+        self.0.had_unread.load(Ordering::Relaxed)
+    }
+
+    fn takes_question(&self) -> bool {
+        // Nearly all reads are without a question, and need no exclusive access.
+        self.0.asks_socket.load(Ordering::Relaxed)
+            && self.0.asks_socket.swap(false, Ordering::Relaxed)
     }
 }
 
@@ -92,53 +114,28 @@
 }
 
 impl CallerStream {
-    /// Records in `activity` what passes through `stream`; also returns its socket.
-    pub(crate) fn new(stream: TcpStream, activity: SharedActivity) -> (Self, CallerSocket) {
-        let stream = Arc::new(stream);
-        let socket = CallerSocket(Arc::clone(&stream));
-        let stream = Self {
+    /// Records in `activity` what passes through `stream`.
+    pub(crate) const fn new(stream: TcpStream, activity: SharedActivity) -> Self {
+        Self {
             stream,
             activity,
             linger: None,
-        };
-        (stream, socket)
-    }
-
-    fn poll_read_socket(
-        &self,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read(buffer.initialize_unfilled()) {
-                Ok(length) => {
-                    buffer.advance(length);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
         }
     }
 
-    fn poll_write_socket(
-        &self,
-        context: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        let result = loop {
-            let ready = match self.stream.poll_write_ready(context) {
-                Poll::Ready(ready) => ready,
-                Poll::Pending => break Poll::Pending,
-            };
-            match ready.and_then(|()| write(&self.stream)) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => break Poll::Ready(result),
+    /// Reads what the socket has; returns `None` if it has neither bytes nor an end.
+    fn read_unreported(&self, buffer: &mut ReadBuf<'_>) -> Option<io::Result<()>> {
+        let socket = SockRef::from(&self.stream);
+        match (&*socket).read(buffer.initialize_unfilled()) {
+            Ok(length) => {
+                buffer.advance(length);
+                let had_unread = &self.activity.0.had_unread;
+                had_unread.store(length > 0, Ordering::Relaxed);
+                Some(Ok(()))
             }
-        };
-        self.record_sent(&result);
-        result
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => None,
+            Err(error) => Some(Err(error)),
+        }
     }
 
     fn record_sent(&self, result: &Poll<io::Result<usize>>) {
@@ -146,11 +143,11 @@
     }
 
     /// Reads and drops bytes until the caller has closed the connection.
-    fn poll_drop_rest(&self, context: &mut Context<'_>) -> Poll<()> {
+    fn poll_drop_rest(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let mut bytes = [0; DROP_LEN];
         loop {
             let mut buffer = ReadBuf::new(&mut bytes);
-            let result = ready!(self.poll_read_socket(context, &mut buffer));
+            let result = ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer));
             if result.is_err() || buffer.filled().is_empty() {
                 return Poll::Ready(());
             }
@@ -160,12 +157,19 @@
 
 impl AsyncRead for CallerStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(self.poll_read_socket(context, buffer))?;
+        let unreported = match self.activity.takes_question() {
+            true => self.read_unreported(buffer),
+            false => None,
+        };
+        match unreported {
+            Some(result) => result?,
+            None => ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?,
+        }
         if buffer.filled().len() > before {
             self.activity.lock().received(boot_time());
         }
@@ -175,20 +179,22 @@
 
 impl AsyncWrite for CallerStream {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.poll_write_socket(context, |stream| stream.try_write(bytes))
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_sent(&result);
+        result
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
-            SockRef::from(&*self.stream).shutdown(Shutdown::Write)?;
+            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
             self.linger = Some(Box::pin(tokio::time::sleep(LINGER_LIMIT)));
         }
         let linger = self.linger.as_mut().expect("it was set above");
@@ -199,11 +205,13 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_write_socket(context, |stream| stream.try_write_vectored(buffers))
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.record_sent(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -22,7 +22,7 @@
 
 use super::call::{Call, RETRY_AFTER_LEAVING};
 use super::caller_activity::{CallerActivity, QuietReason};
-use super::caller_stream::{CallerSocket, CallerStream, RequestActivity, SharedActivity};
+use super::caller_stream::{CallerStream, RequestActivity, SharedActivity};
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
 use super::exchange::{ReplicaBody, ReplicaResponse};
@@ -121,7 +121,7 @@
     }
     let limits = shared.caller_limits();
     let activity = SharedActivity::new(CallerActivity::new(boot_time(), limits));
-    let (stream, socket) = CallerStream::new(stream, activity.clone());
+    let stream = CallerStream::new(stream, activity.clone());
     let (handling, handling_activity) = (Arc::clone(&shared), activity.clone());
     let service = service_fn(move |request| {
         let request_activity = RequestActivity::begin(&handling, &handling_activity);
@@ -145,10 +145,19 @@
             () = wait_for_closing(&mut closing), if !is_closing => None,
             reason = wait_until_quiet(&activity, &shared) => Some(reason),
         };
-        if reason == Some(QuietReason::Stalled) || !has_unread_request(&activity, &socket) {
+        if reason == Some(QuietReason::Stalled) || !activity.lock().awaits_request() {
+            break reason;
+        }
+        // A request may have arrived that the runtime has not reported yet.
+        activity.ask_socket();
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => return log_end(result),
+            () = std::future::ready(()) => {}
+        }
+        if !activity.had_unread() {
             break reason;
         }
-        tokio::task::yield_now().await;
     };
     if let Some(reason) = reason {
         log::debug!(
@@ -168,11 +177,6 @@
     }
 }
 
-/// Returns whether bytes of a request have arrived of which the connection does not know yet.
-fn has_unread_request(activity: &SharedActivity, socket: &CallerSocket) -> bool {
-    activity.lock().awaits_request() && socket.has_unread()
-}
-
 fn log_end(result: Result<(), hyper::Error>) {
     if let Err(error) = result {
         log::debug!("front: Connection ended. error={error}");
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod cache_isolation;
 mod call;
 mod caller_activity;
+mod caller_stream;
 mod crash_report;
 mod events;
 mod exchange;
