--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -9,7 +9,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// The state of a link. Blocked bytes are delivered when the link opens again, as TCP retransmission would do.
+/// How much later than held-up bytes the end of their connection arrives: a server then handles the request before.
+const LATE_END: Duration = Duration::from_millis(20);
+
+/// The state of a link. Blocked bytes are delivered when the link opens again, as TCP retransmission would do, unless their
+/// sender has reset its connection meanwhile.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Link {
     /// Bytes are forwarded.
@@ -104,6 +108,7 @@
     mut state: watch::Receiver<Link>,
 ) {
     let mut bytes = vec![0; 16 << 10];
+    let mut was_blocked = false;
     loop {
         let link = *state.borrow_and_update();
         if link == Link::Reset {
@@ -112,16 +117,24 @@
             return;
         }
         if link.blocks(direction) {
+            was_blocked = true;
             if state.changed().await.is_err() {
                 return;
             }
             continue;
         }
+        if matches!(from.as_ref().take_error(), Ok(Some(_))) {
+            reset(to.as_ref());
+            return;
+        }
         let read = tokio::select! {
             read = from.read(&mut bytes) => read,
             _ = state.changed() => continue,
         };
         let Ok(count @ 1..) = read else {
+            if was_blocked {
+                tokio::time::sleep(LATE_END).await;
+            }
             // The other direction stays open: a half-closed peer still reads.
             let _ = to.shutdown().await;
             return;
