--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -4,7 +4,7 @@
 //! read yet. After the last response, the rest of what the caller sends is therefore read and dropped for a while.
 //!
 //! A connection must not be closed over a request that has arrived. The runtime may not have reported it yet if the
-//! process got no processor for a while, so a last read asks the socket itself.
+//! process got no processor for a while, so a last read is forced.
 //!
 //! Rejected: sharing the socket with the task that closes it, which can look into it at any time. A shared socket can't
 //! use that a read that fills less than its buffer has emptied the socket, and makes one more system call for each read.
@@ -37,10 +37,10 @@
 #[derive(Debug)]
 struct ConnectionState {
     activity: Mutex<CallerActivity>,
-    /// Whether the next read asks the socket itself.
-    asks_socket: AtomicBool,
-    /// Whether the socket had bytes that the runtime had not reported.
-    had_unread: AtomicBool,
+    /// Whether the next read is done even if the runtime has reported nothing to read.
+    is_read_forced: AtomicBool,
+    /// Whether the last such read got bytes.
+    forced_read_got_bytes: AtomicBool,
 }
 
 /// Records that a request occupies its connection, until it is dropped.
@@ -64,8 +64,8 @@
     pub(crate) fn new(activity: CallerActivity) -> Self {
         Self(Arc::new(ConnectionState {
             activity: Mutex::new(activity),
-            asks_socket: AtomicBool::new(false),
-            had_unread: AtomicBool::new(false),
+            is_read_forced: AtomicBool::new(false),
+            forced_read_got_bytes: AtomicBool::new(false),
         }))
     }
 
@@ -77,21 +77,21 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Lets the next read ask the socket itself, whatever the runtime has reported.
-    pub(crate) fn ask_socket(&self) {
-        self.0.had_unread.store(false, Ordering::Relaxed);
-        self.0.asks_socket.store(true, Ordering::Relaxed);
+    /// Forces the next read, whatever the runtime has reported.
+    pub(crate) fn force_read(&self) {
+        self.0.forced_read_got_bytes.store(false, Ordering::Relaxed);
+        self.0.is_read_forced.store(true, Ordering::Relaxed);
     }
 
-    /// Returns whether the read after [`ask_socket`](Self::ask_socket) got bytes.
-    pub(crate) fn had_unread(&self) -> bool {
-        self.0.had_unread.load(Ordering::Relaxed)
+    /// Returns whether the read after [`force_read`](Self::force_read) got bytes.
+    pub(crate) fn forced_read_got_bytes(&self) -> bool {
+        self.0.forced_read_got_bytes.load(Ordering::Relaxed)
     }
 
-    fn takes_question(&self) -> bool {
-        // Nearly all reads are without a question, and need no exclusive access.
-        self.0.asks_socket.load(Ordering::Relaxed)
-            && self.0.asks_socket.swap(false, Ordering::Relaxed)
+    fn take_forced_read(&self) -> bool {
+        // Reads are rarely forced, and loading needs no exclusive access to the cache line.
+        self.0.is_read_forced.load(Ordering::Relaxed)
+            && self.0.is_read_forced.swap(false, Ordering::Relaxed)
     }
 }
 
@@ -123,14 +123,14 @@
         }
     }
 
-    /// Reads what the socket has; returns `None` if it has neither bytes nor an end.
+    /// Reads what the socket has, reported or not; returns `None` if it has neither bytes nor an end.
     fn read_unreported(&self, buffer: &mut ReadBuf<'_>) -> Option<io::Result<()>> {
         let socket = SockRef::from(&self.stream);
         match (&*socket).read(buffer.initialize_unfilled()) {
             Ok(length) => {
                 buffer.advance(length);
-                let had_unread = &self.activity.0.had_unread;
-                had_unread.store(length > 0, Ordering::Relaxed);
+                let got_bytes = &self.activity.0.forced_read_got_bytes;
+                got_bytes.store(length > 0, Ordering::Relaxed);
                 Some(Ok(()))
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => None,
@@ -162,7 +162,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let unreported = match self.activity.takes_question() {
+        let unreported = match self.activity.take_forced_read() {
             true => self.read_unreported(buffer),
             false => None,
         };
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -149,13 +149,13 @@
             break reason;
         }
         // A request may have arrived that the runtime has not reported yet.
-        activity.ask_socket();
+        activity.force_read();
         tokio::select! {
             biased;
             result = connection.as_mut() => return log_end(result),
             () = std::future::ready(()) => {}
         }
-        if !activity.had_unread() {
+        if !activity.forced_read_got_bytes() {
             break reason;
         }
     };
--- a/src/gateway/tests/caller_stream.rs
+++ b/src/gateway/tests/caller_stream.rs
@@ -27,38 +27,41 @@
 
 /// The runtime reports nothing while its only task does not yield.
 #[tokio::test]
-async fn read_asks_socket_gets_bytes_before_the_runtime_reports_them() {
+async fn read_is_read_forced_gets_bytes_before_the_runtime_reports_them() {
     let (mut caller, mut stream, activity) = connected().await;
     let mut bytes = [0; 64];
     assert!(poll!(pin!(stream.read(&mut bytes))).is_pending());
     caller.write_all(b"GET").unwrap();
     assert!(poll!(pin!(stream.read(&mut bytes))).is_pending());
-    activity.ask_socket();
+    activity.force_read();
     let Poll::Ready(Ok(3)) = poll!(pin!(stream.read(&mut bytes))) else {
         panic!("the bytes were not read");
     };
     assert_eq!(&bytes[..3], b"GET");
-    assert!(activity.had_unread());
+    assert!(activity.forced_read_got_bytes());
 }
 
 #[tokio::test]
-async fn read_asks_empty_socket_waits_for_later_bytes() {
+async fn read_forced_on_empty_socket_waits_for_later_bytes() {
     let (mut caller, mut stream, activity) = connected().await;
     let mut bytes = [0; 64];
-    activity.ask_socket();
+    activity.force_read();
     assert!(poll!(pin!(stream.read(&mut bytes))).is_pending());
-    assert!(!activity.had_unread());
+    assert!(!activity.forced_read_got_bytes());
     caller.write_all(b"GET").unwrap();
     assert_eq!(stream.read(&mut bytes).await.unwrap(), 3);
-    assert!(!activity.had_unread(), "the runtime has reported them");
+    assert!(
+        !activity.forced_read_got_bytes(),
+        "the runtime has reported them"
+    );
 }
 
 #[tokio::test]
-async fn read_asks_ended_connection_gets_its_end() {
+async fn read_forced_on_ended_connection_gets_its_end() {
     let (caller, mut stream, activity) = connected().await;
     let mut bytes = [0; 64];
     drop(caller);
-    activity.ask_socket();
+    activity.force_read();
     assert_eq!(stream.read(&mut bytes).await.unwrap(), 0);
-    assert!(!activity.had_unread());
+    assert!(!activity.forced_read_got_bytes());
 }
