Log how each request and each connection of a caller ends

Missing: what ended a caller's connection, or a request without an answer, left no line at the level info. Cause: the ends were logged at debug where they were noticed, and a dropped request is noticed by nobody. Change: the guard that keeps a request open keeps its progress and logs an end without a whole answer when it is dropped. Partial heads, rests of rejected requests and requests that cross a close have one line with their bytes. A body that was rejected while it was read is now logged as answered by the gateway.

--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -11,7 +11,7 @@
 
 use std::io::{self, Read};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -23,6 +23,7 @@
 
 use super::caller_activity::CallerActivity;
 use super::clock::boot_time;
+use super::request_end::ClosedBy;
 use super::shared::Shared;
 
 /// How long a caller's bytes are read after the last response.
@@ -41,6 +42,16 @@
     is_read_forced: AtomicBool,
     /// Whether the last such read got bytes.
     forced_read_got_bytes: AtomicBool,
+    /// The code of who ended the connection, or zero while it lasts.
+    closed_by: AtomicU8,
+    /// When the last byte arrived or was sent.
+    last_byte_ms: AtomicU64,
+    /// The number of bytes of a request that is not handled yet.
+    unhandled_bytes: AtomicU64,
+    /// The number of bytes that were dropped after the last response.
+    dropped_bytes: AtomicU64,
+    /// Whether the last response was given before the body of its request was complete.
+    is_body_unread: AtomicBool,
 }
 
 /// Records that a request occupies its connection, until it is dropped.
@@ -66,6 +77,11 @@
             activity: Mutex::new(activity),
             is_read_forced: AtomicBool::new(false),
             forced_read_got_bytes: AtomicBool::new(false),
+            closed_by: AtomicU8::new(0),
+            last_byte_ms: AtomicU64::new(0),
+            unhandled_bytes: AtomicU64::new(0),
+            dropped_bytes: AtomicU64::new(0),
+            is_body_unread: AtomicBool::new(false),
         }))
     }
 
@@ -88,6 +104,69 @@
         self.0.forced_read_got_bytes.load(Ordering::Relaxed)
     }
 
+    /// Records who ended the connection, unless that is known already.
+    pub(crate) fn close(&self, closed_by: ClosedBy) {
+        let code = &self.0.closed_by;
+        // Fails if it is known already.
+        let _ = code.compare_exchange(0, closed_by.code(), Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// Returns who ended the connection; `None` while it lasts.
+    pub(crate) fn closed_by(&self) -> Option<ClosedBy> {
+        ClosedBy::from_code(self.0.closed_by.load(Ordering::Relaxed))
+    }
+
+    /// Returns when the last byte arrived or was sent.
+    pub(crate) fn last_byte_at(&self) -> Duration {
+        Duration::from_millis(self.0.last_byte_ms.load(Ordering::Relaxed))
+    }
+
+    /// Returns the number of bytes that have arrived of a request that is not handled yet.
+    pub(crate) fn unhandled_bytes(&self) -> u64 {
+        self.0.unhandled_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of bytes that were dropped after the last response.
+    pub(crate) fn dropped_bytes(&self) -> u64 {
+        self.0.dropped_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Records that a response was given before the body of its request was complete.
+    pub(crate) fn leave_body_unread(&self) {
+        self.0.is_body_unread.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the last response was given before the body of its request was complete.
+    pub(crate) fn is_body_unread(&self) -> bool {
+        self.0.is_body_unread.load(Ordering::Relaxed)
+    }
+
+    fn received(&self, length: usize) {
+        let now = boot_time();
+        self.record_byte(now);
+        let mut activity = self.lock();
+        activity.received(now);
+        if activity.awaits_request() {
+            let unhandled = &self.0.unhandled_bytes;
+            unhandled.fetch_add(length as u64, Ordering::Relaxed);
+        }
+    }
+
+    fn sent(&self, result: &Poll<io::Result<usize>>) {
+        let now = boot_time();
+        match result {
+            Poll::Ready(Ok(_)) => self.record_byte(now),
+            Poll::Ready(Err(_)) => self.close(ClosedBy::CallerReset),
+            Poll::Pending => {}
+        }
+        self.lock().sent(now, result.is_pending());
+    }
+
+    fn record_byte(&self, now: Duration) {
+        let now_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        self.0.last_byte_ms.store(now_ms, Ordering::Relaxed);
+    }
+
     fn take_forced_read(&self) -> bool {
         // Reads are rarely forced, and loading needs no exclusive access to the cache line.
         self.0.is_read_forced.load(Ordering::Relaxed)
@@ -99,11 +178,22 @@
     /// Records that the head of a request has arrived.
     pub(crate) fn begin(shared: &Arc<Shared>, activity: &SharedActivity) -> Self {
         activity.lock().request_began(boot_time());
+        activity.0.unhandled_bytes.store(0, Ordering::Relaxed);
         Self {
             shared: Arc::clone(shared),
             activity: activity.clone(),
         }
     }
+
+    /// Returns the state of the router.
+    pub(crate) const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Returns the activity of the connection.
+    pub(crate) const fn connection(&self) -> &SharedActivity {
+        &self.activity
+    }
 }
 
 impl Drop for RequestActivity {
@@ -138,10 +228,6 @@
         }
     }
 
-    fn record_sent(&self, result: &Poll<io::Result<usize>>) {
-        self.activity.lock().sent(boot_time(), result.is_pending());
-    }
-
     /// Reads and drops bytes until the caller has closed the connection.
     fn poll_drop_rest(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let mut bytes = [0; DROP_LEN];
@@ -151,29 +237,44 @@
             if result.is_err() || buffer.filled().is_empty() {
                 return Poll::Ready(());
             }
+            let dropped = &self.activity.0.dropped_bytes;
+            dropped.fetch_add(buffer.filled().len() as u64, Ordering::Relaxed);
         }
     }
-}
 
-impl AsyncRead for CallerStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+    fn poll_read_stream(
+        &mut self,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
         let unreported = match self.activity.take_forced_read() {
             true => self.read_unreported(buffer),
             false => None,
         };
         match unreported {
-            Some(result) => result?,
-            None => ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?,
+            Some(result) => Poll::Ready(result),
+            None => Pin::new(&mut self.stream).poll_read(context, buffer),
         }
-        if buffer.filled().len() > before {
-            self.activity.lock().received(boot_time());
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let has_room = buffer.remaining() > 0;
+        let result = ready!(self.poll_read_stream(context, buffer));
+        let length = buffer.filled().len() - before;
+        match &result {
+            Ok(()) if length > 0 => self.activity.received(length),
+            Ok(()) if has_room => self.activity.close(ClosedBy::CallerClosed),
+            Ok(()) => {}
+            Err(_) => self.activity.close(ClosedBy::CallerReset),
         }
-        Poll::Ready(Ok(()))
+        Poll::Ready(result)
     }
 }
 
@@ -184,7 +285,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.record_sent(&result);
+        self.activity.sent(&result);
         result
     }
 
@@ -210,7 +311,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        self.record_sent(&result);
+        self.activity.sent(&result);
         result
     }
 
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -14,6 +14,7 @@
 use crate::gateway::fleet::ReplicaEntry;
 use crate::gateway::list_watch::{ListWatchEvent, store_backoff, wait_until};
 use crate::gateway::loads::LoadMessage;
+use crate::gateway::request_end::ConfigurationChange;
 use crate::gateway::revision::{StoreRevision, revision_era};
 use crate::gateway::route::{ModelName, RouteTable};
 use crate::gateway::shared::Shared;
@@ -209,6 +210,10 @@
             self.is_dirty = true;
             // Traffic must use the new table before it counts as confirmed.
             self.publish();
+            self.shared.record_configuration(ConfigurationChange {
+                applied_at: boot_time(),
+                is_change: before > 0,
+            });
         }
         self.shared.confirm(confirmed_at);
     }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -5,14 +5,16 @@
 //! current response (docs/HOUSE_STYLE.md).
 
 use std::net::TcpListener;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response, StatusCode, request};
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
+use http::{Method, Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -28,8 +30,9 @@
 use super::exchange::{ReplicaBody, ReplicaResponse};
 use super::forwarding::BodyEnd;
 use super::headers::{connection_header_names, is_hop_by_hop};
-use super::open_requests::OpenRequest;
+use super::open_requests::{OpenRequest, OpenRequestNumber};
 use super::relay::{RELAY_BUFFER_LEN, relay};
+use super::request_end::{ClosedBy, RequestProgress};
 use super::response::{CallerResponse, LocalReply, NoError, ResponseBody};
 use super::route::CallerLimits;
 use super::shared::Shared;
@@ -125,9 +128,13 @@
     let (handling, handling_activity) = (Arc::clone(&shared), activity.clone());
     let service = service_fn(move |request| {
         let request_activity = RequestActivity::begin(&handling, &handling_activity);
-        let shared = Arc::clone(&handling);
-        async move { Ok::<_, NoError>(handle(shared, request, request_activity).await) }
+        async move { Ok::<_, NoError>(handle(request, request_activity).await) }
     });
+    // Dropped after the connection, with all that it has read.
+    let _end = ConnectionEnd {
+        shared: Arc::clone(&shared),
+        activity: activity.clone(),
+    };
     // A connection that is closed before its first response loses a request that is on its way.
     let is_closing = *closing.borrow_and_update();
     let connection = http1::Builder::new()
@@ -141,7 +148,7 @@
         let reason = tokio::select! {
             // Bytes that have arrived count before a time that has passed.
             biased;
-            result = connection.as_mut() => return log_end(result),
+            result = connection.as_mut() => return log_end(result, &activity),
             () = wait_for_closing(&mut closing), if !is_closing => None,
             reason = wait_until_quiet(&activity, &shared) => Some(reason),
         };
@@ -152,7 +159,7 @@
         activity.force_read();
         tokio::select! {
             biased;
-            result = connection.as_mut() => return log_end(result),
+            result = connection.as_mut() => return log_end(result, &activity),
             () = std::future::ready(()) => {}
         }
         if !activity.forced_read_got_bytes() {
@@ -160,6 +167,7 @@
         }
     };
     if let Some(reason) = reason {
+        activity.close(limit_of(reason));
         log::debug!(
             "front: A quiet connection is closed. reason={reason:?} configuration_version={}",
             shared.configuration_version()
@@ -170,19 +178,44 @@
     }
     connection.as_mut().graceful_shutdown();
     tokio::select! {
-        result = connection => log_end(result),
+        result = connection => log_end(result, &activity),
         reason = wait_until_quiet(&activity, &shared), if reason.is_none() => {
+            activity.close(limit_of(reason));
             log::debug!("front: A closing connection is quiet. reason={reason:?}");
         }
     }
 }
 
-fn log_end(result: Result<(), hyper::Error>) {
+/// Logs the error of a connection; its activity knows more where the caller ended it.
+fn log_end(result: Result<(), hyper::Error>, activity: &SharedActivity) {
     if let Err(error) = result {
+        if error.is_parse() {
+            activity.close(ClosedBy::InvalidRequest);
+        }
         log::debug!("front: Connection ended. error={error}");
     }
 }
 
+const fn limit_of(reason: QuietReason) -> ClosedBy {
+    match reason {
+        QuietReason::Idle => ClosedBy::IdleLimit,
+        QuietReason::SlowHead => ClosedBy::HeadLimit,
+        QuietReason::Stalled => ClosedBy::StallLimit,
+    }
+}
+
+/// Logs what a connection has read and not handled, when it is dropped.
+struct ConnectionEnd {
+    shared: Arc<Shared>,
+    activity: SharedActivity,
+}
+
+impl Drop for ConnectionEnd {
+    fn drop(&mut self) {
+        self.shared.log_connection_end(&self.activity);
+    }
+}
+
 /// Waits until a connection was quiet for longer than the configuration in force allows.
 async fn wait_until_quiet(activity: &SharedActivity, shared: &Shared) -> QuietReason {
     loop {
@@ -207,19 +240,18 @@
     }
 }
 
-async fn handle(
-    shared: Arc<Shared>,
-    request: Request<Incoming>,
-    activity: RequestActivity,
-) -> CallerResponse {
-    let open = shared.open_requests.begin();
+async fn handle(request: Request<Incoming>, activity: RequestActivity) -> CallerResponse {
+    let shared = Arc::clone(activity.shared());
+    let mut open = OpenRequest::begin(activity);
     let (head, body) = request.into_parts();
+    let is_head = head.method == Method::HEAD;
     let mut body = CallerBody::new(body);
-    let mut response = match respond(&shared, head, &mut body, &open).await {
+    let mut response = match respond(&shared, head, &mut body, &mut open).await {
         Ok(response) => response,
         Err(reply) => reply.into_response(),
     };
-    response.body_mut().keep_open(open, activity);
+    open.response_began(sent_length(&response, is_head), body.is_complete);
+    response.body_mut().keep_open(open);
     // What is left of a body must not be taken for the next request.
     if shared.is_leaving() || !body.is_complete {
         let close = HeaderValue::from_static("close");
@@ -232,20 +264,20 @@
     shared: &Arc<Shared>,
     head: request::Parts,
     body: &mut CallerBody,
-    open: &OpenRequest,
+    open: &mut OpenRequest,
 ) -> Result<CallerResponse, LocalReply> {
     let arrived_at = boot_time();
     if shared.refuses_requests() {
         let reply = LocalReply::not_run("the router is shutting down", RETRY_AFTER_LEAVING);
         shared.log_local_reply("-", "-", &reply);
-        body.discard(shared.caller_limits()).await;
+        body.discard(shared.caller_limits(), open).await;
         return Err(reply);
     }
     if head_len(&head) > shared.caller_limits().header_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         let reply = LocalReply::denied(status, "the head is larger than the configuration allows");
         shared.log_local_reply("-", "-", &reply);
-        body.discard(shared.caller_limits()).await;
+        body.discard(shared.caller_limits(), open).await;
         return Err(reply);
     }
     let snapshot = shared.snapshot.load_full();
@@ -253,23 +285,39 @@
         Ok(call) => call,
         Err(reply) => {
             shared.log_local_reply("-", "-", &reply);
-            body.discard(shared.caller_limits()).await;
+            body.discard(shared.caller_limits(), open).await;
             return Err(reply);
         }
     };
     open.set_id(call.id_text());
-    call.body = tokio::select! {
-        result = body.read(shared.caller_limits(), call.remaining()) => result?,
+    let read = tokio::select! {
+        result = body.read(shared.caller_limits(), call.remaining(), open) => result,
         () = shared.wait_until_closing() => {
             let reason = "the router is shutting down";
-            return Err(LocalReply::not_run(reason, RETRY_AFTER_LEAVING));
+            Err(LocalReply::not_run(reason, RETRY_AFTER_LEAVING))
+        }
+    };
+    call.body = match read {
+        Ok(bytes) => bytes,
+        Err(reply) => {
+            // The end of the request tells that nobody reads the reply.
+            if !open.is_left() {
+                shared.log_local_reply(call.id_text(), &call.route.name, &reply);
+            }
+            return Err(reply);
         }
     };
+    open.progress().body_completed();
     let mut dispatch = Dispatch::new(Arc::clone(shared), call);
+    let waiting = WaitingRequest {
+        dispatch: &mut dispatch,
+        open,
+    };
     let result = tokio::select! {
-        result = dispatch.next_response(None) => Some(result),
+        result = waiting.dispatch.next_response(None) => Some(result),
         () = shared.wait_until_closing() => None,
     };
+    drop(waiting);
     let result = result.unwrap_or_else(|| Err(dispatch.closing_reply()));
     let response = match result {
         Ok(response) => response,
@@ -279,8 +327,33 @@
             return Err(reply);
         }
     };
-    open.set_responding(dispatch.last_attempt().0);
-    Ok(forward_response(dispatch, response))
+    open.set_responding();
+    Ok(forward_response(dispatch, response, open.number()))
+}
+
+/// Records the replica of the last attempt when the wait for a response ends, also if the caller ends it.
+struct WaitingRequest<'a> {
+    dispatch: &'a mut Dispatch,
+    open: &'a OpenRequest,
+}
+
+impl Drop for WaitingRequest<'_> {
+    fn drop(&mut self) {
+        self.open.set_replica(self.dispatch.last_attempt().0);
+    }
+}
+
+/// Returns how many bytes of the body are sent; `None` if its end is marked otherwise.
+fn sent_length(response: &CallerResponse, is_head: bool) -> Option<u64> {
+    let status = response.status();
+    if is_head || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
+        return Some(0);
+    }
+    let stated = || {
+        let length = response.headers().get(CONTENT_LENGTH)?;
+        length.to_str().ok()?.parse().ok()
+    };
+    response.body().size_hint().exact().or_else(stated)
 }
 
 /// Returns the length of a request's head as the caller sent it, but for optional white space.
@@ -312,20 +385,36 @@
     }
 
     /// Reads the rest of a request that is answered without it, so that its connection can be kept.
-    async fn discard(&mut self, limits: CallerLimits) {
-        let read_all = Limited::new(&mut self.incoming, limits.body_bytes).collect();
+    async fn discard(&mut self, limits: CallerLimits, open: &mut OpenRequest) {
+        let recorded = RecordedBody {
+            incoming: &mut self.incoming,
+            progress: open.progress(),
+        };
+        let read_all = Limited::new(recorded, limits.body_bytes).collect();
         match tokio::time::timeout(DISCARD_LIMIT, read_all).await {
             Ok(Ok(_)) => self.is_complete = true,
             Ok(Err(_)) | Err(_) => {
-                log::debug!("front: A rejected request was not read to its end.");
+                log::info!(
+                    "front: A rejected request was not read to its end. bytes_read={}",
+                    open.progress().bytes_read()
+                );
             }
         }
     }
 
     /// Reads the whole body of a request, so that a replica that responds early and reads on afterwards still receives
     /// all of it.
-    async fn read(&mut self, limits: CallerLimits, time: Duration) -> Result<Bytes, LocalReply> {
-        let limited = Limited::new(&mut self.incoming, limits.body_bytes);
+    async fn read(
+        &mut self,
+        limits: CallerLimits,
+        time: Duration,
+        open: &mut OpenRequest,
+    ) -> Result<Bytes, LocalReply> {
+        let recorded = RecordedBody {
+            incoming: &mut self.incoming,
+            progress: open.progress(),
+        };
+        let limited = Limited::new(recorded, limits.body_bytes);
         match tokio::time::timeout(time, limited.collect()).await {
             Ok(Ok(body)) => {
                 self.is_complete = true;
@@ -347,8 +436,46 @@
     }
 }
 
-/// Builds the caller's response from the replica's, unchanged except for hop-by-hop headers.
-fn forward_response(dispatch: Dispatch, response: ReplicaResponse) -> CallerResponse {
+/// Records how much of a body was read.
+struct RecordedBody<'a> {
+    incoming: &'a mut Incoming,
+    progress: &'a mut RequestProgress,
+}
+
+impl Body for RecordedBody<'_> {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let this = self.get_mut();
+        let frame = ready!(Pin::new(&mut *this.incoming).poll_frame(context));
+        if let Some(Ok(frame)) = &frame
+            && let Some(bytes) = frame.data_ref()
+        {
+            this.progress.read(bytes.len());
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
+/// Builds the caller's response from the replica's, unchanged except for hop-by-hop headers, for the open request
+/// `number`.
+fn forward_response(
+    dispatch: Dispatch,
+    response: ReplicaResponse,
+    number: OpenRequestNumber,
+) -> CallerResponse {
     let ReplicaResponse { mut head, body, .. } = response;
     let per_connection = connection_header_names(&head.headers);
     let names: Vec<_> = head.headers.keys().cloned().collect();
@@ -377,7 +504,7 @@
         }
         ReplicaBody::Streaming(stream) => {
             let (chunks, received) = mpsc::channel(RELAY_BUFFER_LEN);
-            tokio::spawn(relay(dispatch, stream, chunks));
+            tokio::spawn(relay(dispatch, stream, chunks, number));
             ResponseBody::stream(received)
         }
     };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 mod prefill;
 mod prompt;
 mod relay;
+mod request_end;
 mod request_log;
 mod response;
 mod revision;
--- a/src/gateway/open_requests.rs
+++ b/src/gateway/open_requests.rs
@@ -1,13 +1,17 @@
 //! The requests of callers that have not been answered in full.
 //!
 //! A request is open until the last byte of its response was handed to the caller's connection, whichever task works on
-//! it. A router that shuts down waits for open requests, and names those that it has to cut.
+//! it. A router that shuts down waits for open requests, and names those that it has to cut. The guard that keeps a
+//! request open records how it ended ([`super::request_end`]), since whatever ends a request drops its guard.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use super::caller_stream::RequestActivity;
 use super::clock::boot_time;
+use super::request_end::{ClosedBy, RequestProgress, Surroundings};
+use super::request_log::EndedRequest;
 
 /// The open requests of this router.
 #[derive(Debug, Default)]
@@ -31,27 +35,31 @@
     pub(crate) replica: Arc<str>,
     /// Whether a response is being forwarded.
     pub(crate) is_responding: bool,
+    /// Why the response was given up; `None` if it was not.
+    given_up: Option<ClosedBy>,
 }
 
-/// Keeps one request open until it is dropped.
+/// The number of an open request.
+pub(crate) type OpenRequestNumber = u64;
+
+/// Keeps one request open until it is dropped, and then records its end.
 #[derive(Debug)]
 pub(crate) struct OpenRequest {
-    requests: Arc<OpenRequests>,
-    number: u64,
+    activity: RequestActivity,
+    number: OpenRequestNumber,
+    arrived_at: Duration,
+    configuration_version: u64,
+    progress: RequestProgress,
 }
 
 impl OpenRequests {
-    /// Opens a request.
-    pub(crate) fn begin(self: &Arc<Self>) -> OpenRequest {
+    fn add(&self, now: Duration) -> OpenRequestNumber {
         let mut state = self.lock();
         let number = state.next;
         state.next += 1;
-        state.last_arrival = boot_time();
+        state.last_arrival = now;
         state.open.insert(number, OpenRecord::default());
-        OpenRequest {
-            requests: Arc::clone(self),
-            number,
-        }
+        number
     }
 
     /// Returns the number of open requests and when the last request arrived.
@@ -65,34 +73,107 @@
         self.lock().open.values().cloned().collect()
     }
 
+    /// Records why the response to a request was given up.
+    pub(crate) fn give_up(&self, number: OpenRequestNumber, closed_by: ClosedBy) {
+        self.update(number, |record| record.given_up = Some(closed_by));
+    }
+
+    fn update(&self, number: OpenRequestNumber, change: impl FnOnce(&mut OpenRecord)) {
+        if let Some(record) = self.lock().open.get_mut(&number) {
+            change(record);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl OpenRequest {
+    /// Opens a request that occupies its connection.
+    pub(crate) fn begin(activity: RequestActivity) -> Self {
+        let shared = activity.shared();
+        let now = boot_time();
+        Self {
+            number: shared.open_requests.add(now),
+            arrived_at: now,
+            configuration_version: shared.configuration_version(),
+            progress: RequestProgress::default(),
+            activity,
+        }
+    }
+
+    /// Returns the number of the request.
+    pub(crate) const fn number(&self) -> OpenRequestNumber {
+        self.number
+    }
+
+    /// Returns the progress of the request.
+    pub(crate) const fn progress(&mut self) -> &mut RequestProgress {
+        &mut self.progress
+    }
+
+    /// Returns whether the connection has ended.
+    pub(crate) fn is_left(&self) -> bool {
+        self.activity.connection().closed_by().is_some()
+    }
+
     /// Records the ID of the request.
     pub(crate) fn set_id(&self, id: &str) {
         self.update(|record| record.id = id.into());
     }
 
-    /// Records that the response of `replica` is being forwarded.
-    pub(crate) fn set_responding(&self, replica: &str) {
-        self.update(|record| {
-            record.replica = replica.into();
-            record.is_responding = true;
-        });
+    /// Records the replica of the last attempt.
+    pub(crate) fn set_replica(&self, replica: &str) {
+        self.update(|record| record.replica = replica.into());
     }
 
-    fn update(&self, change: impl FnOnce(&mut OpenRecord)) {
-        if let Some(record) = self.requests.lock().open.get_mut(&self.number) {
-            change(record);
+    /// Records that the response of the last attempt's replica is being forwarded.
+    pub(crate) fn set_responding(&mut self) {
+        self.progress.replica_responded();
+        self.update(|record| record.is_responding = true);
+    }
+
+    /// Records that there is a response, whose body has `length_bytes` if its head states it.
+    ///
+    /// `is_body_read` tells whether the body of the request is complete.
+    pub(crate) fn response_began(&mut self, length_bytes: Option<u64>, is_body_read: bool) {
+        let connection = self.activity.connection();
+        if !is_body_read {
+            connection.leave_body_unread();
         }
+        self.progress
+            .response_began(length_bytes, connection.closed_by());
+    }
+
+    fn update(&self, change: impl FnOnce(&mut OpenRecord)) {
+        self.activity
+            .shared()
+            .open_requests
+            .update(self.number, change);
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.requests.lock().open.remove(&self.number);
+        let shared = self.activity.shared();
+        let connection = self.activity.connection();
+        let record = shared.open_requests.lock().open.remove(&self.number);
+        let record = record.unwrap_or_default();
+        let end = self.progress.end(&Surroundings {
+            connection: connection.closed_by(),
+            response: record.given_up,
+            is_stopping: shared.is_closing(),
+            is_panicking: std::thread::panicking(),
+        });
+        shared.log_request_end(&EndedRequest {
+            id: &record.id,
+            replica: &record.replica,
+            end,
+            progress: &self.progress,
+            arrived_at: self.arrived_at,
+            last_byte_at: connection.last_byte_at(),
+            configuration_version: self.configuration_version,
+        });
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,6 +14,8 @@
 use super::dispatch::Dispatch;
 use super::exchange::{Peek, ReplicaBody, ReplicaStream};
 use super::forwarding::{BodyEnd, BodyFraming, Forwarding};
+use super::open_requests::OpenRequestNumber;
+use super::request_end::ClosedBy;
 use super::response::Chunk;
 
 /// The number of chunks buffered for a slow caller; beyond that, the replica's connection is not read.
@@ -57,11 +59,33 @@
     CallerLeft,
 }
 
-/// Relays `stream`, and the streams that resume it, through `chunks` until the end.
+impl RelayEnd {
+    /// Returns the outcome in logs and metrics.
+    const fn outcome(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Broken | Self::Silent => "broken_off",
+            Self::Late => "late",
+            Self::CallerLeft => "caller_left",
+        }
+    }
+
+    /// Returns who ended a response that this router gives up.
+    const fn given_up_by(self) -> Option<ClosedBy> {
+        match self {
+            Self::Complete | Self::CallerLeft => None,
+            Self::Broken | Self::Silent => Some(ClosedBy::Replica),
+            Self::Late => Some(ClosedBy::Deadline),
+        }
+    }
+}
+
+/// Relays `stream`, and the streams that resume it, through `chunks` until the end of the open request `number`.
 pub(crate) async fn relay(
     mut dispatch: Dispatch,
     mut stream: Box<ReplicaStream>,
     chunks: mpsc::Sender<Chunk>,
+    number: OpenRequestNumber,
 ) {
     let mut forwarding = Forwarding::of_kind(dispatch.call.route.kind);
     let end = loop {
@@ -116,15 +140,12 @@
         framing: stream.framing,
         position: forwarding.position(),
     };
-    let outcome = match end {
-        RelayEnd::Complete => "complete",
-        RelayEnd::Broken | RelayEnd::Silent => "broken_off",
-        RelayEnd::Late => "late",
-        RelayEnd::CallerLeft => "caller_left",
-    };
-    dispatch
-        .shared
-        .log_completion(&dispatch, 200, outcome, body_end);
+    let shared = &dispatch.shared;
+    shared.log_completion(&dispatch, 200, end.outcome(), body_end);
+    // The connection sees the end of the chunks afterwards.
+    if let Some(closed_by) = end.given_up_by() {
+        shared.open_requests.give_up(number, closed_by);
+    }
     if end == RelayEnd::Complete {
         stream.release();
         // The caller may have disconnected in the meantime and then needs no end.
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -3,14 +3,113 @@
 use std::time::Duration;
 
 use super::call::Call;
+use super::caller_stream::SharedActivity;
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
 use super::events::StreamPosition;
 use super::forwarding::BodyEnd;
+use super::request_end::{ClosedBy, RequestEnd, RequestProgress};
 use super::response::LocalReply;
 use super::shared::Shared;
 
+/// How much longer than until all routers must have applied a change requests count as beside it.
+const CHANGE_SLACK: Duration = Duration::from_secs(1);
+
+/// A request that has ended, as its log line names it.
+#[derive(Debug)]
+pub(crate) struct EndedRequest<'a> {
+    /// The ID of the caller's attempt; empty if its head was not accepted.
+    pub(crate) id: &'a str,
+    /// The replica of the last attempt; empty before the first one.
+    pub(crate) replica: &'a str,
+    /// How it ended.
+    pub(crate) end: RequestEnd,
+    /// How far it came.
+    pub(crate) progress: &'a RequestProgress,
+    /// When its head was complete.
+    pub(crate) arrived_at: Duration,
+    /// When its connection last received or sent a byte.
+    pub(crate) last_byte_at: Duration,
+    /// The version of the configuration that was in force when it arrived.
+    pub(crate) configuration_version: u64,
+}
+
 impl Shared {
+    /// Records how a request ended, whatever ended it.
+    pub(crate) fn log_request_end(&self, ended: &EndedRequest<'_>) {
+        let Some(closed_by) = ended.end.closed_by() else {
+            return;
+        };
+        let now = boot_time();
+        let since_ms = |at: Duration| now.saturating_sub(at).as_millis();
+        log::info!(
+            "request: {} id={} phase={} end={} closed_by={} bytes_read={} bytes_sent={} since_last_byte_ms={} age_ms={} \
+             replica={} configuration_version={} version_at_arrival={} configuration_age_ms={} in_force_ms={} \
+             beside_change={}",
+            unanswered_sentence(closed_by),
+            or_dash(ended.id),
+            ended.progress.phase().name(),
+            ended.end.name(),
+            closed_by.name(),
+            ended.progress.bytes_read(),
+            ended.progress.bytes_sent(),
+            since_ms(ended.last_byte_at),
+            since_ms(ended.arrived_at),
+            or_dash(ended.replica),
+            self.configuration_version(),
+            ended.configuration_version,
+            self.freshness(now).age.as_millis(),
+            self.in_force(now).as_millis(),
+            self.is_beside_change(ended.arrived_at, now),
+        );
+    }
+
+    /// Records what a connection that has ended read and did not handle.
+    pub(crate) fn log_connection_end(&self, activity: &SharedActivity) {
+        let (unhandled, dropped) = (activity.unhandled_bytes(), activity.dropped_bytes());
+        if unhandled + dropped == 0 {
+            return;
+        }
+        if activity.is_body_unread() {
+            let bytes = unhandled + dropped;
+            log::info!("front: The rest of a rejected request was dropped. bytes={bytes}");
+            return;
+        }
+        let closed_by = match activity.closed_by() {
+            None if self.is_leaving() => Some(ClosedBy::Stop),
+            closed_by => closed_by,
+        };
+        if unhandled > 0 {
+            self.log_unhandled(partial_head_sentence(closed_by), closed_by, unhandled);
+        }
+        if dropped > 0 {
+            let sentence = "A request crossed the close of its connection.";
+            self.log_unhandled(sentence, closed_by, dropped);
+        }
+    }
+
+    fn log_unhandled(&self, sentence: &str, closed_by: Option<ClosedBy>, bytes: u64) {
+        let now = boot_time();
+        log::info!(
+            "front: {sentence} closed_by={} bytes={bytes} configuration_version={} in_force_ms={}",
+            closed_by.map_or("-", ClosedBy::name),
+            self.configuration_version(),
+            self.in_force(now).as_millis()
+        );
+    }
+
+    /// Returns how long the version in force has been applied.
+    fn in_force(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.configuration_change().applied_at)
+    }
+
+    /// Returns whether a request that arrived at `arrived_at` and ends now counts as beside a change.
+    fn is_beside_change(&self, arrived_at: Duration, now: Duration) -> bool {
+        let window = self.bounds().configuration() + CHANGE_SLACK;
+        self.configuration_change()
+            .is_beside(arrived_at, now, window)
+    }
+
     /// Records the end of a request that a replica responded to.
     pub(crate) fn log_completion(
         &self,
@@ -63,6 +162,37 @@
     }
 }
 
+/// Returns the sentence about a connection that ended inside a head.
+const fn partial_head_sentence(closed_by: Option<ClosedBy>) -> &'static str {
+    match closed_by {
+        Some(ClosedBy::CallerClosed | ClosedBy::CallerReset) => {
+            "The caller left inside the head of a request."
+        }
+        _ => "A connection ended inside the head of a request.",
+    }
+}
+
+/// Returns the sentence about a request without a whole response.
+///
+/// Each kind has its own, so that log rate limiting does not let callers that leave suppress the others.
+const fn unanswered_sentence(closed_by: ClosedBy) -> &'static str {
+    match closed_by {
+        ClosedBy::CallerClosed | ClosedBy::CallerReset => "Unanswered, since the caller left.",
+        ClosedBy::InvalidRequest => "Unanswered, since its connection became invalid.",
+        ClosedBy::IdleLimit | ClosedBy::HeadLimit | ClosedBy::StallLimit => {
+            "Unanswered, since its connection was closed."
+        }
+        ClosedBy::Deadline => "Unanswered, since its deadline passed.",
+        ClosedBy::Replica => "Unanswered, since its replica broke off.",
+        ClosedBy::Stop => "Unanswered, since the process stops.",
+        ClosedBy::Task => "Unanswered, since its task ended.",
+    }
+}
+
+const fn or_dash(text: &str) -> &str {
+    if text.is_empty() { "-" } else { text }
+}
+
 fn record_metrics(call: &Call, outcome: &'static str, took: Duration) {
     let route = call.route.name.to_string();
     metrics::counter!(
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,8 +11,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-use super::caller_stream::RequestActivity;
 use super::open_requests::OpenRequest;
+use super::request_end::RequestProgress;
 
 /// The error of a response body that ended early; the connection to the caller is closed without the final chunk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,8 +39,8 @@
 #[derive(Debug)]
 pub(crate) struct ResponseBody {
     content: Content,
-    /// Keep the request open until the connection has taken the whole body.
-    open: Option<(OpenRequest, RequestActivity)>,
+    /// Keeps the request open until the connection has taken the whole body.
+    open: Option<OpenRequest>,
 }
 
 #[derive(Debug)]
@@ -66,9 +66,15 @@
         }
     }
 
-    /// Keeps `open` and `activity` until the connection has taken the whole body or is closed.
-    pub(crate) fn keep_open(&mut self, open: OpenRequest, activity: RequestActivity) {
-        self.open = Some((open, activity));
+    /// Keeps `open` until the connection has taken the whole body or is closed.
+    pub(crate) fn keep_open(&mut self, open: OpenRequest) {
+        self.open = Some(open);
+    }
+
+    fn record(&mut self, change: impl FnOnce(&mut RequestProgress)) {
+        if let Some(open) = &mut self.open {
+            change(open.progress());
+        }
     }
 }
 
@@ -80,14 +86,25 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
-        match &mut self.get_mut().content {
-            Content::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Content::Stream(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
-                Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
-                Some(Chunk::End) => None,
-                None => Some(Err(TruncatedBody)),
-            }),
-        }
+        let this = self.get_mut();
+        let chunk = match &mut this.content {
+            Content::Full(bytes) => Some(bytes.take().map_or(Chunk::End, Chunk::Data)),
+            Content::Stream(chunks) => ready!(chunks.poll_recv(context)),
+        };
+        Poll::Ready(match chunk {
+            Some(Chunk::Data(bytes)) => {
+                this.record(|progress| progress.sent(bytes.len()));
+                Some(Ok(Frame::data(bytes)))
+            }
+            Some(Chunk::End) => {
+                this.record(RequestProgress::completed);
+                None
+            }
+            None => {
+                this.record(RequestProgress::truncated);
+                Some(Err(TruncatedBody))
+            }
+        })
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -25,6 +25,7 @@
 use super::open_requests::OpenRequests;
 use super::placement::WeightsBounds;
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
+use super::request_end::ConfigurationChange;
 use super::route::{CallerLimits, ModelName, RouteTable};
 use super::settings::{GatewayBounds, GatewaySettings};
 use super::upstream::ReplicaPool;
@@ -163,6 +164,7 @@
     /// The routing state.
     pub(crate) snapshot: ArcSwap<Snapshot>,
     confirmed_ms: AtomicU64,
+    configuration_change: ArcSwap<ConfigurationChange>,
     /// Set when the process begins to shut down.
     leave_schedule: OnceLock<LeaveSchedule>,
     /// Becomes true when a router that shuts down answers the requests that still wait for a response.
@@ -334,6 +336,7 @@
             header_names,
             snapshot: ArcSwap::default(),
             confirmed_ms: AtomicU64::new(0),
+            configuration_change: ArcSwap::default(),
             leave_schedule: OnceLock::new(),
             closing: watch::Sender::new(false),
             open_requests: Arc::default(),
@@ -423,6 +426,16 @@
         table.map_or(0, |table| table.version())
     }
 
+    /// Records that a version of the configuration came into force.
+    pub(crate) fn record_configuration(&self, change: ConfigurationChange) {
+        self.configuration_change.store(Arc::new(change));
+    }
+
+    /// Returns when the version in force was applied.
+    pub(crate) fn configuration_change(&self) -> ConfigurationChange {
+        **self.configuration_change.load()
+    }
+
     /// Returns whether this router is ready for new callers.
     pub(crate) fn is_ready(&self) -> bool {
         let snapshot = self.snapshot.load();
@@ -440,6 +453,11 @@
         self.closing.send_replace(true);
     }
 
+    /// Returns whether the process is about to end.
+    pub(crate) fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
     /// Waits until requests without a response have to be answered, since the process is about to end.
     pub(crate) async fn wait_until_closing(&self) {
         let mut closing = self.closing.subscribe();
