Refuse a request that crosses the close of its connection

Callers saw: a whole request on a connection that the router closed as idle, for a late head or because it stops got neither an answer nor a refusal. It was read and dropped after the close; an unsafe one could not be repeated. Cause: a connection that awaits a request was ended without a response, while a request may arrive until its caller has seen the end. Change: such a connection ends with a 408, which says that the request has not run (RFC 9110, 15.5.9); callers without a request drop it. Why it works: what crosses the close is answered by bytes that are sent before the end.

--- a/src/gateway/caller_activity.rs
+++ b/src/gateway/caller_activity.rs
@@ -6,7 +6,7 @@
 //! therefore kept for the higher of the two.
 //!
 //! Load patterns handled: limits that change while connections are idle, heads and bodies that arrive in parts, callers
-//! that read a response slowly or not at all.
+//! that read a response slowly or not at all, requests that are sent while their connection is being closed.
 
 use std::time::Duration;
 
@@ -26,6 +26,17 @@
     Stalled,
 }
 
+/// How a connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseStep {
+    /// At once, since the caller takes no bytes.
+    Drop,
+    /// With a response that refuses a request that may be on its way.
+    Refuse,
+    /// After the response to the current request.
+    Finish,
+}
+
 /// What a caller's connection is doing.
 #[derive(Clone, Copy, Debug)]
 enum Phase {
@@ -95,6 +106,19 @@
         matches!(self.phase, Phase::Idle { .. } | Phase::Head)
     }
 
+    /// Returns how the connection is closed for `reason`, or, without one, because the router stops.
+    ///
+    /// A request may arrive until its caller has seen the close. Its sender must learn that it does not run; a
+    /// connection that only ends leaves that open.
+    pub(crate) fn close(&self, reason: Option<QuietReason>) -> CloseStep {
+        let is_blocked = self.blocked_since.is_some();
+        match reason {
+            Some(QuietReason::Stalled) => CloseStep::Drop,
+            _ if self.awaits_request() && !is_blocked => CloseStep::Refuse,
+            _ => CloseStep::Finish,
+        }
+    }
+
     /// Returns when the connection has to be closed unless something happens before, and why.
     pub(crate) fn expiry(&self, limits: CallerLimits) -> Option<(Duration, QuietReason)> {
         if let Some(blocked_since) = self.blocked_since {
--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
@@ -213,6 +213,16 @@
         }
     }
 
+    /// Sends `response` and closes the connection, as [`poll_shutdown`](AsyncWrite::poll_shutdown) does.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has closed the connection.
+    pub(crate) async fn end_with(mut self, response: &[u8]) -> io::Result<()> {
+        self.write_all(response).await?;
+        self.shutdown().await
+    }
+
     /// Reads what the socket has, reported or not; returns `None` if it has neither bytes nor an end.
     fn read_unreported(&self, buffer: &mut ReadBuf<'_>) -> Option<io::Result<()>> {
         let socket = SockRef::from(&self.stream);
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -23,7 +23,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::call::{Call, RETRY_AFTER_LEAVING};
-use super::caller_activity::{CallerActivity, QuietReason};
+use super::caller_activity::{CallerActivity, CloseStep, QuietReason};
 use super::caller_stream::{CallerStream, RequestActivity, SharedActivity};
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
@@ -49,6 +49,12 @@
 /// The minimum time between two checks whether a connection is quiet.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The response that a connection ends with while it awaits a request. A caller whose request crosses the close learns
+/// that it has not run ([RFC 9110, section 15.5.9](https://www.rfc-editor.org/rfc/rfc9110#section-15.5.9)); others expect
+/// no response and drop it.
+const REFUSAL_AT_CLOSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// How long the rest of a request is read after the response is known.
 const DISCARD_LIMIT: Duration = Duration::from_millis(250);
 
@@ -137,18 +143,17 @@
     };
     // A connection that is closed before its first response loses a request that is on its way.
     let is_closing = *closing.borrow_and_update();
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .keep_alive(!is_closing)
         .header_read_timeout(None)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
     let reason = loop {
         let reason = tokio::select! {
             // Bytes that have arrived count before a time that has passed.
             biased;
-            result = connection.as_mut() => return log_end(result, &activity),
+            result = &mut connection => return log_end(result, &activity),
             () = wait_for_closing(&mut closing), if !is_closing => None,
             reason = wait_until_quiet(&activity, &shared) => Some(reason),
         };
@@ -159,7 +164,7 @@
         activity.force_read();
         tokio::select! {
             biased;
-            result = connection.as_mut() => return log_end(result, &activity),
+            result = &mut connection => return log_end(result, &activity),
             () = std::future::ready(()) => {}
         }
         if !activity.forced_read_got_bytes() {
@@ -173,19 +178,30 @@
             shared.configuration_version()
         );
     }
-    if matches!(reason, Some(QuietReason::SlowHead | QuietReason::Stalled)) {
-        return;
-    }
-    connection.as_mut().graceful_shutdown();
-    tokio::select! {
-        result = connection => log_end(result, &activity),
-        reason = wait_until_quiet(&activity, &shared), if reason.is_none() => {
-            activity.close(limit_of(reason));
-            log::debug!("front: A closing connection is quiet. reason={reason:?}");
+    let close = activity.lock().close(reason);
+    match close {
+        CloseStep::Drop => {}
+        CloseStep::Refuse => refuse_and_close(connection.into_parts().io.into_inner()).await,
+        CloseStep::Finish => {
+            Pin::new(&mut connection).graceful_shutdown();
+            tokio::select! {
+                result = connection => log_end(result, &activity),
+                reason = wait_until_quiet(&activity, &shared), if reason.is_none() => {
+                    activity.close(limit_of(reason));
+                    log::debug!("front: A closing connection is quiet. reason={reason:?}");
+                }
+            }
         }
     }
 }
 
+/// Closes a connection that awaits a request, with a response for one that may be on its way.
+async fn refuse_and_close(stream: CallerStream) {
+    if let Err(error) = stream.end_with(REFUSAL_AT_CLOSE).await {
+        log::debug!("front: The caller closed a connection first. error={error}");
+    }
+}
+
 /// Logs the error of a connection; its activity knows more where the caller ended it.
 fn log_end(result: Result<(), hyper::Error>, activity: &SharedActivity) {
     if let Err(error) = result {
--- a/src/gateway/tests/caller_activity.rs
+++ b/src/gateway/tests/caller_activity.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::ms;
-use crate::gateway::caller_activity::{CallerActivity, QuietReason};
+use crate::gateway::caller_activity::{CallerActivity, CloseStep, QuietReason};
 use crate::gateway::route::CallerLimits;
 
 fn limits(idle_ms: u64) -> CallerLimits {
@@ -62,3 +62,30 @@
     let expected = Some((expected, QuietReason::Stalled));
     assert_eq!(activity.expiry(limits(500)), expected);
 }
+
+/// A request can cross each of these closes.
+#[test]
+fn close_refuses_while_a_request_is_awaited() {
+    let mut activity = CallerActivity::new(ms(0), limits(500));
+    assert_eq!(activity.close(Some(QuietReason::Idle)), CloseStep::Refuse);
+    assert_eq!(activity.close(None), CloseStep::Refuse);
+    activity.received(ms(100));
+    let slow_head = Some(QuietReason::SlowHead);
+    assert_eq!(activity.close(slow_head), CloseStep::Refuse);
+    activity.request_began(ms(200));
+    assert_eq!(activity.close(None), CloseStep::Finish);
+    activity.request_ended(ms(300), limits(500));
+    assert_eq!(activity.close(None), CloseStep::Refuse);
+}
+
+/// The refusal would follow a part of the response.
+#[test]
+fn close_while_response_is_blocked_sends_no_refusal() {
+    let mut activity = CallerActivity::new(ms(0), limits(500));
+    activity.request_began(ms(0));
+    activity.sent(ms(100), true);
+    activity.request_ended(ms(200), limits(500));
+    assert_eq!(activity.close(None), CloseStep::Finish);
+    let stalled = Some(QuietReason::Stalled);
+    assert_eq!(activity.close(stalled), CloseStep::Drop);
+}
