Count the requests that the soak's routers read and did not answer

Missing: a request whose connection ended with neither a response nor a refusal was a finding only if a sound replica had run it; one that had reached no replica, or only one that refused it, was not seen, and nothing told ends beside a change of the configuration from ends at other times. Change: soak/src/unanswered.rs counts them, up to 4 s after a change and away from one, and reports each without an excuse: its router was available since 3 s before it, no replica broke off, under seven tenths of its time were used. One that reached no replica counts from 200 ms on. Requests that the older check reports are not reported twice; no check is relaxed.

--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -12,6 +12,7 @@
 use crate::configuration::Changes;
 use crate::crashes::check_crashing_request;
 use crate::loss::{AvailabilityChange, Silence, check_loss, check_route};
+use crate::unanswered::check_end;
 
 /// The maximum time from the start of a request to its complete response: the route allows 3 s, and the users allow
 /// another half second.
@@ -90,7 +91,8 @@
         let runs = runs.remove(sent.id.as_str()).unwrap_or_default();
         findings.extend(check_runs(records, sent, &runs));
         findings.extend(check_outcome(sent, &runs));
-        findings.extend(check_loss(records, sent, &runs));
+        let loss = check_loss(records, sent, &runs);
+        findings.extend(loss.or_else(|| check_end(records, sent)));
         findings.extend(check_route(records, sent, &runs));
         findings.extend(check_response_time(records, sent));
         let replicas: BTreeSet<_> = runs.iter().map(|run| run.replica).collect();
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -19,6 +19,7 @@
 use crate::loss::{AvailabilityChange, Member, Silence};
 use crate::plan::{Fault, FaultPlan, Overlay, Size};
 use crate::proxy::{Link, Proxy};
+use crate::unanswered::EndsByChange;
 
 /// The number of callers for each router.
 const CALLERS_PER_ROUTER: usize = 2;
@@ -56,6 +57,8 @@
     pub sent: usize,
     /// The number of requests that were served.
     pub served: usize,
+    /// The requests that ended without a response, beside changes of the configuration and away from them.
+    pub ends: EndsByChange,
     /// The number of injected faults.
     pub faults: usize,
     /// The log lines of all processes, by router name.
@@ -622,6 +625,7 @@
             findings,
             sent: self.records.sent.len(),
             served: share.served,
+            ends: EndsByChange::count(&self.records),
             faults,
             logs: logs.collect(),
         }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -19,6 +19,7 @@
 mod plan;
 mod proxy;
 mod recovery;
+mod unanswered;
 
 pub use callers::{Outcome, RequestKind, SentRequest};
 pub use checker::{Finding, KeyRecord, Records, RouterOutage, check_records};
@@ -27,3 +28,4 @@
 pub use loss::{AvailabilityChange, Member, Silence};
 pub use plan::{Fault, FaultPlan, Overlay, Size};
 pub use proxy::{Link, Proxy};
+pub use unanswered::{Ends, EndsByChange};
--- a/soak/src/loss.rs
+++ b/soak/src/loss.rs
@@ -159,7 +159,7 @@
     }
 
     /// Returns until when a request must be answered, under the shortest timeout that its router may have applied.
-    fn deadline(&self, sent: &SentRequest) -> Instant {
+    pub(crate) fn deadline(&self, sent: &SentRequest) -> Instant {
         let timeouts = self.recent_changes(sent.at);
         let timeouts = timeouts.filter_map(|changes| changes.route_timeout);
         sent.at + timeouts.fold(CALLER_DEADLINE, Duration::min)
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -102,6 +102,11 @@
         report.sent,
         report.findings.len()
     );
+    let (beside, away) = (report.ends.beside, report.ends.away);
+    println!(
+        "  read whole and not answered: {} of {} beside changes, {} of {} away from them",
+        beside.unanswered, beside.requests, away.unanswered, away.requests
+    );
     for finding in report.findings.iter().take(20) {
         println!("  {}: {}", finding.promise, finding.seen);
     }
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -5,8 +5,8 @@
 use crocuswharf_platform_fakes::daemon::{REVOCATION_LIMIT, WEIGHTS_LIMIT};
 use crocuswharf_platform_fakes::replica::{Mode, ReceivedOrder, ReceivedRequest, stream_text};
 use crocuswharf_soak::{
-    AvailabilityChange, Changes, ConfigurationChange, KeyRecord, Member, Outcome, Records,
-    RequestKind, RouterOutage, SentRequest, Silence, check_records,
+    AvailabilityChange, Changes, ConfigurationChange, Ends, EndsByChange, KeyRecord, Member,
+    Outcome, Records, RequestKind, RouterOutage, SentRequest, Silence, check_records,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -355,3 +355,73 @@
     }
     assert_eq!(check_records(&records), []);
 }
+
+const END: &str = "a request that was read whole is answered";
+
+/// Returns the records of a request that got no response for this time and reached only a replica that refused it.
+fn unanswered_after(ms: u64) -> Records {
+    let mut records = valid_records(RequestKind::Pay);
+    records.sent[0].outcome = Outcome::NoAnswer("closed".into());
+    records.sent[0].ended_at = records.sent[0].at + Duration::from_millis(ms);
+    records.received[0].ran = false;
+    records.received[0].mode = Mode::Refuse;
+    records
+}
+
+#[test]
+fn check_records_unanswered_request_is_found_once_it_was_read() {
+    assert_single_finding(&unanswered_after(100), END);
+    let mut records = unanswered_after(100);
+    records.received.clear();
+    assert_eq!(check_records(&records), []);
+    let mut records = unanswered_after(300);
+    records.received.clear();
+    assert_single_finding(&records, END);
+}
+
+#[test]
+fn check_records_unanswered_request_is_found_unless_it_is_excused() {
+    let mut records = unanswered_after(1_500);
+    assert_eq!(check_records(&records), []);
+    records = unanswered_after(300);
+    records.received[0].mode = Mode::Break;
+    assert_eq!(check_records(&records), []);
+    for (member, age, is_found) in [
+        (Member::Router(0), 2 * SECOND, false),
+        (Member::Router(0), 4 * SECOND, true),
+        (Member::Router(1), 2 * SECOND, true),
+    ] {
+        let mut records = unanswered_after(300);
+        let at = records.sent[0].at - age;
+        for (at, is_available) in [(at, false), (at + SECOND / 10, true)] {
+            records.availability.push(AvailabilityChange {
+                member,
+                at,
+                is_available,
+            });
+        }
+        if is_found {
+            assert_single_finding(&records, END);
+        } else {
+            assert_eq!(check_records(&records), []);
+        }
+    }
+}
+
+#[test]
+fn count_unanswered_request_beside_a_change_and_away() {
+    let mut records = unanswered_after(1_500);
+    let one = Ends {
+        requests: 1,
+        unanswered: 1,
+    };
+    assert_eq!(EndsByChange::count(&records).away, one);
+    let ended_at = records.sent[0].ended_at;
+    let change = |age| (ended_at - age, Changes::default());
+    records.configurations.push(change(5 * SECOND));
+    assert_eq!(EndsByChange::count(&records).away, one);
+    records.configurations.push(change(3 * SECOND));
+    assert_eq!(EndsByChange::count(&records).beside, one);
+    records.sent[0].outcome = answer(503, "", "", true);
+    assert_eq!(EndsByChange::count(&records).beside.unanswered, 0);
+}
