Change all fields of the configuration in the soak

Change: the overlay Fields sets sizes, objectives, attempts, priorities, traits of the engine and the KV store, public and resumable routes, isolation, keys and the weights of a split, in series. A request may run on the replicas that its route allows instead of two, which is still the default; it may run without a valid key only where its route may be public. New: 413 and 431 are findings unless a recent limit is below the size, and a request that runs while the account has no keys is one. Not changed: hosts, path prefixes, kinds, HealthPath, names and models.

--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -11,14 +11,12 @@
 use crate::callers::{Outcome, RequestKind, SentRequest, request_body};
 use crate::configuration::Changes;
 use crate::crashes::check_crashing_request;
-use crate::loss::{AvailabilityChange, Silence, check_loss, check_route};
+use crate::loss::{AvailabilityChange, Silence, check_loss, check_route, check_size};
 use crate::unanswered::check_end;
 
 /// The maximum time from the start of a request to its complete response: the route allows 3 s, and the users allow
 /// another half second.
 const MAX_RESPONSE_TIME: Duration = Duration::from_millis(3_500);
-/// The number of replicas on which the route allows a request to run.
-const MAX_ATTEMPTS: usize = 2;
 /// The number of requests per run that may run on more replicas than their route allows, as the users count it.
 const MAX_OVER_LIMIT: usize = 3;
 /// How long requests may still reach a replica after it registered as draining, by the users' larger sheet.
@@ -94,12 +92,13 @@
         let loss = check_loss(records, sent, &runs);
         findings.extend(loss.or_else(|| check_end(records, sent)));
         findings.extend(check_route(records, sent, &runs));
+        findings.extend(check_size(records, sent));
         findings.extend(check_response_time(records, sent));
         let replicas: BTreeSet<_> = runs.iter().map(|run| run.replica).collect();
-        excess += usize::from(replicas.len() > MAX_ATTEMPTS);
+        excess += usize::from(replicas.len() > records.max_attempts(sent));
     }
     if excess > MAX_OVER_LIMIT {
-        let seen = format!("{excess} requests ran at more than {MAX_ATTEMPTS} replicas");
+        let seen = format!("{excess} requests ran at more replicas than their routes allow");
         findings.push(finding("runs stay within the route's attempts", seen));
     }
     for run in runs.values().flatten() {
@@ -125,7 +124,9 @@
         let seen = format!("{id}, {:?}, ran at {replicas:?}", sent.kind);
         findings.push(finding("what may not be repeated runs once", seen));
     }
+    let is_public = records.may_be_public(sent);
     let revoked_at = records.keys.get(sent.key).and_then(|key| key.revoked_at);
+    let revoked_at = revoked_at.filter(|_| !is_public);
     if !runs.is_empty() && revoked_at.is_some_and(|at| sent.at > at + REVOCATION_LIMIT) {
         let delay = sent.at - revoked_at.expect("a revocation time is set");
         let seen = format!("{id} was sent {delay:?} after its key was revoked, and ran");
@@ -134,7 +135,11 @@
     let target = format!("POST /{}/x?y=1", sent.kind.route());
     for run in runs {
         let is_whole = run.target == target && run.body == request_body(sent.kind, id).as_bytes();
-        if !is_whole || run.account() != Some("dues") || run.has_key() {
+        let has_account = match run.account() {
+            Some(account) => account == "dues",
+            None => is_public,
+        };
+        if !is_whole || !has_account || run.has_key() {
             let seen = format!("{id} ran as {} for {:?}", run.target, run.account());
             findings.push(finding("requests run as their callers sent them", seen));
         }
--- a/soak/src/loss.rs
+++ b/soak/src/loss.rs
@@ -5,7 +5,7 @@
 use crocuswharf_platform_fakes::daemon::REVOCATION_LIMIT;
 use crocuswharf_platform_fakes::replica::{Mode, ReceivedRequest};
 
-use crate::callers::{Outcome, RequestKind, SentRequest};
+use crate::callers::{Outcome, RequestKind, SentRequest, request_body};
 use crate::checker::{Finding, Records, finding};
 use crate::configuration::Changes;
 
@@ -116,10 +116,11 @@
     runs: &[&ReceivedRequest],
 ) -> Option<Finding> {
     let route = sent.kind.route();
-    let lacks_route = |changes: &Changes| changes.removed_routes.contains(&route);
-    let is_removed = |(_, changes): &(Instant, Changes)| lacks_route(changes);
-    let was_missing =
-        !records.configurations.is_empty() && records.recent_changes(sent.at).all(lacks_route);
+    let is_removed = |(_, changes): &(Instant, Changes)| changes.removed_routes.contains(&route);
+    let was_missing = !records.configurations.is_empty()
+        && records
+            .recent_changes(sent.at)
+            .all(|changes| !changes.allows(route));
     if !runs.is_empty() && was_missing {
         let seen = format!("{} ran on {route}", sent.id);
         return Some(finding("a removed route stops working in time", seen));
@@ -130,6 +131,19 @@
     (is_denied && !was_removed).then(|| finding("routes of all configurations are found", seen))
 }
 
+/// Checks that a request is too large only where a recent configuration has a limit below its size.
+pub(crate) fn check_size(records: &Records, sent: &SentRequest) -> Option<Finding> {
+    let length = request_body(sent.kind, &sent.id).len() as u64;
+    let is_over = |changes: &Changes| changes.body_limit() < length;
+    let may_reject = match sent.outcome {
+        Outcome::Answer { status: 413, .. } => records.recent_changes(sent.at).any(is_over),
+        Outcome::Answer { status: 431, .. } => false,
+        _ => return None,
+    };
+    let seen = format!("{} with {length} bytes: {:?}", sent.id, sent.outcome);
+    (!may_reject).then(|| finding("requests within the limits are not too large", seen))
+}
+
 impl Records {
     /// Returns whether `member` was available all the time.
     pub(crate) fn is_available(&self, member: Member, from: Instant, to: Instant) -> bool {
@@ -158,6 +172,21 @@
             .map(|(_, changes)| changes)
     }
 
+    /// Returns whether a router may have applied a configuration in which the request needs no key.
+    pub(crate) fn may_be_public(&self, sent: &SentRequest) -> bool {
+        let mut changes = self.recent_changes(sent.at);
+        changes.any(|changes| changes.is_public(sent.kind.route()))
+    }
+
+    /// Returns on how many replicas the request may run, by the largest limit that its router may have applied.
+    pub(crate) fn max_attempts(&self, sent: &SentRequest) -> usize {
+        let route = sent.kind.route();
+        let limits = self.recent_changes(sent.at);
+        let limits = limits.map(|changes| changes.max_attempts(route));
+        let default = Changes::default().max_attempts(route);
+        limits.max().unwrap_or(default) as usize
+    }
+
     /// Returns until when a request must be answered, under the shortest timeout that its router may have applied.
     pub(crate) fn deadline(&self, sent: &SentRequest) -> Instant {
         let timeouts = self.recent_changes(sent.at);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -60,10 +60,11 @@
         overlays: match (args.base_only, args.crashing_request) {
             (true, false) => &[],
             (true, true) => &[Overlay::CrashingRequest],
-            (false, false) => &[Overlay::Silence, Overlay::Configuration],
+            (false, false) => &[Overlay::Silence, Overlay::Configuration, Overlay::Fields],
             (false, true) => &[
                 Overlay::Silence,
                 Overlay::Configuration,
+                Overlay::Fields,
                 Overlay::CrashingRequest,
             ],
         },
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -40,6 +40,8 @@
     Configuration,
     /// A request that crashes the replicas that run it comes again and again. It adds no faults to the plan.
     CrashingRequest,
+    /// The operator also changes the fields of the configuration that [`Self::Configuration`] leaves as they are.
+    Fields,
 }
 
 /// One injected fault. Routers and replicas are given by index; the replicas of the service without a model come first.
@@ -113,6 +115,7 @@
                 Overlay::Silence => add_silences(&mut rng, size, &mut faults),
                 Overlay::Configuration => add_changes(&mut rng, size, &mut faults),
                 Overlay::CrashingRequest => {}
+                Overlay::Fields => add_field_changes(&mut rng, size, &mut faults),
             }
         }
         faults.retain(|(at, _)| *at < size.length);
@@ -193,6 +196,21 @@
     }
 }
 
+/// Adds changes of the other fields of the configuration in series.
+fn add_field_changes(rng: &mut impl Rng, size: Size, faults: &mut Vec<(Duration, Fault)>) {
+    let mut at = MEAN_FAULT_INTERVAL;
+    while at < size.length {
+        for _ in 0..rng.random_range(2..9) {
+            let (change, next) = ConfigurationChange::random_field(rng);
+            for change in std::iter::once(change).chain(next) {
+                faults.push((at, Fault::ConfigurationChanged(change)));
+                at += Duration::from_millis(rng.random_range(50..900));
+            }
+        }
+        at += MEAN_FAULT_INTERVAL.mul_f64(rng.random_range(0.0..3.0));
+    }
+}
+
 fn random_link(rng: &mut impl Rng) -> Link {
     match rng.random_range(0..5) {
         0 => Link::Slow(Duration::from_millis(rng.random_range(5..400))),
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -425,3 +425,34 @@
     records.sent[0].outcome = answer(503, "", "", true);
     assert_eq!(EndsByChange::count(&records).beside.unanswered, 0);
 }
+
+#[test]
+fn check_records_limits_of_recent_configurations_are_applied() {
+    let changed = |kind, change| {
+        let mut records = valid_records(kind);
+        let mut changes = Changes::default();
+        changes.add(change);
+        records.configurations = vec![(records.sent[0].at, changes)];
+        records
+    };
+    let too_large = |bytes| {
+        let change = ConfigurationChange::Number("/Limits/MaxBodyBytes", bytes);
+        let mut records = changed(RequestKind::Pay, change);
+        records.received.clear();
+        records.sent[0].outcome = answer(413, "", "", true);
+        records
+    };
+    assert_eq!(check_records(&too_large(5)), []);
+    let promise = "requests within the limits are not too large";
+    assert_single_finding(&too_large(50), promise);
+    let public = |is_public| {
+        let change = ConfigurationChange::Flag("/Routes/1/Public", is_public);
+        let mut records = changed(RequestKind::Pay, change);
+        records.keys[0].revoked_at = Some(records.sent[0].at - 2 * REVOCATION_LIMIT);
+        records
+    };
+    assert_eq!(check_records(&public(true)), []);
+    assert_single_finding(&public(false), "a revoked key stops working in time");
+    let keyless = changed(RequestKind::Pay, ConfigurationChange::KeysRemoved(true));
+    assert_single_finding(&keyless, "a removed route stops working in time");
+}
