Refuse at a close only while nothing was sent or shut down

A caller that reads nothing held the close for ever. Cause: the state of a connection that is being shut down counts as idle. Change: once the shutdown has begun it only goes on; the refusal has the limit of the linger; a connection that is busy when the router stops is refused after its response, where it was closed without a word; one that became busy during the last read goes on.

--- a/src/gateway/caller_activity.rs
+++ b/src/gateway/caller_activity.rs
@@ -33,8 +33,8 @@
     Drop,
     /// With a response that refuses a request that may be on its way.
     Refuse,
-    /// After the response to the current request.
-    Finish,
+    /// Not yet: a request is being read or answered.
+    Wait,
 }
 
 /// What a caller's connection is doing.
@@ -115,7 +115,7 @@
         match reason {
             Some(QuietReason::Stalled) => CloseStep::Drop,
             _ if self.awaits_request() && !is_blocked => CloseStep::Refuse,
-            _ => CloseStep::Finish,
+            _ => CloseStep::Wait,
         }
     }
 
--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -52,6 +52,8 @@
     dropped_bytes: AtomicU64,
     /// Whether the last response was given before the body of its request was complete.
     is_body_unread: AtomicBool,
+    /// Whether nothing more can be sent.
+    has_shutdown_begun: AtomicBool,
 }
 
 /// Records that a request occupies its connection, until it is dropped.
@@ -82,6 +84,7 @@
             unhandled_bytes: AtomicU64::new(0),
             dropped_bytes: AtomicU64::new(0),
             is_body_unread: AtomicBool::new(false),
+            has_shutdown_begun: AtomicBool::new(false),
         }))
     }
 
@@ -141,6 +144,11 @@
         self.0.is_body_unread.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the connection is being shut down, so that nothing more can be sent.
+    pub(crate) fn has_shutdown_begun(&self) -> bool {
+        self.0.has_shutdown_begun.load(Ordering::Relaxed)
+    }
+
     fn received(&self, length: usize) {
         let now = boot_time();
         self.record_byte(now);
@@ -219,7 +227,9 @@
     ///
     /// Fails if the caller has closed the connection.
     pub(crate) async fn end_with(mut self, response: &[u8]) -> io::Result<()> {
-        self.write_all(response).await?;
+        // A caller that reads nothing may have left no room for it.
+        let writing = tokio::time::timeout(LINGER_LIMIT, self.write_all(response));
+        writing.await.map_err(io::Error::from).flatten()?;
         self.shutdown().await
     }
 
@@ -305,6 +315,8 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
+            let has_begun = &self.activity.0.has_shutdown_begun;
+            has_begun.store(true, Ordering::Relaxed);
             ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
             self.linger = Some(Box::pin(tokio::time::sleep(LINGER_LIMIT)));
         }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -149,16 +149,24 @@
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
+    let mut is_stopping = false;
     let reason = loop {
         let reason = tokio::select! {
             // Bytes that have arrived count before a time that has passed.
             biased;
             result = &mut connection => return log_end(result, &activity),
-            () = wait_for_closing(&mut closing), if !is_closing => None,
+            () = wait_for_closing(&mut closing), if !is_closing && !is_stopping => None,
+            () = tokio::time::sleep(MIN_CHECK_INTERVAL), if is_stopping => None,
             reason = wait_until_quiet(&activity, &shared) => Some(reason),
         };
-        if reason == Some(QuietReason::Stalled) || !activity.lock().awaits_request() {
-            break reason;
+        is_stopping |= reason.is_none();
+        if activity.has_shutdown_begun() {
+            return log_end(connection.await, &activity);
+        }
+        match activity.lock().close(reason) {
+            CloseStep::Drop => break reason,
+            CloseStep::Wait => continue,
+            CloseStep::Refuse => {}
         }
         // A request may have arrived that the runtime has not reported yet.
         activity.force_read();
@@ -167,7 +175,8 @@
             result = &mut connection => return log_end(result, &activity),
             () = std::future::ready(()) => {}
         }
-        if !activity.forced_read_got_bytes() {
+        let is_refused = activity.lock().close(reason) == CloseStep::Refuse;
+        if is_refused && !activity.forced_read_got_bytes() {
             break reason;
         }
     };
@@ -178,20 +187,8 @@
             shared.configuration_version()
         );
     }
-    let close = activity.lock().close(reason);
-    match close {
-        CloseStep::Drop => {}
-        CloseStep::Refuse => refuse_and_close(connection.into_parts().io.into_inner()).await,
-        CloseStep::Finish => {
-            Pin::new(&mut connection).graceful_shutdown();
-            tokio::select! {
-                result = connection => log_end(result, &activity),
-                reason = wait_until_quiet(&activity, &shared), if reason.is_none() => {
-                    activity.close(limit_of(reason));
-                    log::debug!("front: A closing connection is quiet. reason={reason:?}");
-                }
-            }
-        }
+    if reason != Some(QuietReason::Stalled) {
+        refuse_and_close(connection.into_parts().io.into_inner()).await;
     }
 }
 
