Close idle connections of src/entry only after a last read

What callers saw: a request that arrived before its connection had been idle for too long, at a router without processor time, got no answer; the connection was closed over it. Cause: salvo's stream fails a read that gets bytes once its idle timer has fired, and closes by what the runtime has reported. The timer was also fixed when the connection began: the longest request of a configuration that came later did not count. Change: src/entry accepts connections itself and closes an idle one only after a forced read of its socket, with the stream and the activity of the gateway. A connection with an open request has no idle limit. salvo's routing and protocol layer stay. A server that stops keeps its listener. A kept connection without requests has the shorter of the head and idle limits, as before.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,11 +6,8 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 
-use salvo::conn::tcp::TcpAcceptor;
-use salvo::fuse::{FuseAction, FuseInfo};
-use salvo::{Router, Server};
+use salvo::{Router, Service};
 use tokio::runtime::Runtime;
-use tokio::sync::watch;
 
 use crate::control::Shared;
 use crate::error::{Error, ErrorKind};
@@ -25,18 +22,20 @@
 mod dispatch;
 mod error_response;
 mod health;
+mod leaving;
 mod plain;
 mod record;
 mod relay;
 mod reports;
 mod selector;
+mod server;
 mod tickets;
 
 #[cfg(test)]
 mod tests;
 
-pub(crate) use self::connection::RunningServer;
-use self::connection::connection_timeouts;
+pub(crate) use self::server::RunningServer;
+use self::server::ServerState;
 
 /// Starts the HTTP server for callers on `listener`.
 pub(crate) fn serve_callers(
@@ -45,7 +44,6 @@
     shared: &Arc<Shared>,
 ) -> Result<RunningServer, Error> {
     let routes = Router::new()
-        .hoop(connection::CloseWhileDraining::new(Arc::clone(shared)))
         .push(
             Router::with_path("services/{name}/{**rest}")
                 .goal(plain::PlainHandler::new(Arc::clone(shared))),
@@ -58,7 +56,10 @@
             Router::with_path("v1/entries")
                 .get(directory::DirectoryHandler::new(Arc::clone(shared))),
         );
-    serve(runtime, listener, shared, routes)
+    let state = Arc::new(ServerState::new(Arc::clone(shared)));
+    let leaving = leaving::CloseWhileLeaving::new(Arc::clone(&state));
+    let service = Service::new(routes).hoop(leaving);
+    serve(runtime, listener, state, service)
 }
 
 /// Starts the HTTP server for operators on `listener`.
@@ -72,36 +73,19 @@
         .push(reports::routes(shared)?)
         .push(Router::with_path("healthz").get(health::LivenessHandler))
         .push(Router::with_path("readyz").get(health::ReadinessHandler::new(Arc::clone(shared))));
-    serve(runtime, listener, shared, routes)?;
+    let state = Arc::new(ServerState::new(Arc::clone(shared)));
+    serve(runtime, listener, state, Service::new(routes))?;
     Ok(())
 }
 
 fn serve(
     runtime: &Runtime,
     listener: TcpListener,
-    shared: &Arc<Shared>,
-    routes: Router,
+    state: Arc<ServerState>,
+    service: Service,
 ) -> Result<RunningServer, Error> {
-    let acceptor = {
-        let _context = runtime.enter();
-        tokio::net::TcpListener::from_std(listener)
-            .and_then(TcpAcceptor::try_from)
-            .map_err(|error| Error::new(ErrorKind::Io, format!("listener: {error}")))?
-    };
-    let timeouts = {
-        let shared = Arc::clone(shared);
-        move |_: &FuseInfo| FuseAction::Accept(connection_timeouts(&shared))
-    };
-    let server = Server::new(acceptor)
-        .fuse_policy(timeouts)
-        .max_connections(shared.settings.bounds.connections);
-    let handle = server.handle();
-    let (ended, has_ended) = watch::channel(false);
-    runtime.spawn(async move {
-        if let Err(error) = server.try_serve(routes).await {
-            log::error!("entry: HTTP server stopped. error={error}");
-        }
-        ended.send_replace(true);
-    });
-    Ok(RunningServer { handle, has_ended })
+    let _context = runtime.enter();
+    let listener = tokio::net::TcpListener::from_std(listener)
+        .map_err(|error| Error::new(ErrorKind::Io, format!("listener: {error}")))?;
+    Ok(RunningServer::start(listener, state, service))
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -79,8 +79,11 @@
 };
 pub use self::weights::{LoadTarget, OrderReply, WeightsReport};
 
+pub(crate) use self::caller_activity::{CallerActivity, QuietReason};
+pub(crate) use self::caller_stream::{CallerStream, SharedActivity};
+pub(crate) use self::clock::boot_time;
 use self::control::{ControlParts, Event};
-use self::leaving::{LeavePhase, LeaveSchedule};
+pub(crate) use self::leaving::{LeavePhase, LeaveSchedule};
 use self::shared::Shared;
 
 /// The capacity of the queue of observations from traffic threads to the control thread.
