Refuse requests at src/entry until a router that stops is quiet

Cause: the server closed its listener and all idle connections at once; there was no phase in which requests are refused. Router::drain refuses new requests after 0.65 of its limit, so that earlier ones end.

--- a/src/entry/tests/connections.rs
+++ b/src/entry/tests/connections.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use salvo::http::{StatusCode, Version};
 use tokio::runtime::Builder;
 use yare::parameterized;
 
@@ -18,6 +19,8 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// The limit on idle connections, which a request comes before.
 const LIMIT: Duration = Duration::from_secs(1);
+/// The number of connections that the router has not accepted when it is told to stop.
+const QUEUED_CONNECTIONS: usize = 20;
 const REQUEST: &[u8] = b"GET /v1/entries HTTP/1.1\r\nhost: router\r\n\r\n";
 
 /// A server for callers on a single thread, which a test can keep from running.
@@ -110,6 +113,16 @@
     read_response(caller)
 }
 
+/// Asserts that a response says that its request did not run, and that the connection closes.
+#[track_caller]
+fn assert_refused(response: io::Result<String>) {
+    let response = response.expect("the request gets a response");
+    assert!(response.starts_with("http/1.1 503 "), "{response}");
+    assert!(response.contains("\r\nconnection: close\r\n"), "{response}");
+    let run = format!("\r\n{}: not-run\r\n", crate::protocol::HEADER_RUN);
+    assert!(response.contains(&run.to_lowercase()), "{response}");
+}
+
 /// A caller sent a request before its connection had been idle for too long, and the router, short of processor time, read
 /// it later. It closed the connection and dropped the request.
 #[parameterized(
@@ -155,6 +168,79 @@
     assert_eq!(closed.kind(), io::ErrorKind::UnexpectedEof, "{closed}");
 }
 
+#[test]
+fn stop_new_connection_is_refused() {
+    let entry = Entry::start(Times::default());
+    let stopping = entry.stop(PATIENCE);
+    thread::sleep(PAUSE);
+    let connected = TcpStream::connect(entry.address);
+    assert_refused(connected.and_then(|mut caller| exchange(&mut caller)));
+    assert!(stopping.join().unwrap().0);
+}
+
+#[test]
+fn stop_first_request_of_open_connection_is_refused() {
+    let entry = Entry::start(Times::default());
+    let mut caller = entry.connect();
+    let stopping = entry.stop(PATIENCE);
+    thread::sleep(PAUSE);
+    assert_refused(exchange(&mut caller));
+    assert!(stopping.join().unwrap().0);
+}
+
+#[test]
+fn stop_request_of_kept_connection_is_refused() {
+    let entry = Entry::start(Times::default());
+    let mut caller = entry.connect();
+    exchange(&mut caller).unwrap();
+    let stopping = entry.stop(PATIENCE);
+    thread::sleep(PAUSE);
+    assert_refused(exchange(&mut caller));
+    assert!(stopping.join().unwrap().0);
+}
+
+/// A connection over HTTP/2 has no header that closes it, and its frames are not all parts of requests.
+#[test]
+fn stop_request_over_http2_is_refused() {
+    let entry = Entry::start(Times::default());
+    let client = reqwest::Client::builder()
+        .no_proxy()
+        .http2_prior_knowledge()
+        .build()
+        .unwrap();
+    let caller = Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let url = format!("http://{}/v1/entries", entry.address);
+    let exchange = || caller.block_on(client.get(&url).send()).unwrap();
+    exchange();
+    let stopping = entry.stop(PATIENCE);
+    thread::sleep(PAUSE);
+    let response = exchange();
+    assert_eq!(response.version(), Version::HTTP_2);
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(response.headers()[crate::protocol::HEADER_RUN], "not-run");
+    drop(response);
+    assert!(stopping.join().unwrap().0);
+}
+
+#[test]
+fn stop_connections_in_the_queue_are_answered() {
+    let entry = Entry::start(Times::default());
+    entry.starve(LIMIT);
+    let mut callers: Vec<_> = (0..QUEUED_CONNECTIONS).map(|_| entry.connect()).collect();
+    for caller in &mut callers {
+        caller.write_all(REQUEST).unwrap();
+    }
+    let stopping = entry.stop(PATIENCE);
+    let responses = callers.iter_mut().map(read_response);
+    let lost = responses.filter(|response| response.is_err()).count();
+    assert_eq!(lost, 0, "of {QUEUED_CONNECTIONS} requests");
+    assert!(stopping.join().unwrap().0);
+}
+
 #[test]
 fn stop_without_requests_ends_before_the_limit() {
     let entry = Entry::start(Times::default());
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -18,6 +18,8 @@
 
 /// The interval at which a drain checks for requests in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The fraction of the drain limit after which new requests are refused, so that earlier ones are completed.
+const SERVE_FRACTION_OF_DRAIN: f64 = 0.65;
 
 /// The addresses on which a router listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -110,15 +112,22 @@
     /// Shuts down gracefully.
     ///
     /// The router leaves the directory, keeps accepting requests until cached directory responses have expired, and
-    /// then waits up to `limit` for requests in flight. Requests that are still open after `limit` are counted in the
-    /// report. The router goes on serving callers until it is closed with [`close`](Self::close).
+    /// then waits up to `limit` for requests in flight. If callers keep coming, their requests are refused for the last
+    /// part of `limit`. Requests that are still open after `limit` are counted in the report. Otherwise the router goes
+    /// on serving callers until it is closed with [`close`](Self::close).
     pub async fn drain(&self, limit: Duration) -> DrainReport {
         let router = &self.shared.settings.router;
         self.shared.draining.store(true, Ordering::Relaxed);
         log::info!("drain: Removed this router from the directory. router={router}");
         tokio::time::sleep(self.shared.settings.times.directory_ttl()).await;
         let started = Instant::now();
-        let waited = tokio::time::timeout(limit, self.wait_for_requests()).await;
+        let serving = limit.mul_f64(SERVE_FRACTION_OF_DRAIN);
+        let mut waited = tokio::time::timeout(serving, self.wait_for_requests()).await;
+        if waited.is_err() {
+            self.callers.refuse_requests();
+            log::info!("drain: New requests are refused. router={router}");
+            waited = tokio::time::timeout(limit - serving, self.wait_for_requests()).await;
+        }
         let cut_requests = match waited {
             Ok(()) => 0,
             Err(_) => self.shared.open_requests(),
@@ -130,8 +139,10 @@
         }
     }
 
-    /// Stops accepting callers' connections, and waits up to `limit` until the open ones are closed, each after its
-    /// current response.
+    /// Refuses new requests as not run, and waits up to `limit` until none has arrived for a while and the connections
+    /// that had requests are closed, each after its current response.
+    ///
+    /// Connections are accepted, and their requests refused, until the router is dropped.
     ///
     /// A response is written after its request has ended, so a router that is dropped without this cuts responses that
     /// callers are still reading.
