Answer the first request of a connection until a stopping router exits

Cause: a connection without a request was closed like an idle one, though its first request is most likely on its way. Change: it stays open until the exit; the request gets the 503 of a router that stops. Connections that have carried a request end with a 408 as before. Measured: the first_request case of the test before showed that such a connection was ended at the close; request_at_stop_is_refused_until_exit passes.

--- a/src/gateway/caller_activity.rs
+++ b/src/gateway/caller_activity.rs
@@ -53,6 +53,8 @@
 pub(crate) struct CallerActivity {
     phase: Phase,
     since: Duration,
+    /// Whether the connection has carried a request.
+    has_carried_request: bool,
     /// When the caller stopped taking bytes that wait to be sent.
     blocked_since: Option<Duration>,
 }
@@ -64,6 +66,7 @@
         Self {
             phase: Phase::Idle { limit },
             since: now,
+            has_carried_request: false,
             blocked_since: None,
         }
     }
@@ -92,6 +95,7 @@
     pub(crate) const fn request_began(&mut self, now: Duration) {
         self.phase = Phase::Busy;
         self.since = now;
+        self.has_carried_request = true;
     }
 
     /// Records that the response was handed to the connection.
@@ -109,11 +113,13 @@
     /// Returns how the connection is closed for `reason`, or, without one, because the router stops.
     ///
     /// A request may arrive until its caller has seen the close. Its sender must learn that it does not run; a
-    /// connection that only ends leaves that open.
+    /// connection that only ends leaves that open. The first request of a connection is most likely on its way, so a router
+    /// that stops leaves that connection open until it exits, and refuses the request itself.
     pub(crate) fn close(&self, reason: Option<QuietReason>) -> CloseStep {
         let is_blocked = self.blocked_since.is_some();
         match reason {
             Some(QuietReason::Stalled) => CloseStep::Drop,
+            None if !self.has_carried_request => CloseStep::Wait,
             _ if self.awaits_request() && !is_blocked => CloseStep::Refuse,
             _ => CloseStep::Wait,
         }
