Test how a request's end is evaluated

Missing: the state machine of request ends had no test of its own, and any end of the connection, also by a limit of the router, was taken for a caller that takes nothing more. Cause: it was read from whether the connection had ended, not from who ended it. Change: only a caller that closed or reset its connection takes nothing; event sequences are replayed in unit tests.

--- a/src/gateway/open_requests.rs
+++ b/src/gateway/open_requests.rs
@@ -113,9 +113,10 @@
         &mut self.progress
     }
 
-    /// Returns whether the connection has ended.
+    /// Returns whether the caller has ended the connection.
     pub(crate) fn is_left(&self) -> bool {
-        self.activity.connection().closed_by().is_some()
+        let closed_by = self.activity.connection().closed_by();
+        closed_by.is_some_and(ClosedBy::is_caller)
     }
 
     /// Records the ID of the request.
--- a/src/gateway/request_end.rs
+++ b/src/gateway/request_end.rs
@@ -77,7 +77,7 @@
     bytes_read: u64,
     bytes_sent: u64,
     is_truncated: bool,
-    /// Whether the connection had ended before there was a response.
+    /// Whether the caller had ended the connection before there was a response.
     was_left: bool,
 }
 
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Returns whether the caller takes nothing more.
+    pub(crate) const fn is_caller(self) -> bool {
+        matches!(self, Self::CallerClosed | Self::CallerReset)
+    }
+
     /// Returns the number that [`from_code`](Self::from_code) takes; it is never zero.
     pub(crate) const fn code(self) -> u8 {
         self as u8 + 1
@@ -209,7 +214,7 @@
 
     /// Records that there is a response, whose body has `length_bytes` if its head states it.
     ///
-    /// `connection` tells who ended the connection before; nothing of the response arrives then.
+    /// `connection` tells who ended the connection before; a caller that did takes nothing of the response.
     pub(crate) fn response_began(
         &mut self,
         length_bytes: Option<u64>,
@@ -217,7 +222,7 @@
     ) {
         self.responder.get_or_insert(Responder::Gateway);
         self.length_bytes = length_bytes;
-        self.was_left = connection.is_some();
+        self.was_left = connection.is_some_and(ClosedBy::is_caller);
         if !self.was_left {
             self.phase = RequestPhase::Responding;
             self.complete_if_sent();
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod prefill;
 mod prompt;
+mod request_end;
 mod response;
 mod revision;
 mod route;
