Name the incarnation that leaves in the notice of its departure

All routers log that the replica leaves, is removed and added within 2 ms, and then that it leaves again. Cause: the notice looked up the start time after the whole batch was applied; a batch with the end of one incarnation and the start of the next named the next one, which every router then took for leaving, so nobody loaded it. Change: the change itself carries the start time. Two assertions name it too.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -394,10 +394,8 @@
                     log::warn!("fleet: An entry was ignored. entry={id} reason=\"{reason}\"");
                     continue;
                 }
-                FleetChange::Draining(id) => {
-                    if let Some(known) = self.fleet.get(id) {
-                        leaving.push(ReplicaNotice::of_leaving(id, known.record.born_ms));
-                    }
+                FleetChange::Draining(id, born_ms) => {
+                    leaving.push(ReplicaNotice::of_leaving(id, *born_ms));
                     log::info!("fleet: Replica leaves. replica={id}");
                 }
                 FleetChange::Changed(id) => log::debug!("fleet: Replica changed. replica={id}"),
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -139,8 +139,8 @@
 pub(crate) enum FleetChange {
     /// A replica or a new incarnation of one was added.
     Added(ReplicaId),
-    /// A replica stopped accepting new requests.
-    Draining(ReplicaId),
+    /// The incarnation of a replica that started at this time stopped accepting new requests.
+    Draining(ReplicaId, u64),
     /// A replica was removed.
     Removed(ReplicaId),
     /// The entry of a replica expired during an outage; the replica is retained for a grace period.
@@ -271,7 +271,7 @@
             return None;
         }
         known.phase = ReplicaPhase::Draining;
-        Some(FleetChange::Draining(id.into()))
+        Some(FleetChange::Draining(id.into(), born_ms))
     }
 
     /// Removes replicas whose grace period is over and ends loading phases that timed out.
@@ -422,9 +422,10 @@
         }
         let starts_draining =
             known.phase != ReplicaPhase::Draining && phase == ReplicaPhase::Draining;
+        let born_ms = updated.record.born_ms;
         self.replicas.insert(Arc::clone(&id), updated);
         Some(if starts_draining {
-            FleetChange::Draining(id)
+            FleetChange::Draining(id, born_ms)
         } else {
             FleetChange::Changed(id)
         })
--- a/src/gateway/tests/fleet.rs
+++ b/src/gateway/tests/fleet.rs
@@ -48,7 +48,7 @@
     let mut draining = record("a", 1, 1);
     draining.state = ReplicaState::Draining;
     let change = fleet.apply_entry(ReplicaEntry::Present(draining), ms(10));
-    assert_eq!(change, Some(FleetChange::Draining("a".into())));
+    assert_eq!(change, Some(FleetChange::Draining("a".into(), 1)));
     fleet.apply_entry(ReplicaEntry::Present(record("a", 1, 1)), ms(20));
     assert!(fleet.get("a").is_some_and(|known| !known.is_accepting()));
     fleet.apply_entry(ReplicaEntry::Present(record("a", 2, 1)), ms(30));
@@ -84,7 +84,7 @@
     assert!(fleet.get("a").is_some_and(|known| known.is_accepting()));
     assert_eq!(
         fleet.record_draining("a", 20),
-        Some(FleetChange::Draining("a".into()))
+        Some(FleetChange::Draining("a".into(), 20))
     );
 }
 
@@ -178,3 +178,24 @@
     let known = fleet.get("a").expect("the replica is known");
     assert_eq!((known.record.born_ms, known.is_accepting()), (9, false));
 }
+
+/// After trouble of the store, one batch holds the end of an incarnation and the start of the next. The notice of the
+/// first one's departure named the second, which all routers then took for leaving.
+#[test]
+fn apply_entries_batch_with_next_incarnation_names_the_one_that_leaves() {
+    let mut fleet = Fleet::default();
+    fleet.apply_entry(ReplicaEntry::Present(record("a", 1, 1)), ms(0));
+    let mut draining = record("a", 1, 1);
+    draining.state = ReplicaState::Draining;
+    let batch = [
+        ReplicaEntry::Present(draining),
+        ReplicaEntry::Gone("a".into()),
+        ReplicaEntry::Present(record("a", 2, 1)),
+    ];
+    let changes: Vec<_> = batch
+        .into_iter()
+        .filter_map(|entry| fleet.apply_entry(entry, ms(10)))
+        .collect();
+    assert!(changes.contains(&FleetChange::Draining("a".into(), 1)));
+    assert!(fleet.get("a").is_some_and(|known| known.is_accepting()));
+}
