Count how requests end, beside changes of the configuration and away

Missing: the rule on requests without an answer compares a router's cuts beside changes with those at other times, and no metric showed either.

--- a/src/gateway/request_end.rs
+++ b/src/gateway/request_end.rs
@@ -137,6 +137,18 @@
         matches!(self, Self::CallerClosed | Self::CallerReset)
     }
 
+    /// Returns whether the gateway ended a request that its caller and its replica would have gone on with.
+    pub(crate) const fn is_gateway(self) -> bool {
+        match self {
+            Self::IdleLimit | Self::HeadLimit | Self::StallLimit | Self::Stop | Self::Task => true,
+            Self::CallerClosed
+            | Self::CallerReset
+            | Self::InvalidRequest
+            | Self::Deadline
+            | Self::Replica => false,
+        }
+    }
+
     /// Returns the number that [`from_code`](Self::from_code) takes; it is never zero.
     pub(crate) const fn code(self) -> u8 {
         self as u8 + 1
@@ -285,6 +297,15 @@
 }
 
 impl ConfigurationChange {
+    /// Returns by how much this change, after `before`, lengthens the time that counts as beside a change.
+    pub(crate) fn added_window(self, before: Self, window: Duration) -> Duration {
+        match (before.is_change, self.is_change) {
+            (_, false) => Duration::ZERO,
+            (false, true) => window,
+            (true, true) => window.min(self.applied_at.saturating_sub(before.applied_at)),
+        }
+    }
+
     /// Returns whether a request that was open from `arrived_at` to `ended_at` counts as beside this change, which other
     /// routers may apply up to `window` later.
     pub(crate) fn is_beside(
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -37,15 +37,17 @@
 impl Shared {
     /// Records how a request ended, whatever ended it.
     pub(crate) fn log_request_end(&self, ended: &EndedRequest<'_>) {
+        let now = boot_time();
+        let is_beside_change = self.is_beside_change(ended.arrived_at, now);
+        count_end(ended.end, is_beside_change);
         let Some(closed_by) = ended.end.closed_by() else {
             return;
         };
-        let now = boot_time();
         let since_ms = |at: Duration| now.saturating_sub(at).as_millis();
         log::info!(
             "request: {} id={} phase={} end={} closed_by={} bytes_read={} bytes_sent={} since_last_byte_ms={} age_ms={} \
              replica={} configuration_version={} version_at_arrival={} configuration_age_ms={} in_force_ms={} \
-             beside_change={}",
+             beside_change={is_beside_change}",
             unanswered_sentence(closed_by),
             or_dash(ended.id),
             ended.progress.phase().name(),
@@ -60,7 +62,6 @@
             ended.configuration_version,
             self.freshness(now).age.as_millis(),
             self.in_force(now).as_millis(),
-            self.is_beside_change(ended.arrived_at, now),
         );
     }
 
@@ -83,6 +84,7 @@
             self.log_unhandled(partial_head_sentence(closed_by), closed_by, unhandled);
         }
         if dropped > 0 {
+            metrics::counter!("crocuswharf_gateway_crossed_requests_total").increment(1);
             let sentence = "A request crossed the close of its connection.";
             self.log_unhandled(sentence, closed_by, dropped);
         }
@@ -105,11 +107,16 @@
 
     /// Returns whether a request that arrived at `arrived_at` and ends now counts as beside a change.
     fn is_beside_change(&self, arrived_at: Duration, now: Duration) -> bool {
-        let window = self.bounds().configuration() + CHANGE_SLACK;
+        let window = self.change_window();
         self.configuration_change()
             .is_beside(arrived_at, now, window)
     }
 
+    /// Returns how long requests count as beside a change after it was applied.
+    pub(crate) fn change_window(&self) -> Duration {
+        self.bounds().configuration() + CHANGE_SLACK
+    }
+
     /// Records the end of a request that a replica responded to.
     pub(crate) fn log_completion(
         &self,
@@ -162,6 +169,26 @@
     }
 }
 
+/// Counts a request that has ended; beside changes and away from them only if it was answered or the gateway cut it.
+fn count_end(end: RequestEnd, is_beside_change: bool) {
+    let closed_by = end.closed_by();
+    metrics::counter!(
+        "crocuswharf_gateway_request_ends_total",
+        "end" => end.name(),
+        "closed_by" => closed_by.map_or("-", ClosedBy::name)
+    )
+    .increment(1);
+    let is_cut = closed_by.is_some_and(ClosedBy::is_gateway);
+    if closed_by.is_none() || is_cut {
+        metrics::counter!(
+            "crocuswharf_gateway_requests_beside_change_total",
+            "end" => if is_cut { "cut" } else { "answered" },
+            "beside_change" => if is_beside_change { "true" } else { "false" }
+        )
+        .increment(1);
+    }
+}
+
 /// Returns the sentence about a connection that ended inside a head.
 const fn partial_head_sentence(closed_by: Option<ClosedBy>) -> &'static str {
     match closed_by {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -428,7 +428,9 @@
 
     /// Records that a version of the configuration came into force.
     pub(crate) fn record_configuration(&self, change: ConfigurationChange) {
-        self.configuration_change.store(Arc::new(change));
+        let before = self.configuration_change.swap(Arc::new(change));
+        let added = change.added_window(*before, self.change_window());
+        metrics::counter!("crocuswharf_gateway_beside_change_ms_total").increment(millis(added));
     }
 
     /// Returns when the version in force was applied.
--- a/src/gateway/tests/request_end.rs
+++ b/src/gateway/tests/request_end.rs
@@ -183,3 +183,45 @@
     };
     assert!(!is_beside_at(first), "the first version changes nothing");
 }
+
+/// Changes that follow each other closely share the time beside them.
+#[parameterized(
+    first_version = { None, 0, false, 0 },
+    first_change = { Some((0, false)), 5_000, true, 4_000 },
+    change_within_the_window = { Some((5_000, true)), 6_500, true, 1_500 },
+    change_after_the_window = { Some((5_000, true)), 20_000, true, 4_000 },
+)]
+fn added_window_overlap_counts_once(
+    before: Option<(u64, bool)>,
+    applied_at_ms: u64,
+    is_change: bool,
+    added_ms: u64,
+) {
+    let change = |(applied_at_ms, is_change)| ConfigurationChange {
+        applied_at: ms(applied_at_ms),
+        is_change,
+    };
+    let before = before.map_or_else(ConfigurationChange::default, change);
+    let added = change((applied_at_ms, is_change)).added_window(before, ms(4_000));
+    assert_eq!(added, ms(added_ms));
+}
+
+#[test]
+fn is_gateway_holds_for_ends_that_callers_and_replicas_did_not_cause() {
+    use ClosedBy::{
+        CallerClosed, CallerReset, Deadline, HeadLimit, IdleLimit, InvalidRequest,
+        Replica as ByReplica, StallLimit, Stop, Task,
+    };
+    for closed_by in [IdleLimit, HeadLimit, StallLimit, Stop, Task] {
+        assert!(closed_by.is_gateway(), "{closed_by:?}");
+    }
+    for closed_by in [
+        CallerClosed,
+        CallerReset,
+        InvalidRequest,
+        Deadline,
+        ByReplica,
+    ] {
+        assert!(!closed_by.is_gateway(), "{closed_by:?}");
+    }
+}
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -79,6 +79,13 @@
         &["router", "service", "objective", "window"],
         "Burn rate of an objective at this router alone; 1 spends exactly the budget.",
     ),
+    metric(
+        "crocuswharf_gateway_beside_change_ms_total",
+        MetricKind::Counter,
+        Unit::Milliseconds,
+        &[],
+        "Time that counts as beside a change of the configuration, added when a change is applied.",
+    ),
     metric(
         "crocuswharf_gateway_connections_total",
         MetricKind::Counter,
@@ -86,6 +93,13 @@
         &[],
         "Connections that the gateway opened to replicas.",
     ),
+    metric(
+        "crocuswharf_gateway_crossed_requests_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &[],
+        "Connections on which bytes of a request arrived after the gateway had closed them.",
+    ),
     metric(
         "crocuswharf_gateway_observations_dropped_total",
         MetricKind::Counter,
@@ -121,6 +135,13 @@
         &["signal"],
         "Responses in which a replica asked for no more requests, by signal: leaving or retry_after.",
     ),
+    metric(
+        "crocuswharf_gateway_request_ends_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["end", "closed_by"],
+        "Requests that have ended: whole, part or none of the answer was taken; closed_by says who ended the last two.",
+    ),
     metric(
         "crocuswharf_gateway_request_seconds",
         MetricKind::Histogram,
@@ -128,6 +149,13 @@
         &["route"],
         "Time from a request's head to the end of its answer.",
     ),
+    metric(
+        "crocuswharf_gateway_requests_beside_change_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["end", "beside_change"],
+        "Requests that were answered whole or that the gateway cut, beside changes of the configuration and away from them.",
+    ),
     metric(
         "crocuswharf_gateway_requests_total",
         MetricKind::Counter,
