--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -4,6 +4,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use crocuswharf_platform_fakes::daemon::{KV_STORE_CAPACITY, REPLICA_KV_CAPACITY, split_route};
 use rand::{Rng, RngExt};
 use serde_json::{Value, json};
 
@@ -32,11 +33,11 @@
     ("/Routes/3/Priority", 0..4),
     ("/Routes/3/GapTargetMs", 100..1_000),
     ("/Services/1/Engine/Slots", 1..40),
-    ("/Services/1/Engine/KvCapacityTokens", 5_000..200_000),
+    (REPLICA_KV_CAPACITY, 5_000..200_000),
     ("/Services/1/Engine/KvTokenBytes", 1_000..200_000),
     ("/Services/1/Engine/LinkMbps", 1_000..300_000),
     ("/Services/1/Engine/MaxInflight", 1..40),
-    ("/Services/2/KvCapacityTokens", 100..10_000),
+    (KV_STORE_CAPACITY, 100..10_000),
     ("/Tenants/0/Priority", 0..4),
     ("/Tenants/0/Priority", 0..4),
 ];
@@ -195,11 +196,7 @@
         }
         if let Some((plain, model)) = self.split {
             let route = &mut configuration["Routes"][index_of("pay")];
-            route["Service"] = Value::Null;
-            route["TrafficSplit"] = json!([
-                {"Service": "app", "Weight": plain},
-                {"Service": "llm", "Weight": model},
-            ]);
+            split_route(route, &[("app", plain), ("llm", model)]);
         }
         if self.are_keys_removed {
             configuration["Tenants"][0]["ApiKeys"] = json!(["a key of nobody"]);
