Limit client accounts by quotas over all routers

Cause: an account that sends several times its usual load takes the capacity of all others, and no router knows what an account uses at the other ones.

Change: accounts of the configuration may have a rate and a burst, in requests or tokens. One router owns each account and grants tokens from a bucket; the others request them before the first send. Requests above the quota get 429 with the time at which the account has credit.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -16,6 +16,7 @@
 use super::headers::{HeaderNames, connection_header_names, header_text};
 use super::placement::PlacementRequest;
 use super::prompt::Prompt;
+use super::quota::{QuotaCharge, account_key};
 use super::response::LocalReply;
 use super::route::{GatewayAccount, Route};
 use super::shared::{Shared, Snapshot};
@@ -44,6 +45,8 @@
     pub(crate) service: ServiceName,
     /// The account that the caller's key belongs to.
     pub(crate) account: Option<GatewayAccount>,
+    /// What the request costs of its account's quota; `None` if the account has none.
+    pub(crate) quota: Option<QuotaCharge>,
     /// The prompt, if the request has one.
     pub(crate) prompt: Option<Prompt>,
     /// The keys of the shared parts of the prompt.
@@ -131,10 +134,20 @@
             route.timeout.min(Duration::from_millis(ms))
         });
         let parts = prompt.as_ref().map(Prompt::part_keys);
+        let token_counts = header_text(&head.headers, &header_names.token_counts);
+        let quota = account.as_ref().and_then(|account| {
+            let quota = account.quota?;
+            Some(QuotaCharge {
+                account: account_key(&account.name),
+                limit: quota.limit.checked()?,
+                cost: quota.cost(token_counts),
+            })
+        });
         Ok(Self {
             id,
             route: route.clone(),
             service: Arc::clone(service),
+            quota,
             prompt,
             parts: parts.unwrap_or_default(),
             placement,
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -20,6 +20,7 @@
 use crate::gateway::notice::ReplicaNotice;
 use crate::gateway::peers::{PeerMessage, Peers};
 use crate::gateway::prefill::{PrefillDecision, PrefillMessage, PrefillTracker, PrefixKey};
+use crate::gateway::quota::message::QuotaRequest;
 use crate::gateway::route::{ModelName, RouteTable};
 use crate::gateway::shared::{Observation, Replica, ReplicaLoad, Shared, Snapshot};
 use crate::gateway::source::{SourceSelector, UpdateSource};
@@ -37,6 +38,7 @@
 mod orders;
 mod prefill;
 mod quarantine;
+mod quota;
 mod updates;
 
 pub(crate) use self::orders::lease_timing;
@@ -44,6 +46,7 @@
 
 use self::prefill::{PendingPrefill, PrefillResponder};
 use self::quarantine::PendingCrashes;
+use self::quota::QuotaState;
 use self::updates::{PendingUpdate, PlatformState, poll_configuration};
 
 /// The capacity of the event queue of the control thread.
@@ -89,6 +92,8 @@
     PrefillRequested(PrefixKey, oneshot::Sender<PrefillDecision>),
     /// A prefill of this router has ended.
     PrefillEnded(PrefillMessage),
+    /// Requests of this router need tokens of an account; the number matches the reply.
+    QuotaRequested(u64, QuotaRequest),
     /// The process is shutting down.
     Leave,
 }
@@ -186,6 +191,9 @@
             control.answer_prefill(message.key, PrefillResponder::Peer(reply));
         }
         Some(PeerMessage::PrefillEnded(message)) => control.end_prefill(message),
+        Some(PeerMessage::QuotaRequested(request, reply)) => {
+            control.answer_quota_request(&request, reply);
+        }
         Some(PeerMessage::Crashes(report)) => control.handle_crash_report(report, boot_time()),
         None => {}
     }
@@ -215,6 +223,7 @@
     pending_prefills: Vec<PendingPrefill>,
     quarantine: Quarantine,
     pending_crashes: PendingCrashes,
+    quota: QuotaState,
     next_load_exchange: Duration,
     is_update_pending: bool,
     polls_configuration: watch::Sender<bool>,
@@ -239,6 +248,7 @@
         peers: Peers,
         events: mpsc::Sender<Event>,
     ) -> Self {
+        let seeds = shared.settings.seeds.len();
         let lease = Lease::with_timing(Arc::clone(peers.own()), 1, lease_timing(&shared.bounds()));
         Self {
             shared,
@@ -264,6 +274,7 @@
             pending_prefills: Vec::new(),
             quarantine: Quarantine::default(),
             pending_crashes: PendingCrashes::default(),
+            quota: QuotaState::new(seeds, boot_time()),
             next_load_exchange: Duration::ZERO,
             is_update_pending: false,
             polls_configuration: watch::Sender::new(true),
@@ -331,6 +342,7 @@
         self.was_ready = is_ready;
         self.peers.set_ready(is_ready);
         self.peers.tick();
+        self.update_quotas(now);
         for (_, pool) in self.replica_states.values() {
             pool.close_idle(false);
         }
@@ -374,6 +386,7 @@
                     self.peers.send_prefill_outcome(router, message);
                 }
             }
+            Event::QuotaRequested(number, request) => self.request_quota(number, request),
             Event::Leave => {
                 self.peers.leave();
                 let released = self.lease.release(now);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -21,6 +21,7 @@
 use super::loads::ReplicaKey;
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
+use super::quota::permit::QuotaPermit;
 use super::response::LocalReply;
 use super::route::CallKind;
 use super::shared::{Refusal, Replica, Shared, Snapshot};
@@ -66,6 +67,8 @@
     prefill_key: Option<PrefixKey>,
     /// Whether the retry budget rejected a resend.
     is_budget_exhausted: bool,
+    /// The tokens of the account's quota; `None` if it has none.
+    quota: Option<QuotaPermit>,
 }
 
 /// What is known about the prefix of a request before an attempt.
@@ -80,7 +83,9 @@
     pub(crate) fn new(shared: Arc<Shared>, call: Call) -> Self {
         let attempts = call.route.max_attempts.max(1);
         let retry_state = RetryState::new(call.route.kind, attempts, call.remaining());
+        let quota = call.quota.filter(|charge| charge.cost > 0);
         Self {
+            quota: quota.map(|charge| QuotaPermit::new(Arc::clone(&shared), charge)),
             shared,
             call: Arc::new(call),
             retry_state,
@@ -196,6 +201,9 @@
                 }
                 Err(AttemptError::NoReplica(reason)) => break Err(self.no_replica_reply(reason)),
                 Err(AttemptError::Refused(refusal)) => break Err(self.refusal_reply(refusal)),
+                Err(AttemptError::OverQuota(retry_after)) => {
+                    break Err(LocalReply::over_quota(retry_after));
+                }
             }
         };
         if let Some(response) = held.next_response(&call).await {
@@ -244,6 +252,10 @@
         if failed.end == AttemptEnd::Broken && boot_time() >= self.sent_at + MIN_RUN {
             self.lost_attempts += 1;
         }
+        let is_not_run = matches!(failed.end, AttemptEnd::Unsent | AttemptEnd::Refused);
+        if let Some(quota) = self.quota.as_mut().filter(|_| is_not_run) {
+            quota.not_run();
+        }
         let step = self
             .retry_state
             .attempt_ended(failed.end, self.call.remaining());
@@ -412,6 +424,7 @@
 
     async fn attempt(&mut self, last_event: Option<&str>) -> Result<AttemptResult, AttemptError> {
         self.check_refusal()?;
+        self.acquire_quota().await?;
         let (prefix, snapshot) = self.prefix_and_snapshot().await;
         self.check_refusal()?;
         let replica = self.place(&snapshot, prefix)?;
@@ -434,7 +447,12 @@
                 );
             }
         };
+        // The grant may have expired since.
+        self.acquire_quota().await?;
         let now = boot_time();
+        if let Some(quota) = &mut self.quota {
+            quota.spend(now);
+        }
         // The configuration may have changed while the connection was opened.
         let snapshot = self.shared.snapshot.load_full();
         let request = self.request_to(&snapshot, &replica, last_event, now);
@@ -486,6 +504,15 @@
         }
     }
 
+    /// Acquires tokens of the account's quota for a request that has not run, or returns an error if there are none.
+    async fn acquire_quota(&mut self) -> Result<(), AttemptError> {
+        let Some(quota) = self.quota.as_mut().filter(|_| self.retry_state.runs == 0) else {
+            return Ok(());
+        };
+        let acquired = quota.acquire(self.call.remaining(), boot_time()).await;
+        acquired.map_err(AttemptError::OverQuota)
+    }
+
     /// Returns an error if requests like this one are refused.
     fn check_refusal(&self) -> Result<(), AttemptError> {
         let refusal = self.shared.refusal(&self.call, boot_time());
@@ -687,6 +714,8 @@
     Failed(Box<FailedAttempt>),
     /// Requests like this one are refused.
     Refused(Refusal),
+    /// The account's quota is used up; the request may be repeated after this time.
+    OverQuota(Duration),
     NoReplica(NoReplica),
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 mod placement;
 mod prefill;
 mod prompt;
+mod quota;
 mod relay;
 mod request_end;
 mod request_log;
@@ -67,6 +68,7 @@
 pub use self::control::{OrderCall, ReplicaCall, ReplicaCalls, ReportCall};
 pub use self::fleet::{LoadedWeights, ReplicaEntry, ReplicaRecord, ReplicaState};
 pub use self::headers::HeaderNames;
+pub use self::quota::{AccountQuota, QuotaLimit, QuotaUnit};
 pub use self::revision::{StoreRevision, revision_era, revision_number, store_revision};
 pub use self::route::{
     CallKind, CallerLimits, EngineTraits, GatewayAccount, GatewayConfiguration, GatewayService,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,6 +17,8 @@
 use super::loads::LoadMessage;
 use super::notice::{ReplicaNotice, ReplicaNotices};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefillReply, PrefixKey};
+use super::quota::AccountKey;
+use super::quota::message::{QuotaReply, QuotaRequest};
 use super::settings::GatewaySettings;
 use super::shared::EntryPoint;
 use super::source::watchers;
@@ -63,6 +65,8 @@
     PrefillEnded(PrefillMessage),
     /// Crashes of replicas and kept answers.
     Crashes(CrashReport),
+    /// A request for tokens of an account.
+    QuotaRequested(QuotaRequest, ReplyHandle),
 }
 
 /// The connections to other gateways and the membership state.
@@ -260,6 +264,10 @@
                 let report = event.body.decode::<CrashReport>();
                 report.map(|report| Some(PeerMessage::Crashes(report)))
             }
+            Kind::Quota => event.body.decode::<QuotaRequest>().map(|request| {
+                let reply = event.reply?;
+                Some(PeerMessage::QuotaRequested(request, reply))
+            }),
             _ => Ok(None),
         };
         match decoded {
@@ -326,6 +334,28 @@
         owner_of(key, staying.map(|member| &member.router)).unwrap_or(self.own())
     }
 
+    /// Returns the router that owns the quota of an account.
+    pub(crate) fn quota_owner(&self, account: AccountKey) -> &RouterId {
+        let staying = self.alive().filter(|member| !member.leaving);
+        owner_of(account, staying.map(|member| &member.router)).unwrap_or(self.own())
+    }
+
+    /// Requests tokens from the owner of an account; the result is `None` if it does not answer in time.
+    pub(crate) fn request_quota(
+        &self,
+        owner: &RouterId,
+        request: &QuotaRequest,
+        timeout: Duration,
+    ) -> impl Future<Output = Option<QuotaReply>> + use<> {
+        let to = self.membership.get(owner).map(|member| member.peers);
+        let links = self.links.clone();
+        let body = Body::encode(Kind::Quota, request);
+        async move {
+            let reply = links.request(to?, body, timeout).await?;
+            reply.decode::<QuotaReply>().ok()
+        }
+    }
+
     /// Requests a decision from the router that tracks a prefix; `decision` is dropped unsent if the router is
     /// unreachable.
     pub(crate) fn request_prefill(
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -156,6 +156,15 @@
         }
     }
 
+    /// Creates a response to a request above its account's quota, which has not run and will not run.
+    pub(crate) const fn over_quota(retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            reason: "the account's quota is used up",
+            retry_after: Some(retry_after),
+        }
+    }
+
     /// Creates a response for an unknown outcome because the replica's response was lost.
     pub(crate) const fn bad_gateway(reason: &'static str) -> Self {
         Self::denied(StatusCode::BAD_GATEWAY, reason)
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -13,6 +13,7 @@
 use smallvec::SmallVec;
 
 use super::cache_isolation::CacheIsolation;
+use super::quota::AccountQuota;
 use crate::id::{AccountId, ServiceName, ZoneName};
 
 /// The name of a model served by replicas.
@@ -142,7 +143,7 @@
 }
 
 /// A client account and the API keys of its callers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewayAccount {
     /// The name of the account.
     pub name: AccountId,
@@ -152,6 +153,8 @@
     pub priority: Option<u8>,
     /// Whether the account shares no cache entries with other accounts.
     pub is_isolated: bool,
+    /// The quota of the account; `None` if its use is not limited.
+    pub quota: Option<AccountQuota>,
 }
 
 /// Limits on what callers may send.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -25,6 +25,7 @@
 use super::open_requests::OpenRequests;
 use super::placement::WeightsBounds;
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
+use super::quota::gate::QuotaGate;
 use super::request_end::ConfigurationChange;
 use super::route::{CallerLimits, ModelName, RouteTable};
 use super::settings::{GatewayBounds, GatewaySettings};
@@ -180,6 +181,8 @@
     suspects_requests: AtomicBool,
     suspects_changed: watch::Sender<()>,
     kept_parts: Mutex<KeptParts>,
+    /// The quotas of client accounts.
+    pub(crate) quota: QuotaGate,
     observations: mpsc::Sender<Observation>,
     /// Set when the control thread starts.
     control: OnceLock<mpsc::Sender<Event>>,
@@ -330,7 +333,9 @@
         header_names: HeaderNames,
         observations: mpsc::Sender<Observation>,
     ) -> Self {
+        let seeds = settings.seeds.len();
         Self {
+            quota: QuotaGate::new(seeds),
             bounds: ArcSwap::from_pointee(settings.bounds),
             settings,
             header_names,
@@ -360,6 +365,12 @@
         );
     }
 
+    /// Sends an event to the control thread; returns whether its queue had room.
+    pub(crate) fn send_to_control(&self, event: Event) -> bool {
+        let control = self.control.get();
+        control.is_some_and(|control| control.try_send(event).is_ok())
+    }
+
     /// Requests a prefill decision; returns `None` if there is none within `limit`.
     pub(crate) async fn request_prefill(
         &self,
--- a/src/gateway/tests/cache_isolation.rs
+++ b/src/gateway/tests/cache_isolation.rs
@@ -19,6 +19,7 @@
 
 fn account(name: &str, is_isolated: bool) -> GatewayAccount {
     GatewayAccount {
+        quota: None,
         name: name.into(),
         keys: Vec::new(),
         priority: None,
--- a/src/gateway/tests/route.rs
+++ b/src/gateway/tests/route.rs
@@ -35,6 +35,7 @@
         version: 1,
         routes: vec![route("short", "/a/"), route("long", "/a/b/")],
         accounts: vec![GatewayAccount {
+            quota: None,
             name: "dues".into(),
             keys: vec!["k1".into(), "k2".into()],
             priority: None,
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -52,11 +52,13 @@
     Reading = 15,
     /// Reports replicas that crashed as they began an answer, and answers that were kept.
     Crashes = 16,
+    /// Requests tokens of a client account's quota from its owner.
+    Quota = 17,
 }
 
 impl Kind {
     /// All kinds, ordered by their numbers.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Ping,
         Self::Pong,
         Self::Heartbeat,
@@ -74,6 +76,7 @@
         Self::Work,
         Self::Reading,
         Self::Crashes,
+        Self::Quota,
     ];
 
     /// Returns the value of the metric label for this kind.
@@ -97,6 +100,7 @@
             Self::Work => "work",
             Self::Reading => "reading",
             Self::Crashes => "crashes",
+            Self::Quota => "quota",
         }
     }
 }
