--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -21,6 +21,7 @@
 use crate::gateway::peers::{PeerMessage, Peers};
 use crate::gateway::prefill::{PrefillDecision, PrefillMessage, PrefillTracker, PrefixKey};
 use crate::gateway::quota::message::QuotaRequest;
+use crate::gateway::quota::owned::OwnedQuotas;
 use crate::gateway::route::{ModelName, RouteTable};
 use crate::gateway::shared::{Observation, Replica, ReplicaLoad, Shared, Snapshot};
 use crate::gateway::source::{SourceSelector, UpdateSource};
@@ -46,7 +47,6 @@
 
 use self::prefill::{PendingPrefill, PrefillResponder};
 use self::quarantine::PendingCrashes;
-use self::quota::QuotaState;
 use self::updates::{PendingUpdate, PlatformState, poll_configuration};
 
 /// The capacity of the event queue of the control thread.
@@ -223,7 +223,7 @@
     pending_prefills: Vec<PendingPrefill>,
     quarantine: Quarantine,
     pending_crashes: PendingCrashes,
-    quota: QuotaState,
+    quotas: OwnedQuotas,
     next_load_exchange: Duration,
     is_update_pending: bool,
     polls_configuration: watch::Sender<bool>,
@@ -274,7 +274,7 @@
             pending_prefills: Vec::new(),
             quarantine: Quarantine::default(),
             pending_crashes: PendingCrashes::default(),
-            quota: QuotaState::new(seeds, boot_time()),
+            quotas: OwnedQuotas::new(seeds, boot_time()),
             next_load_exchange: Duration::ZERO,
             is_update_pending: false,
             polls_configuration: watch::Sender::new(true),
--- a/src/gateway/quota/grants.rs
+++ b/src/gateway/quota/grants.rs
@@ -9,7 +9,7 @@
 //!
 //! If the owner does not answer, this router grants its share of the rate itself, one in as many parts as there are
 //! routers, without a burst and without debt, until a reply arrives. Together the routers then grant no more than the
-//! rate. One request at a time still goes to the owner, to find out when it answers again.
+//! rate. What they granted is reported to the owner once it answers, since it may have gone on granting to others. One request at a time still goes to the owner, to find out when it answers again.
 //!
 //! Load patterns handled: one account floods this router; the owner dies, is paused or is unreachable, or its replies are
 //! late or lost; callers leave while they wait.
@@ -97,6 +97,8 @@
     denial: Option<Denial>,
     /// Set while the owner does not answer.
     local: Option<LocalShare>,
+    /// What this router granted itself until the owner answered again, to be reported.
+    unreported: Option<LocalShare>,
     used_at: Duration,
 }
 
@@ -138,6 +140,19 @@
 struct LocalShare {
     credit: f64,
     counted_at: Duration,
+    since: Duration,
+    used: u64,
+}
+
+impl LocalShare {
+    const fn new(since: Duration) -> Self {
+        Self {
+            credit: 0.0,
+            counted_at: since,
+            since,
+            used: 0,
+        }
+    }
 }
 
 impl QuotaGrants {
@@ -180,7 +195,8 @@
         now: Duration,
     ) -> Option<NumberedRequest> {
         let grants = self.accounts.get_mut(&account)?;
-        let is_needed = !grants.waiting.is_empty() || grants.charged > 0;
+        let is_needed =
+            !grants.waiting.is_empty() || grants.charged > 0 || grants.unreported.is_some();
         if !is_needed || grants.in_flight.is_some() {
             return None;
         }
@@ -300,6 +316,7 @@
             uses: VecDeque::new(),
             denial: None,
             local: None,
+            unreported: None,
             used_at: Duration::ZERO,
         }
     }
@@ -389,6 +406,8 @@
         let count = self.waiting.len().min(MAX_COSTS);
         let asked: Vec<_> = self.waiting.drain(..count).collect();
         let charged = std::mem::take(&mut self.charged);
+        let local = self.unreported.take();
+        let local_age = local.map_or(Duration::ZERO, |local| now.saturating_sub(local.since));
         let request = QuotaRequest {
             account,
             rate_per_s: self.limit.rate_per_s as f32,
@@ -396,6 +415,8 @@
             costs: asked.iter().map(|waiting| waiting.cost).collect(),
             ahead,
             charged,
+            local: local.map_or(0, |local| local.used),
+            local_age_ms: u32::try_from(local_age.as_millis()).unwrap_or(u32::MAX),
         };
         self.in_flight = Some(InFlight {
             number,
@@ -416,16 +437,14 @@
         // The tokens of a late reply have expired, and a router that is not the owner has granted nothing.
         let reply = reply.filter(|reply| now < expires_at && !reply.is_not_owner);
         let Some(reply) = reply else {
-            self.local.get_or_insert(LocalShare {
-                credit: 0.0,
-                counted_at: sent.sent_at,
-            });
+            self.local.get_or_insert(LocalShare::new(sent.sent_at));
             let asked = sent.asked.into_iter();
             return asked
                 .map(|waiting| (waiting.ticket, self.decide_locally(waiting.cost, now)))
                 .collect();
         };
-        self.local = None;
+        let local = self.local.take().filter(|local| local.used > 0);
+        self.unreported = local.or(self.unreported);
         let mut granted = reply.granted;
         let mut decisions = Vec::with_capacity(sent.asked.len());
         for (index, waiting) in sent.asked.into_iter().enumerate() {
@@ -470,10 +489,7 @@
             return Acquired::Granted(expires_at);
         }
         let rate = self.limit.rate_per_s / self.routers as f64;
-        let local = self.local.get_or_insert(LocalShare {
-            credit: 0.0,
-            counted_at: now,
-        });
+        let local = self.local.get_or_insert(LocalShare::new(now));
         let time = now.saturating_sub(local.counted_at);
         let most = rate * LOCAL_WINDOW.as_secs_f64();
         local.credit = (local.credit + rate * time.as_secs_f64()).min(most);
@@ -481,6 +497,7 @@
         let cost_units = f64::from(cost);
         if local.credit >= cost_units {
             local.credit -= cost_units;
+            local.used = local.used.saturating_add(u64::from(cost));
             self.record_use(cost, now);
             return Acquired::Granted(now + GRANT_TTL);
         }
--- a/src/gateway/quota/message.rs
+++ b/src/gateway/quota/message.rs
@@ -21,6 +21,12 @@
     /// The tokens of sends that have run without being granted.
     #[prost(uint64, tag = "6")]
     pub(crate) charged: u64,
+    /// The tokens that the requester granted itself while the owner did not answer.
+    #[prost(uint64, tag = "7")]
+    pub(crate) local: u64,
+    /// How long ago the owner stopped answering, in milliseconds.
+    #[prost(uint32, tag = "8")]
+    pub(crate) local_age_ms: u32,
 }
 
 /// The reply to a [`QuotaRequest`].
--- a/src/gateway/quota/mod.rs
+++ b/src/gateway/quota/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod gate;
 pub(crate) mod grants;
 pub(crate) mod message;
+pub(crate) mod owned;
 pub(crate) mod owner;
 pub(crate) mod permit;
 
--- /dev/null
+++ b/src/gateway/quota/owned.rs
@@ -0,0 +1,126 @@
+//! The quotas of the configuration as one router sees them: the accounts that it owns and what it answers to quota
+//! requests.
+//!
+//! A router answers for an account only while it believes that it is the owner, so that a router whose view of the fleet
+//! is old grants nothing. Rejected: answering every request, with which each former owner would go on granting the whole
+//! rate to those that still ask it.
+//!
+//! Load pattern handled: one account floods all routers while routers join, leave, die and are cut off.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::fleet_share::FleetShare;
+use super::message::{QuotaReply, QuotaRequest};
+use super::owner::QuotaOwner;
+use super::{AccountKey, QuotaLimit};
+use crate::id::RouterId;
+
+/// The quotas of the configuration and the buckets of the accounts that this router owns.
+#[derive(Debug)]
+pub(crate) struct OwnedQuotas {
+    /// The limit of each account of the configuration; `None` if it has no quota.
+    limits: HashMap<AccountKey, Option<QuotaLimit>>,
+    owner: QuotaOwner,
+    fleet: FleetShare,
+    /// Whether any account has had a quota, or a router has asked for one.
+    is_active: bool,
+}
+
+/// What an update has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct QuotaUpdate {
+    /// How long this router was paused, if it was; its buckets are empty then.
+    pub(crate) pause: Option<Duration>,
+    /// The size of the whole fleet.
+    pub(crate) fleet: usize,
+    /// The number of routers that this one sees.
+    pub(crate) visible: usize,
+    /// The number of accounts with a quota that this router owns.
+    pub(crate) owned: usize,
+}
+
+impl OwnedQuotas {
+    /// Creates the state of a router that was started at `now` and whose settings name `expected` routers.
+    pub(crate) fn new(expected: usize, now: Duration) -> Self {
+        Self {
+            limits: HashMap::new(),
+            owner: QuotaOwner::new(now),
+            fleet: FleetShare::new(expected, now),
+            is_active: false,
+        }
+    }
+
+    /// Replaces the limits of all accounts; [`OwnedQuotas::update`] is to be called next.
+    pub(crate) fn set_limits(
+        &mut self,
+        limits: impl Iterator<Item = (AccountKey, Option<QuotaLimit>)>,
+    ) {
+        let checked = |limit: QuotaLimit| limit.checked();
+        self.limits = limits
+            .map(|(account, limit)| (account, limit.and_then(checked)))
+            .collect();
+        self.is_active |= self.limits.values().any(Option::is_some);
+    }
+
+    /// Returns whether any quota is in use.
+    pub(crate) const fn is_active(&self) -> bool {
+        self.is_active
+    }
+
+    /// Updates the accounts that this router owns and the share of their limits that it grants; to be called at least every
+    /// 500 ms.
+    ///
+    /// `alive` are the routers that are believed to be alive, with whether each is leaving, and `is_own` tells whether this
+    /// router owns an account.
+    pub(crate) fn update<'a>(
+        &mut self,
+        alive: impl Iterator<Item = (&'a RouterId, bool)>,
+        is_own: impl Fn(AccountKey) -> bool,
+        now: Duration,
+    ) -> QuotaUpdate {
+        let pause = self.owner.tick(now);
+        let (visible, fleet) = self.fleet.observe(alive, now);
+        let limits = self.limits.iter();
+        let owned: HashMap<AccountKey, QuotaLimit> = limits
+            .filter_map(|(account, limit)| Some((*account, (*limit)?)))
+            .filter(|(account, _)| is_own(*account))
+            .collect();
+        let share = visible as f64 / fleet as f64;
+        self.owner.set_owned(&owned, share, now);
+        self.owner.remove_unknown(|account| !is_own(account));
+        QuotaUpdate {
+            pause,
+            fleet,
+            visible,
+            owned: owned.len(),
+        }
+    }
+
+    /// Returns the answer to a quota request; `is_own` is whether this router owns the account.
+    pub(crate) fn answer(
+        &mut self,
+        request: &QuotaRequest,
+        is_own: bool,
+        now: Duration,
+    ) -> QuotaReply {
+        if !is_own {
+            return QuotaReply {
+                is_not_owner: true,
+                ..QuotaReply::default()
+            };
+        }
+        let limit = match self.limits.get(&request.account) {
+            Some(Some(limit)) => *limit,
+            Some(None) => return QuotaReply::grant_all(request),
+            None => {
+                self.is_active = true;
+                QuotaLimit {
+                    rate_per_s: f64::from(request.rate_per_s),
+                    burst: f64::from(request.burst),
+                }
+            }
+        };
+        self.owner.request(request, limit, now)
+    }
+}
--- a/src/gateway/quota/owner.rs
+++ b/src/gateway/quota/owner.rs
@@ -7,6 +7,9 @@
 //! and not all at once. That time reserves nothing: a request that finds credit is granted, because the callers that were
 //! denied may never return.
 //!
+//! Tokens that routers granted themselves while the owner did not answer are taken from the bucket, as far as the bucket
+//! was refilled at that time, so that a connection that fails again and again does not add to the quota.
+//!
 //! An account whose owner changes starts with an empty bucket, and so does an owner that was paused, because another one
 //! may have granted meanwhile.
 //!
@@ -51,6 +54,8 @@
     limit: QuotaLimit,
     level: f64,
     refilled_at: Duration,
+    /// Since when the bucket has been refilled.
+    filling_since: Duration,
     /// When the request that was denied last may return.
     reserved_until: Duration,
     /// Whether the limit comes from the requests and not from the configuration.
@@ -173,6 +178,7 @@
             limit,
             level: 0.0,
             refilled_at: now,
+            filling_since: now,
             reserved_until: now,
             is_unknown: false,
             used_at: now,
@@ -182,6 +188,7 @@
     fn empty(&mut self, now: Duration) {
         self.level = self.level.min(0.0);
         self.refilled_at = now;
+        self.filling_since = now;
     }
 
     fn refill(&mut self, now: Duration) {
@@ -201,7 +208,8 @@
     fn decide(&mut self, request: &QuotaRequest, now: Duration) -> QuotaReply {
         self.refill(now);
         let max_debt = self.limit.rate_per_s * MAX_DEBT.as_secs_f64();
-        let charged = (request.charged as f64).min(max_debt);
+        let charged = request.charged as f64 + self.local_charge(request, now);
+        let charged = charged.min(max_debt);
         self.level = (self.level - charged).max(-max_debt);
         let mut granted = 0;
         let mut retry_after_ms = Vec::new();
@@ -225,6 +233,13 @@
         }
     }
 
+    /// Returns how much of the tokens that a router granted itself is taken from the bucket.
+    fn local_charge(&self, request: &QuotaRequest, now: Duration) -> f64 {
+        let filling = now.saturating_sub(self.filling_since);
+        let age = Duration::from_millis(u64::from(request.local_age_ms.max(1)));
+        request.local as f64 * filling.div_duration_f64(age).min(1.0)
+    }
+
     /// Takes `cost` if the bucket has as much, or is full.
     fn take(&mut self, cost: f64) -> bool {
         let is_granted = self.level >= cost.min(self.limit.burst);
