Keep quota messages from routers of older versions

Cause: a router closes the connection on a kind of frame that it does not know, with the heartbeats and loads on it.

Change: the handshake announces the newest kind that a router knows; newer ones are not sent to it, and a request of such a kind fails at once. From now on a message of an unknown kind is ignored alone.

--- a/src/gateway/quota/grants.rs
+++ b/src/gateway/quota/grants.rs
@@ -34,6 +34,9 @@
 /// The maximum time for which this router refuses requests itself; afterwards the owner is asked again, since other
 /// routers may not have used what the denied requests left to them.
 const MAX_REFUSAL: Duration = Duration::from_millis(500);
+/// The minimum time for which this router refuses requests itself. An account with a high rate has credit again within
+/// milliseconds; a flood of one at 24 routers sent its owner 1,100 quota requests per second.
+const MIN_REFUSAL: Duration = Duration::from_millis(100);
 /// The ratio to the denied cost from which a request is asked for in spite of a denial.
 const SMALL_COST_RATIO: u32 = 4;
 /// The maximum number of requests that wait for an account's owner.
@@ -457,7 +460,7 @@
                 continue;
             }
             let retry_after = Duration::from_millis(u64::from(retry_after_ms));
-            let retry_after = retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+            let retry_after = retry_after.clamp(MIN_REFUSAL, MAX_RETRY_AFTER);
             self.record_denial(waiting.cost, retry_after, now);
             decisions.push((waiting.ticket, Acquired::Denied(retry_after)));
         }
--- a/src/peer/accept.rs
+++ b/src/peer/accept.rs
@@ -116,7 +116,17 @@
     frame: Frame,
 ) -> Result<Option<Frame>, Error> {
     let request = frame.request;
-    let body = frame.into_body()?;
+    let body = match frame.into_body() {
+        Ok(body) => body,
+        Err(error) => {
+            // A router of a newer version may send it; the other messages on the connection are kept.
+            log::info!(
+                "peer: A message was ignored. router={} error={error}",
+                session.peer.router
+            );
+            return Ok(None);
+        }
+    };
     if body.kind == Kind::Ping {
         let pong = Body {
             kind: Kind::Pong,
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -79,6 +79,14 @@
         Self::Quota,
     ];
 
+    /// The newest kind that routers know which don't announce theirs in the handshake.
+    pub(crate) const NEWEST_UNANNOUNCED: Self = Self::Crashes;
+
+    /// Returns the newest kind.
+    pub(crate) const fn newest() -> Self {
+        Self::ALL[Self::ALL.len() - 1]
+    }
+
     /// Returns the value of the metric label for this kind.
     #[must_use]
     pub const fn label(self) -> &'static str {
--- a/src/peer/handshake.rs
+++ b/src/peer/handshake.rs
@@ -11,7 +11,7 @@
 
 use crate::error::{Error, ErrorKind};
 use crate::id::{Incarnation, RouterId};
-use crate::peer::frame::MAX_FRAME_BYTES;
+use crate::peer::frame::{Kind, MAX_FRAME_BYTES};
 use crate::peer::key::{FrameMac, PeerKeys};
 
 /// The protocol version; a router closes connections to peers with another version.
@@ -73,6 +73,8 @@
 /// The result of a completed handshake.
 pub(crate) struct Session {
     pub(crate) peer: PeerIdentity,
+    /// The number of the newest kind of frame that the peer knows.
+    pub(crate) newest_kind: i32,
     pub(crate) sending: FrameMac,
     pub(crate) receiving: FrameMac,
 }
@@ -89,6 +91,10 @@
     address: String,
     #[prost(bytes = "bytes", tag = "5")]
     nonce: Bytes,
+    /// The number of the newest kind of frame that the sender knows. Routers that don't send it close connections on
+    /// which they get a newer one than [`Kind::NEWEST_UNANNOUNCED`].
+    #[prost(int32, tag = "6")]
+    newest_kind: i32,
 }
 
 /// Wraps `stream` with the frame size limit that applies before the peer is authenticated.
@@ -110,7 +116,18 @@
     keys: &PeerKeys,
     role: Role,
 ) -> Result<Session, Error> {
-    let own_hello = encode_hello(own, rand::random());
+    perform_with(framed, own, keys, role, Kind::newest() as i32).await
+}
+
+/// Performs the handshake of a router that announces `newest_kind`, or announces none with 0.
+pub(crate) async fn perform_with(
+    framed: &mut FramedStream,
+    own: &PeerIdentity,
+    keys: &PeerKeys,
+    role: Role,
+    newest_kind: i32,
+) -> Result<Session, Error> {
+    let own_hello = encode_hello(own, rand::random(), newest_kind);
     write(framed, own_hello.clone()).await?;
     let their_hello = read(framed).await?;
     let transcript = match role {
@@ -127,27 +144,29 @@
                 "peer authentication failed: its proof matches no valid key",
             )
         })?;
-    let peer = decode_hello(their_hello)?;
+    let (peer, newest_kind) = decode_hello(their_hello)?;
     framed.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
     Ok(Session {
         peer,
+        newest_kind,
         sending: FrameMac::new(keys.signing(), role.frame_label(), &transcript),
         receiving: FrameMac::new(their_key, role.other().frame_label(), &transcript),
     })
 }
 
-fn encode_hello(own: &PeerIdentity, nonce: [u8; NONCE_BYTES]) -> Bytes {
+fn encode_hello(own: &PeerIdentity, nonce: [u8; NONCE_BYTES], newest_kind: i32) -> Bytes {
     let hello = Hello {
         version: PROTOCOL_VERSION,
         router: own.router.to_string(),
         incarnation: own.incarnation,
         address: own.address.to_string(),
         nonce: Bytes::copy_from_slice(&nonce),
+        newest_kind,
     };
     hello.encode_to_vec().into()
 }
 
-fn decode_hello(bytes: Bytes) -> Result<PeerIdentity, Error> {
+fn decode_hello(bytes: Bytes) -> Result<(PeerIdentity, i32), Error> {
     let protocol_error = |message: String| Error::new(ErrorKind::Protocol, message);
     let hello = Hello::decode(bytes)
         .map_err(|error| protocol_error(format!("malformed hello message: {error}")))?;
@@ -161,11 +180,13 @@
         .address
         .parse()
         .map_err(|_| protocol_error(format!("peer address {:?} is malformed", hello.address)))?;
-    Ok(PeerIdentity {
+    let peer = PeerIdentity {
         router: hello.router.into(),
         incarnation: hello.incarnation,
         address,
-    })
+    };
+    let unannounced = Kind::NEWEST_UNANNOUNCED as i32;
+    Ok((peer, hello.newest_kind.max(unannounced)))
 }
 
 /// Concatenates both hello messages with length prefixes, so that no two different pairs have the same transcript.
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -187,6 +187,11 @@
     }
 
     async fn send(&mut self, outgoing: Outgoing) -> Result<(), Error> {
+        // A router of an older version closes the connection on a kind that it does not know.
+        if i32::from(outgoing.body.kind) > self.session.newest_kind {
+            self.shared.traffic.add_dropped(outgoing.body.kind);
+            return Ok(());
+        }
         let mut request = 0;
         if let Some(reply) = outgoing.reply {
             self.pending.retain(|_, waiting| !waiting.is_closed());
@@ -215,8 +220,11 @@
             return Ok(());
         }
         if let Some(waiting) = self.pending.remove(&frame.request) {
-            // The requester may have timed out already.
-            let _ = waiting.send(frame.into_body()?);
+            // A reply of an unknown kind ends the wait without one.
+            if let Ok(body) = frame.into_body() {
+                // The requester may have timed out already.
+                let _ = waiting.send(body);
+            }
         }
         Ok(())
     }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -219,3 +221,74 @@
         .collect();
     verified.expect_err("the modification is detected");
 }
+
+/// Accepts one connection as a router of an older version, which announces no kinds; returns the kinds that it gets.
+async fn accept_as_old_router(listener: TcpListener) -> Vec<i32> {
+    let (stream, _) = listener.accept().await.expect("a peer connects");
+    let mut framed = handshake::frame_stream(stream);
+    let own = options("old", &["a"]);
+    let role = handshake::Role::Responder;
+    let shaken = handshake::perform_with(&mut framed, &own.identity, &own.keys, role, 0);
+    let mut session = shaken.await.expect("the keys are equal");
+    let mut kinds = Vec::new();
+    while kinds.last() != Some(&(Kind::Work as i32)) {
+        let read = framed.next().await.expect("the connection stays open");
+        let signed = read.expect("frames can be read").freeze();
+        let verified = session.receiving.verify(signed).expect("frames are signed");
+        let frame = frame::Frame::decode(verified).expect("frames can be decoded");
+        kinds.push(frame.kind);
+    }
+    kinds
+}
+
+/// A router of an older version closes the connection on a kind that it does not know, with all other messages on it.
+#[tokio::test]
+async fn send_newer_kind_is_kept_from_older_router() {
+    let listener = TcpListener::bind(loopback())
+        .await
+        .expect("loopback can be bound");
+    let to = listener.local_addr().expect("the socket is bound");
+    let old = tokio::spawn(accept_as_old_router(listener));
+    let (links, _inbound) = start("new", &["a"]).await;
+    let quota = Body {
+        kind: Kind::Quota,
+        payload: Bytes::new(),
+    };
+    let work = Body {
+        kind: Kind::Work,
+        payload: Bytes::new(),
+    };
+    let reply = links.request(to, quota, TIMEOUT);
+    assert_eq!(reply.await, None, "the request fails at once");
+    assert!(links.send(to, work));
+    let kinds = tokio::time::timeout(TIMEOUT, old).await;
+    let kinds = kinds.expect("the message arrives").expect("no panic");
+    assert_eq!(kinds, [Kind::Work as i32]);
+}
+
+/// A message of a newer version closed the connection with all other messages on it.
+#[tokio::test]
+async fn receive_unknown_kind_keeps_connection() {
+    let (links, mut inbound) = start("new", &["a"]).await;
+    let to = links.identity().address;
+    let stream = TcpStream::connect(to).await.expect("the router listens");
+    let mut framed = handshake::frame_stream(stream);
+    let own = options("newer", &["a"]);
+    let role = handshake::Role::Initiator;
+    let shaken = handshake::perform(&mut framed, &own.identity, &own.keys, role);
+    let mut session = shaken.await.expect("the keys are equal");
+    for kind in [9_999, Kind::Lookup as i32] {
+        let frame = frame::Frame {
+            kind,
+            ..frame::Frame::new(0, false, body("x"))
+        };
+        let signed = session.sending.sign(&frame.encode_to_vec());
+        framed
+            .send(signed)
+            .await
+            .expect("the connection stays open");
+    }
+    let event = tokio::time::timeout(TIMEOUT, inbound.recv()).await;
+    let event = event.expect("the second message arrives").expect("no end");
+    assert_eq!(event.body, body("x"));
+}
