Grant tokens in advance during a flood of short requests

Cause: an account with a high rate asked its owner for each short request in a flood: 33,195 quota requests in 30 s from 24 routers.

Change: tokens are granted in advance up to a quarter of the bucket's level, all or none of them, to routers with four requests of the account in 200 ms.

--- a/src/gateway/quota/grants.rs
+++ b/src/gateway/quota/grants.rs
@@ -29,8 +29,9 @@
 const MIN_GRANT_LIFE: Duration = Duration::from_millis(50);
 /// The time over which the use of an account is counted for requests in advance.
 const USE_WINDOW: Duration = Duration::from_millis(200);
-/// The number of requests within that time from which tokens are requested in advance.
-const MIN_USES: usize = 2;
+/// The number of requests within that time from which tokens are requested in advance. With 2, an account with 47,000
+/// tokens per second lost 5 % of its quota to grants that were not used.
+const MIN_USES: usize = 4;
 /// The maximum time for which this router refuses requests itself; afterwards the owner is asked again, since other
 /// routers may not have used what the denied requests left to them.
 const MAX_REFUSAL: Duration = Duration::from_millis(500);
--- a/src/gateway/quota/owner.rs
+++ b/src/gateway/quota/owner.rs
@@ -36,8 +36,8 @@
 const UNKNOWN_TTL: Duration = Duration::from_secs(30);
 /// The maximum number of accounts that are not in the configuration.
 const MAX_UNKNOWN: usize = 1_024;
-/// The fraction of the burst that remains for waiting requests when tokens are granted in advance.
-const AHEAD_RESERVE: f64 = 0.5;
+/// The maximum fraction of the level that is granted in advance; tokens that are not used are lost to the account.
+const AHEAD_FRACTION: f64 = 0.25;
 
 /// The buckets of the accounts that a router owns.
 #[derive(Debug)]
@@ -249,12 +249,13 @@
         is_granted
     }
 
-    /// Takes up to `tokens`, but nothing of what is kept for waiting requests.
+    /// Takes `tokens` for expected requests if enough is left for others; a part of them may cover no request.
     fn take_ahead(&mut self, tokens: u32) -> u64 {
-        let spare = self.level - self.limit.burst * AHEAD_RESERVE;
-        let taken = spare.min(f64::from(tokens)).max(0.0).floor();
-        self.level -= taken;
-        taken as u64
+        if f64::from(tokens) > self.level * AHEAD_FRACTION {
+            return 0;
+        }
+        self.level -= f64::from(tokens);
+        u64::from(tokens)
     }
 
     /// Returns when a request that costs `cost` may return, and counts it for those that are denied after it.
