--- a/src/gateway/control/quota.rs
+++ b/src/gateway/control/quota.rs
@@ -57,9 +57,16 @@
             return;
         }
         let pending = self.peers.request_quota(owner, &request, OWNER_TIMEOUT);
-        let shared = Arc::clone(&self.shared);
+        let (shared, owner) = (Arc::clone(&self.shared), Arc::clone(owner));
         tokio::spawn(async move {
             let reply = pending.await;
+            if reply.as_ref().is_none_or(|reply| reply.is_not_owner) {
+                metrics::counter!("crocuswharf_gateway_quota_unanswered_total").increment(1);
+                log::warn!(
+                    "quota: The owner of an account did not answer. owner={owner} account={account:016x} is_not_owner={}",
+                    reply.is_some()
+                );
+            }
             shared.settle_quota(account, number, reply.as_ref());
         });
     }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -201,9 +201,7 @@
                 }
                 Err(AttemptError::NoReplica(reason)) => break Err(self.no_replica_reply(reason)),
                 Err(AttemptError::Refused(refusal)) => break Err(self.refusal_reply(refusal)),
-                Err(AttemptError::OverQuota(retry_after)) => {
-                    break Err(LocalReply::over_quota(retry_after));
-                }
+                Err(AttemptError::OverQuota(time)) => break Err(self.over_quota_reply(time)),
             }
         };
         if let Some(response) = held.next_response(&call).await {
@@ -409,6 +407,18 @@
         LocalReply::not_run(refusal.reason(), refusal.time)
     }
 
+    fn over_quota_reply(&self, retry_after: Duration) -> LocalReply {
+        let account = self.call.account.as_ref();
+        log::info!(
+            "quota: Request refused. id={} account={} cost={} retry_after_ms={}",
+            self.call.id_text(),
+            account.map_or("-", |account| &account.name),
+            self.call.quota.map_or(0, |charge| charge.cost),
+            retry_after.as_millis()
+        );
+        LocalReply::over_quota(retry_after)
+    }
+
     fn no_replica_reply(&self, reason: NoReplica) -> LocalReply {
         if self.retry_state.runs > 0 {
             return LocalReply::bad_gateway("the replica's answer was lost");
--- a/src/gateway/quota/gate.rs
+++ b/src/gateway/quota/gate.rs
@@ -165,10 +165,6 @@
         number: u64,
         reply: Option<&QuotaReply>,
     ) {
-        if !reply.is_some_and(|reply| !reply.is_not_owner) {
-            metrics::counter!("crocuswharf_gateway_quota_unanswered_total").increment(1);
-            log::warn!("quota: The owner of an account did not answer. account={account:016x}");
-        }
         let mut state = self.quota.lock();
         let decisions = state.grants.settle(account, number, reply, boot_time());
         state.deliver(decisions);
