Tick the control thread while events follow each other

Cause: the timer of the control thread started again with each event. An owner that gets quota requests less than 1 ms apart would not tick, and take itself for paused. The accounts that a router owns were found again at each tick, with one hash for each account and router.

Change: each turn of the loop ticks if a tick is due. The owned accounts are found again when the membership or the configuration changes.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -161,6 +161,8 @@
             () = receive(&mut inbound, &mut control) => {}
             () = tokio::time::sleep(tick) => control.tick(),
         }
+        // A timer that is restarted with each event may never fire while events follow each other.
+        control.tick();
         let now = boot_time();
         control.select_source(now);
         control.answer_update_requests(now);
--- a/src/gateway/control/quota.rs
+++ b/src/gateway/control/quota.rs
@@ -33,7 +33,8 @@
         let alive = self.peers.alive();
         let alive = alive.map(|member| (&member.router, member.leaving));
         let is_own = |account: AccountKey| self.peers.quota_owner(account) == self.peers.own();
-        let update = self.quotas.update(alive, is_own, now);
+        let generation = self.peers.generation();
+        let update = self.quotas.update(alive, generation, is_own, now);
         if let Some(pause) = update.pause {
             log::warn!(
                 "quota: The buckets were emptied after a pause. pause_ms={}",
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -160,6 +160,11 @@
         std::mem::replace(&mut self.generation, generation) != generation
     }
 
+    /// Returns a number that changes with the membership.
+    pub(crate) fn generation(&self) -> u64 {
+        self.membership.generation()
+    }
+
     /// Returns the addresses of the routers that were seen for the first time since the last call.
     pub(crate) fn newcomers(&mut self) -> SmallVec<[SocketAddr; 2]> {
         let generation = self.membership.generation();
--- a/src/gateway/quota/owned.rs
+++ b/src/gateway/quota/owned.rs
@@ -21,6 +21,9 @@
 pub(crate) struct OwnedQuotas {
     /// The limit of each account of the configuration; `None` if it has no quota.
     limits: HashMap<AccountKey, Option<QuotaLimit>>,
+    /// The accounts with a quota that this router owns, as of a generation of the membership.
+    owned: HashMap<AccountKey, QuotaLimit>,
+    owned_generation: Option<u64>,
     owner: QuotaOwner,
     fleet: FleetShare,
     /// Whether any account has had a quota, or a router has asked for one.
@@ -45,6 +48,8 @@
     pub(crate) fn new(expected: usize, now: Duration) -> Self {
         Self {
             limits: HashMap::new(),
+            owned: HashMap::new(),
+            owned_generation: None,
             owner: QuotaOwner::new(now),
             fleet: FleetShare::new(expected, now),
             is_active: false,
@@ -60,6 +65,7 @@
         self.limits = limits
             .map(|(account, limit)| (account, limit.and_then(checked)))
             .collect();
+        self.owned_generation = None;
         self.is_active |= self.limits.values().any(Option::is_some);
     }
 
@@ -71,29 +77,32 @@
     /// Updates the accounts that this router owns and the share of their limits that it grants; to be called at least every
     /// 500 ms.
     ///
-    /// `alive` are the routers that are believed to be alive, with whether each is leaving, and `is_own` tells whether this
-    /// router owns an account.
+    /// `alive` are the routers that are believed to be alive, with whether each is leaving, `generation` changes with them,
+    /// and `is_own` tells whether this router owns an account.
     pub(crate) fn update<'a>(
         &mut self,
         alive: impl Iterator<Item = (&'a RouterId, bool)>,
+        generation: u64,
         is_own: impl Fn(AccountKey) -> bool,
         now: Duration,
     ) -> QuotaUpdate {
         let pause = self.owner.tick(now);
         let (visible, fleet) = self.fleet.observe(alive, now);
-        let limits = self.limits.iter();
-        let owned: HashMap<AccountKey, QuotaLimit> = limits
-            .filter_map(|(account, limit)| Some((*account, (*limit)?)))
-            .filter(|(account, _)| is_own(*account))
-            .collect();
+        if self.owned_generation.replace(generation) != Some(generation) {
+            let limits = self.limits.iter();
+            self.owned = limits
+                .filter_map(|(account, limit)| Some((*account, (*limit)?)))
+                .filter(|(account, _)| is_own(*account))
+                .collect();
+            self.owner.remove_unknown(|account| !is_own(account));
+        }
         let share = visible as f64 / fleet as f64;
-        self.owner.set_owned(&owned, share, now);
-        self.owner.remove_unknown(|account| !is_own(account));
+        self.owner.set_owned(&self.owned, share, now);
         QuotaUpdate {
             pause,
             fleet,
             visible,
-            owned: owned.len(),
+            owned: self.owned.len(),
         }
     }
 
--- a/src/gateway/quota/tests/fleet.rs
+++ b/src/gateway/quota/tests/fleet.rs
@@ -275,7 +275,9 @@
             .collect();
         let alive = seen.iter().map(|(id, is_leaving)| (id, *is_leaving));
         let router = &mut self.routers[router];
-        router.fleet = router.quotas.update(alive, |_| is_own, now).fleet;
+        let generation = now.as_millis() as u64;
+        let update = router.quotas.update(alive, generation, |_| is_own, now);
+        router.fleet = update.fleet;
         router.grants.expire(now);
     }
 
--- a/src/gateway/quota/tests/mod.rs
+++ b/src/gateway/quota/tests/mod.rs
@@ -4,6 +4,7 @@
 
 use super::{QuotaCharge, QuotaLimit};
 
+mod decisions;
 mod fleet;
 mod replay;
 
