--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -52,11 +52,13 @@
     Reading = 15,
     /// Reports replicas that crashed as they began an answer, and answers that were kept.
     Crashes = 16,
+    /// Requests tokens of a client account's quota from its owner.
+    Quota = 17,
 }
 
 impl Kind {
     /// All kinds, ordered by their numbers.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Ping,
         Self::Pong,
         Self::Heartbeat,
@@ -74,8 +76,17 @@
         Self::Work,
         Self::Reading,
         Self::Crashes,
+        Self::Quota,
     ];
 
+    /// The newest kind that routers know which don't announce theirs in the handshake.
+    pub(crate) const NEWEST_UNANNOUNCED: Self = Self::Crashes;
+
+    /// Returns the newest kind.
+    pub(crate) const fn newest() -> Self {
+        Self::ALL[Self::ALL.len() - 1]
+    }
+
     /// Returns the value of the metric label for this kind.
     #[must_use]
     pub const fn label(self) -> &'static str {
@@ -97,6 +108,7 @@
             Self::Work => "work",
             Self::Reading => "reading",
             Self::Crashes => "crashes",
+            Self::Quota => "quota",
         }
     }
 }
