Move the load reports into src/gateway/load

Cause: the speeds, the memory and the reachability of replicas join the load reports, and one file for all would be long. Change: loads.rs becomes load/reports.rs. No logic changes.

--- a/src/gateway/control/loads.rs
+++ b/src/gateway/control/loads.rs
@@ -1,9 +1,9 @@
-//! Exchanges the loads of replicas with other routers ([`crate::gateway::loads`]).
+//! Exchanges the loads of replicas with other routers ([`crate::gateway::load`]).
 
 use std::time::Duration;
 
 use crate::gateway::clock::boot_time;
-use crate::gateway::loads::{LoadMap, LoadMessage, replica_key, subtract};
+use crate::gateway::load::{LoadMap, LoadMessage, replica_key, subtract};
 use crate::gateway::source::UpdateSource;
 
 use super::Control;
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -16,7 +16,7 @@
 use crate::gateway::fleet::{Fleet, FleetChange, KnownReplica, ReplicaEntry, ReplicaPhase};
 use crate::gateway::fleet_size::FleetSize;
 use crate::gateway::list_watch::{ListWatchEvent, list_and_watch};
-use crate::gateway::loads::{PeerLoads, replica_key};
+use crate::gateway::load::{PeerLoads, replica_key};
 use crate::gateway::notice::ReplicaNotice;
 use crate::gateway::peers::{PeerMessage, Peers};
 use crate::gateway::prefill::{PrefillDecision, PrefillMessage, PrefillTracker, PrefixKey};
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::clock::boot_time;
-use crate::gateway::loads::replica_key;
+use crate::gateway::load::replica_key;
 use crate::gateway::notice::{NoticePhase, ReplicaNotice, ReplicaNotices};
 use crate::gateway::route::ModelName;
 use crate::gateway::settings::GatewayBounds;
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -13,7 +13,7 @@
 use crate::gateway::clock::boot_time;
 use crate::gateway::fleet::ReplicaEntry;
 use crate::gateway::list_watch::{ListWatchEvent, store_backoff, wait_until};
-use crate::gateway::loads::LoadMessage;
+use crate::gateway::load::LoadMessage;
 use crate::gateway::request_end::ConfigurationChange;
 use crate::gateway::revision::{StoreRevision, revision_era};
 use crate::gateway::route::{ModelName, RouteTable};
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -18,7 +18,7 @@
 use super::call::{Call, RETRY_AFTER_BUSY, RETRY_AFTER_LEAVING};
 use super::clock::boot_time;
 use super::exchange::{Exchange, FailedAttempt, PendingExchange, ReplicaResponse, failed_send};
-use super::loads::ReplicaKey;
+use super::load::ReplicaKey;
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
 use super::response::LocalReply;
--- /dev/null
+++ b/src/gateway/load/mod.rs
@@ -0,0 +1,7 @@
+//! What the routers together know about the load of replicas.
+
+mod reports;
+
+pub(crate) use self::reports::{
+    LoadMap, LoadMessage, LoadSample, PeerLoads, ReplicaKey, replica_key, subtract,
+};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,7 +40,7 @@
 mod leaving;
 mod limited_stream;
 mod list_watch;
-mod loads;
+mod load;
 mod notice;
 mod open_requests;
 mod peers;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -14,7 +14,7 @@
 use super::clock::boot_time;
 use super::control::{Event, enqueue};
 use super::crash_report::CrashReport;
-use super::loads::LoadMessage;
+use super::load::LoadMessage;
 use super::notice::{ReplicaNotice, ReplicaNotices};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefillReply, PrefixKey};
 use super::settings::GatewaySettings;
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -12,7 +12,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::loads::ReplicaKey;
+use super::load::ReplicaKey;
 
 /// How long a prefill may take before another request may compute the prefix; several times the longest specified
 /// prefill.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -21,7 +21,7 @@
 use super::freshness::{Freshness, FreshnessBounds};
 use super::headers::HeaderNames;
 use super::leaving::LeaveSchedule;
-use super::loads::{LoadMap, LoadSample, ReplicaKey};
+use super::load::{LoadMap, LoadSample, ReplicaKey};
 use super::open_requests::OpenRequests;
 use super::placement::WeightsBounds;
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
--- a/src/gateway/tests/loads.rs
+++ b/src/gateway/tests/loads.rs
@@ -1,7 +1,7 @@
 //! Tests of the load reports that routers exchange.
 
 use super::ms;
-use crate::gateway::loads::{LoadMap, LoadMessage, LoadSample, PeerLoads, replica_key, subtract};
+use crate::gateway::load::{LoadMap, LoadMessage, LoadSample, PeerLoads, replica_key, subtract};
 
 fn load(in_flight: u32, prefill_tokens: u64) -> LoadSample {
     LoadSample {
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 
 use super::fleet::{ReplicaEntry, ReplicaRecord, ReplicaState};
-use super::loads::LoadMessage;
+use super::load::LoadMessage;
 use crate::membership::{decode_address, encode_address};
 
 /// A request for updates: the revisions that the sender knows and how long it waits.
