Share among routers which replicas nobody can reach

Cause: with 12 of 48 replicas silent for 19 s, each of 62 routers found that out by itself, with a connect timeout of 250 ms each, again and again after each ejection, and routers with different ejections computed different homes. Change: routers report failed connections with their load reports. A replica that two routers failed at, and that answered nobody since, is left out by all; one router at a time probes it; a response anywhere ends it. Failures of a router without responses don't count, and if most of a service looks unreachable, nothing of it is excluded. Measured: tests of gateway::tests::{unreachable,loads,placement} and telemetry pass (41).

--- a/src/gateway/control/loads.rs
+++ b/src/gateway/control/loads.rs
@@ -52,8 +52,9 @@
         self.next_load_exchange = now + LOAD_INTERVAL;
         self.peer_loads.expire(now);
         let own = self.own_loads();
-        self.peers
-            .broadcast_loads(&LoadMessage::of(&self.peer_loads.local_total(&own)));
+        let mut message = LoadMessage::of(&self.peer_loads.local_total(&own));
+        message.reachability = self.unreachable.local_report(now);
+        self.peers.broadcast_loads(&message);
         let others = subtract(&self.peer_loads.total(&own), Some(&own));
         self.apply_others_load(others);
     }
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -16,7 +16,7 @@
 use crate::gateway::fleet::{Fleet, FleetChange, KnownReplica, ReplicaEntry, ReplicaPhase};
 use crate::gateway::fleet_size::FleetSize;
 use crate::gateway::list_watch::{ListWatchEvent, list_and_watch};
-use crate::gateway::load::{PeerLoads, replica_key};
+use crate::gateway::load::{PeerLoads, UnreachableView, replica_key};
 use crate::gateway::notice::ReplicaNotice;
 use crate::gateway::peers::{PeerMessage, Peers};
 use crate::gateway::prefill::{PrefillDecision, PrefillMessage, PrefillTracker, PrefixKey};
@@ -37,6 +37,7 @@
 mod orders;
 mod prefill;
 mod quarantine;
+mod unreachable;
 mod updates;
 
 pub(crate) use self::orders::lease_timing;
@@ -159,6 +160,7 @@
         let now = boot_time();
         control.select_source(now);
         control.answer_update_requests(now);
+        control.advance_reachability(now);
         control.exchange_loads(now);
         control.release_pending_prefills(now);
         control.release_pending_crashes(now);
@@ -178,9 +180,13 @@
             control.enqueue_update_request(from, request, reply);
         }
         Some(PeerMessage::Loads(from, load)) => {
+            let now = boot_time();
+            control
+                .unreachable
+                .record_aggregate(Arc::clone(&from), &load.reachability, now);
             control
                 .peer_loads
-                .record_aggregate(from, load.into_loads(), boot_time());
+                .record_aggregate(from, load.into_loads(), now);
         }
         Some(PeerMessage::PrefillRequested(message, reply)) => {
             control.answer_prefill(message.key, PrefillResponder::Peer(reply));
@@ -211,6 +217,8 @@
     platform: PlatformState,
     pending_updates: Vec<PendingUpdate>,
     peer_loads: PeerLoads,
+    unreachable: UnreachableView,
+    next_reachability_check: Duration,
     prefills: PrefillTracker,
     pending_prefills: Vec<PendingPrefill>,
     quarantine: Quarantine,
@@ -240,6 +248,7 @@
         events: mpsc::Sender<Event>,
     ) -> Self {
         let lease = Lease::with_timing(Arc::clone(peers.own()), 1, lease_timing(&shared.bounds()));
+        let unreachable = UnreachableView::new(Arc::clone(peers.own()));
         Self {
             shared,
             store: Arc::new(store),
@@ -260,6 +269,8 @@
             platform: PlatformState::default(),
             pending_updates: Vec::new(),
             peer_loads: PeerLoads::default(),
+            unreachable,
+            next_reachability_check: Duration::ZERO,
             prefills: PrefillTracker::default(),
             pending_prefills: Vec::new(),
             quarantine: Quarantine::default(),
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -323,6 +323,11 @@
         self.is_update_pending = false;
         let mut update = update;
         if let Some(load) = update.as_mut().and_then(|update| update.others_load.take()) {
+            if let UpdateSource::Router(source) = &self.current_source {
+                let source = Arc::clone(source);
+                self.unreachable
+                    .record_aggregate(source, &load.reachability, now);
+            }
             self.apply_others_load(load.into_loads());
         }
         let interval = poll_interval(&self.shared);
@@ -388,6 +393,9 @@
     ) {
         let wait = Duration::from_millis(u64::from(request.wait_ms));
         if let Some(load) = request.load.take() {
+            let from = Arc::clone(&router);
+            self.unreachable
+                .record_follower(from, &load.reachability, boot_time());
             let loads = load.into_loads();
             self.peer_loads
                 .record_follower(Arc::clone(&router), loads, boot_time());
@@ -412,10 +420,13 @@
             return;
         }
         let total = self.peer_loads.total(&self.own_loads());
+        let reachability = self.unreachable.total_report(now);
         for waiting in due {
             let mut update = self.update_for(&waiting.request, is_unavailable, now);
             let others = self.peer_loads.total_excluding(&waiting.router, &total);
-            update.others_load = Some(LoadMessage::of(&others));
+            let mut others_load = LoadMessage::of(&others);
+            others_load.reachability = reachability.clone();
+            update.others_load = Some(others_load);
             waiting.reply.send(Body::encode(Kind::News, &update));
         }
     }
@@ -522,12 +533,14 @@
             && self.source.may_ask(now)
         {
             self.is_update_pending = true;
+            let mut load = LoadMessage::of(&self.own_loads());
+            load.reachability = self.unreachable.local_report(now);
             let request = UpdateRequest {
                 configuration_revision: self.platform.configuration_revision,
                 replicas_as_of: self.platform.replicas_as_of,
                 weights_as_of: self.platform.weights_as_of,
                 wait_ms: UPDATE_WAIT.as_millis() as u32,
-                load: Some(LoadMessage::of(&self.own_loads())),
+                load: Some(load),
             };
             self.peers
                 .request_update(router, &request, UPDATE_WAIT + UPDATE_SLACK);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -539,6 +539,7 @@
         };
         let zone = &self.shared.settings.zone;
         let others = self.shared.others_load();
+        let unreachable = self.shared.unreachable();
         self.shared.with_health(&self.call.service, |health| {
             replicas
                 .iter()
@@ -555,7 +556,11 @@
                         prefill_tokens,
                         is_refusing: own.is_refusing || others.is_refusing,
                         slots: record.slots,
-                        health: health.map_or(1.0, |health| health.weight(&record.id, now)),
+                        health: if unreachable.contains(&replica.key) {
+                            0.0
+                        } else {
+                            health.map_or(1.0, |health| health.weight(&record.id, now))
+                        },
                         weights: status.unwrap_or(WeightsStatus::Expired),
                         is_accepting: replica.known.is_accepting() && !replica.load.is_leaving(),
                         backoff: replica.load.backoff(now),
--- a/src/gateway/load/mod.rs
+++ b/src/gateway/load/mod.rs
@@ -1,7 +1,9 @@
 //! What the routers together know about the load of replicas.
 
 mod reports;
+mod unreachable;
 
 pub(crate) use self::reports::{
     LoadMap, LoadMessage, LoadSample, PeerLoads, ReplicaKey, replica_key, subtract,
 };
+pub(crate) use self::unreachable::{ConnectionSample, UnreachableView};
--- a/src/gateway/load/reports.rs
+++ b/src/gateway/load/reports.rs
@@ -10,10 +10,11 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::unreachable::ReachabilityMessage;
 use crate::id::{RouterId, WeightsVersion};
 
 /// How long a report of a router stays valid; running routers report several times a second.
-const REPORT_TTL: Duration = Duration::from_millis(1_500);
+pub(super) const REPORT_TTL: Duration = Duration::from_millis(1_500);
 
 /// A short hash that identifies one incarnation of a replica; a collision only adds up the loads of two replicas.
 pub(crate) type ReplicaKey = u32;
@@ -79,6 +80,9 @@
     /// The weights versions named in responses; 0 if there is none.
     #[prost(uint64, repeated, tag = "5")]
     versions: Vec<u64>,
+    /// What routers know about replicas to which connections failed.
+    #[prost(message, repeated, tag = "6")]
+    pub(crate) reachability: Vec<ReachabilityMessage>,
 }
 
 impl LoadMessage {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -4,7 +4,7 @@
 //! Their observations go to the control thread through a bounded channel; if it is full, they are dropped and counted
 //! instead of blocking.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -174,6 +174,8 @@
     health: Mutex<HashMap<ServiceName, Ejection>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     others_load: ArcSwap<LoadMap>,
+    /// The replicas that no router can reach.
+    unreachable: ArcSwap<HashSet<ReplicaKey>>,
     /// The parts of prompts and whole requests that are suspected to crash replicas.
     pub(crate) suspects: ArcSwap<Suspects>,
     /// Whether whole requests are among the suspects.
@@ -294,6 +296,12 @@
     pub(crate) fn has_responded_since(&self, time: Duration) -> bool {
         Duration::from_millis(self.last_response_ms.load(Ordering::Relaxed)) >= time
     }
+
+    /// Returns when the replica last sent a part of a response.
+    pub(crate) fn responded_at(&self) -> Option<Duration> {
+        let at_ms = self.last_response_ms.load(Ordering::Relaxed);
+        (at_ms > 0).then(|| Duration::from_millis(at_ms))
+    }
 }
 
 impl LoadGuard {
@@ -343,6 +351,7 @@
             health: Mutex::default(),
             budgets: Mutex::default(),
             others_load: ArcSwap::default(),
+            unreachable: ArcSwap::default(),
             suspects: ArcSwap::default(),
             suspects_requests: AtomicBool::new(false),
             suspects_changed: watch::Sender::new(()),
@@ -501,6 +510,18 @@
         self.others_load.load_full()
     }
 
+    /// Replaces the replicas that no router can reach.
+    pub(crate) fn set_unreachable(&self, replicas: HashSet<ReplicaKey>) {
+        if **self.unreachable.load() != replicas {
+            self.unreachable.store(Arc::new(replicas));
+        }
+    }
+
+    /// Returns the replicas that no router can reach.
+    pub(crate) fn unreachable(&self) -> Arc<HashSet<ReplicaKey>> {
+        self.unreachable.load_full()
+    }
+
     /// Replaces the suspects.
     pub(crate) fn set_suspects(&self, suspects: Suspects) {
         let mut kinds = suspects.values().map(|status| status.kind);
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -27,6 +27,7 @@
 mod settings;
 mod silence;
 mod source;
+mod unreachable;
 mod weights;
 
 use std::sync::Arc;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -7,7 +7,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -60,6 +60,10 @@
     idle: Mutex<Vec<IdleConnection>>,
     open: AtomicU32,
     limit: AtomicU32,
+    /// When a connection last failed in a way that may be the replica's fault, and when one was last opened for a
+    /// request or a probe, in milliseconds of boot time; 0 if never.
+    failed_ms: AtomicU64,
+    connected_ms: AtomicU64,
     /// The last check whether the replica is down; locked while it runs.
     check: tokio::sync::Mutex<Option<Check>>,
 }
@@ -113,6 +117,8 @@
             idle: Mutex::default(),
             open: AtomicU32::new(0),
             limit: AtomicU32::new(limit),
+            failed_ms: AtomicU64::new(0),
+            connected_ms: AtomicU64::new(0),
             check: tokio::sync::Mutex::default(),
         }
     }
@@ -220,18 +226,58 @@
 
     async fn connect(self: &Arc<Self>) -> Result<ReplicaConnection, SendFailure> {
         let stream = self.open_stream().await.map_err(|error| unsent(&error))?;
+        record_time(&self.connected_ms);
         self.handshake(stream).await
     }
 
     async fn open_stream(&self) -> io::Result<TcpStream> {
         let connecting = TcpStream::connect(self.address);
         let timeout = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-        timeout.unwrap_or_else(|_| {
+        let result = timeout.unwrap_or_else(|_| {
             Err(io::Error::new(
                 io::ErrorKind::TimedOut,
                 "connection timed out",
             ))
-        })
+        });
+        // Other errors, such as a lack of descriptors, are this router's own.
+        if let Err(error) = &result
+            && matches!(
+                error.kind(),
+                io::ErrorKind::TimedOut
+                    | io::ErrorKind::ConnectionRefused
+                    | io::ErrorKind::ConnectionReset
+                    | io::ErrorKind::HostUnreachable
+            )
+        {
+            record_time(&self.failed_ms);
+        }
+        result
+    }
+
+    /// Returns when a connection last failed in a way that may be the replica's fault.
+    pub(crate) fn failed_at(&self) -> Option<Duration> {
+        read_time(&self.failed_ms)
+    }
+
+    /// Returns when a connection was last opened for a request or a probe.
+    pub(crate) fn connected_at(&self) -> Option<Duration> {
+        read_time(&self.connected_ms)
+    }
+
+    /// Opens a connection and closes it; returns whether the replica accepted it.
+    pub(crate) async fn probe(&self) -> bool {
+        let Ok(stream) = self.open_stream().await else {
+            return false;
+        };
+        // A proxy accepts connections for a replica without a process and closes them at once.
+        let closed = tokio::time::timeout(PROXY_CLOSE_TIME, stream.peek(&mut [0; 1])).await;
+        let is_accepted = matches!(closed, Err(_) | Ok(Ok(1..)));
+        record_time(if is_accepted {
+            &self.connected_ms
+        } else {
+            &self.failed_ms
+        });
+        is_accepted
     }
 
     async fn handshake(
@@ -260,6 +306,16 @@
     }
 }
 
+fn record_time(time_ms: &AtomicU64) {
+    let now_ms = u64::try_from(boot_time().as_millis()).unwrap_or(u64::MAX);
+    time_ms.store(now_ms, Ordering::Relaxed);
+}
+
+fn read_time(time_ms: &AtomicU64) -> Option<Duration> {
+    let time_ms = time_ms.load(Ordering::Relaxed);
+    (time_ms > 0).then(|| Duration::from_millis(time_ms))
+}
+
 fn unsent(reason: &dyn std::fmt::Display) -> SendFailure {
     SendFailure::Unsent(reason.to_string().into())
 }
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -128,6 +128,13 @@
         &[],
         "Whole requests that are refused, since replicas crashed under them.",
     ),
+    metric(
+        "crocuswharf_gateway_replica_probes_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["outcome"],
+        "Connections that this router opened to find out whether an unreachable replica is back, by outcome: connected or failed.",
+    ),
     metric(
         "crocuswharf_gateway_replica_signals_total",
         MetricKind::Counter,
@@ -184,6 +191,13 @@
         &[],
         "Whole requests under which replicas crashed and none has answered since.",
     ),
+    metric(
+        "crocuswharf_gateway_unreachable_replicas",
+        MetricKind::Gauge,
+        Unit::Count,
+        &[],
+        "Replicas that requests avoid, since several routers could not connect to them.",
+    ),
     metric(
         "crocuswharf_observations_dropped_total",
         MetricKind::Counter,
