Avoid replicas whose memory is full of running requests

Change: load reports carry the tokens held by requests in flight and those of their distinct prefixes. A request that does not fit costs the wait and a recomputation. Candidate::free_tokens exposes the rest. The sum of the counts of prompt parts, which are the caller's, saturates.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -124,6 +124,7 @@
                 prefix: None,
                 shared_tokens: 0,
                 own_tokens: 0,
+                output_tokens: 0,
             },
             |prompt| prompt.placement_request(cache_domain.account()),
         );
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -18,7 +18,7 @@
 use super::call::{Call, RETRY_AFTER_BUSY, RETRY_AFTER_LEAVING};
 use super::clock::boot_time;
 use super::exchange::{Exchange, FailedAttempt, PendingExchange, ReplicaResponse, failed_send};
-use super::load::ReplicaKey;
+use super::load::{ReplicaKey, free_tokens};
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
 use super::response::LocalReply;
@@ -422,7 +422,7 @@
         } else {
             MAX_IDLE_NON_RETRYABLE
         };
-        let guard = replica.load.begin(self.call.placement.own_tokens);
+        let guard = replica.load.begin(&self.call.placement);
         let connection =
             tokio::time::timeout(self.call.remaining(), replica.pool.acquire(max_idle)).await;
         let connection = match connection {
@@ -538,6 +538,7 @@
             Some(bounds.status(version, &named, expected_wait(prefill_tokens)))
         };
         let zone = &self.shared.settings.zone;
+        let cache_tokens = self.cache_tokens(snapshot);
         let others = self.shared.others_load();
         let unreachable = self.shared.unreachable();
         self.shared.with_health(&self.call.service, |health| {
@@ -545,17 +546,17 @@
                 .iter()
                 .map(|replica| {
                     let record = &replica.known.record;
-                    let own = replica.load.sample(now);
-                    let others = others.get(&replica.key).copied().unwrap_or_default();
-                    let prefill_tokens = own.prefill_tokens + others.prefill_tokens;
-                    let status = status(replica, prefill_tokens);
+                    let mut load = replica.load.sample(now);
+                    load.add(others.get(&replica.key).copied().unwrap_or_default());
+                    let status = status(replica, load.prefill_tokens);
                     Candidate {
                         id: &record.id,
                         is_same_zone: record.zone == *zone,
-                        in_flight: own.in_flight + others.in_flight,
-                        prefill_tokens,
-                        is_refusing: own.is_refusing || others.is_refusing,
+                        in_flight: load.in_flight,
+                        prefill_tokens: load.prefill_tokens,
+                        is_refusing: load.is_refusing,
                         slots: record.slots,
+                        free_tokens: free_tokens(cache_tokens, &load),
                         health: if unreachable.contains(&replica.key) {
                             0.0
                         } else {
@@ -571,6 +572,14 @@
         })
     }
 
+    /// Returns the KV cache capacity of the service's replicas; 0 if it is unknown.
+    fn cache_tokens(&self, snapshot: &Snapshot) -> u64 {
+        let table = snapshot.table.as_ref();
+        let service = table.and_then(|table| table.service(&self.call.service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.map_or(0, |engine| engine.cache_tokens)
+    }
+
     fn connect_failed(&mut self, replica: &Replica, failure: SendFailure) -> FailedAttempt {
         if matches!(failure, SendFailure::Full) {
             // The limit is this router's own and says nothing about the replica.
--- a/src/gateway/load/mod.rs
+++ b/src/gateway/load/mod.rs
@@ -1,8 +1,10 @@
 //! What the routers together know about the load of replicas.
 
+mod memory;
 mod reports;
 mod unreachable;
 
+pub(crate) use self::memory::{HeldMemory, free_tokens, memory_cost_ms};
 pub(crate) use self::reports::{
     LoadMap, LoadMessage, LoadSample, PeerLoads, ReplicaKey, replica_key, subtract,
 };
--- a/src/gateway/load/reports.rs
+++ b/src/gateway/load/reports.rs
@@ -31,6 +31,10 @@
     pub(crate) in_flight: u32,
     /// The prompt tokens of those requests that still have to be prefilled.
     pub(crate) prefill_tokens: u64,
+    /// The tokens that those requests hold in the replica's memory without their shared prefixes.
+    pub(crate) held_tokens: u64,
+    /// The tokens of the distinct shared prefixes of those requests; of several routers, the largest figure.
+    pub(crate) held_prefix_tokens: u64,
     /// Whether the replica rejected a request recently.
     pub(crate) is_refusing: bool,
     /// The weights version named in a recent response; 0 if there is none.
@@ -43,9 +47,12 @@
         self.in_flight == 0 && self.prefill_tokens == 0 && !self.is_refusing && self.version == 0
     }
 
-    fn add(&mut self, other: Self) {
+    /// Adds the load caused by other routers.
+    pub(crate) fn add(&mut self, other: Self) {
         self.in_flight = self.in_flight.saturating_add(other.in_flight);
         self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
+        self.held_tokens = self.held_tokens.saturating_add(other.held_tokens);
+        self.held_prefix_tokens = self.held_prefix_tokens.max(other.held_prefix_tokens);
         self.is_refusing |= other.is_refusing;
         self.version = self.version.max(other.version);
     }
@@ -54,6 +61,7 @@
         Self {
             in_flight: self.in_flight.saturating_sub(other.in_flight),
             prefill_tokens: self.prefill_tokens.saturating_sub(other.prefill_tokens),
+            held_tokens: self.held_tokens.saturating_sub(other.held_tokens),
             ..self
         }
     }
@@ -83,6 +91,12 @@
     /// What routers know about replicas to which connections failed.
     #[prost(message, repeated, tag = "6")]
     pub(crate) reachability: Vec<ReachabilityMessage>,
+    /// The tokens held in memory without shared prefixes.
+    #[prost(uint64, repeated, tag = "7")]
+    held_tokens: Vec<u64>,
+    /// The tokens of the distinct shared prefixes.
+    #[prost(uint64, repeated, tag = "8")]
+    held_prefix_tokens: Vec<u64>,
 }
 
 impl LoadMessage {
@@ -94,6 +108,8 @@
             message.in_flight.push(load.in_flight);
             message.prefill_tokens.push(load.prefill_tokens);
             message.versions.push(load.version);
+            message.held_tokens.push(load.held_tokens);
+            message.held_prefix_tokens.push(load.held_prefix_tokens);
             if load.is_refusing {
                 message.refusing.push(message.keys.len() as u32 - 1);
             }
@@ -105,10 +121,14 @@
     pub(crate) fn into_loads(self) -> LoadMap {
         let columns = self.in_flight.into_iter().zip(self.prefill_tokens);
         let columns = columns.zip(self.versions).enumerate();
+        // A router of an earlier version sends no figures of memory.
+        let at = |column: &[u64], index: usize| column.get(index).copied().unwrap_or_default();
         let loads = columns.map(
             |(index, ((in_flight, prefill_tokens), version))| LoadSample {
                 in_flight,
                 prefill_tokens,
+                held_tokens: at(&self.held_tokens, index),
+                held_prefix_tokens: at(&self.held_prefix_tokens, index),
                 is_refusing: self.refusing.contains(&(index as u32)),
                 version,
             },
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -8,7 +8,8 @@
 //!
 //! Load patterns handled: many routers with little traffic each in front of few replicas (shared homes instead of local
 //! views); one hot prefix (spills by cost, to the same second choice from all routers); rollouts (old weights cost more
-//! as time passes and are excluded at the bound); failing replicas (the cost grows as the health weight falls); a burst at
+//! as time passes and are excluded at the bound); failing replicas (the cost grows as the health weight falls); long prompts that fill the
+//! memory of their home ([`super::load`]); a burst at
 //! a plain service (two random replicas are compared, because all routers would send to the least loaded one until its
 //! load comes back to them).
 //!
@@ -21,6 +22,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::load::memory_cost_ms;
 use crate::id::ReplicaId;
 
 /// The prefill time per token, in milliseconds; the slower of the two users' engines prefills 49.6 tokens per
@@ -28,7 +30,7 @@
 const PREFILL_MS_PER_TOKEN: f64 = 1.0 / 50.0;
 /// The cost of recomputing a token, as a multiple of its prefill time; docs/design/routing.md compares factors and favors
 /// 3 to 6.
-const RECOMPUTE_FACTOR: f64 = 4.0;
+pub(super) const RECOMPUTE_FACTOR: f64 = 4.0;
 /// The fixed cost of placing a request away from the prefix's home, in milliseconds: the setup of a cache transfer.
 const FETCH_SETUP_MS: f64 = 10.0;
 /// The cost of crossing availability zones, in milliseconds: two 0.5 ms hops plus a price for traffic between zones.
@@ -124,6 +126,8 @@
     pub prefill_tokens: u64,
     /// The maximum number of requests that the replica runs concurrently, from all routers together.
     pub slots: u32,
+    /// The tokens of the replica's memory that no request in flight holds; `None` if the capacity is unknown.
+    pub free_tokens: Option<u64>,
     /// The health weight: 1 if healthy, less while recovering from failures, 0 if ejected.
     pub health: f64,
     /// The status of the replica's weights.
@@ -147,6 +151,15 @@
     pub shared_tokens: u32,
     /// The length of the rest of the prompt, in tokens.
     pub own_tokens: u32,
+    /// The maximum length of the output, in tokens.
+    pub output_tokens: u32,
+}
+
+impl PlacementRequest {
+    /// Returns the tokens that the request holds in a replica's memory without its shared prefix.
+    pub(crate) fn private_tokens(&self) -> u64 {
+        u64::from(self.own_tokens) + u64::from(self.output_tokens)
+    }
 }
 
 /// The reason why no replica was selected.
@@ -243,6 +256,9 @@
         cost_ms += FETCH_SETUP_MS
             + f64::from(request.shared_tokens) * PREFILL_MS_PER_TOKEN * RECOMPUTE_FACTOR;
     }
+    if let Some(free_tokens) = candidate.free_tokens {
+        cost_ms += memory_cost_ms(request, free_tokens, PREFILL_MS_PER_TOKEN);
+    }
     if !candidate.is_same_zone && !is_home {
         cost_ms += CROSS_ZONE_MS;
     }
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -90,11 +90,14 @@
     #[must_use]
     pub(crate) fn placement_request(&self, account: Option<&str>) -> PlacementRequest {
         let shared = self.shared_parts();
-        let shared_tokens: u32 = shared.iter().map(|part| part.tokens).sum();
+        // The counts are the caller's and may be of any size.
+        let tokens = shared.iter().map(|part| part.tokens);
+        let shared_tokens = tokens.fold(0, u32::saturating_add);
         PlacementRequest {
             prefix: (!shared.is_empty()).then(|| self.prefix_hash(account)),
             shared_tokens,
             own_tokens: self.tokens.saturating_sub(shared_tokens),
+            output_tokens: self.output_tokens,
         }
     }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -21,9 +21,9 @@
 use super::freshness::{Freshness, FreshnessBounds};
 use super::headers::HeaderNames;
 use super::leaving::LeaveSchedule;
-use super::load::{LoadMap, LoadSample, ReplicaKey};
+use super::load::{HeldMemory, LoadMap, LoadSample, ReplicaKey};
 use super::open_requests::OpenRequests;
-use super::placement::WeightsBounds;
+use super::placement::{PlacementRequest, WeightsBounds};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
 use super::request_end::ConfigurationChange;
 use super::route::{CallerLimits, ModelName, RouteTable};
@@ -64,6 +64,7 @@
 pub(crate) struct ReplicaLoad {
     in_flight: AtomicU32,
     prefill_tokens: AtomicU64,
+    held: Mutex<HeldMemory>,
     last_response_ms: AtomicU64,
     last_refusal_ms: AtomicU64,
     /// Until when the replica wants no requests of this router.
@@ -201,6 +202,7 @@
 pub(crate) struct LoadGuard {
     load: Arc<ReplicaLoad>,
     prefill_tokens: u64,
+    request: PlacementRequest,
 }
 
 impl Refusal {
@@ -218,15 +220,17 @@
 }
 
 impl ReplicaLoad {
-    /// Counts a request with `tokens` prompt tokens that the replica still has to prefill.
-    pub(crate) fn begin(self: &Arc<Self>, tokens: u32) -> LoadGuard {
-        let prefill_tokens = u64::from(tokens);
+    /// Counts a request whose own part of the prompt the replica still has to prefill.
+    pub(crate) fn begin(self: &Arc<Self>, request: &PlacementRequest) -> LoadGuard {
+        let prefill_tokens = u64::from(request.own_tokens);
+        lock(&self.held).add(request);
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.prefill_tokens
             .fetch_add(prefill_tokens, Ordering::Relaxed);
         LoadGuard {
             load: Arc::clone(self),
             prefill_tokens,
+            request: *request,
         }
     }
 
@@ -279,10 +283,13 @@
             let at_ms = at_ms.load(Ordering::Relaxed);
             at_ms > 0 && now < Duration::from_millis(at_ms) + ttl
         };
+        let held = lock(&self.held);
         let names_version = is_recent(&self.named_at_ms, NAMED_VERSION_TTL);
         LoadSample {
             in_flight: self.in_flight(),
             prefill_tokens: self.prefill_tokens(),
+            held_tokens: held.own_tokens(),
+            held_prefix_tokens: held.prefix_tokens(),
             is_refusing: is_recent(&self.last_refusal_ms, REFUSAL_TTL),
             version: if names_version {
                 self.named_version.load(Ordering::Relaxed)
@@ -324,6 +331,7 @@
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
+        lock(&self.load.held).remove(&self.request);
         self.load.in_flight.fetch_sub(1, Ordering::Relaxed);
         self.load
             .prefill_tokens
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -15,16 +15,19 @@
     prefix: Some(7),
     shared_tokens: 13_300,
     own_tokens: 3_720,
+    output_tokens: 12,
 };
 const SHORT: PlacementRequest = PlacementRequest {
     prefix: Some(9),
     shared_tokens: 92,
     own_tokens: 291,
+    output_tokens: 5,
 };
 const PLAIN: PlacementRequest = PlacementRequest {
     prefix: None,
     shared_tokens: 0,
     own_tokens: 0,
+    output_tokens: 0,
 };
 
 fn ids(count: usize) -> Vec<ReplicaId> {
@@ -40,6 +43,7 @@
             in_flight: 0,
             prefill_tokens: 0,
             slots: 12,
+            free_tokens: None,
             health: 1.0,
             weights: WeightsStatus::Current,
             is_accepting: true,
--- a/src/gateway/tests/unreachable.rs
+++ b/src/gateway/tests/unreachable.rs
@@ -189,7 +189,7 @@
 fn evaluate_replicas_that_respond_to_others_are_not_excluded_for_long() {
     let mut fleet = Fleet::new();
     fleet.run(2_000, |_, _| true);
-    let reaches = |router: usize, replica| router % 3 > 0 || replica >= 3;
+    let reaches = |router: usize, replica| !router.is_multiple_of(3) || replica >= 3;
     fleet.run(1_000, reaches);
     let mut excluded = 0;
     for _ in 0..100 {
