Learn the speeds of replicas and place requests by them

Cause: replicas of one service differ in speed by up to 1.6 to 0.6, and the constant of 50 tokens/ms is wrong by a factor of three for engines that prefill 157. Each of 88 routers sees too few requests to learn that alone. Change: routers sum the expected and observed times to the first event of streams, exchange the sums once a second, and divide the work ahead, the prefill and the recomputation by the speed. Homes are weighted by the speed relative to the median. Candidate exposes expected_wait, free_slots and free_tokens. A counter tells of placements beyond the memory.

--- a/src/gateway/attempt_watch.rs
+++ b/src/gateway/attempt_watch.rs
@@ -32,18 +32,26 @@
     call: Arc<Call>,
     replica: Arc<Replica>,
     sent_at: Duration,
+    /// The expected time to the first event at the reference speed, until that has come ([`super::load`]).
+    expected_ms: Option<f64>,
     progress: Progress,
     is_settled: bool,
 }
 
 impl AttemptWatch {
     /// Creates the watch of an attempt that is about to be sent to `replica`.
-    pub(crate) fn new(shared: Arc<Shared>, call: Arc<Call>, replica: Arc<Replica>) -> Self {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        call: Arc<Call>,
+        replica: Arc<Replica>,
+        expected_ms: Option<f64>,
+    ) -> Self {
         Self {
             shared,
             call,
             replica,
             sent_at: boot_time(),
+            expected_ms,
             progress: Progress::Waiting,
             is_settled: false,
         }
@@ -56,6 +64,12 @@
 
     /// Records that `events` complete events have arrived.
     pub(crate) fn record_events(&mut self, events: u32) {
+        if events > 0
+            && let Some(expected_ms) = self.expected_ms.take()
+        {
+            let observed = boot_time().saturating_sub(self.sent_at);
+            self.replica.load.record_first_event(expected_ms, observed);
+        }
         let before = std::mem::replace(&mut self.progress, Progress::of_events(events));
         if before < Progress::WentOn && events >= KEPT_EVENTS {
             self.shared.record_kept(&self.call, boot_time(), false);
--- a/src/gateway/control/loads.rs
+++ b/src/gateway/control/loads.rs
@@ -54,6 +54,7 @@
         let own = self.own_loads();
         let mut message = LoadMessage::of(&self.peer_loads.local_total(&own));
         message.reachability = self.unreachable.local_report(now);
+        message.speeds = self.due_speed_report(now);
         self.peers.broadcast_loads(&message);
         let others = subtract(&self.peer_loads.total(&own), Some(&own));
         self.apply_others_load(others);
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -16,7 +16,7 @@
 use crate::gateway::fleet::{Fleet, FleetChange, KnownReplica, ReplicaEntry, ReplicaPhase};
 use crate::gateway::fleet_size::FleetSize;
 use crate::gateway::list_watch::{ListWatchEvent, list_and_watch};
-use crate::gateway::load::{PeerLoads, UnreachableView, replica_key};
+use crate::gateway::load::{PeerLoads, PeerSpeeds, UnreachableView, replica_key};
 use crate::gateway::notice::ReplicaNotice;
 use crate::gateway::peers::{PeerMessage, Peers};
 use crate::gateway::prefill::{PrefillDecision, PrefillMessage, PrefillTracker, PrefixKey};
@@ -37,6 +37,7 @@
 mod orders;
 mod prefill;
 mod quarantine;
+mod speeds;
 mod unreachable;
 mod updates;
 
@@ -162,6 +163,7 @@
         control.answer_update_requests(now);
         control.advance_reachability(now);
         control.exchange_loads(now);
+        control.publish_speeds(now);
         control.release_pending_prefills(now);
         control.release_pending_crashes(now);
         control.advance();
@@ -184,6 +186,10 @@
             control
                 .unreachable
                 .record_aggregate(Arc::clone(&from), &load.reachability, now);
+            if let Some(speeds) = &load.speeds {
+                let from = Arc::clone(&from);
+                control.peer_speeds.record_aggregate(from, speeds, now);
+            }
             control
                 .peer_loads
                 .record_aggregate(from, load.into_loads(), now);
@@ -219,6 +225,10 @@
     peer_loads: PeerLoads,
     unreachable: UnreachableView,
     next_reachability_check: Duration,
+    peer_speeds: PeerSpeeds,
+    next_speed_report: Duration,
+    next_speeds: Duration,
+    next_speed_log: Duration,
     prefills: PrefillTracker,
     pending_prefills: Vec<PendingPrefill>,
     quarantine: Quarantine,
@@ -271,6 +281,10 @@
             peer_loads: PeerLoads::default(),
             unreachable,
             next_reachability_check: Duration::ZERO,
+            peer_speeds: PeerSpeeds::default(),
+            next_speed_report: Duration::ZERO,
+            next_speeds: Duration::ZERO,
+            next_speed_log: Duration::ZERO,
             prefills: PrefillTracker::default(),
             pending_prefills: Vec::new(),
             quarantine: Quarantine::default(),
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -13,7 +13,7 @@
 use crate::gateway::clock::boot_time;
 use crate::gateway::fleet::ReplicaEntry;
 use crate::gateway::list_watch::{ListWatchEvent, store_backoff, wait_until};
-use crate::gateway::load::LoadMessage;
+use crate::gateway::load::{LoadMessage, SpeedReport};
 use crate::gateway::request_end::ConfigurationChange;
 use crate::gateway::revision::{StoreRevision, revision_era};
 use crate::gateway::route::{ModelName, RouteTable};
@@ -60,6 +60,8 @@
     pub(super) request: UpdateRequest,
     pub(super) reply: ReplyHandle,
     pub(super) until: Duration,
+    /// Whether the router gets what the others observed of the speeds of replicas; it does once a second.
+    pub(super) wants_speeds: bool,
 }
 
 pub(super) fn set_flag(flag: &watch::Sender<bool>, value: bool) {
@@ -326,7 +328,10 @@
             if let UpdateSource::Router(source) = &self.current_source {
                 let source = Arc::clone(source);
                 self.unreachable
-                    .record_aggregate(source, &load.reachability, now);
+                    .record_aggregate(Arc::clone(&source), &load.reachability, now);
+                if let Some(speeds) = &load.speeds {
+                    self.peer_speeds.record_aggregate(source, speeds, now);
+                }
             }
             self.apply_others_load(load.into_loads());
         }
@@ -392,10 +397,16 @@
         reply: ReplyHandle,
     ) {
         let wait = Duration::from_millis(u64::from(request.wait_ms));
-        if let Some(load) = request.load.take() {
+        let mut wants_speeds = false;
+        if let Some(mut load) = request.load.take() {
             let from = Arc::clone(&router);
             self.unreachable
                 .record_follower(from, &load.reachability, boot_time());
+            if let Some(speeds) = load.speeds.take() {
+                let from = Arc::clone(&router);
+                self.peer_speeds.record_follower(from, &speeds, boot_time());
+                wants_speeds = true;
+            }
             let loads = load.into_loads();
             self.peer_loads
                 .record_follower(Arc::clone(&router), loads, boot_time());
@@ -405,6 +416,7 @@
             request,
             reply,
             until: boot_time() + wait,
+            wants_speeds,
         });
     }
 
@@ -426,6 +438,13 @@
             let others = self.peer_loads.total_excluding(&waiting.router, &total);
             let mut others_load = LoadMessage::of(&others);
             others_load.reachability = reachability.clone();
+            others_load.speeds = waiting.wants_speeds.then(|| {
+                let own = self.own_speeds(now);
+                let others = self
+                    .peer_speeds
+                    .total_excluding(Some(&waiting.router), &own);
+                SpeedReport::of(&others)
+            });
             update.others_load = Some(others_load);
             waiting.reply.send(Body::encode(Kind::News, &update));
         }
@@ -528,13 +547,14 @@
         let is_reachable = self.platform.failed_reads < OUTAGE_FAILED_READS;
         set_flag(&self.polls_configuration, is_direct);
         set_flag(&self.watches_lists, is_direct && is_reachable);
-        if let UpdateSource::Router(router) = &self.current_source
+        if let UpdateSource::Router(router) = self.current_source.clone()
             && !self.is_update_pending
             && self.source.may_ask(now)
         {
             self.is_update_pending = true;
             let mut load = LoadMessage::of(&self.own_loads());
             load.reachability = self.unreachable.local_report(now);
+            load.speeds = self.due_speed_report(now);
             let request = UpdateRequest {
                 configuration_revision: self.platform.configuration_revision,
                 replicas_as_of: self.platform.replicas_as_of,
@@ -543,7 +563,7 @@
                 load: Some(load),
             };
             self.peers
-                .request_update(router, &request, UPDATE_WAIT + UPDATE_SLACK);
+                .request_update(&router, &request, UPDATE_WAIT + UPDATE_SLACK);
         }
     }
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -18,7 +18,7 @@
 use super::call::{Call, RETRY_AFTER_BUSY, RETRY_AFTER_LEAVING};
 use super::clock::boot_time;
 use super::exchange::{Exchange, FailedAttempt, PendingExchange, ReplicaResponse, failed_send};
-use super::load::{ReplicaKey, free_tokens};
+use super::load::{ReplicaKey, expected_ms, free_tokens};
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
 use super::response::LocalReply;
@@ -422,6 +422,7 @@
         } else {
             MAX_IDLE_NON_RETRYABLE
         };
+        let expected_ms = self.expected_first_event_ms(&replica, prefix, last_event);
         let guard = replica.load.begin(&self.call.placement);
         let connection =
             tokio::time::timeout(self.call.remaining(), replica.pool.acquire(max_idle)).await;
@@ -452,6 +453,7 @@
             replica: Arc::clone(&replica),
             guard,
             has_head: Arc::clone(&has_head),
+            expected_ms,
         };
         self.is_unsettled = true;
         self.sent_at = now;
@@ -510,7 +512,21 @@
             &mut rand::rng(),
         );
         match chosen {
-            Ok(index) => Ok(Arc::clone(&replicas[index])),
+            Ok(index) => {
+                log::debug!(
+                    "request: Placed. id={} replica={} expected_wait_ms={} free_slots={} free_tokens={:?}",
+                    self.call.id_text(),
+                    candidates[index].id,
+                    candidates[index].expected_wait().as_millis(),
+                    candidates[index].free_slots(),
+                    candidates[index].free_tokens
+                );
+                if !candidates[index].fits(&self.call.placement) {
+                    metrics::counter!("crocuswharf_gateway_placements_beyond_memory_total")
+                        .increment(1);
+                }
+                Ok(Arc::clone(&replicas[index]))
+            }
             Err(reason) => Err(AttemptError::NoReplica(reason)),
         }
     }
@@ -530,17 +546,20 @@
             .flatten()
             .map(|(version, at)| (*version, now.saturating_sub(*at)))
             .collect();
-        let status = |replica: &Replica, prefill_tokens: u64| {
+        let status = |replica: &Replica, prefill_tokens: u64, speed: f64| {
             let Some(model) = model else {
                 return Some(WeightsStatus::Current);
             };
             let version = replica.known.version_of(model)?;
-            Some(bounds.status(version, &named, expected_wait(prefill_tokens)))
+            // The bound is a promise, so a high speed does not shorten the assumed wait.
+            let wait = expected_wait(prefill_tokens, speed.min(1.0));
+            Some(bounds.status(version, &named, wait))
         };
         let zone = &self.shared.settings.zone;
         let cache_tokens = self.cache_tokens(snapshot);
         let others = self.shared.others_load();
         let unreachable = self.shared.unreachable();
+        let speeds = self.shared.speeds();
         self.shared.with_health(&self.call.service, |health| {
             replicas
                 .iter()
@@ -548,7 +567,8 @@
                     let record = &replica.known.record;
                     let mut load = replica.load.sample(now);
                     load.add(others.get(&replica.key).copied().unwrap_or_default());
-                    let status = status(replica, load.prefill_tokens);
+                    let speed = speeds.get(&replica.key).copied().unwrap_or_default();
+                    let status = status(replica, load.prefill_tokens, speed.speed);
                     Candidate {
                         id: &record.id,
                         is_same_zone: record.zone == *zone,
@@ -562,6 +582,8 @@
                         } else {
                             health.map_or(1.0, |health| health.weight(&record.id, now))
                         },
+                        speed: speed.speed,
+                        home_weight: speed.home_weight,
                         weights: status.unwrap_or(WeightsStatus::Expired),
                         is_accepting: replica.known.is_accepting() && !replica.load.is_leaving(),
                         backoff: replica.load.backoff(now),
@@ -572,6 +594,26 @@
         })
     }
 
+    /// Returns the expected time to the first event at the reference speed, in milliseconds; `None` if the time depends on
+    /// more than the known tokens, such as a prefix that may have to be computed or fetched.
+    fn expected_first_event_ms(
+        &self,
+        replica: &Replica,
+        prefix: PrefixState,
+        last_event: Option<&str>,
+    ) -> Option<f64> {
+        let placement = self.call.placement;
+        let has_prefix = placement.shared_tokens < MIN_SHARED_PREFIX_TOKENS
+            || prefix.holder == Some(replica.key);
+        if !has_prefix || last_event.is_some() || !self.call.route.kind.is_stream() {
+            return None;
+        }
+        let others = self.shared.others_load();
+        let others = others.get(&replica.key).copied().unwrap_or_default();
+        let ahead = replica.load.prefill_tokens() + others.prefill_tokens;
+        expected_ms(placement.own_tokens, ahead)
+    }
+
     /// Returns the KV cache capacity of the service's replicas; 0 if it is unknown.
     fn cache_tokens(&self, snapshot: &Snapshot) -> u64 {
         let table = snapshot.table.as_ref();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -148,6 +148,8 @@
     pub(crate) guard: LoadGuard,
     /// Is set when the head of the response arrives.
     pub(crate) has_head: Arc<AtomicBool>,
+    /// The expected time to the first event at the reference speed, in milliseconds, if it tells about the speed.
+    pub(crate) expected_ms: Option<f64>,
 }
 
 /// An exchange in progress.
@@ -170,6 +172,7 @@
             Arc::clone(&self.shared),
             Arc::clone(&self.call),
             Arc::clone(&self.replica),
+            self.expected_ms,
         );
         let result = tokio::select! {
             result = self.receive_head(&mut connection, request) => result,
--- a/src/gateway/load/mod.rs
+++ b/src/gateway/load/mod.rs
@@ -2,10 +2,15 @@
 
 mod memory;
 mod reports;
+mod speed;
 mod unreachable;
 
 pub(crate) use self::memory::{HeldMemory, free_tokens, memory_cost_ms};
 pub(crate) use self::reports::{
     LoadMap, LoadMessage, LoadSample, PeerLoads, ReplicaKey, replica_key, subtract,
 };
+pub(crate) use self::speed::{
+    PeerSpeeds, ReplicaSpeed, SpeedMap, SpeedObservations, SpeedReport, SpeedSums, expected_ms,
+    service_speeds,
+};
 pub(crate) use self::unreachable::{ConnectionSample, UnreachableView};
--- a/src/gateway/load/reports.rs
+++ b/src/gateway/load/reports.rs
@@ -10,6 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::speed::SpeedReport;
 use super::unreachable::ReachabilityMessage;
 use crate::id::{RouterId, WeightsVersion};
 
@@ -97,6 +98,9 @@
     /// The tokens of the distinct shared prefixes.
     #[prost(uint64, repeated, tag = "8")]
     held_prefix_tokens: Vec<u64>,
+    /// What routers observed of the speeds of replicas; only in some of the messages.
+    #[prost(message, optional, tag = "9")]
+    pub(crate) speeds: Option<SpeedReport>,
 }
 
 impl LoadMessage {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -8,8 +8,8 @@
 //!
 //! Load patterns handled: many routers with little traffic each in front of few replicas (shared homes instead of local
 //! views); one hot prefix (spills by cost, to the same second choice from all routers); rollouts (old weights cost more
-//! as time passes and are excluded at the bound); failing replicas (the cost grows as the health weight falls); long prompts that fill the
-//! memory of their home ([`super::load`]); a burst at
+//! as time passes and are excluded at the bound); failing replicas (the cost grows as the health weight falls); replicas
+//! of different speeds (times and homes follow their speeds); long prompts that fill the memory of their home ([`super::load`]); a burst at
 //! a plain service (two random replicas are compared, because all routers would send to the least loaded one until its
 //! load comes back to them).
 //!
@@ -25,9 +25,9 @@
 use super::load::memory_cost_ms;
 use crate::id::ReplicaId;
 
-/// The prefill time per token, in milliseconds; the slower of the two users' engines prefills 49.6 tokens per
-/// millisecond.
-const PREFILL_MS_PER_TOKEN: f64 = 1.0 / 50.0;
+/// The prefill time per token at the reference rate, in milliseconds; the speed of a replica is relative to it. One of the
+/// users' engines prefills 49.6 tokens per millisecond, another one 157.
+pub(super) const PREFILL_MS_PER_TOKEN: f64 = 1.0 / 50.0;
 /// The cost of recomputing a token, as a multiple of its prefill time; docs/design/routing.md compares factors and favors
 /// 3 to 6.
 pub(super) const RECOMPUTE_FACTOR: f64 = 4.0;
@@ -130,6 +130,10 @@
     pub free_tokens: Option<u64>,
     /// The health weight: 1 if healthy, less while recovering from failures, 0 if ejected.
     pub health: f64,
+    /// The rate of the replica's prefill, as a multiple of the reference rate ([`super::load`]).
+    pub speed: f64,
+    /// The weight by which the replica attracts the homes of prefixes.
+    pub home_weight: f64,
     /// The status of the replica's weights.
     pub weights: WeightsStatus,
     /// Whether the replica accepts new requests.
@@ -142,6 +146,34 @@
     pub is_warm: bool,
 }
 
+impl Candidate<'_> {
+    /// Returns how long the replica takes to prefill one token, in milliseconds.
+    fn ms_per_token(&self) -> f64 {
+        PREFILL_MS_PER_TOKEN / self.speed
+    }
+
+    /// Returns the work ahead of a new request, in milliseconds at the replica's speed.
+    pub(crate) fn work_ahead_ms(&self) -> f64 {
+        self.prefill_tokens as f64 * self.ms_per_token()
+    }
+
+    /// Returns how long a new request may wait behind the work ahead.
+    pub(crate) fn expected_wait(&self) -> Duration {
+        expected_wait(self.prefill_tokens, self.speed)
+    }
+
+    /// Returns whether the replica has free memory for a request, as far as its memory is known.
+    pub(crate) fn fits(&self, request: &PlacementRequest) -> bool {
+        self.free_tokens
+            .is_none_or(|free| memory_cost_ms(request, free, self.ms_per_token()) <= 0.0)
+    }
+
+    /// Returns the number of requests that the replica may still run at once.
+    pub(crate) const fn free_slots(&self) -> u32 {
+        self.slots.saturating_sub(self.in_flight)
+    }
+}
+
 /// The inputs for placing a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PlacementRequest {
@@ -175,12 +207,12 @@
     Overloaded(Duration),
 }
 
-/// Returns how long a request may wait behind this many tokens that a replica still has to prefill.
+/// Returns how long a request may wait behind this many tokens that a replica with `speed` still has to prefill.
 ///
 /// Only the tokens of the requests' own parts are known, and about as many are shared.
-pub(crate) fn expected_wait(prefill_tokens: u64) -> Duration {
+pub(crate) fn expected_wait(prefill_tokens: u64, speed: f64) -> Duration {
     const SHARED_TOKENS_FACTOR: f64 = 2.0;
-    let wait_ms = prefill_tokens as f64 * PREFILL_MS_PER_TOKEN * SHARED_TOKENS_FACTOR;
+    let wait_ms = prefill_tokens as f64 * PREFILL_MS_PER_TOKEN / speed * SHARED_TOKENS_FACTOR;
     Duration::from_secs_f64(wait_ms / 1_000.0)
 }
 
@@ -249,15 +281,17 @@
 fn cost_of(request: &PlacementRequest, candidate: &Candidate<'_>, is_home: bool) -> f64 {
     let in_flight = f64::from(candidate.in_flight);
     let beyond_slots = candidate.in_flight.saturating_sub(candidate.slots);
-    let mut cost_ms = candidate.prefill_tokens as f64 * PREFILL_MS_PER_TOKEN
+    let ms_per_token = candidate.ms_per_token();
+    let mut cost_ms = candidate.work_ahead_ms()
+        + f64::from(request.own_tokens) * ms_per_token
         + in_flight * IN_FLIGHT_MS
         + f64::from(beyond_slots) * QUEUED_MS;
     if request.prefix.is_some() && !is_home {
-        cost_ms += FETCH_SETUP_MS
-            + f64::from(request.shared_tokens) * PREFILL_MS_PER_TOKEN * RECOMPUTE_FACTOR;
+        cost_ms +=
+            FETCH_SETUP_MS + f64::from(request.shared_tokens) * ms_per_token * RECOMPUTE_FACTOR;
     }
     if let Some(free_tokens) = candidate.free_tokens {
-        cost_ms += memory_cost_ms(request, free_tokens, PREFILL_MS_PER_TOKEN);
+        cost_ms += memory_cost_ms(request, free_tokens, ms_per_token);
     }
     if !candidate.is_same_zone && !is_home {
         cost_ms += CROSS_ZONE_MS;
@@ -288,6 +322,15 @@
         .enumerate()
         .filter(|(_, candidate)| candidate.health > 0.0 && in_scope(candidate))
         .filter(|(_, candidate)| candidate.is_accepting || !is_small)
-        .max_by_key(|(_, candidate)| xxh3_64_with_seed(candidate.id.as_bytes(), prefix))
+        .map(|(index, candidate)| (index, home_score(candidate, prefix)))
+        .max_by(|(_, left), (_, right)| left.total_cmp(right))
         .map(|(index, _)| index)
 }
+
+/// Returns the score of weighted rendezvous hashing: replicas become homes in proportion to their weights, and a change of
+/// a weight moves only the prefixes that one replica gains or loses.
+fn home_score(candidate: &Candidate<'_>, prefix: u64) -> f64 {
+    let hash = xxh3_64_with_seed(candidate.id.as_bytes(), prefix);
+    let fraction = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    fraction.ln() / candidate.home_weight
+}
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -21,7 +21,9 @@
 use super::freshness::{Freshness, FreshnessBounds};
 use super::headers::HeaderNames;
 use super::leaving::LeaveSchedule;
-use super::load::{HeldMemory, LoadMap, LoadSample, ReplicaKey};
+use super::load::{
+    HeldMemory, LoadMap, LoadSample, ReplicaKey, ReplicaSpeed, SpeedObservations, SpeedSums,
+};
 use super::open_requests::OpenRequests;
 use super::placement::{PlacementRequest, WeightsBounds};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
@@ -65,6 +67,7 @@
     in_flight: AtomicU32,
     prefill_tokens: AtomicU64,
     held: Mutex<HeldMemory>,
+    speed: Mutex<SpeedObservations>,
     last_response_ms: AtomicU64,
     last_refusal_ms: AtomicU64,
     /// Until when the replica wants no requests of this router.
@@ -177,6 +180,7 @@
     others_load: ArcSwap<LoadMap>,
     /// The replicas that no router can reach.
     unreachable: ArcSwap<HashSet<ReplicaKey>>,
+    speeds: ArcSwap<HashMap<ReplicaKey, ReplicaSpeed>>,
     /// The parts of prompts and whole requests that are suspected to crash replicas.
     pub(crate) suspects: ArcSwap<Suspects>,
     /// Whether whole requests are among the suspects.
@@ -304,6 +308,17 @@
         Duration::from_millis(self.last_response_ms.load(Ordering::Relaxed)) >= time
     }
 
+    /// Records that the first event of a stream, expected after `expected_ms`, came after `observed`.
+    pub(crate) fn record_first_event(&self, expected_ms: f64, observed: Duration) {
+        lock(&self.speed).record(expected_ms, observed, boot_time());
+        metrics::counter!("crocuswharf_gateway_speed_observations_total").increment(1);
+    }
+
+    /// Returns what this router has observed of the replica's speed.
+    pub(crate) fn speed_sums(&self, now: Duration) -> SpeedSums {
+        lock(&self.speed).sums(now)
+    }
+
     /// Returns when the replica last sent a part of a response.
     pub(crate) fn responded_at(&self) -> Option<Duration> {
         let at_ms = self.last_response_ms.load(Ordering::Relaxed);
@@ -360,6 +375,7 @@
             budgets: Mutex::default(),
             others_load: ArcSwap::default(),
             unreachable: ArcSwap::default(),
+            speeds: ArcSwap::default(),
             suspects: ArcSwap::default(),
             suspects_requests: AtomicBool::new(false),
             suspects_changed: watch::Sender::new(()),
@@ -530,6 +546,16 @@
         self.unreachable.load_full()
     }
 
+    /// Replaces the speeds of replicas.
+    pub(crate) fn set_speeds(&self, speeds: HashMap<ReplicaKey, ReplicaSpeed>) {
+        self.speeds.store(Arc::new(speeds));
+    }
+
+    /// Returns the speeds of replicas.
+    pub(crate) fn speeds(&self) -> Arc<HashMap<ReplicaKey, ReplicaSpeed>> {
+        self.speeds.load_full()
+    }
+
     /// Replaces the suspects.
     pub(crate) fn set_suspects(&self, suspects: Suspects) {
         let mut kinds = suspects.values().map(|status| status.kind);
--- a/src/gateway/tests/memory.rs
+++ b/src/gateway/tests/memory.rs
@@ -46,6 +46,8 @@
                 slots: 48,
                 free_tokens: free_tokens(CACHE_TOKENS, &sample(&held[index], in_flight[index])),
                 health: 1.0,
+                speed: 1.0,
+                home_weight: 1.0,
                 weights: WeightsStatus::Current,
                 is_accepting: true,
                 backoff: ms(0),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -28,6 +28,7 @@
 mod settings;
 mod silence;
 mod source;
+mod speed;
 mod unreachable;
 mod weights;
 
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -45,6 +45,8 @@
             slots: 12,
             free_tokens: None,
             health: 1.0,
+            speed: 1.0,
+            home_weight: 1.0,
             weights: WeightsStatus::Current,
             is_accepting: true,
             backoff: ms(0),
@@ -262,8 +264,55 @@
     let named = [(2, ms(8_280))];
     assert_eq!(bounds.status(1, &named, ms(0)), WeightsStatus::Stale);
     // Nine prompts of 6,610 tokens of their own wait for their prefill.
-    let wait = expected_wait(9 * 6_610);
+    let wait = expected_wait(9 * 6_610, 1.0);
     assert!(wait >= ms(1_900), "{wait:?}");
     assert_eq!(bounds.status(1, &named, wait), WeightsStatus::Expired);
     assert_eq!(bounds.status(2, &named, wait), WeightsStatus::Current);
 }
+
+/// Replicas of one service with speeds from 0.6 to 1.6: homes in equal numbers would overload the slow ones, and a learned
+/// speed that changes must not make many prefixes be prefilled again.
+#[test]
+fn choose_homes_follow_the_weights_and_a_change_moves_few() {
+    let ids = ids(60);
+    let homes = |weight_of: &dyn Fn(usize) -> f64| -> Vec<usize> {
+        let mut candidates = candidates(&ids);
+        for (index, candidate) in candidates.iter_mut().enumerate() {
+            candidate.home_weight = weight_of(index);
+        }
+        let home = |prefix| {
+            let request = PlacementRequest {
+                prefix: Some(prefix),
+                ..LONG
+            };
+            choose(&request, &candidates, &[], &mut rng(1)).unwrap()
+        };
+        (0..6_000).map(home).collect()
+    };
+    let weight = |index: usize| if index < 30 { 0.6 } else { 1.6 };
+    let before = homes(&weight);
+    let slow = before.iter().filter(|home| **home < 30).count() as f64;
+    let share = slow / before.len() as f64;
+    assert!((share / (0.6 / 2.2) - 1.0).abs() < 0.1, "{share}");
+    let after = homes(&|index| if index == 40 { 1.28 } else { weight(index) });
+    let pairs = before.iter().zip(&after);
+    let moved: Vec<_> = pairs.filter(|(before, after)| before != after).collect();
+    assert!(moved.len() < 60, "{} of 6000 moved", moved.len());
+    assert!(moved.iter().all(|(before, _)| **before == 40));
+}
+
+/// A request waits for the work ahead at its home at the home's actual speed, which may be far from the reference.
+#[test]
+fn choose_slow_home_is_left_earlier_than_a_fast_one() {
+    let ids = ids(18);
+    let mut candidates = candidates(&ids);
+    let home = choose(&LONG, &candidates, &[], &mut rng(1)).unwrap();
+    candidates[home].prefill_tokens = 40_000;
+    assert_eq!(choose(&LONG, &candidates, &[], &mut rng(1)), Ok(home));
+    candidates[home].speed = 0.6;
+    assert_ne!(choose(&LONG, &candidates, &[], &mut rng(1)), Ok(home));
+    assert!(candidates[home].expected_wait() > ms(2_600));
+    candidates[home].speed = 3.0;
+    candidates[home].prefill_tokens = 90_000;
+    assert_eq!(choose(&LONG, &candidates, &[], &mut rng(1)), Ok(home));
+}
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -114,6 +114,13 @@
         &["status", "reason"],
         "Answers that the gateway gave itself, by status and reason.",
     ),
+    metric(
+        "crocuswharf_gateway_placements_beyond_memory_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &[],
+        "Placements at a replica without free memory for the request, since no other one was better.",
+    ),
     metric(
         "crocuswharf_gateway_refused_parts",
         MetricKind::Gauge,
@@ -142,6 +149,13 @@
         &["signal"],
         "Responses in which a replica asked for no more requests, by signal: leaving or retry_after.",
     ),
+    metric(
+        "crocuswharf_gateway_replica_speed",
+        MetricKind::Gauge,
+        Unit::Count,
+        &["service", "rank"],
+        "Prefill rates of a service's replicas as multiples of 50 tokens per millisecond: rank is min, median or max.",
+    ),
     metric(
         "crocuswharf_gateway_request_ends_total",
         MetricKind::Counter,
@@ -170,6 +184,13 @@
         &["route", "outcome"],
         "Requests that a replica answered, by how the answer ended.",
     ),
+    metric(
+        "crocuswharf_gateway_speed_observations_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &[],
+        "Streams whose time to the first event told about the speed of a replica.",
+    ),
     metric(
         "crocuswharf_gateway_store_restorations_total",
         MetricKind::Counter,
