Send changes of the unreachable replicas at once

Cause: the routers that get updates from another one heard of an unreachable replica, or of its return, up to 0.2 s late. Draining replicas counted in the limit of what may be excluded of a service. Change: a change answers the waiting update requests. Only replicas that accept requests count. The line about each placement is at trace level, since one line for each request fills the log at debug level.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -160,8 +160,8 @@
         }
         let now = boot_time();
         control.select_source(now);
-        control.answer_update_requests(now);
         control.advance_reachability(now);
+        control.answer_update_requests(now);
         control.exchange_loads(now);
         control.publish_speeds(now);
         control.release_pending_prefills(now);
@@ -225,6 +225,8 @@
     peer_loads: PeerLoads,
     unreachable: UnreachableView,
     next_reachability_check: Duration,
+    /// Counts the changes of the unreachable replicas; each is sent at once to the routers that get updates from this one.
+    unreachable_generation: u64,
     peer_speeds: PeerSpeeds,
     next_speed_report: Duration,
     next_speeds: Duration,
@@ -281,6 +283,7 @@
             peer_loads: PeerLoads::default(),
             unreachable,
             next_reachability_check: Duration::ZERO,
+            unreachable_generation: 0,
             peer_speeds: PeerSpeeds::default(),
             next_speed_report: Duration::ZERO,
             next_speeds: Duration::ZERO,
--- a/src/gateway/control/unreachable.rs
+++ b/src/gateway/control/unreachable.rs
@@ -33,6 +33,9 @@
             });
         self.unreachable.observe(samples, now);
         let changes = self.unreachable.evaluate(now);
+        if !changes.is_empty() {
+            self.unreachable_generation += 1;
+        }
         let replicas = self.replicas_by_key(&changes.added, &changes.removed);
         let name = |key| replicas.get(key).map_or("-", |(id, _)| &***id);
         for key in &changes.added {
@@ -46,9 +49,12 @@
         }
         let snapshot = self.shared.snapshot.load();
         let services = snapshot.services.values();
-        let excluded = self.unreachable.excluded(
-            services.map(|replicas| replicas.iter().map(|replica| replica.key).collect()),
-        );
+        let excluded = self.unreachable.excluded(services.map(|replicas| {
+            let accepting = replicas
+                .iter()
+                .filter(|replica| replica.known.is_accepting());
+            accepting.map(|replica| replica.key).collect()
+        }));
         metrics::gauge!("crocuswharf_gateway_unreachable_replicas").set(excluded.len() as f64);
         self.shared.set_unreachable(excluded);
         self.probe_unreachable(now);
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -62,6 +62,8 @@
     pub(super) until: Duration,
     /// Whether the router gets what the others observed of the speeds of replicas; it does once a second.
     pub(super) wants_speeds: bool,
+    /// The generation of the unreachable replicas when the request arrived.
+    pub(super) unreachable_generation: u64,
 }
 
 pub(super) fn set_flag(flag: &watch::Sender<bool>, value: bool) {
@@ -417,6 +419,7 @@
             reply,
             until: boot_time() + wait,
             wants_speeds,
+            unreachable_generation: self.unreachable_generation,
         });
     }
 
@@ -425,7 +428,10 @@
         let is_unavailable = !self.can_provide_updates();
         let pending = std::mem::take(&mut self.pending_updates).into_iter();
         let (due, waiting): (Vec<_>, Vec<_>) = pending.partition(|waiting| {
-            is_unavailable || now >= waiting.until || self.has_update_for(&waiting.request)
+            is_unavailable
+                || now >= waiting.until
+                || self.has_update_for(&waiting.request)
+                || waiting.unreachable_generation != self.unreachable_generation
         });
         self.pending_updates = waiting;
         if due.is_empty() {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -513,7 +513,7 @@
         );
         match chosen {
             Ok(index) => {
-                log::debug!(
+                log::trace!(
                     "request: Placed. id={} replica={} expected_wait_ms={} free_slots={} free_tokens={:?}",
                     self.call.id_text(),
                     candidates[index].id,
--- a/src/gateway/load/unreachable.rs
+++ b/src/gateway/load/unreachable.rs
@@ -173,6 +173,13 @@
     pub(crate) removed: Vec<ReplicaKey>,
 }
 
+impl UnreachableChanges {
+    /// Returns whether nothing has changed.
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.added.is_empty() && self.removed.is_empty()
+    }
+}
+
 /// The shared view of unreachable replicas, as one router knows it.
 #[derive(Debug)]
 pub(crate) struct UnreachableView {
