--- a/src/gateway/control/loads.rs
+++ b/src/gateway/control/loads.rs
@@ -1,9 +1,9 @@
-//! Exchanges the loads of replicas with other routers ([`crate::gateway::loads`]).
+//! Exchanges the loads of replicas with other routers ([`crate::gateway::load`]).
 
 use std::time::Duration;
 
 use crate::gateway::clock::boot_time;
-use crate::gateway::loads::{LoadMap, LoadMessage, replica_key, subtract};
+use crate::gateway::load::{LoadMap, LoadMessage, replica_key, subtract};
 use crate::gateway::source::UpdateSource;
 
 use super::Control;
@@ -52,8 +52,10 @@
         self.next_load_exchange = now + LOAD_INTERVAL;
         self.peer_loads.expire(now);
         let own = self.own_loads();
-        self.peers
-            .broadcast_loads(&LoadMessage::of(&self.peer_loads.local_total(&own)));
+        let mut message = LoadMessage::of(&self.peer_loads.local_total(&own));
+        message.reachability = self.unreachable.local_report(now);
+        message.speeds = self.due_speed_report(now);
+        self.peers.broadcast_loads(&message);
         let others = subtract(&self.peer_loads.total(&own), Some(&own));
         self.apply_others_load(others);
     }
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -16,7 +16,7 @@
 use crate::gateway::fleet::{Fleet, FleetChange, KnownReplica, ReplicaEntry, ReplicaPhase};
 use crate::gateway::fleet_size::FleetSize;
 use crate::gateway::list_watch::{ListWatchEvent, list_and_watch};
-use crate::gateway::loads::{PeerLoads, replica_key};
+use crate::gateway::load::{PeerLoads, PeerSpeeds, UnreachableView, replica_key};
 use crate::gateway::notice::ReplicaNotice;
 use crate::gateway::peers::{PeerMessage, Peers};
 use crate::gateway::prefill::{PrefillDecision, PrefillMessage, PrefillTracker, PrefixKey};
@@ -40,6 +40,8 @@
 mod prefill;
 mod quarantine;
 mod quota;
+mod speeds;
+mod unreachable;
 mod updates;
 
 pub(crate) use self::orders::lease_timing;
@@ -165,8 +167,10 @@
         control.tick();
         let now = boot_time();
         control.select_source(now);
+        control.advance_reachability(now);
         control.answer_update_requests(now);
         control.exchange_loads(now);
+        control.publish_speeds(now);
         control.release_pending_prefills(now);
         control.release_pending_crashes(now);
         control.advance();
@@ -185,9 +189,17 @@
             control.enqueue_update_request(from, request, reply);
         }
         Some(PeerMessage::Loads(from, load)) => {
+            let now = boot_time();
+            control
+                .unreachable
+                .record_aggregate(Arc::clone(&from), &load.reachability, now);
+            if let Some(speeds) = &load.speeds {
+                let from = Arc::clone(&from);
+                control.peer_speeds.record_aggregate(from, speeds, now);
+            }
             control
                 .peer_loads
-                .record_aggregate(from, load.into_loads(), boot_time());
+                .record_aggregate(from, load.into_loads(), now);
         }
         Some(PeerMessage::PrefillRequested(message, reply)) => {
             control.answer_prefill(message.key, PrefillResponder::Peer(reply));
@@ -221,6 +233,14 @@
     platform: PlatformState,
     pending_updates: Vec<PendingUpdate>,
     peer_loads: PeerLoads,
+    unreachable: UnreachableView,
+    next_reachability_check: Duration,
+    /// Counts the changes of the unreachable replicas; each is sent at once to the routers that get updates from this one.
+    unreachable_generation: u64,
+    peer_speeds: PeerSpeeds,
+    next_speed_report: Duration,
+    next_speeds: Duration,
+    next_speed_log: Duration,
     prefills: PrefillTracker,
     pending_prefills: Vec<PendingPrefill>,
     quarantine: Quarantine,
@@ -252,6 +272,7 @@
     ) -> Self {
         let seeds = shared.settings.seeds.len();
         let lease = Lease::with_timing(Arc::clone(peers.own()), 1, lease_timing(&shared.bounds()));
+        let unreachable = UnreachableView::new(Arc::clone(peers.own()));
         Self {
             shared,
             store: Arc::new(store),
@@ -272,6 +293,13 @@
             platform: PlatformState::default(),
             pending_updates: Vec::new(),
             peer_loads: PeerLoads::default(),
+            unreachable,
+            next_reachability_check: Duration::ZERO,
+            unreachable_generation: 0,
+            peer_speeds: PeerSpeeds::default(),
+            next_speed_report: Duration::ZERO,
+            next_speeds: Duration::ZERO,
+            next_speed_log: Duration::ZERO,
             prefills: PrefillTracker::default(),
             pending_prefills: Vec::new(),
             quarantine: Quarantine::default(),
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -13,7 +13,7 @@
 use crate::gateway::clock::boot_time;
 use crate::gateway::fleet::ReplicaEntry;
 use crate::gateway::list_watch::{ListWatchEvent, store_backoff, wait_until};
-use crate::gateway::loads::LoadMessage;
+use crate::gateway::load::{LoadMessage, SpeedReport};
 use crate::gateway::request_end::ConfigurationChange;
 use crate::gateway::revision::{StoreRevision, revision_era};
 use crate::gateway::route::{ModelName, RouteTable};
@@ -60,6 +60,10 @@
     pub(super) request: UpdateRequest,
     pub(super) reply: ReplyHandle,
     pub(super) until: Duration,
+    /// Whether the router gets what the others observed of the speeds of replicas; it does once a second.
+    pub(super) wants_speeds: bool,
+    /// The generation of the unreachable replicas when the request arrived.
+    pub(super) unreachable_generation: u64,
 }
 
 pub(super) fn set_flag(flag: &watch::Sender<bool>, value: bool) {
@@ -324,6 +328,14 @@
         self.is_update_pending = false;
         let mut update = update;
         if let Some(load) = update.as_mut().and_then(|update| update.others_load.take()) {
+            if let UpdateSource::Router(source) = &self.current_source {
+                let source = Arc::clone(source);
+                self.unreachable
+                    .record_aggregate(Arc::clone(&source), &load.reachability, now);
+                if let Some(speeds) = &load.speeds {
+                    self.peer_speeds.record_aggregate(source, speeds, now);
+                }
+            }
             self.apply_others_load(load.into_loads());
         }
         let interval = poll_interval(&self.shared);
@@ -388,7 +400,16 @@
         reply: ReplyHandle,
     ) {
         let wait = Duration::from_millis(u64::from(request.wait_ms));
-        if let Some(load) = request.load.take() {
+        let mut wants_speeds = false;
+        if let Some(mut load) = request.load.take() {
+            let from = Arc::clone(&router);
+            self.unreachable
+                .record_follower(from, &load.reachability, boot_time());
+            if let Some(speeds) = load.speeds.take() {
+                let from = Arc::clone(&router);
+                self.peer_speeds.record_follower(from, &speeds, boot_time());
+                wants_speeds = true;
+            }
             let loads = load.into_loads();
             self.peer_loads
                 .record_follower(Arc::clone(&router), loads, boot_time());
@@ -398,6 +419,8 @@
             request,
             reply,
             until: boot_time() + wait,
+            wants_speeds,
+            unreachable_generation: self.unreachable_generation,
         });
     }
 
@@ -406,17 +429,30 @@
         let is_unavailable = !self.can_provide_updates();
         let pending = std::mem::take(&mut self.pending_updates).into_iter();
         let (due, waiting): (Vec<_>, Vec<_>) = pending.partition(|waiting| {
-            is_unavailable || now >= waiting.until || self.has_update_for(&waiting.request)
+            is_unavailable
+                || now >= waiting.until
+                || self.has_update_for(&waiting.request)
+                || waiting.unreachable_generation != self.unreachable_generation
         });
         self.pending_updates = waiting;
         if due.is_empty() {
             return;
         }
         let total = self.peer_loads.total(&self.own_loads());
+        let reachability = self.unreachable.total_report(now);
         for waiting in due {
             let mut update = self.update_for(&waiting.request, is_unavailable, now);
             let others = self.peer_loads.total_excluding(&waiting.router, &total);
-            update.others_load = Some(LoadMessage::of(&others));
+            let mut others_load = LoadMessage::of(&others);
+            others_load.reachability = reachability.clone();
+            others_load.speeds = waiting.wants_speeds.then(|| {
+                let own = self.own_speeds(now);
+                let others = self
+                    .peer_speeds
+                    .total_excluding(Some(&waiting.router), &own);
+                SpeedReport::of(&others)
+            });
+            update.others_load = Some(others_load);
             waiting.reply.send(Body::encode(Kind::News, &update));
         }
     }
@@ -518,20 +554,23 @@
         let is_reachable = self.platform.failed_reads < OUTAGE_FAILED_READS;
         set_flag(&self.polls_configuration, is_direct);
         set_flag(&self.watches_lists, is_direct && is_reachable);
-        if let UpdateSource::Router(router) = &self.current_source
+        if let UpdateSource::Router(router) = self.current_source.clone()
             && !self.is_update_pending
             && self.source.may_ask(now)
         {
             self.is_update_pending = true;
+            let mut load = LoadMessage::of(&self.own_loads());
+            load.reachability = self.unreachable.local_report(now);
+            load.speeds = self.due_speed_report(now);
             let request = UpdateRequest {
                 configuration_revision: self.platform.configuration_revision,
                 replicas_as_of: self.platform.replicas_as_of,
                 weights_as_of: self.platform.weights_as_of,
                 wait_ms: UPDATE_WAIT.as_millis() as u32,
-                load: Some(LoadMessage::of(&self.own_loads())),
+                load: Some(load),
             };
             self.peers
-                .request_update(router, &request, UPDATE_WAIT + UPDATE_SLACK);
+                .request_update(&router, &request, UPDATE_WAIT + UPDATE_SLACK);
         }
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -4,7 +4,7 @@
 //! Their observations go to the control thread through a bounded channel; if it is full, they are dropped and counted
 //! instead of blocking.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -21,9 +21,11 @@
 use super::freshness::{Freshness, FreshnessBounds};
 use super::headers::HeaderNames;
 use super::leaving::LeaveSchedule;
-use super::loads::{LoadMap, LoadSample, ReplicaKey};
+use super::load::{
+    HeldMemory, LoadMap, LoadSample, ReplicaKey, ReplicaSpeed, SpeedObservations, SpeedSums,
+};
 use super::open_requests::OpenRequests;
-use super::placement::WeightsBounds;
+use super::placement::{PlacementRequest, WeightsBounds};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
 use super::quota::gate::QuotaGate;
 use super::request_end::ConfigurationChange;
@@ -65,6 +67,8 @@
 pub(crate) struct ReplicaLoad {
     in_flight: AtomicU32,
     prefill_tokens: AtomicU64,
+    held: Mutex<HeldMemory>,
+    speed: Mutex<SpeedObservations>,
     last_response_ms: AtomicU64,
     last_refusal_ms: AtomicU64,
     /// Until when the replica wants no requests of this router.
@@ -175,6 +179,9 @@
     health: Mutex<HashMap<ServiceName, Ejection>>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     others_load: ArcSwap<LoadMap>,
+    /// The replicas that no router can reach.
+    unreachable: ArcSwap<HashSet<ReplicaKey>>,
+    speeds: ArcSwap<HashMap<ReplicaKey, ReplicaSpeed>>,
     /// The parts of prompts and whole requests that are suspected to crash replicas.
     pub(crate) suspects: ArcSwap<Suspects>,
     /// Whether whole requests are among the suspects.
@@ -202,6 +209,7 @@
 pub(crate) struct LoadGuard {
     load: Arc<ReplicaLoad>,
     prefill_tokens: u64,
+    request: PlacementRequest,
 }
 
 impl Refusal {
@@ -219,15 +227,17 @@
 }
 
 impl ReplicaLoad {
-    /// Counts a request with `tokens` prompt tokens that the replica still has to prefill.
-    pub(crate) fn begin(self: &Arc<Self>, tokens: u32) -> LoadGuard {
-        let prefill_tokens = u64::from(tokens);
+    /// Counts a request whose own part of the prompt the replica still has to prefill.
+    pub(crate) fn begin(self: &Arc<Self>, request: &PlacementRequest) -> LoadGuard {
+        let prefill_tokens = u64::from(request.own_tokens);
+        lock(&self.held).add(request);
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.prefill_tokens
             .fetch_add(prefill_tokens, Ordering::Relaxed);
         LoadGuard {
             load: Arc::clone(self),
             prefill_tokens,
+            request: *request,
         }
     }
 
@@ -280,10 +290,13 @@
             let at_ms = at_ms.load(Ordering::Relaxed);
             at_ms > 0 && now < Duration::from_millis(at_ms) + ttl
         };
+        let held = lock(&self.held);
         let names_version = is_recent(&self.named_at_ms, NAMED_VERSION_TTL);
         LoadSample {
             in_flight: self.in_flight(),
             prefill_tokens: self.prefill_tokens(),
+            held_tokens: held.own_tokens(),
+            held_prefix_tokens: held.prefix_tokens(),
             is_refusing: is_recent(&self.last_refusal_ms, REFUSAL_TTL),
             version: if names_version {
                 self.named_version.load(Ordering::Relaxed)
@@ -297,6 +310,23 @@
     pub(crate) fn has_responded_since(&self, time: Duration) -> bool {
         Duration::from_millis(self.last_response_ms.load(Ordering::Relaxed)) >= time
     }
+
+    /// Records that the first event of a stream, expected after `expected_ms`, came after `observed`.
+    pub(crate) fn record_first_event(&self, expected_ms: f64, observed: Duration) {
+        lock(&self.speed).record(expected_ms, observed, boot_time());
+        metrics::counter!("crocuswharf_gateway_speed_observations_total").increment(1);
+    }
+
+    /// Returns what this router has observed of the replica's speed.
+    pub(crate) fn speed_sums(&self, now: Duration) -> SpeedSums {
+        lock(&self.speed).sums(now)
+    }
+
+    /// Returns when the replica last sent a part of a response.
+    pub(crate) fn responded_at(&self) -> Option<Duration> {
+        let at_ms = self.last_response_ms.load(Ordering::Relaxed);
+        (at_ms > 0).then(|| Duration::from_millis(at_ms))
+    }
 }
 
 impl LoadGuard {
@@ -319,6 +349,7 @@
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
+        lock(&self.load.held).remove(&self.request);
         self.load.in_flight.fetch_sub(1, Ordering::Relaxed);
         self.load
             .prefill_tokens
@@ -348,6 +379,8 @@
             health: Mutex::default(),
             budgets: Mutex::default(),
             others_load: ArcSwap::default(),
+            unreachable: ArcSwap::default(),
+            speeds: ArcSwap::default(),
             suspects: ArcSwap::default(),
             suspects_requests: AtomicBool::new(false),
             suspects_changed: watch::Sender::new(()),
@@ -512,6 +545,28 @@
         self.others_load.load_full()
     }
 
+    /// Replaces the replicas that no router can reach.
+    pub(crate) fn set_unreachable(&self, replicas: HashSet<ReplicaKey>) {
+        if **self.unreachable.load() != replicas {
+            self.unreachable.store(Arc::new(replicas));
+        }
+    }
+
+    /// Returns the replicas that no router can reach.
+    pub(crate) fn unreachable(&self) -> Arc<HashSet<ReplicaKey>> {
+        self.unreachable.load_full()
+    }
+
+    /// Replaces the speeds of replicas.
+    pub(crate) fn set_speeds(&self, speeds: HashMap<ReplicaKey, ReplicaSpeed>) {
+        self.speeds.store(Arc::new(speeds));
+    }
+
+    /// Returns the speeds of replicas.
+    pub(crate) fn speeds(&self) -> Arc<HashMap<ReplicaKey, ReplicaSpeed>> {
+        self.speeds.load_full()
+    }
+
     /// Replaces the suspects.
     pub(crate) fn set_suspects(&self, suspects: Suspects) {
         let mut kinds = suspects.values().map(|status| status.kind);
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -17,6 +17,7 @@
 mod leaving;
 mod list_watch;
 mod loads;
+mod memory;
 mod placement;
 mod prefill;
 mod prompt;
@@ -27,6 +28,8 @@
 mod settings;
 mod silence;
 mod source;
+mod speed;
+mod unreachable;
 mod weights;
 
 use std::sync::Arc;
