--- a/src/gateway/tests/lease.rs
+++ b/src/gateway/tests/lease.rs
@@ -145,6 +145,30 @@
     assert!(!lease.is_held(ms(10)));
 }
 
+/// A store that repeated a version, or went back without naming a new era, ended the control thread.
+#[parameterized(
+    repeated = { 3 },
+    lower = { 1 },
+)]
+fn next_write_answered_with_no_higher_version_gives_the_lease_up(version: u64) {
+    let timing = lease_timing(&GatewayBounds::default());
+    let mut lease = Lease::with_timing("first".into(), 1, timing);
+    lease.next(LeaseEvent::Tick, 0, ms(0));
+    lease.next(LeaseEvent::Read(Some(None)), 0, ms(5));
+    lease.next(LeaseEvent::Written(PutOutcome::Stored(3)), 0, ms(10));
+    assert!(lease.is_held(ms(10)));
+    let renewed_at = timing.renewal_interval + ms(20);
+    let action = lease.next(LeaseEvent::Tick, 0, renewed_at);
+    assert!(matches!(action, Some(LeaseAction::Write(..))), "{action:?}");
+    let stored = LeaseEvent::Written(PutOutcome::Stored(version));
+    lease.next(stored, 0, renewed_at);
+    assert!(!lease.is_held(renewed_at));
+    assert_eq!(
+        lease.fencing_number(renewed_at + timing.takeover_delay),
+        None
+    );
+}
+
 /// Replays a rolling restart while weights are named: the holder is stopped, and the next one must not wait for its lease
 /// to expire. Replicas that don't check fencing numbers still get no orders of two holders within one lease duration.
 #[test]
