Ignore membership records with an implausible version

Cause: a record of this router with version u64::MAX made it raise its own version above that, which overflowed and met the assertion of rising precedence in the control thread. No router could refute such a record.

Change: records with a version above half of the range are ignored.

Tests: receive_own_record_with_an_implausible_version_is_ignored, both cases failed before (gossip.rs:196) and pass now.

--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -12,6 +12,10 @@
 use crate::membership::state::{Action, KnownMember, Membership};
 use crate::membership::sync;
 
+/// The highest version of a record that is accepted. Versions rise by one with each change, so a higher one is malformed;
+/// the member that it names could not refute it.
+const MAX_VERSION: u64 = u64::MAX / 2;
+
 impl Membership {
     pub(super) fn synchronize(
         &mut self,
@@ -93,6 +97,9 @@
     }
 
     pub(super) fn merge(&mut self, record: MemberRecord, now: Duration) {
+        if record.version > MAX_VERSION {
+            return;
+        }
         if record.router == *self.own.router {
             self.merge_own(&record);
             return;
--- a/src/membership/tests/mod.rs
+++ b/src/membership/tests/mod.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
+use yare::parameterized;
 
 use super::*;
 use crate::id::RouterId;
@@ -119,6 +120,31 @@
     assert!(stale.is_superseded());
 }
 
+/// A record with the highest version can't be refuted, and raising the own version above it ended the control thread.
+#[parameterized(
+    highest = { u64::MAX },
+    next_to_highest = { u64::MAX - 1 },
+)]
+fn receive_own_record_with_an_implausible_version_is_ignored(version: u64) {
+    let mut fleet = converged_fleet(3, 8);
+    let mut own = member(0, fleet.nodes[0].incarnation);
+    own.version = version;
+    own.liveness = Liveness::Suspected;
+    let heartbeat = Heartbeat {
+        sender: Some(MemberRecord::full(&member(1, 9))),
+        updates: vec![MemberRecord::full(&own)],
+        ..Heartbeat::default()
+    };
+    let (now, nodes, rng) = (fleet.now, &mut fleet.nodes, &mut fleet.rng);
+    for node in nodes {
+        let state = node.state.as_mut().expect("all routers run");
+        state.receive(&heartbeat, now, rng);
+        state.leave();
+    }
+    assert_eq!(liveness_at(&fleet, 0, 0), Some(Liveness::Alive));
+    assert_eq!(liveness_at(&fleet, 2, 0), Some(Liveness::Alive));
+}
+
 #[test]
 fn observe_vms_leaving_is_gossiped_and_reverted() {
     let mut fleet = converged_fleet(9, 6);
