--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -128,6 +128,19 @@
     assert_eq!(reply, answered.then(|| body("hello")));
 }
 
+/// A body above the size limit panicked in its sender, which may be the control thread.
+#[tokio::test]
+async fn send_body_too_large_is_dropped_and_counted() {
+    let (receiver, _inbound) = start("receiver", &["0123456789abcdef"]).await;
+    let (sender, _sender_inbound) = start("sender", &["0123456789abcdef"]).await;
+    let large = Body {
+        kind: Kind::Lookup,
+        payload: vec![0; MAX_PAYLOAD_BYTES + 1].into(),
+    };
+    assert!(!sender.send(receiver.identity().address, large));
+    assert_eq!(sender.traffic().get(Kind::Lookup).dropped_frames, 1);
+}
+
 #[tokio::test]
 async fn send_event_names_sender() {
     let (receiver, mut inbound) = start("receiver", &["0123456789abcdef"]).await;
