Contain panics of the control thread and its tasks

Cause: a panic while a message was handled ended the control thread, and one in a task that reads the configuration or lists replicas ended that task. The process went on serving callers without control until its keys expired.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -29,10 +29,11 @@
 use crate::gateway::weights::{LoadTarget, OrderReply, WeightsReport, WeightsRollout};
 use crate::id::{ReplicaId, RouterId, WeightsVersion};
 use crate::membership::Heartbeat;
-use crate::peer::Inbound;
+use crate::peer::{Inbound, PeerEvent};
 use crate::request::quarantine::Quarantine;
 use crate::rollout::{Lease, LeaseEvent};
 
+mod contain;
 mod loads;
 mod orders;
 mod prefill;
@@ -42,6 +43,7 @@
 pub(crate) use self::orders::lease_timing;
 pub use self::orders::{OrderCall, ReplicaCall, ReplicaCalls, ReportCall};
 
+use self::contain::{contain, restart_after_panic};
 use self::prefill::{PendingPrefill, PrefillResponder};
 use self::quarantine::PendingCrashes;
 use self::updates::{PendingUpdate, PlatformState, poll_configuration};
@@ -146,24 +148,24 @@
         let tick = control.tick_interval();
         tokio::select! {
             event = receiver.recv() => match event {
-                Some(event) => control.handle_event(event),
+                Some(event) => contain("event", || control.handle_event(event)),
                 None => return,
             },
             observation = observations.recv() => match observation {
-                Some(observation) => control.handle_observation(observation),
+                Some(observation) => contain("observation", || control.handle_observation(observation)),
                 None => return,
             },
             () = receive(&mut inbound, &mut control) => {}
-            () = tokio::time::sleep(tick) => control.tick(),
+            () = tokio::time::sleep(tick) => contain("tick", || control.tick()),
         }
         let now = boot_time();
-        control.select_source(now);
-        control.answer_update_requests(now);
-        control.exchange_loads(now);
-        control.release_pending_prefills(now);
-        control.release_pending_crashes(now);
-        control.advance();
-        control.publish();
+        contain("source", || control.select_source(now));
+        contain("updates", || control.answer_update_requests(now));
+        contain("loads", || control.exchange_loads(now));
+        contain("prefills", || control.release_pending_prefills(now));
+        contain("crashes", || control.release_pending_crashes(now));
+        contain("orders", || control.advance());
+        contain("publish", || control.publish());
     }
 }
 
@@ -172,6 +174,10 @@
         // The peer links end with the process; without them the router runs without peers.
         return std::future::pending().await;
     };
+    contain("peer", || handle_peer_event(event, control));
+}
+
+fn handle_peer_event(event: PeerEvent, control: &mut Control) {
     match control.peers.receive(event) {
         Some(PeerMessage::Notices(from, notices)) => control.handle_notices(&from, &notices),
         Some(PeerMessage::UpdateRequested(from, request, reply)) => {
@@ -276,28 +282,41 @@
 
     /// Starts the tasks that poll the configuration and watch the replicas and named weights.
     fn start_platform_tasks(&self) {
-        tokio::spawn(poll_configuration(
-            Arc::clone(&self.store),
-            Arc::clone(&self.shared),
-            self.polls_configuration.subscribe(),
-            self.events.clone(),
-        ));
+        let is_active = self.polls_configuration.subscribe();
+        let (store, shared) = (Arc::clone(&self.store), Arc::clone(&self.shared));
+        let events = self.events.clone();
+        tokio::spawn(restart_after_panic("configuration", move || {
+            poll_configuration(
+                Arc::clone(&store),
+                Arc::clone(&shared),
+                is_active.clone(),
+                events.clone(),
+            )
+        }));
         let is_active = self.watches_lists.subscribe();
         let (store, events) = (Arc::clone(&self.store), self.events.clone());
-        tokio::spawn(async move {
-            let list = |after| (store.list_replicas)(after);
-            let watch = |since| (store.watch_replicas)(since);
-            let take = |event| enqueue(&events, Event::Replicas(event));
-            list_and_watch(list, watch, REPLICAS_PAUSE, is_active, take).await;
-        });
+        tokio::spawn(restart_after_panic("replicas", move || {
+            let (store, events, is_active) =
+                (Arc::clone(&store), events.clone(), is_active.clone());
+            async move {
+                let list = |after| (store.list_replicas)(after);
+                let watch = |since| (store.watch_replicas)(since);
+                let take = |event| enqueue(&events, Event::Replicas(event));
+                list_and_watch(list, watch, REPLICAS_PAUSE, is_active, take).await;
+            }
+        }));
         let is_active = self.watches_lists.subscribe();
         let (store, events) = (Arc::clone(&self.store), self.events.clone());
-        tokio::spawn(async move {
-            let list = |after| (store.list_weights)(after);
-            let watch = |since| (store.watch_weights)(since);
-            let take = |event| enqueue(&events, Event::Weights(event));
-            list_and_watch(list, watch, WEIGHTS_PAUSE, is_active, take).await;
-        });
+        tokio::spawn(restart_after_panic("weights", move || {
+            let (store, events, is_active) =
+                (Arc::clone(&store), events.clone(), is_active.clone());
+            async move {
+                let list = |after| (store.list_weights)(after);
+                let watch = |since| (store.watch_weights)(since);
+                let take = |event| enqueue(&events, Event::Weights(event));
+                list_and_watch(list, watch, WEIGHTS_PAUSE, is_active, take).await;
+            }
+        }));
     }
 
     fn tick_interval(&self) -> Duration {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod caller_activity;
 mod caller_stream;
+mod control_faults;
 mod crash_report;
 mod events;
 mod exchange;
