Check the key of a request again before each send

Cause: the key and the age of the configuration were checked with the head only. A request whose body was completed seconds later, or that waited for a prefill or in a paused process, ran under a key that had been revoked or could no longer be confirmed.

Change: the check is a decision of its own (gateway::authorization) and is repeated before each send, on the configuration in force at that moment. Resumed streams keep their authorization.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,6 +12,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::Xxh3;
 
+use super::authorization::CallerKey;
 use super::clock::boot_time;
 use super::headers::{HeaderNames, connection_header_names, header_text};
 use super::placement::PlacementRequest;
@@ -23,7 +24,7 @@
 use crate::request::quarantine::SuspectKey;
 
 /// When to retry at a router that has no configuration yet or can't confirm the one it has.
-const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(300);
+pub(crate) const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(300);
 /// When to retry after all replicas refused or failed; about the time that loading weights takes.
 pub(crate) const RETRY_AFTER_BUSY: Duration = Duration::from_millis(250);
 /// When a caller that connects to a router that shuts down may retry: at once, at another router.
@@ -44,6 +45,8 @@
     pub(crate) service: ServiceName,
     /// The account that the caller's key belongs to.
     pub(crate) account: Option<GatewayAccount>,
+    /// The key, if the route needed one.
+    pub(crate) key: Option<CallerKey>,
     /// The prompt, if the request has one.
     pub(crate) prompt: Option<Prompt>,
     /// The keys of the shared parts of the prompt.
@@ -94,18 +97,9 @@
         let route = table
             .find(host, head.uri.path())
             .ok_or_else(|| deny(StatusCode::NOT_FOUND, "no such route"))?;
-        let mut account = None;
-        if table.needs_key(route) {
-            let key = header_text(&head.headers, &header_names.caller_key).unwrap_or_default();
-            let holder = table
-                .account_for_key(key)
-                .ok_or_else(|| deny(StatusCode::UNAUTHORIZED, "unknown key"))?;
-            if !freshness.allows_keys {
-                let reason = "keys can't be confirmed";
-                return Err(LocalReply::not_run(reason, RETRY_AFTER_NOT_READY));
-            }
-            account = Some(holder.clone());
-        }
+        let key = header_text(&head.headers, &header_names.caller_key).unwrap_or_default();
+        let key = CallerKey::new(key);
+        let account = key.authorize(route, table, &freshness)?.cloned();
         let bad = |reason| LocalReply::denied(StatusCode::BAD_REQUEST, reason);
         let id = head.headers.get(&header_names.request_id).cloned();
         let id = id.ok_or_else(|| bad("the request id is missing"))?;
@@ -143,6 +137,7 @@
             method: head.method,
             uri: path_only(&head.uri),
             headers: forwarded_headers(header_names, &head.headers, account.as_ref()),
+            key: account.is_some().then_some(key),
             account,
             body: Bytes::new(),
             request_key: OnceLock::new(),
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -196,6 +196,7 @@
                 }
                 Err(AttemptError::NoReplica(reason)) => break Err(self.no_replica_reply(reason)),
                 Err(AttemptError::Refused(refusal)) => break Err(self.refusal_reply(refusal)),
+                Err(AttemptError::Unauthorized(reply)) => break Err(self.unauthorized_reply(reply)),
             }
         };
         if let Some(response) = held.next_response(&call).await {
@@ -397,6 +398,13 @@
         LocalReply::not_run(refusal.reason(), refusal.time)
     }
 
+    fn unauthorized_reply(&self, reply: LocalReply) -> LocalReply {
+        if self.retry_state.runs > 0 {
+            return LocalReply::bad_gateway(reply.reason);
+        }
+        reply
+    }
+
     fn no_replica_reply(&self, reason: NoReplica) -> LocalReply {
         if self.retry_state.runs > 0 {
             return LocalReply::bad_gateway("the replica's answer was lost");
@@ -437,6 +445,9 @@
         let now = boot_time();
         // The configuration may have changed while the connection was opened.
         let snapshot = self.shared.snapshot.load_full();
+        if last_event.is_none() {
+            self.check_key(&snapshot, now)?;
+        }
         let request = self.request_to(&snapshot, &replica, last_event, now);
         if self.sends == 0 {
             self.shared
@@ -492,6 +503,17 @@
         refusal.map_or(Ok(()), |refusal| Err(AttemptError::Refused(refusal)))
     }
 
+    /// Returns an error if the key of the request was revoked, or can't be confirmed any more.
+    fn check_key(&self, snapshot: &Snapshot, now: Duration) -> Result<(), AttemptError> {
+        let (Some(key), Some(table)) = (&self.call.key, &snapshot.table) else {
+            return Ok(());
+        };
+        let freshness = self.shared.freshness(now);
+        let authorized = key.authorize(&self.call.route, table, &freshness);
+        authorized.map_err(AttemptError::Unauthorized)?;
+        Ok(())
+    }
+
     fn place(
         &self,
         snapshot: &Snapshot,
@@ -687,6 +709,8 @@
     Failed(Box<FailedAttempt>),
     /// Requests like this one are refused.
     Refused(Refusal),
+    /// The key of the request is no longer valid.
+    Unauthorized(LocalReply),
     NoReplica(NoReplica),
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 
 mod attempt;
 mod attempt_watch;
+mod authorization;
 mod backpressure;
 mod cache_isolation;
 mod call;
