Count events, not bytes, as progress of a resumable stream

Cause: any byte of a replica restarted the silence of a stream and marked the replica as responsive. A replica that was stuck and sent a byte or a comment now and then kept its stream until the deadline, where it was cut off. A caller that read slowly enough kept the connection to the replica without end.

Change: the decision (gateway::stream_progress) counts complete events with a field. A held stream goes on with an event only.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -58,6 +58,7 @@
 mod shared;
 mod source;
 mod store;
+mod stream_progress;
 mod updates;
 mod upstream;
 mod weights;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,13 +1,15 @@
 //! Relays a streaming response to its caller and resumes it at another replica if that is allowed.
 //!
 //! A resumable stream is forwarded in complete events, so that it can be resumed after the last one. Other responses
-//! are forwarded as they arrive. A silent stream is held until another replica has taken it ([`super::attempt`]). If the
-//! caller disconnects, the connection to the replica is closed at once, which makes the replica stop generating.
+//! are forwarded as they arrive. A silent stream ([`super::stream_progress`]) is held until another replica has taken it
+//! ([`super::attempt`]). If the caller disconnects, the connection to the replica is closed at once, which makes the
+//! replica stop generating.
 
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::sync::mpsc;
 
 use super::clock::boot_time;
@@ -17,15 +19,10 @@
 use super::open_requests::OpenRequestNumber;
 use super::request_end::ClosedBy;
 use super::response::Chunk;
+use super::stream_progress::{Lack, SILENCE_LIMIT, StreamProgress, has_fields};
 
 /// The number of chunks buffered for a slow caller; beyond that, the replica's connection is not read.
 pub(crate) const RELAY_BUFFER_LEN: usize = 16;
-/// How long after the deadline a replica may take to end its response itself.
-const DEADLINE_SLACK: Duration = Duration::from_millis(200);
-/// How long a resumable stream may be silent before another replica may resume it.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
-/// How often a stream that is silent for longer is checked again.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// How long two replicas may work on a stream, from the head of the second one on.
 const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(250);
 
@@ -51,8 +48,8 @@
         next: Box<ReplicaStream>,
         is_held_broken: bool,
     },
-    /// The stream that was held goes on.
-    HeldWentOn,
+    /// The stream that was held goes on with these events, or ends.
+    HeldWentOn(Bytes),
     /// No replica resumed the stream.
     Failed,
     /// The caller has disconnected.
@@ -104,7 +101,7 @@
         if !may_resume {
             break end;
         }
-        let held = is_held.then_some(&forwarding);
+        let held = is_held.then_some(&mut forwarding);
         let resumption = resume(
             &mut dispatch,
             &mut stream,
@@ -130,7 +127,12 @@
                 }
                 stream = next;
             }
-            Resumption::HeldWentOn => dispatch.held_went_on(),
+            Resumption::HeldWentOn(events) => {
+                dispatch.held_went_on();
+                stream.guard.record_response();
+                stream.watch.record_events(forwarding.events());
+                stream.received = events;
+            }
             Resumption::Failed if is_held => dispatch.held_went_on(),
             Resumption::Failed => break end,
             Resumption::CallerLeft => break RelayEnd::CallerLeft,
@@ -155,32 +157,29 @@
 
 /// Resumes a stream after `last_event` at another replica.
 ///
-/// If `held` is set, `stream`, which was forwarded so far as it says, may still go on, and does so unless another replica
-/// begins before. A head is no beginning: the replica may fail or fall silent after it.
+/// If `held` is set, `stream`, which was forwarded so far as it says, may still go on with an event, and does so unless
+/// another replica begins before. A head is no beginning: the replica may fail or fall silent after it.
 async fn resume(
     dispatch: &mut Dispatch,
     stream: &mut ReplicaStream,
-    held: Option<&Forwarding>,
+    mut held: Option<&mut Forwarding>,
     last_event: Option<&str>,
     chunks: &mpsc::Sender<Chunk>,
 ) -> Resumption {
     let id = dispatch.call.id.clone();
     let id = id.to_str().unwrap_or("?");
-    let framing = stream.framing;
-    let mut is_held = held.is_some();
+    let was_held = held.is_some();
+    let mut is_held = was_held;
     let mut resuming = pin!(begin_resumption(dispatch, last_event, is_held));
     let resumed = loop {
         tokio::select! {
             biased;
-            peek = stream.peek(), if is_held => {
-                let is_whole = held.is_some_and(|forwarding| {
-                    framing != BodyFraming::Connection && forwarding.is_complete(framing)
-                });
-                if peek == Peek::Data || (peek == Peek::End && is_whole) {
-                    return Resumption::HeldWentOn;
-                }
-                is_held = false;
-            }
+            part = next_part(stream, held.as_deref_mut()), if is_held => match part {
+                Part::Progress(events) => return Resumption::HeldWentOn(events),
+                Part::End => return Resumption::HeldWentOn(Bytes::new()),
+                Part::Incomplete => {}
+                Part::Broken => is_held = false,
+            },
             resumed = &mut resuming => break resumed,
             () = chunks.closed() => return Resumption::CallerLeft,
         }
@@ -200,7 +199,7 @@
             );
             Resumption::Resumed {
                 next,
-                is_held_broken: held.is_some() && !is_held,
+                is_held_broken: was_held && !is_held,
             }
         }
         Err(reason) => {
@@ -212,6 +211,40 @@
     }
 }
 
+/// What a stream that is held has sent.
+enum Part {
+    /// Events to forward.
+    Progress(Bytes),
+    /// Only comments or a part of an event.
+    Incomplete,
+    /// The end of the response, which the stream has still to return.
+    End,
+    Broken,
+}
+
+async fn next_part(stream: &mut ReplicaStream, held: Option<&mut Forwarding>) -> Part {
+    let Some(forwarding) = held else {
+        return std::future::pending().await;
+    };
+    match stream.peek().await {
+        Peek::Data => {}
+        Peek::End => {
+            let framing = stream.framing;
+            let is_whole = framing != BodyFraming::Connection && forwarding.is_complete(framing);
+            return if is_whole { Part::End } else { Part::Broken };
+        }
+        Peek::Broken => return Part::Broken,
+    }
+    let Some(Ok(frame)) = stream.frame().await else {
+        return Part::Broken;
+    };
+    match forwarding.push(frame.into_data().unwrap_or_default()) {
+        Ok(events) if has_fields(&events) => Part::Progress(events),
+        Ok(_) => Part::Incomplete,
+        Err(_) => Part::Broken,
+    }
+}
+
 /// A stream of another replica that resumes one.
 struct Beginning {
     next: Box<ReplicaStream>,
@@ -262,31 +295,24 @@
 ) -> RelayEnd {
     let is_resumable = matches!(forwarding, Forwarding::CompleteEvents(_));
     let replica = Arc::clone(&stream.replica);
-    // Only responses that are forwarded as they arrive have been received in part.
+    // Bytes to forward as they are: of a response that is not resumable, or complete events of one that was held.
     let received = std::mem::take(&mut stream.received);
     if !received.is_empty() && chunks.send(Chunk::Data(received)).await.is_err() {
         return RelayEnd::CallerLeft;
     }
-    let mut silent_since = boot_time();
-    let mut limit = SILENCE_LIMIT;
+    let deadline = dispatch.call.deadline;
+    let mut progress = StreamProgress::new(deadline, is_resumable, boot_time());
     loop {
-        let time_left = (dispatch.call.deadline + DEADLINE_SLACK).saturating_sub(boot_time());
-        let wait = if is_resumable {
-            time_left.min(limit)
-        } else {
-            time_left
-        };
+        let now = boot_time();
+        if progress.time_for_caller(now).is_zero() {
+            return RelayEnd::Late;
+        }
         let frame = tokio::select! {
-            frame = tokio::time::timeout(wait, stream.frame()) => frame,
+            frame = tokio::time::timeout(progress.wait(now), stream.frame()) => frame,
             () = chunks.closed() => return RelayEnd::CallerLeft,
         };
         let bytes = match frame {
-            Ok(Some(Ok(frame))) => {
-                stream.guard.record_response();
-                silent_since = boot_time();
-                limit = SILENCE_LIMIT;
-                frame.into_data().unwrap_or_default()
-            }
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Ok(None) => {
                 if !forwarding.is_complete(stream.framing) {
                     dispatch.shared.record_outcome(&replica, 1, boot_time());
@@ -299,21 +325,30 @@
                 dispatch.shared.record_outcome(&replica, 1, boot_time());
                 return RelayEnd::Broken;
             }
-            Err(_) if wait == time_left => return RelayEnd::Late,
-            Err(_) if dispatch.try_hold(&replica, silent_since, SILENCE_LIMIT) => {
-                return RelayEnd::Silent;
-            }
-            Err(_) => {
-                limit = SILENCE_CHECK_INTERVAL;
-                continue;
-            }
+            Err(_) => match progress.lack(boot_time()) {
+                Lack::Late => return RelayEnd::Late,
+                Lack::Silent(since) if dispatch.try_hold(&replica, since, SILENCE_LIMIT) => {
+                    return RelayEnd::Silent;
+                }
+                Lack::Silent(_) | Lack::None => continue,
+            },
         };
         let Ok(bytes) = forwarding.push(bytes) else {
             return RelayEnd::Broken;
         };
         stream.watch.record_events(forwarding.events());
-        if !bytes.is_empty() && chunks.send(Chunk::Data(bytes)).await.is_err() {
-            return RelayEnd::CallerLeft;
+        let now = boot_time();
+        if progress.record(&bytes, now) {
+            stream.guard.record_response();
+        }
+        if bytes.is_empty() {
+            continue;
+        }
+        let sending = chunks.send(Chunk::Data(bytes));
+        match tokio::time::timeout(progress.time_for_caller(now), sending).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return RelayEnd::CallerLeft,
+            Err(_) => return RelayEnd::Late,
         }
     }
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -28,6 +28,7 @@
 mod settings;
 mod silence;
 mod source;
+mod stream_progress;
 mod weights;
 
 use std::sync::Arc;
