Check the lease again immediately before an order is sent

Cause: an order was sent by a task of its own, which asked neither when it began nor when the connection to the replica was open whether the lease still held. A process that was paused in between sent it under a lease that another router may have held; replicas that don't check fencing numbers would have taken it.

Change: OrderCall carries the boot time until which it may be sent. An order that is not sent counts as unanswered (crocuswharf_gateway_expired_orders_total).

Tests: send_if_permitted_checks_the_lease_again and orders_allowed_until_leaves_time_for_an_order did not compile before, since there was no limit, and pass now; held_orders (1) passes.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -41,6 +41,8 @@
 mod updates;
 
 pub(crate) use self::orders::lease_timing;
+#[cfg(test)]
+pub(crate) use self::orders::send_if_permitted;
 pub use self::orders::{OrderCall, ReplicaCall, ReplicaCalls, ReportCall};
 
 use self::contain::{contain, restart_after_panic};
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -41,6 +41,17 @@
     pub holder: RouterId,
     /// The timeout of the call.
     pub timeout: Duration,
+    /// The boot time after which the order must not be sent, since another router may hold the lease.
+    pub(crate) send_until: Duration,
+}
+
+impl OrderCall {
+    /// Returns whether the order may still be sent. An adapter asks immediately before it sends, since the process may
+    /// have been paused after the order was decided.
+    #[must_use]
+    pub fn may_be_sent(&self) -> bool {
+        boot_time() <= self.send_until
+    }
 }
 
 /// A request for a replica's report.
@@ -336,11 +347,26 @@
             fencing_number,
             holder: Arc::clone(self.peers.own()),
             timeout: ORDER_TIMEOUT,
+            send_until: self.lease.orders_allowed_until().unwrap_or_default(),
         };
         let (replicas, events) = (Arc::clone(&self.replicas), self.events.clone());
         tokio::spawn(async move {
-            let reply = (replicas.order)(call).await;
+            let reply = send_if_permitted(&replicas, call).await;
             enqueue(&events, Event::OrderEnded(target, reply, fencing_number));
         });
     }
 }
+
+/// Sends an order unless its lease has expired meanwhile.
+pub(crate) async fn send_if_permitted(replicas: &ReplicaCalls, call: OrderCall) -> OrderReply {
+    if !call.may_be_sent() {
+        metrics::counter!("crocuswharf_gateway_expired_orders_total").increment(1);
+        log::warn!(
+            "rollout: An order was not sent because the lease has expired. replica={} fencing_number={}",
+            call.target.replica,
+            call.fencing_number
+        );
+        return OrderReply::Unanswered;
+    }
+    (replicas.order)(call).await
+}
--- a/src/gateway/tests/lease.rs
+++ b/src/gateway/tests/lease.rs
@@ -1,13 +1,17 @@
 //! Tests of taking over the lease for orders from a holder that stopped renewing it.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use yare::parameterized;
 
 use super::ms;
-use crate::gateway::control::lease_timing;
+use crate::gateway::clock::boot_time;
+use crate::gateway::control::{OrderCall, ReplicaCalls, lease_timing, send_if_permitted};
 use crate::gateway::revision::store_revision;
 use crate::gateway::settings::GatewayBounds;
+use crate::gateway::weights::{LoadTarget, OrderReply};
 use crate::rollout::{Lease, LeaseAction, LeaseEvent, LeaseRecord};
 use crate::store::{PutCondition, PutOutcome};
 
@@ -169,6 +173,54 @@
     );
 }
 
+/// An order that was decided before a pause of the process was sent after it, under a lease that another router held.
+#[parameterized(
+    in_time = { 1_000, 1 },
+    after_the_lease = { 0, 0 },
+)]
+#[test_macro(tokio::test)]
+async fn send_if_permitted_checks_the_lease_again(time_left_ms: u64, expected_sends: u32) {
+    let sends = Arc::new(AtomicU32::new(0));
+    let counter = Arc::clone(&sends);
+    let replicas = ReplicaCalls {
+        order: Box::new(move |_| {
+            counter.fetch_add(1, Ordering::Relaxed);
+            Box::pin(async { OrderReply::Accepted })
+        }),
+        report: Box::new(|_| Box::pin(async { None })),
+    };
+    let target = LoadTarget {
+        replica: "r1".into(),
+        born_ms: 1,
+        address: ([127, 0, 0, 1], 9).into(),
+        model: "m".into(),
+        version: 2,
+    };
+    let call = OrderCall {
+        target,
+        accepted_orders: 0,
+        fencing_number: 1,
+        holder: "first".into(),
+        timeout: ms(400),
+        send_until: boot_time() - ms(1) + ms(time_left_ms),
+    };
+    let reply = send_if_permitted(&replicas, call).await;
+    assert_eq!(sends.load(Ordering::Relaxed), expected_sends);
+    assert_eq!(reply == OrderReply::Accepted, expected_sends == 1);
+}
+
+/// A holder stops sending orders early enough for the last one to end within its lease.
+#[test]
+fn orders_allowed_until_leaves_time_for_an_order() {
+    let timing = lease_timing(&GatewayBounds::default());
+    let mut object = LeaseObject::default();
+    let mut lease = Lease::with_timing("first".into(), 1, timing);
+    assert_eq!(lease.orders_allowed_until(), None);
+    object.advance(&mut lease, 0, ms(0));
+    let until = lease.orders_allowed_until();
+    assert_eq!(until, Some(timing.duration - timing.order_timeout));
+}
+
 /// Replays a rolling restart while weights are named: the holder is stopped, and the next one must not wait for its lease
 /// to expire. Replicas that don't check fencing numbers still get no orders of two holders within one lease duration.
 #[test]
--- a/src/rollout/lease.rs
+++ b/src/rollout/lease.rs
@@ -163,6 +163,13 @@
         (has_time && now >= held.orders_allowed_at).then_some(held.version)
     }
 
+    /// Returns the time after which no order may be sent under the lease that is held now.
+    #[must_use]
+    pub(crate) fn orders_allowed_until(&self) -> Option<Duration> {
+        let held = self.held?;
+        Some(held.valid_until.saturating_sub(self.timing.order_timeout))
+    }
+
     /// Returns whether this router holds the lease at `now`.
     #[must_use]
     pub fn is_held(&self, now: Duration) -> bool {
