Accept what waits and close the listener before the exit

Cause: a router that stopped accepted connections until it exited, and the exit reset those that had just been accepted, with their requests. Connections that waited for a permit were reset in the same way.

Change: when the connections begin to close, the router takes those that wait to be accepted, closes the listener, and waits for them like for the others. Later callers are refused a connection and know that nothing was sent.

Tests: shutdown_log_is_not_read_ends_within_grace asserts that connections are refused for at least 100 ms before the exit.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -19,7 +19,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio_util::task::TaskTracker;
 
 use super::call::{Call, RETRY_AFTER_LEAVING};
@@ -82,13 +82,18 @@
     let descriptors = f64::from(shared.settings.vm.descriptors);
     let max_connections = (descriptors * CALLER_DESCRIPTORS_FRACTION) as usize;
     let permits = Arc::new(Semaphore::new(max_connections.max(1)));
-    runtime.spawn(accept(
-        listener,
-        shared,
-        permits,
-        callers.connections,
-        callers.closing,
-    ));
+    let connections = callers.connections;
+    // Tracked, so that the process does not exit before the connections that have arrived are served.
+    connections.spawn_on(
+        accept(
+            listener,
+            shared,
+            permits,
+            connections.clone(),
+            callers.closing,
+        ),
+        runtime,
+    );
     Ok(())
 }
 
@@ -99,12 +104,15 @@
     connections: TaskTracker,
     closing: watch::Receiver<bool>,
 ) {
+    let mut is_closing = closing.clone();
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
+        let accepted = tokio::select! {
+            biased;
+            () = wait_for_closing(&mut is_closing) => break,
+            accepted = accept_permitted(&listener, &permits) => accepted,
         };
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (permit, stream) = match accepted {
+            Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!("front: Failed to accept a connection. error={error}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -117,6 +125,39 @@
             serve_connection(stream, shared, closing).await;
         });
     }
+    // The kernel has accepted connections that would be reset with their requests at the exit.
+    for stream in accept_rest(listener) {
+        let (shared, closing) = (Arc::clone(&shared), closing.clone());
+        connections.spawn(serve_connection(stream, shared, closing));
+    }
+}
+
+async fn accept_permitted(
+    listener: &tokio::net::TcpListener,
+    permits: &Arc<Semaphore>,
+) -> std::io::Result<(OwnedSemaphorePermit, TcpStream)> {
+    let permit = Arc::clone(permits).acquire_owned().await;
+    let permit = permit.map_err(std::io::Error::other)?;
+    Ok((permit, listener.accept().await?.0))
+}
+
+/// Takes the connections that wait to be accepted, and closes the listener, so that later callers learn at once that
+/// nothing of their requests was sent.
+fn accept_rest(listener: tokio::net::TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    // The listener does not block, so the last call fails.
+    if let Ok(listener) = listener.into_std() {
+        while let Ok((stream, _)) = listener.accept() {
+            streams.push(stream);
+        }
+    }
+    let streams = streams.into_iter();
+    streams
+        .filter_map(|stream| {
+            stream.set_nonblocking(true).ok()?;
+            TcpStream::from_std(stream).ok()
+        })
+        .collect()
 }
 
 async fn serve_connection(
