--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -568,12 +568,12 @@
                     let record = &replica.known.record;
                     let own = replica.load.sample(now);
                     let others = others.get(&replica.key).copied().unwrap_or_default();
-                    let prefill_tokens = own.prefill_tokens + others.prefill_tokens;
+                    let prefill_tokens = own.prefill_tokens.saturating_add(others.prefill_tokens);
                     let status = status(replica, prefill_tokens);
                     Candidate {
                         id: &record.id,
                         is_same_zone: record.zone == *zone,
-                        in_flight: own.in_flight + others.in_flight,
+                        in_flight: own.in_flight.saturating_add(others.in_flight),
                         prefill_tokens,
                         is_refusing: own.is_refusing || others.is_refusing,
                         slots: record.slots,
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -93,6 +93,13 @@
         &[],
         "Connections that the gateway opened to replicas.",
     ),
+    metric(
+        "crocuswharf_gateway_control_panics_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["step"],
+        "Steps of the control thread and its tasks that ended with a panic.",
+    ),
     metric(
         "crocuswharf_gateway_crossed_requests_total",
         MetricKind::Counter,
@@ -100,6 +107,13 @@
         &[],
         "Connections on which bytes of a request arrived after the gateway had closed them.",
     ),
+    metric(
+        "crocuswharf_gateway_expired_orders_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &[],
+        "Orders that were not sent because the lease had expired meanwhile.",
+    ),
     metric(
         "crocuswharf_gateway_observations_dropped_total",
         MetricKind::Counter,
