Play slow readers and replicas of unequal speed in the soak

The overlay Uneven lets each replica take 0.6 to 1.6 times the interval between two events, and callers read a fifth of the responses with a pause of 60 ms before each part. It is part of the default run of crocuswharf-soak.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -17,6 +17,10 @@
 pub(crate) const CRASH_BODY: &str = "a body that crashes replicas";
 /// The time after which a caller replaces its client, and so opens new connections.
 const CLIENT_LIFETIME: Duration = Duration::from_secs(3);
+/// The share of requests whose responses are read slowly, if there are slow readers.
+const SLOW_READER_SHARE: f64 = 0.2;
+/// The pause of a slow reader before each part of a response.
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(60);
 
 /// The kind of a request, which decides its route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -127,6 +131,8 @@
     pub(crate) sent: Mutex<Vec<SentRequest>>,
     /// Whether the callers must send no further requests.
     pub(crate) is_stopped: AtomicBool,
+    /// Whether some callers read slowly.
+    pub(crate) has_slow_readers: AtomicBool,
     next_id: AtomicU64,
 }
 
@@ -228,8 +234,11 @@
     } else {
         caller_post(client, address, kind.route(), &id, &key_text)
     };
+    let is_slow =
+        shared.has_slow_readers.load(Ordering::Relaxed) && rng.random_bool(SLOW_READER_SHARE);
+    let pause = is_slow.then_some(SLOW_READ_PAUSE);
     let at = Instant::now();
-    let outcome = receive_outcome(request.body(request_body(kind, &id))).await;
+    let outcome = receive_outcome(request.body(request_body(kind, &id)), pause).await;
     SentRequest {
         id,
         kind,
@@ -249,7 +258,8 @@
     format!("body of {id}")
 }
 
-async fn receive_outcome(request: reqwest::RequestBuilder) -> Outcome {
+/// Sends a request and reads its response, with this pause before each part of its body.
+async fn receive_outcome(request: reqwest::RequestBuilder, pause: Option<Duration>) -> Outcome {
     let mut answer = match request.send().await {
         Ok(answer) => answer,
         Err(error) if error.is_connect() => return Outcome::NoConnection,
@@ -261,6 +271,9 @@
         .is_some_and(|value| value == "close");
     let mut body = Vec::new();
     let is_complete = loop {
+        if let Some(pause) = pause {
+            tokio::time::sleep(pause).await;
+        }
         match answer.chunk().await {
             Ok(Some(chunk)) => body.extend_from_slice(&chunk),
             Ok(None) => break true,
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -17,7 +17,7 @@
 use crate::checker::{Finding, KeyRecord, Records, RouterOutage, Served, check_records, finding};
 use crate::configuration::Changes;
 use crate::loss::{AvailabilityChange, Member, Silence};
-use crate::plan::{Fault, FaultPlan, Overlay, Size};
+use crate::plan::{Fault, FaultPlan, Overlay, Size, slowness};
 use crate::proxy::{Link, Proxy};
 use crate::unanswered::EndsByChange;
 
@@ -136,6 +136,14 @@
     } else {
         CALLERS_PER_ROUTER
     };
+    if size.overlays.contains(&Overlay::Uneven) {
+        let slowness = slowness(seed, cluster.replicas.len());
+        for ((replica, _), slowness) in cluster.replicas.iter().zip(slowness) {
+            replica.set_event_interval(EVENT_INTERVAL_AT_SILENCES.mul_f64(slowness));
+        }
+        let is_slow = &cluster.callers.has_slow_readers;
+        is_slow.store(true, Ordering::Relaxed);
+    }
     for number in 0..size.routers * callers_per_router {
         let caller_seed = seed.wrapping_mul(1_000).wrapping_add(number as u64);
         callers.spawn(run_caller(Arc::clone(&cluster.callers), caller_seed));
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -3,7 +3,8 @@
 //! A test cluster consists of a fake store, fake replicas, proxies on the links to them, real router processes and
 //! callers. A fault plan, generated from a seed, injects faults from outside: signals pause, kill and restart routers,
 //! links stop passing bytes, the store and the replicas misbehave, keys are revoked and new weights are published.
-//! Overlays add series of faults that overlap these: silent replicas and changes of all fields of the configuration.
+//! Overlays add series of faults that overlap these: silent replicas, changes of all fields of the
+//! configuration, replicas of unequal speed and callers that read slowly.
 //! Callers and replicas record what they observe, and a checker compares the two sides afterwards. DEVELOPERS.md explains
 //! how to run it.
 //!
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -60,11 +60,17 @@
         overlays: match (args.base_only, args.crashing_request) {
             (true, false) => &[],
             (true, true) => &[Overlay::CrashingRequest],
-            (false, false) => &[Overlay::Silence, Overlay::Configuration, Overlay::Fields],
+            (false, false) => &[
+                Overlay::Silence,
+                Overlay::Configuration,
+                Overlay::Fields,
+                Overlay::Uneven,
+            ],
             (false, true) => &[
                 Overlay::Silence,
                 Overlay::Configuration,
                 Overlay::Fields,
+                Overlay::Uneven,
                 Overlay::CrashingRequest,
             ],
         },
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -42,6 +42,8 @@
     CrashingRequest,
     /// The operator also changes the fields of the configuration that [`Self::Configuration`] leaves as they are.
     Fields,
+    /// Replicas differ in speed, and some callers read slowly. It adds no faults to the plan.
+    Uneven,
 }
 
 /// One injected fault. Routers and replicas are given by index; the replicas of the service without a model come first.
@@ -114,7 +116,7 @@
             match overlay {
                 Overlay::Silence => add_silences(&mut rng, size, &mut faults),
                 Overlay::Configuration => add_changes(&mut rng, size, &mut faults),
-                Overlay::CrashingRequest => {}
+                Overlay::CrashingRequest | Overlay::Uneven => {}
                 Overlay::Fields => add_field_changes(&mut rng, size, &mut faults),
             }
         }
@@ -124,6 +126,13 @@
     }
 }
 
+/// Returns by how much longer than the others each of these replicas takes between two events, from 0.6 to 1.6 times.
+pub(crate) fn slowness(seed: u64, replicas: usize) -> Vec<f64> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(1 + Overlay::Uneven as u64);
+    (0..replicas).map(|_| rng.random_range(0.6..1.6)).collect()
+}
+
 fn random_fault(rng: &mut impl Rng, size: Size) -> Fault {
     let router = rng.random_range(0..size.routers);
     let replica = rng.random_range(0..size.app_replicas + size.model_replicas);
