--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -202,6 +202,7 @@
                 Err(AttemptError::NoReplica(reason)) => break Err(self.no_replica_reply(reason)),
                 Err(AttemptError::Refused(refusal)) => break Err(self.refusal_reply(refusal)),
                 Err(AttemptError::OverQuota(time)) => break Err(self.over_quota_reply(time)),
+                Err(AttemptError::Unauthorized(reply)) => break Err(self.unauthorized_reply(reply)),
             }
         };
         if let Some(response) = held.next_response(&call).await {
@@ -419,6 +420,13 @@
         LocalReply::over_quota(retry_after)
     }
 
+    fn unauthorized_reply(&self, reply: LocalReply) -> LocalReply {
+        if self.retry_state.runs > 0 {
+            return LocalReply::bad_gateway(reply.reason);
+        }
+        reply
+    }
+
     fn no_replica_reply(&self, reason: NoReplica) -> LocalReply {
         if self.retry_state.runs > 0 {
             return LocalReply::bad_gateway("the replica's answer was lost");
@@ -461,11 +469,14 @@
         // The grant may have expired since.
         self.acquire_quota().await?;
         let now = boot_time();
+        // The configuration may have changed while the connection was opened.
+        let snapshot = self.shared.snapshot.load_full();
+        if last_event.is_none() {
+            self.check_key(&snapshot, now)?;
+        }
         if let Some(quota) = &mut self.quota {
             quota.spend(now);
         }
-        // The configuration may have changed while the connection was opened.
-        let snapshot = self.shared.snapshot.load_full();
         let request = self.request_to(&snapshot, &replica, last_event, now);
         if self.sends == 0 {
             self.shared
@@ -531,6 +542,17 @@
         refusal.map_or(Ok(()), |refusal| Err(AttemptError::Refused(refusal)))
     }
 
+    /// Returns an error if the key of the request was revoked, or can't be confirmed any more.
+    fn check_key(&self, snapshot: &Snapshot, now: Duration) -> Result<(), AttemptError> {
+        let (Some(key), Some(table)) = (&self.call.key, &snapshot.table) else {
+            return Ok(());
+        };
+        let freshness = self.shared.freshness(now);
+        let authorized = key.authorize(&self.call.route, table, &freshness);
+        authorized.map_err(AttemptError::Unauthorized)?;
+        Ok(())
+    }
+
     fn place(
         &self,
         snapshot: &Snapshot,
@@ -782,6 +804,8 @@
     Refused(Refusal),
     /// The account's quota is used up; the request may be repeated after this time.
     OverQuota(Duration),
+    /// The key of the request is no longer valid.
+    Unauthorized(LocalReply),
     NoReplica(NoReplica),
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 
 mod attempt;
 mod attempt_watch;
+mod authorization;
 mod backpressure;
 mod cache_isolation;
 mod call;
@@ -58,6 +59,7 @@
 mod shared;
 mod source;
 mod store;
+mod stream_progress;
 mod updates;
 mod upstream;
 mod weights;
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 mod caller_activity;
 mod caller_stream;
+mod control_faults;
 mod crash_report;
 mod events;
 mod exchange;
@@ -29,6 +30,7 @@
 mod silence;
 mod source;
 mod speed;
+mod stream_progress;
 mod unreachable;
 mod weights;
 
--- a/src/rollout/lease.rs
+++ b/src/rollout/lease.rs
@@ -163,6 +163,13 @@
         (has_time && now >= held.orders_allowed_at).then_some(held.version)
     }
 
+    /// Returns the time after which no order may be sent under the lease that is held now.
+    #[must_use]
+    pub(crate) fn orders_allowed_until(&self) -> Option<Duration> {
+        let held = self.held?;
+        Some(held.valid_until.saturating_sub(self.timing.order_timeout))
+    }
+
     /// Returns whether this router holds the lease at `now`.
     #[must_use]
     pub fn is_held(&self, now: Duration) -> bool {
@@ -380,12 +387,19 @@
         }
     }
 
+    /// Records that this router holds the lease, unless the store repeated a version or went back: no order may be sent
+    /// with a fencing number that another holder may have used.
     fn set_held(&mut self, version: ObjectVersion, sent_at: Duration, now: Duration) {
-        assert!(
-            version > self.highest_version,
-            "fencing number {version} is not above {}",
-            self.highest_version
-        );
+        if version <= self.highest_version {
+            log::error!(
+                "rollout: The lease is given up, since its version did not rise. version={version} highest={}",
+                self.highest_version
+            );
+            self.held = None;
+            self.observed = None;
+            self.next_call_at = now + self.timing.retry_delay;
+            return;
+        }
         self.highest_version = version;
         // A new holder waits for the previous holder's orders to complete before it sends its own.
         let orders_allowed_at = match self.held {
