Bound what callers' connections hold together by one budget of memory

Cause: each body was collected whole, a rejected one was collected again, a chunk kept its own buffer, unread responses kept up to 16 reads of 64 KiB, and connections without a request kept their places for the whole idle limit. Change: src/gateway/memory decides for each connection whether it gets more memory, and evicts the one that made no progress for the longest time. Bodies are copied into parts of 16 KiB that are charged as they are read; long heads, exchanges with replicas, buffered and relayed responses are charged too. A body announced above the limit is refused unread, and the rest of a rejected request is dropped as it arrives. Idle connections are evicted when descriptors or memory run out. Setting memory.budget_mb, 0.4 of vm.memory_mb by default. ClosedBy has one more value, memory_limit, so that its test counts 11.

--- a/src/entry/connection.rs
+++ b/src/entry/connection.rs
@@ -25,7 +25,8 @@
 
 use super::server::ServerState;
 use crate::gateway::{
-    CallerActivity, CallerLimits, CallerStream, QuietReason, SharedActivity, boot_time,
+    CallerActivity, CallerLimits, CallerStream, MemoryAccount, QuietReason, SharedActivity,
+    boot_time,
 };
 
 /// The minimum time between two checks whether a connection is quiet.
@@ -155,7 +156,10 @@
         let limits = limits(&server, false);
         Self {
             server,
-            activity: SharedActivity::new(CallerActivity::new(boot_time(), limits)),
+            activity: SharedActivity::new(
+                CallerActivity::new(boot_time(), limits),
+                MemoryAccount::unlimited_connection(),
+            ),
             open_requests: AtomicUsize::new(0),
             is_multiplexed: AtomicBool::new(false),
             first_request: CancellationToken::new(),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -6,7 +6,6 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, StatusCode, Uri, request};
 use smallvec::SmallVec;
@@ -14,6 +13,7 @@
 
 use super::clock::boot_time;
 use super::headers::{HeaderNames, connection_header_names, header_text};
+use super::memory::{CallMemory, StoredBody};
 use super::placement::PlacementRequest;
 use super::prompt::Prompt;
 use super::response::LocalReply;
@@ -58,7 +58,9 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     /// The complete body.
-    pub(crate) body: Bytes,
+    pub(crate) body: StoredBody,
+    /// The memory of the caller's connection; `None` until the request may be sent.
+    pub(crate) memory: Option<CallMemory>,
     request_key: OnceLock<SuspectKey>,
 }
 
@@ -144,7 +146,8 @@
             uri: path_only(&head.uri),
             headers: forwarded_headers(header_names, &head.headers, account.as_ref()),
             account,
-            body: Bytes::new(),
+            body: StoredBody::default(),
+            memory: None,
             request_key: OnceLock::new(),
         })
     }
@@ -158,12 +161,13 @@
             let account = self.account.as_ref().map_or("", |account| &account.name);
             let path = self.uri.path_and_query();
             let path = path.map_or("", |path| path.as_str());
+            let body: Vec<_> = self.body.parts().collect();
             hash_request(
                 account,
                 self.method.as_str(),
                 &self.route.name,
                 path,
-                &self.body,
+                &body,
                 self.prompt.as_ref(),
             )
         })
@@ -191,24 +195,33 @@
 
 /// Hashes what makes a request the same one when it comes again.
 ///
-/// The route stands for the host, which may name the port of a router.
+/// The route stands for the host, which may name the port of a router. How `body` is split into parts makes no difference.
 pub(crate) fn hash_request(
     account: &str,
     method: &str,
     route: &str,
     path: &str,
-    body: &[u8],
+    body: &[&[u8]],
     prompt: Option<&Prompt>,
 ) -> SuspectKey {
     let texts = [account, method, route, path].map(str::as_bytes);
     let model = prompt.map(|prompt| prompt.model.as_bytes());
     let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
     let parts = parts.iter().map(|part| part.id.as_bytes());
-    let fields = texts.into_iter().chain([body]).chain(model).chain(parts);
     let mut hasher = Xxh3::new();
-    for field in fields {
-        hasher.update(&(field.len() as u64).to_le_bytes());
-        hasher.update(field);
+    let mut add = |field: &[&[u8]]| {
+        let length: usize = field.iter().map(|part| part.len()).sum();
+        hasher.update(&(length as u64).to_le_bytes());
+        for part in field {
+            hasher.update(part);
+        }
+    };
+    for text in texts {
+        add(&[text]);
+    }
+    add(body);
+    for field in model.into_iter().chain(parts) {
+        add(&[field]);
     }
     hasher.digest()
 }
--- a/src/gateway/caller_activity.rs
+++ b/src/gateway/caller_activity.rs
@@ -24,6 +24,8 @@
     SlowHead,
     /// The caller does not read the response.
     Stalled,
+    /// The connection was evicted, since the memory or the places for callers are used up.
+    Evicted,
 }
 
 /// How a connection is closed.
@@ -119,6 +121,7 @@
         let is_blocked = self.blocked_since.is_some();
         match reason {
             Some(QuietReason::Stalled) => CloseStep::Drop,
+            Some(QuietReason::Evicted) if is_blocked => CloseStep::Drop,
             None if !self.has_carried_request => CloseStep::Wait,
             _ if self.awaits_request() && !is_blocked => CloseStep::Refuse,
             _ => CloseStep::Wait,
--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -23,11 +23,16 @@
 
 use super::caller_activity::CallerActivity;
 use super::clock::boot_time;
+use super::memory::{ConnectionMemory, HolderPhase, MemoryUse, Reservation};
 use super::request_end::ClosedBy;
 use super::shared::Shared;
 
 /// How long a caller's bytes are read after the last response.
 const LINGER_LIMIT: Duration = Duration::from_secs(2);
+/// How long that is done on a connection that was evicted, whose place others wait for.
+const EVICTED_LINGER_LIMIT: Duration = Duration::from_millis(200);
+/// The number of bytes that are read at once. hyper doubles its buffer of 8 KiB when a read fills it; this is just less.
+const READ_LEN: usize = (8 << 10) - 1;
 /// The number of bytes that are dropped at once.
 const DROP_LEN: usize = 16 << 10;
 
@@ -38,6 +43,7 @@
 #[derive(Debug)]
 struct ConnectionState {
     activity: Mutex<CallerActivity>,
+    memory: ConnectionMemory,
     /// Whether the next read is done even if the runtime has reported nothing to read.
     is_read_forced: AtomicBool,
     /// Whether the last such read got bytes.
@@ -68,15 +74,18 @@
 pub(crate) struct CallerStream {
     stream: TcpStream,
     activity: SharedActivity,
+    /// The memory for a head that does not fit into the first read buffer, kept until the next head.
+    head: Option<Reservation>,
     /// Ends the reading after the last response.
     linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl SharedActivity {
-    /// Shares an activity.
-    pub(crate) fn new(activity: CallerActivity) -> Self {
+    /// Shares an activity of a connection with this memory.
+    pub(crate) fn new(activity: CallerActivity, memory: ConnectionMemory) -> Self {
         Self(Arc::new(ConnectionState {
             activity: Mutex::new(activity),
+            memory,
             is_read_forced: AtomicBool::new(false),
             forced_read_got_bytes: AtomicBool::new(false),
             closed_by: AtomicU8::new(0),
@@ -88,6 +97,11 @@
         }))
     }
 
+    /// Returns the memory of the connection.
+    pub(crate) fn memory(&self) -> &ConnectionMemory {
+        &self.0.memory
+    }
+
     /// Returns the activity for a short time.
     pub(crate) fn lock(&self) -> MutexGuard<'_, CallerActivity> {
         self.0
@@ -186,6 +200,7 @@
     /// Records that the head of a request has arrived.
     pub(crate) fn begin(shared: &Arc<Shared>, activity: &SharedActivity) -> Self {
         activity.lock().request_began(boot_time());
+        activity.memory().set_phase(HolderPhase::Receiving);
         activity.0.unhandled_bytes.store(0, Ordering::Relaxed);
         Self {
             shared: Arc::clone(shared),
@@ -208,6 +223,7 @@
     fn drop(&mut self) {
         let limits = self.shared.caller_limits();
         self.activity.lock().request_ended(boot_time(), limits);
+        self.activity.memory().set_phase(HolderPhase::Idle);
     }
 }
 
@@ -217,6 +233,7 @@
         Self {
             stream,
             activity,
+            head: None,
             linger: None,
         }
     }
@@ -262,6 +279,33 @@
         }
     }
 
+    /// Reserves the memory for a long head; returns whether there is any.
+    fn reserve_head(&mut self) -> bool {
+        let unhandled = self.activity.unhandled_bytes();
+        if unhandled == 0 {
+            return true;
+        }
+        if unhandled <= READ_LEN as u64 {
+            self.head = None;
+            return true;
+        }
+        // The buffer doubles.
+        let needed = unhandled.next_power_of_two();
+        let reserved = self.head.as_ref().map_or(0, Reservation::bytes);
+        if needed <= reserved {
+            return true;
+        }
+        let memory = self.activity.memory();
+        let Some(more) = memory.reserve_now(needed - reserved, MemoryUse::Request) else {
+            return false;
+        };
+        match &mut self.head {
+            Some(head) => head.merge(more),
+            None => self.head = Some(more),
+        }
+        true
+    }
+
     fn poll_read_stream(
         &mut self,
         context: &mut Context<'_>,
@@ -284,12 +328,21 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let has_room = buffer.remaining() > 0;
-        let result = ready!(self.poll_read_stream(context, buffer));
-        let length = buffer.filled().len() - before;
+        let room = buffer.remaining().min(READ_LEN);
+        let has_room = room > 0;
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(room));
+        let result = ready!(self.poll_read_stream(context, &mut part));
+        let length = part.filled().len();
+        buffer.advance(length);
         match &result {
-            Ok(()) if length > 0 => self.activity.received(length),
+            Ok(()) if length > 0 => {
+                self.activity.received(length);
+                if !self.reserve_head() {
+                    self.activity.close(ClosedBy::MemoryLimit);
+                    let error = io::Error::other("no memory for the head of a request");
+                    return Poll::Ready(Err(error));
+                }
+            }
             Ok(()) if has_room => self.activity.close(ClosedBy::CallerClosed),
             Ok(()) => {}
             Err(_) => self.activity.close(ClosedBy::CallerReset),
@@ -318,7 +371,11 @@
             let has_begun = &self.activity.0.has_shutdown_begun;
             has_begun.store(true, Ordering::Relaxed);
             ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
-            self.linger = Some(Box::pin(tokio::time::sleep(LINGER_LIMIT)));
+            let limit = match self.activity.memory().is_evicted() {
+                true => EVICTED_LINGER_LIMIT,
+                false => LINGER_LIMIT,
+            };
+            self.linger = Some(Box::pin(tokio::time::sleep(limit)));
         }
         let linger = self.linger.as_mut().expect("it was set above");
         if linger.as_mut().poll(context).is_ready() {
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -334,6 +334,7 @@
         for (_, pool) in self.replica_states.values() {
             pool.close_idle(false);
         }
+        self.shared.memory.record_gauges();
         for versions in self.named.values_mut() {
             let newest = versions.last().copied();
             versions.retain(|entry| Some(*entry) == newest || now < entry.1 + NAMED_TTL);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -621,7 +621,7 @@
                 }
             }
         }
-        let mut request = Request::new(RequestBody::new(call.body.clone()));
+        let mut request = Request::new(call.body.reader());
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = headers;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,6 +21,7 @@
 use super::clock::boot_time;
 use super::forwarding::BodyFraming;
 use super::headers::header_text;
+use super::memory::{CallMemory, Reservation};
 use super::shared::{LoadGuard, Observation, Replica, Shared};
 use super::upstream::{ReplicaConnection, RequestBody, SendFailure};
 
@@ -284,7 +285,7 @@
             });
         }
         let framing = stream.framing;
-        let reading = read_to_end(stream, MAX_BUFFERED_BYTES);
+        let reading = read_to_end(stream, MAX_BUFFERED_BYTES, self.call.memory.as_ref());
         let body = tokio::time::timeout(self.call.remaining(), reading).await;
         let response = match body {
             Ok(BufferedBody::Complete(bytes)) => ReplicaResponse {
@@ -350,7 +351,7 @@
         }
         let reason = format!("refused with {}", head.status.as_u16());
         // The connection can be reused only if the rest of the refusal is read.
-        let reading = read_to_end(stream, MAX_REFUSAL_BYTES);
+        let reading = read_to_end(stream, MAX_REFUSAL_BYTES, None);
         let body = tokio::time::timeout(REFUSAL_READ_LIMIT, reading).await;
         if !matches!(body, Ok(BufferedBody::Complete(_))) {
             log::debug!(
@@ -441,9 +442,17 @@
     Broken,
 }
 
-/// Reads a response to its end, or until it exceeds `limit` bytes: a faulty replica may send bytes without end.
-async fn read_to_end(mut stream: ReplicaStream, limit: usize) -> BufferedBody {
+/// Reads a response to its end, or until it exceeds `limit` bytes: a faulty replica may send bytes without end. A response
+/// for which there is no more of `memory` counts as too long, and is then read only as fast as its caller takes it.
+async fn read_to_end(
+    mut stream: ReplicaStream,
+    limit: usize,
+    memory: Option<&CallMemory>,
+) -> BufferedBody {
     let mut received = BytesMut::new();
+    // Given back when the response is forwarded, which counts it again.
+    let mut reservations: Vec<Reservation> = Vec::new();
+    let mut reserved = 0;
     loop {
         match stream.frame().await {
             Some(Ok(frame)) => {
@@ -461,7 +470,16 @@
                 return BufferedBody::Complete(received.freeze());
             }
         }
-        if received.len() > limit {
+        let mut has_memory = true;
+        if let Some(memory) = memory
+            && received.len() > reserved
+        {
+            let reservation = memory.reserve_response(received.len() - reserved);
+            has_memory = reservation.is_some();
+            reserved = received.len();
+            reservations.extend(reservation);
+        }
+        if received.len() > limit || !has_memory {
             stream.received = received.freeze();
             return BufferedBody::TooLong(Box::new(stream));
         }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -19,7 +19,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio_util::task::TaskTracker;
 
 use super::call::{Call, RETRY_AFTER_LEAVING};
@@ -30,10 +30,14 @@
 use super::exchange::{ReplicaBody, ReplicaResponse};
 use super::forwarding::BodyEnd;
 use super::headers::{connection_header_names, is_hop_by_hop};
+use super::memory::{
+    BodyCollector, CallMemory, ConnectionMemory, HolderPhase, MemoryAccount, MemoryRefused,
+    StoredBody,
+};
 use super::open_requests::{OpenRequest, OpenRequestNumber};
 use super::relay::{RELAY_BUFFER_LEN, relay};
 use super::request_end::{ClosedBy, RequestProgress};
-use super::response::{CallerResponse, LocalReply, NoError, ResponseBody};
+use super::response::{CallerResponse, ChunkSender, HeldBytes, LocalReply, NoError, ResponseBody};
 use super::route::CallerLimits;
 use super::shared::Shared;
 use super::upstream::set_keepalive_options;
@@ -43,6 +47,8 @@
 const CALLER_DESCRIPTORS_FRACTION: f64 = 0.6;
 /// The delay after a failed accept, which is mostly caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// How often connections are evicted while there is no place for another one.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(250);
 /// The minimum size of a connection's buffer, which limits heads for as long as the connection lasts. It leaves room for
 /// a limit that is raised meanwhile.
 const MIN_BUFFER_BYTES: usize = 64 << 10;
@@ -55,6 +61,8 @@
 const REFUSAL_AT_CLOSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// When a caller may retry whose body came too slowly while others needed its memory.
+const RETRY_AFTER_EVICTION: Duration = Duration::from_millis(500);
 /// How long the rest of a request is read after the response is known.
 const DISCARD_LIMIT: Duration = Duration::from_millis(250);
 
@@ -100,9 +108,6 @@
     closing: watch::Receiver<bool>,
 ) {
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
@@ -111,25 +116,44 @@
                 continue;
             }
         };
+        let permit = acquire_place(&permits, &shared.memory).await;
+        let Ok(memory) = shared.memory.open() else {
+            // All connections have requests in progress, and their memory is used up.
+            continue;
+        };
         let (shared, closing) = (Arc::clone(&shared), closing.clone());
         connections.spawn(async move {
             let _permit = permit;
-            serve_connection(stream, shared, closing).await;
+            serve_connection(stream, shared, closing, memory).await;
         });
     }
 }
 
+/// Returns a place for a connection; while there is none, connections without a request are evicted.
+async fn acquire_place(permits: &Arc<Semaphore>, memory: &MemoryAccount) -> OwnedSemaphorePermit {
+    loop {
+        if permits.available_permits() == 0 {
+            memory.evict_some();
+        }
+        let acquiring = Arc::clone(permits).acquire_owned();
+        if let Ok(Ok(permit)) = tokio::time::timeout(EVICTION_INTERVAL, acquiring).await {
+            return permit;
+        }
+    }
+}
+
 async fn serve_connection(
     stream: TcpStream,
     shared: Arc<Shared>,
     mut closing: watch::Receiver<bool>,
+    memory: ConnectionMemory,
 ) {
     if let Err(error) = set_keepalive_options(&stream) {
         log::debug!("front: A connection closed before it was served. error={error}");
         return;
     }
     let limits = shared.caller_limits();
-    let activity = SharedActivity::new(CallerActivity::new(boot_time(), limits));
+    let activity = SharedActivity::new(CallerActivity::new(boot_time(), limits), memory.clone());
     let stream = CallerStream::new(stream, activity.clone());
     let (handling, handling_activity) = (Arc::clone(&shared), activity.clone());
     let service = service_fn(move |request| {
@@ -150,6 +174,7 @@
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     let mut is_stopping = false;
+    let (mut is_dropped, mut is_evicted) = (false, false);
     let reason = loop {
         let reason = tokio::select! {
             // Bytes that have arrived count before a time that has passed.
@@ -157,6 +182,7 @@
             result = &mut connection => return log_end(result, &activity),
             () = wait_for_closing(&mut closing), if !is_closing && !is_stopping => None,
             () = tokio::time::sleep(MIN_CHECK_INTERVAL), if is_stopping => None,
+            () = wait_for_eviction(&memory, &mut is_evicted) => Some(QuietReason::Evicted),
             reason = wait_until_quiet(&activity, &shared) => Some(reason),
         };
         is_stopping |= reason.is_none();
@@ -164,7 +190,10 @@
             return log_end(connection.await, &activity);
         }
         match activity.lock().close(reason) {
-            CloseStep::Drop => break reason,
+            CloseStep::Drop => {
+                is_dropped = true;
+                break reason;
+            }
             CloseStep::Wait => continue,
             CloseStep::Refuse => {}
         }
@@ -187,11 +216,21 @@
             shared.configuration_version()
         );
     }
-    if reason != Some(QuietReason::Stalled) {
+    if !is_dropped {
         refuse_and_close(connection.into_parts().io.into_inner()).await;
     }
 }
 
+/// Waits until a connection has to give its memory up, and again each time that it has to be checked whether it can.
+async fn wait_for_eviction(memory: &ConnectionMemory, is_evicted: &mut bool) {
+    if *is_evicted {
+        tokio::time::sleep(MIN_CHECK_INTERVAL).await;
+        return;
+    }
+    memory.evicted().await;
+    *is_evicted = true;
+}
+
 /// Closes a connection that awaits a request, with a response for one that may be on its way.
 async fn refuse_and_close(stream: CallerStream) {
     if let Err(error) = stream.end_with(REFUSAL_AT_CLOSE).await {
@@ -214,6 +253,7 @@
         QuietReason::Idle => ClosedBy::IdleLimit,
         QuietReason::SlowHead => ClosedBy::HeadLimit,
         QuietReason::Stalled => ClosedBy::StallLimit,
+        QuietReason::Evicted => ClosedBy::MemoryLimit,
     }
 }
 
@@ -321,6 +361,15 @@
         }
     };
     open.progress().body_completed();
+    open.memory().set_phase(HolderPhase::Waiting);
+    match CallMemory::reserve(open.memory()).await {
+        Ok(memory) => call.memory = Some(memory),
+        Err(refused) => {
+            let reply = no_memory(refused);
+            shared.log_local_reply(call.id_text(), &call.route.name, &reply);
+            return Err(reply);
+        }
+    }
     let mut dispatch = Dispatch::new(Arc::clone(shared), call);
     let waiting = WaitingRequest {
         dispatch: &mut dispatch,
@@ -341,7 +390,8 @@
         }
     };
     open.set_responding();
-    Ok(forward_response(dispatch, response, open.number()))
+    let memory = open.memory().clone();
+    Ok(forward_response(dispatch, response, open.number(), memory))
 }
 
 /// Records the replica of the last attempt when the wait for a response ends, also if the caller ends it.
@@ -381,6 +431,15 @@
     line + headers.sum::<usize>() + "\r\n".len()
 }
 
+const BODY_TOO_LARGE: LocalReply = LocalReply::denied(
+    StatusCode::PAYLOAD_TOO_LARGE,
+    "the body is larger than the configuration allows",
+);
+const BODY_UNREADABLE: LocalReply =
+    LocalReply::denied(StatusCode::BAD_REQUEST, "the body could not be read");
+const BODY_LATE: LocalReply =
+    LocalReply::denied(StatusCode::REQUEST_TIMEOUT, "the body took too long");
+
 /// The body of a caller's request.
 struct CallerBody {
     incoming: Incoming,
@@ -403,10 +462,19 @@
             incoming: &mut self.incoming,
             progress: open.progress(),
         };
-        let read_all = Limited::new(recorded, limits.body_bytes).collect();
+        let mut limited = Limited::new(recorded, limits.body_bytes);
+        let read_all = async {
+            loop {
+                match limited.frame().await {
+                    Some(Ok(_)) => {}
+                    Some(Err(_)) => return false,
+                    None => return true,
+                }
+            }
+        };
         match tokio::time::timeout(DISCARD_LIMIT, read_all).await {
-            Ok(Ok(_)) => self.is_complete = true,
-            Ok(Err(_)) | Err(_) => {
+            Ok(true) => self.is_complete = true,
+            Ok(false) | Err(_) => {
                 log::info!(
                     "front: A rejected request was not read to its end. bytes_read={}",
                     open.progress().bytes_read()
@@ -416,39 +484,55 @@
     }
 
     /// Reads the whole body of a request, so that a replica that responds early and reads on afterwards still receives
-    /// all of it.
+    /// all of it, and none has to hold a part of it.
+    ///
+    /// Its memory is reserved as it arrives ([`super::memory`]).
     async fn read(
         &mut self,
         limits: CallerLimits,
         time: Duration,
         open: &mut OpenRequest,
-    ) -> Result<Bytes, LocalReply> {
+    ) -> Result<StoredBody, LocalReply> {
+        let expected = self.incoming.size_hint().lower();
+        if expected > limits.body_bytes as u64 {
+            return Err(BODY_TOO_LARGE);
+        }
+        let memory = open.memory().clone();
+        let mut collector = BodyCollector::new(memory.clone(), expected as usize);
         let recorded = RecordedBody {
             incoming: &mut self.incoming,
             progress: open.progress(),
         };
-        let limited = Limited::new(recorded, limits.body_bytes);
-        match tokio::time::timeout(time, limited.collect()).await {
-            Ok(Ok(body)) => {
-                self.is_complete = true;
-                Ok(body.to_bytes())
+        let mut limited = Limited::new(recorded, limits.body_bytes);
+        let reading = async {
+            while let Some(frame) = limited.frame().await {
+                let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+                    true => BODY_TOO_LARGE,
+                    false => BODY_UNREADABLE,
+                })?;
+                let bytes = frame.into_data().unwrap_or_default();
+                collector.push(&bytes).await.map_err(no_memory)?;
             }
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(LocalReply::denied(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is larger than the configuration allows",
-            )),
-            Ok(Err(_)) => Err(LocalReply::denied(
-                StatusCode::BAD_REQUEST,
-                "the body could not be read",
-            )),
-            Err(_) => Err(LocalReply::denied(
-                StatusCode::REQUEST_TIMEOUT,
-                "the body took too long",
-            )),
-        }
+            Ok(())
+        };
+        let read = tokio::select! {
+            read = tokio::time::timeout(time, reading) => read,
+            () = memory.evicted() => Ok(Err(LocalReply::not_run(
+                "the body is late, and its memory is needed",
+                RETRY_AFTER_EVICTION,
+            ))),
+        };
+        read.unwrap_or(Err(BODY_LATE))?;
+        self.is_complete = true;
+        Ok(collector.finish())
     }
 }
 
+/// Returns the response to a request for which there is no memory.
+const fn no_memory(refused: MemoryRefused) -> LocalReply {
+    LocalReply::not_run("there is no memory for the request", refused.retry_after)
+}
+
 /// Records how much of a body was read.
 struct RecordedBody<'a> {
     incoming: &'a mut Incoming,
@@ -488,6 +572,7 @@
     dispatch: Dispatch,
     response: ReplicaResponse,
     number: OpenRequestNumber,
+    memory: ConnectionMemory,
 ) -> CallerResponse {
     let ReplicaResponse { mut head, body, .. } = response;
     let per_connection = connection_header_names(&head.headers);
@@ -513,10 +598,10 @@
             dispatch
                 .shared
                 .log_completion(&dispatch, status, outcome, body_end);
-            ResponseBody::full(bytes)
+            ResponseBody::held(HeldBytes::counted(bytes, &memory))
         }
         ReplicaBody::Streaming(stream) => {
-            let (chunks, received) = mpsc::channel(RELAY_BUFFER_LEN);
+            let (chunks, received) = ChunkSender::new(RELAY_BUFFER_LEN, memory);
             tokio::spawn(relay(dispatch, stream, chunks, number));
             ResponseBody::stream(received)
         }
--- a/src/gateway/limited_stream.rs
+++ b/src/gateway/limited_stream.rs
@@ -23,6 +23,9 @@
 
 /// The number of bytes that fit into the receive window of a replica that has not read what was sent before.
 const MAX_WINDOW_BYTES: usize = 16 << 10;
+/// The number of bytes that are read at once. hyper doubles its buffer when a read fills it; this is just less than a
+/// buffer, so that one part of a response keeps at most 16 KiB.
+const READ_LEN: usize = (16 << 10) - 1;
 /// How long bytes of a long request may stay unacknowledged.
 const LONG_REQUEST_LIMIT: Duration = Duration::from_secs(4);
 
@@ -101,10 +104,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let length = buffer.remaining().min(READ_LEN);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
+        let length = part.filled().len();
+        buffer.advance(length);
         self.sent = 0;
-        if self.allowance.subtract(buffer.filled().len() - before) {
+        if self.allowance.subtract(length) {
             return Poll::Ready(Ok(()));
         }
         Poll::Ready(Err(io::Error::new(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 mod limited_stream;
 mod list_watch;
 mod loads;
+mod memory;
 mod notice;
 mod open_requests;
 mod peers;
@@ -72,7 +73,9 @@
     CallKind, CallerLimits, EngineTraits, GatewayAccount, GatewayConfiguration, GatewayService,
     KvStoreTraits, ModelName, Route, WeightedService,
 };
-pub use self::settings::{GatewayBounds, GatewayListen, GatewaySettings, StoreAccess, VmSize};
+pub use self::settings::{
+    GatewayBounds, GatewayListen, GatewaySettings, MemorySettings, StoreAccess, VmSize,
+};
 pub use self::store::{
     CallFuture, ConfigurationRead, ListPage, NamedWeights, PlatformStore, StoreCall, StoreFault,
     WatchPage,
@@ -84,6 +87,7 @@
 pub(crate) use self::clock::boot_time;
 use self::control::{ControlParts, Event};
 pub(crate) use self::leaving::{LeavePhase, LeaveSchedule};
+pub(crate) use self::memory::MemoryAccount;
 use self::shared::Shared;
 
 /// The capacity of the queue of observations from traffic threads to the control thread.
--- a/src/gateway/open_requests.rs
+++ b/src/gateway/open_requests.rs
@@ -10,6 +10,7 @@
 
 use super::caller_stream::RequestActivity;
 use super::clock::boot_time;
+use super::memory::{ConnectionMemory, HolderPhase};
 use super::request_end::{ClosedBy, RequestProgress, Surroundings};
 use super::request_log::EndedRequest;
 
@@ -113,6 +114,11 @@
         &mut self.progress
     }
 
+    /// Returns the memory of the connection.
+    pub(crate) fn memory(&self) -> &ConnectionMemory {
+        self.activity.connection().memory()
+    }
+
     /// Returns whether the caller has ended the connection.
     pub(crate) fn is_left(&self) -> bool {
         let closed_by = self.activity.connection().closed_by();
@@ -140,6 +146,7 @@
     /// `is_body_read` tells whether the body of the request is complete.
     pub(crate) fn response_began(&mut self, length_bytes: Option<u64>, is_body_read: bool) {
         let connection = self.activity.connection();
+        connection.memory().set_phase(HolderPhase::Responding);
         if !is_body_read {
             connection.leave_body_unread();
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,15 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
-
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
 use super::exchange::{Peek, ReplicaBody, ReplicaStream};
 use super::forwarding::{BodyEnd, BodyFraming, Forwarding};
 use super::open_requests::OpenRequestNumber;
 use super::request_end::ClosedBy;
-use super::response::Chunk;
+use super::response::ChunkSender;
 
 /// The number of chunks buffered for a slow caller; beyond that, the replica's connection is not read.
 pub(crate) const RELAY_BUFFER_LEN: usize = 16;
@@ -84,7 +82,7 @@
 pub(crate) async fn relay(
     mut dispatch: Dispatch,
     mut stream: Box<ReplicaStream>,
-    chunks: mpsc::Sender<Chunk>,
+    chunks: ChunkSender,
     number: OpenRequestNumber,
 ) {
     let mut forwarding = Forwarding::of_kind(dispatch.call.route.kind);
@@ -148,8 +146,7 @@
     }
     if end == RelayEnd::Complete {
         stream.release();
-        // The caller may have disconnected in the meantime and then needs no end.
-        let _ = chunks.send(Chunk::End).await;
+        chunks.end().await;
     }
 }
 
@@ -162,7 +159,7 @@
     stream: &mut ReplicaStream,
     held: Option<&Forwarding>,
     last_event: Option<&str>,
-    chunks: &mpsc::Sender<Chunk>,
+    chunks: &ChunkSender,
 ) -> Resumption {
     let id = dispatch.call.id.clone();
     let id = id.to_str().unwrap_or("?");
@@ -257,14 +254,14 @@
 async fn relay_stream(
     dispatch: &mut Dispatch,
     stream: &mut ReplicaStream,
-    chunks: &mpsc::Sender<Chunk>,
+    chunks: &ChunkSender,
     forwarding: &mut Forwarding,
 ) -> RelayEnd {
     let is_resumable = matches!(forwarding, Forwarding::CompleteEvents(_));
     let replica = Arc::clone(&stream.replica);
     // Only responses that are forwarded as they arrive have been received in part.
     let received = std::mem::take(&mut stream.received);
-    if !received.is_empty() && chunks.send(Chunk::Data(received)).await.is_err() {
+    if !received.is_empty() && chunks.send(received).await.is_err() {
         return RelayEnd::CallerLeft;
     }
     let mut silent_since = boot_time();
@@ -312,7 +309,7 @@
             return RelayEnd::Broken;
         };
         stream.watch.record_events(forwarding.events());
-        if !bytes.is_empty() && chunks.send(Chunk::Data(bytes)).await.is_err() {
+        if !bytes.is_empty() && chunks.send(bytes).await.is_err() {
             return RelayEnd::CallerLeft;
         }
     }
--- a/src/gateway/request_end.rs
+++ b/src/gateway/request_end.rs
@@ -50,6 +50,8 @@
     Deadline,
     /// The replica broke its response off, and no other one resumed it.
     Replica,
+    /// The gateway, since the memory for callers is used up.
+    MemoryLimit,
     /// The process stops.
     Stop,
     /// The task that served the request panicked or was dropped.
@@ -127,6 +129,7 @@
             Self::StallLimit => "stall_limit",
             Self::Deadline => "deadline",
             Self::Replica => "replica",
+            Self::MemoryLimit => "memory_limit",
             Self::Stop => "stop",
             Self::Task => "task",
         }
@@ -140,7 +143,12 @@
     /// Returns whether the gateway ended a request that its caller and its replica would have gone on with.
     pub(crate) const fn is_gateway(self) -> bool {
         match self {
-            Self::IdleLimit | Self::HeadLimit | Self::StallLimit | Self::Stop | Self::Task => true,
+            Self::IdleLimit
+            | Self::HeadLimit
+            | Self::StallLimit
+            | Self::MemoryLimit
+            | Self::Stop
+            | Self::Task => true,
             Self::CallerClosed
             | Self::CallerReset
             | Self::InvalidRequest
@@ -165,6 +173,7 @@
             Self::StallLimit,
             Self::Deadline,
             Self::Replica,
+            Self::MemoryLimit,
             Self::Stop,
             Self::Task,
         ];
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -206,6 +206,7 @@
     match closed_by {
         ClosedBy::CallerClosed | ClosedBy::CallerReset => "Unanswered, since the caller left.",
         ClosedBy::InvalidRequest => "Unanswered, since its connection became invalid.",
+        ClosedBy::MemoryLimit => "Unanswered, since the memory for callers is used up.",
         ClosedBy::IdleLimit | ClosedBy::HeadLimit | ClosedBy::StallLimit => {
             "Unanswered, since its connection was closed."
         }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -5,15 +5,19 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use http::header::{HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::memory::{ConnectionMemory, MemoryUse, Reservation};
 use super::open_requests::OpenRequest;
 use super::request_end::RequestProgress;
 
+/// The length up to which parts of a response are copied, since each would keep the buffer that it was read into.
+const MAX_COPIED_BYTES: usize = 4 << 10;
+
 /// The error of a response body that ended early; the connection to the caller is closed without the final chunk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct TruncatedBody;
@@ -26,11 +30,104 @@
 
 impl std::error::Error for TruncatedBody {}
 
+/// Bytes of a response, with the memory that is reserved for them until the connection has sent them.
+#[derive(Debug)]
+pub(crate) struct HeldBytes {
+    bytes: Bytes,
+    _reservation: Option<Reservation>,
+}
+
+impl HeldBytes {
+    /// Counts `bytes` towards the memory of a connection, which holds them already.
+    pub(crate) fn counted(bytes: Bytes, memory: &ConnectionMemory) -> Self {
+        let reservation = memory.hold(bytes.len() as u64, MemoryUse::Response);
+        Self {
+            bytes,
+            _reservation: Some(reservation),
+        }
+    }
+}
+
+impl From<Bytes> for HeldBytes {
+    fn from(bytes: Bytes) -> Self {
+        Self {
+            bytes,
+            _reservation: None,
+        }
+    }
+}
+
+impl Buf for HeldBytes {
+    fn remaining(&self) -> usize {
+        self.bytes.remaining()
+    }
+
+    fn chunk(&self) -> &[u8] {
+        self.bytes.chunk()
+    }
+
+    fn advance(&mut self, length: usize) {
+        self.bytes.advance(length);
+    }
+}
+
+/// Sends the parts of a streamed response to its connection.
+#[derive(Debug)]
+pub(crate) struct ChunkSender {
+    sender: mpsc::Sender<Chunk>,
+    memory: ConnectionMemory,
+}
+
+/// The caller has disconnected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CallerLeft;
+
+impl ChunkSender {
+    /// Creates a sender and its receiver, which buffers up to `length` parts.
+    pub(crate) fn new(length: usize, memory: ConnectionMemory) -> (Self, mpsc::Receiver<Chunk>) {
+        let (sender, receiver) = mpsc::channel(length);
+        (Self { sender, memory }, receiver)
+    }
+
+    /// Sends bytes when there is memory for them; until then, the replica is not read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has disconnected.
+    pub(crate) async fn send(&self, mut bytes: Bytes) -> Result<(), CallerLeft> {
+        let length = bytes.len() as u64;
+        let reservation = tokio::select! {
+            reservation = self.memory.reserve_response(length) => reservation,
+            () = self.closed() => return Err(CallerLeft),
+        };
+        if bytes.len() <= MAX_COPIED_BYTES {
+            bytes = Bytes::copy_from_slice(&bytes);
+        }
+        let held = HeldBytes {
+            bytes,
+            _reservation: Some(reservation),
+        };
+        let sent = self.sender.send(Chunk::Data(held)).await;
+        sent.map_err(|_| CallerLeft)
+    }
+
+    /// Sends the end of the body.
+    pub(crate) async fn end(&self) {
+        // The caller may have disconnected in the meantime and then needs no end.
+        let _ = self.sender.send(Chunk::End).await;
+    }
+
+    /// Waits until the caller has disconnected.
+    pub(crate) async fn closed(&self) {
+        self.sender.closed().await;
+    }
+}
+
 /// A part of a response body that is streamed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) enum Chunk {
     /// The next bytes.
-    Data(Bytes),
+    Data(HeldBytes),
     /// The body is complete. A body whose sender is dropped before is truncated.
     End,
 }
@@ -45,15 +142,20 @@
 
 #[derive(Debug)]
 enum Content {
-    Full(Option<Bytes>),
+    Full(Option<HeldBytes>),
     Stream(mpsc::Receiver<Chunk>),
 }
 
 impl ResponseBody {
     /// Creates a complete body.
     pub(crate) fn full(bytes: impl Into<Bytes>) -> Self {
+        Self::held(HeldBytes::from(bytes.into()))
+    }
+
+    /// Creates a complete body whose memory is counted.
+    pub(crate) const fn held(bytes: HeldBytes) -> Self {
         Self {
-            content: Content::Full(Some(bytes.into())),
+            content: Content::Full(Some(bytes)),
             open: None,
         }
     }
@@ -79,13 +181,13 @@
 }
 
 impl Body for ResponseBody {
-    type Data = Bytes;
+    type Data = HeldBytes;
     type Error = TruncatedBody;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
+    ) -> Poll<Option<Result<Frame<HeldBytes>, TruncatedBody>>> {
         let this = self.get_mut();
         let chunk = match &mut this.content {
             Content::Full(bytes) => Some(bytes.take().map_or(Chunk::End, Chunk::Data)),
@@ -93,7 +195,7 @@
         };
         Poll::Ready(match chunk {
             Some(Chunk::Data(bytes)) => {
-                this.record(|progress| progress.sent(bytes.len()));
+                this.record(|progress| progress.sent(bytes.remaining()));
                 Some(Ok(Frame::data(bytes)))
             }
             Some(Chunk::End) => {
@@ -114,7 +216,7 @@
     fn size_hint(&self) -> SizeHint {
         match &self.content {
             Content::Full(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+                SizeHint::with_exact(bytes.as_ref().map_or(0, Buf::remaining) as u64)
             }
             Content::Stream(_) => SizeHint::default(),
         }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -45,6 +45,14 @@
     pub link_mbps: f64,
 }
 
+/// The memory for what callers and replicas make the process hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MemorySettings {
+    /// The budget in megabytes; the default is a fraction of the VM's memory.
+    pub budget_mb: Option<u64>,
+}
+
 /// The platform's object store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -112,6 +120,9 @@
     pub vm: VmSize,
     /// The platform's store.
     pub store: StoreAccess,
+    /// The memory for callers.
+    #[serde(default)]
+    pub memory: MemorySettings,
     /// The bounds required by the users.
     #[serde(default)]
     pub bounds: GatewayBounds,
@@ -123,6 +134,13 @@
     pub log: LogSettings,
 }
 
+/// The fraction of the VM's memory that callers may use. The rest is for the process without callers, whose control thread
+/// may take 32 MB, for buffers of the kernel, and for gaps in the heap.
+const MEMORY_BUDGET_FRACTION: f64 = 0.4;
+/// The smallest budget in megabytes; it has room for a body of 4 MiB beside the share for small requests.
+const MIN_MEMORY_BUDGET_MB: u64 = 8;
+const BYTES_PER_MB: u64 = 1_000_000;
+
 const fn default_traffic_threads() -> usize {
     1
 }
@@ -188,6 +206,12 @@
                 return Err(Error::invalid(field, value, "must be above zero"));
             }
         }
+        if let Some(budget_mb) = self.memory.budget_mb
+            && !(MIN_MEMORY_BUDGET_MB..=self.vm.memory_mb).contains(&budget_mb)
+        {
+            let reason = "must be from 8 to vm.memory_mb";
+            return Err(Error::invalid("memory.budget_mb", budget_mb, reason));
+        }
         if self.traffic_threads == 0 {
             let reason = "must be above zero";
             return Err(Error::invalid("traffic_threads", 0, reason));
@@ -196,6 +220,16 @@
     }
 }
 
+impl GatewaySettings {
+    /// Returns the memory for what callers and replicas make the process hold, in bytes.
+    pub(crate) fn memory_budget_bytes(&self) -> u64 {
+        let default_mb = (self.vm.memory_mb as f64 * MEMORY_BUDGET_FRACTION) as u64;
+        let default_mb = default_mb.max(MIN_MEMORY_BUDGET_MB);
+        let budget_mb = self.memory.budget_mb.unwrap_or(default_mb);
+        budget_mb.saturating_mul(BYTES_PER_MB)
+    }
+}
+
 impl GatewayBounds {
     /// Returns the time between the signal to shut down and the kill of the process.
     pub(crate) const fn grace(&self) -> Duration {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -22,6 +22,7 @@
 use super::headers::HeaderNames;
 use super::leaving::LeaveSchedule;
 use super::loads::{LoadMap, LoadSample, ReplicaKey};
+use super::memory::MemoryAccount;
 use super::open_requests::OpenRequests;
 use super::placement::WeightsBounds;
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
@@ -169,6 +170,8 @@
     leave_schedule: OnceLock<LeaveSchedule>,
     /// Becomes true when a router that shuts down answers the requests that still wait for a response.
     closing: watch::Sender<bool>,
+    /// The memory that callers' connections hold.
+    pub(crate) memory: MemoryAccount,
     /// The requests of callers that have not been answered in full.
     pub(crate) open_requests: Arc<OpenRequests>,
     health: Mutex<HashMap<ServiceName, Ejection>>,
@@ -332,6 +335,7 @@
     ) -> Self {
         Self {
             bounds: ArcSwap::from_pointee(settings.bounds),
+            memory: MemoryAccount::new(settings.memory_budget_bytes()),
             settings,
             header_names,
             snapshot: ArcSwap::default(),
--- a/src/gateway/tests/call.rs
+++ b/src/gateway/tests/call.rs
@@ -10,18 +10,18 @@
 
 #[test]
 fn hash_request_is_the_same_only_for_the_same_path_caller_and_body() {
-    let key = hash_request("dues", "POST", "pay", "/pay/x?y=1", b"body", None);
+    let key = hash_request("dues", "POST", "pay", "/pay/x?y=1", &[b"body"], None);
     assert_eq!(
         key,
-        hash_request("dues", "POST", "pay", "/pay/x?y=1", b"body", None)
+        hash_request("dues", "POST", "pay", "/pay/x?y=1", &[b"body"], None)
     );
     let others = [
-        hash_request("", "POST", "pay", "/pay/x?y=1", b"body", None),
-        hash_request("dues", "PUT", "pay", "/pay/x?y=1", b"body", None),
-        hash_request("dues", "POST", "safe", "/pay/x?y=1", b"body", None),
-        hash_request("dues", "POST", "pay", "/pay/x?y=2", b"body", None),
-        hash_request("dues", "POST", "pay", "/pay/x?y=1", b"bodies", None),
-        hash_request("dues", "POST", "pay", "/pay/x?y=1b", b"ody", None),
+        hash_request("", "POST", "pay", "/pay/x?y=1", &[b"body"], None),
+        hash_request("dues", "PUT", "pay", "/pay/x?y=1", &[b"body"], None),
+        hash_request("dues", "POST", "safe", "/pay/x?y=1", &[b"body"], None),
+        hash_request("dues", "POST", "pay", "/pay/x?y=2", &[b"body"], None),
+        hash_request("dues", "POST", "pay", "/pay/x?y=1", &[b"bodies"], None),
+        hash_request("dues", "POST", "pay", "/pay/x?y=1b", &[b"ody"], None),
     ];
     assert!(!others.contains(&key));
 }
@@ -31,7 +31,7 @@
     let body = vec![7; MAX_BODY_BYTES];
     let mut other = body.clone();
     other[MAX_BODY_BYTES - 1] = 8;
-    let key = |body: &[u8]| hash_request("dues", "POST", "pay", "/pay/x", body, None);
+    let key = |body: &[u8]| hash_request("dues", "POST", "pay", "/pay/x", &[body], None);
     assert_eq!(key(&body), key(&body.clone()));
     assert_ne!(key(&body), key(&other));
 }
@@ -52,7 +52,7 @@
 #[test]
 fn hash_request_with_a_prompt_is_the_same_only_for_the_same_prompt() {
     let key =
-        |prompt: &Prompt| hash_request("dues", "POST", "ask", "/ask/x", b"body", Some(prompt));
+        |prompt: &Prompt| hash_request("dues", "POST", "ask", "/ask/x", &[b"body"], Some(prompt));
     let known = key(&prompt("m0", &["aa", "bb", "cc"]));
     assert_eq!(known, key(&prompt("m0", &["aa", "bb", "cc"])));
     let others = [
@@ -60,7 +60,7 @@
         key(&prompt("m0", &["aa", "bb", "cd"])),
         key(&prompt("m0", &["aa", "bb"])),
         key(&prompt("m0", &["aa", "b", "bcc"])),
-        hash_request("dues", "POST", "ask", "/ask/x", b"body", None),
+        hash_request("dues", "POST", "ask", "/ask/x", &[b"body"], None),
     ];
     assert!(!others.contains(&known));
 }
--- a/src/gateway/tests/caller_stream.rs
+++ b/src/gateway/tests/caller_stream.rs
@@ -11,13 +11,16 @@
 use super::ms;
 use crate::gateway::caller_activity::CallerActivity;
 use crate::gateway::caller_stream::{CallerStream, SharedActivity};
+use crate::gateway::memory::MemoryAccount;
 use crate::gateway::route::CallerLimits;
 
 async fn connected() -> (std::net::TcpStream, CallerStream, SharedActivity) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let (stream, _) = listener.accept().await.unwrap();
-    let activity = SharedActivity::new(CallerActivity::new(ms(0), CallerLimits::default()));
+    let memory = MemoryAccount::new(1 << 20).open().unwrap();
+    let activity = CallerActivity::new(ms(0), CallerLimits::default());
+    let activity = SharedActivity::new(activity, memory);
     (
         caller,
         CallerStream::new(stream, activity.clone()),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -17,6 +17,7 @@
 mod leaving;
 mod list_watch;
 mod loads;
+mod memory;
 mod placement;
 mod prefill;
 mod prompt;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -11,9 +11,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -23,6 +21,7 @@
 
 use super::clock::boot_time;
 use super::limited_stream::{LimitedStream, ReadAllowance};
+use super::memory::BodyReader;
 
 /// The timeout for opening a connection; the specified latency is 1 ms for a link and 1 ms for the handshake of a
 /// replica.
@@ -51,7 +50,7 @@
 const MAX_BYTES_TO_HEAD: usize = 256 << 10;
 
 /// The body of a request to a replica.
-pub(crate) type RequestBody = Full<Bytes>;
+pub(crate) type RequestBody = BodyReader;
 
 /// The connections to one replica.
 #[derive(Debug)]
