--- a/src/gateway/memory/budget.rs
+++ b/src/gateway/memory/budget.rs
@@ -15,6 +15,7 @@
 //! announced length (a few callers that send nothing would exclude all others); refusing without evicting (callers that
 //! stall would exclude others until their deadlines).
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -26,6 +27,9 @@
 const SMALL_RESERVE_FRACTION: f64 = 0.25;
 /// How long a holder makes no progress before it may be evicted.
 const STALL_LIMIT: Duration = Duration::from_millis(500);
+/// The minimum time between two searches for an evictable holder if the first found none. Each looks at all holders, and
+/// responses that wait for memory ask again and again.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(10);
 /// When the first caller that is refused may retry.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 /// The time between the retries of callers that were refused one after the other.
@@ -96,6 +100,8 @@
     next: HolderNumber,
     /// When the caller that was refused last may retry.
     last_retry_at: Duration,
+    /// Until when a search for an evictable holder is of no use.
+    search_after: Duration,
 }
 
 impl Holder {
@@ -134,6 +140,7 @@
             holders: HashMap::new(),
             next: 0,
             last_retry_at: Duration::ZERO,
+            search_after: Duration::ZERO,
         }
     }
 
@@ -182,6 +189,9 @@
             holder.has_served |= phase == HolderPhase::Responding;
             holder.phase = phase;
             holder.progressed_at = now;
+            if phase == HolderPhase::Idle {
+                self.search_after = Duration::ZERO;
+            }
         }
     }
 
@@ -249,28 +259,35 @@
     ///
     /// Connections without a request go first, and among them those that never carried one.
     pub(crate) fn evict(&mut self, now: Duration) -> Option<HolderNumber> {
-        let evictable = self
-            .holders
-            .iter()
-            .filter(|(_, holder)| holder.is_evictable(now));
-        let (number, _) = evictable.min_by_key(|(number, holder)| {
+        self.evict_first(now, |number, holder| {
             (
                 holder.phase != HolderPhase::Idle,
                 holder.has_served && holder.phase == HolderPhase::Idle,
                 holder.progressed_at,
-                **number,
+                number,
             )
-        })?;
-        let number = *number;
-        self.mark_evicted(number);
-        Some(number)
+        })
     }
 
-    fn mark_evicted(&mut self, number: HolderNumber) {
-        if let Some(holder) = self.holders.get_mut(&number) {
-            holder.is_evicted = true;
-            self.evicted += holder.bytes();
+    /// Evicts the evictable holder with the lowest rank.
+    fn evict_first<R: Ord>(
+        &mut self,
+        now: Duration,
+        rank: impl Fn(HolderNumber, &Holder) -> R,
+    ) -> Option<HolderNumber> {
+        if now < self.search_after {
+            return None;
         }
+        let holders = self.holders.iter_mut();
+        let evictable = holders.filter(|(_, holder)| holder.is_evictable(now));
+        let first = evictable.min_by_key(|(number, holder)| rank(**number, holder));
+        let Some((number, holder)) = first else {
+            self.search_after = now + SEARCH_INTERVAL;
+            return None;
+        };
+        holder.is_evicted = true;
+        self.evicted += holder.bytes();
+        Some(*number)
     }
 
     /// Decides on `bytes` more for a holder that would then have `total`.
@@ -297,14 +314,7 @@
 
     /// Evicts the stalled holder with the most memory.
     fn evict_largest(&mut self, now: Duration) -> Option<HolderNumber> {
-        let evictable = self
-            .holders
-            .iter()
-            .filter(|(_, holder)| holder.is_evictable(now));
-        let (number, _) = evictable.max_by_key(|(number, holder)| (holder.bytes(), **number))?;
-        let number = *number;
-        self.mark_evicted(number);
-        Some(number)
+        self.evict_first(now, |number, holder| (Reverse(holder.bytes()), number))
     }
 
     /// Callers that were refused earlier retry earlier, and not all at the same time.
--- a/src/gateway/tests/settings.rs
+++ b/src/gateway/tests/settings.rs
@@ -25,6 +25,8 @@
     unknown_field = { "\"seeds\": []", "\"sedes\": []", "sedes" },
     bad_address = { "127.0.0.1:6", "somewhere", "store.address" },
     no_keys = { "\"a-key-for-this-test\"", "", "peer_keys" },
+    no_memory = { "\"seeds\": []", "\"seeds\": [], \"memory\": {\"budget_mb\": 7}", "memory.budget_mb: 7" },
+    more_memory_than_the_vm = { "\"seeds\": []", "\"seeds\": [], \"memory\": {\"budget_mb\": 9000}", "memory.budget_mb: 9000" },
     no_share = { "\"core_share\": 0.25", "\"core_share\": 0", "vm.core_share: 0" },
     share_above_one = { "\"retry_share\": 0.2", "\"retry_share\": 1.5", "bounds.retry_share: 1.5" },
 )]
