Keep complete requests and unfinished responses when connections are evicted

Cause, found by review: a connection that was evicted at the moment its body became complete went on as evicted, and its response was cut if the caller did not take it at one instant; one whose response still had to be sent counted as idle once the body was handed over. Change: a complete request is no longer evicted, and an idle connection with unsent bytes is kept until it stalls.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -225,7 +225,6 @@
 async fn wait_for_eviction(memory: &ConnectionMemory, is_evicted: &mut bool) {
     if *is_evicted {
         tokio::time::sleep(MIN_CHECK_INTERVAL).await;
-        return;
     }
     memory.evicted().await;
     *is_evicted = true;
--- a/src/gateway/memory/account.rs
+++ b/src/gateway/memory/account.rs
@@ -177,7 +177,11 @@
     /// Records what the connection does next.
     pub(crate) fn set_phase(&self, phase: HolderPhase) {
         let mut state = self.0.account.lock();
-        state.budget.set_phase(self.0.number, phase, boot_time());
+        let number = self.0.number;
+        let is_spared = state.budget.set_phase(number, phase, boot_time());
+        if is_spared && let Some(evicted) = state.evictions.get(&number) {
+            evicted.send_replace(false);
+        }
     }
 
     /// Waits until the connection has to give its memory up.
--- a/src/gateway/memory/budget.rs
+++ b/src/gateway/memory/budget.rs
@@ -114,8 +114,8 @@
         let is_stalled = now >= self.progressed_at + STALL_LIMIT;
         match self.phase {
             _ if self.is_evicted => false,
-            // Bytes of a head may be on their way.
-            HolderPhase::Idle => self.request_bytes == 0 || is_stalled,
+            // A head may be arriving, or the end of a response may still have to be sent.
+            HolderPhase::Idle => self.request_bytes + self.response_bytes == 0 || is_stalled,
             HolderPhase::Receiving => is_stalled,
             HolderPhase::Responding => self.response_bytes > 0 && is_stalled,
             HolderPhase::Waiting => false,
@@ -183,9 +183,22 @@
         }
     }
 
-    /// Records what a connection does next.
-    pub(crate) fn set_phase(&mut self, number: HolderNumber, phase: HolderPhase, now: Duration) {
+    /// Records what a connection does next; returns whether it may keep its memory although it was evicted.
+    ///
+    /// A request that is complete is no longer evicted.
+    pub(crate) fn set_phase(
+        &mut self,
+        number: HolderNumber,
+        phase: HolderPhase,
+        now: Duration,
+    ) -> bool {
+        let mut is_spared = false;
         if let Some(holder) = self.holders.get_mut(&number) {
+            if phase == HolderPhase::Waiting && holder.is_evicted {
+                holder.is_evicted = false;
+                self.evicted -= holder.bytes();
+                is_spared = true;
+            }
             holder.has_served |= phase == HolderPhase::Responding;
             holder.phase = phase;
             holder.progressed_at = now;
@@ -193,6 +206,7 @@
                 self.search_after = Duration::ZERO;
             }
         }
+        is_spared
     }
 
     /// Reserves memory for a holder if there is any.
--- a/src/gateway/tests/memory.rs
+++ b/src/gateway/tests/memory.rs
@@ -154,6 +154,33 @@
     world.budget.close(oldest);
 }
 
+/// A connection that was evicted when the end of its body arrived was closed in the middle of its response, and one whose response
+/// was still being sent counted as idle.
+#[test]
+fn budget_keeps_complete_requests_and_responses_that_are_being_sent() {
+    let mut world = World::new();
+    let number = world.open(HolderPhase::Receiving);
+    world.advance(ms(600));
+    assert_eq!(world.budget.evict(world.now), Some(number));
+    assert!(
+        world
+            .budget
+            .set_phase(number, HolderPhase::Waiting, world.now)
+    );
+    world.advance(ms(600));
+    assert_eq!(world.budget.evict(world.now), None);
+    world
+        .budget
+        .force(number, 1_000, MemoryUse::Response, world.now);
+    world.budget.set_phase(number, HolderPhase::Idle, world.now);
+    assert_eq!(world.budget.evict(world.now), None);
+    world
+        .budget
+        .shrink(number, 1_000, MemoryUse::Response, world.now);
+    world.advance(ms(10));
+    assert_eq!(world.budget.evict(world.now), Some(number));
+}
+
 /// Responses that are not read kept their buffers for as long as the limit on stalled connections.
 #[test]
 fn budget_full_of_unread_responses_evicts_stalled_ones() {
