Keep the memory of a buffered response reserved while it waits for its caller

Cause: a response for which there was no more memory was handed over to be streamed, and up to 256 KiB of it was not counted while it waited; growth was also allowed ahead of evictions. The group that does not read its responses reached 78,092 KiB of 85,937. Change: the reservation goes with the part that was received, and a buffered response grows only within the budget.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -66,6 +66,8 @@
     pub(crate) framing: BodyFraming,
     /// The part of the body that was already received.
     pub(crate) received: Bytes,
+    /// The memory that is reserved for that part.
+    pub(crate) received_memory: Option<Reservation>,
     /// The rest of the body.
     body: Incoming,
     /// The next frame of the body, if it was received and not taken; the inner `None` is the end.
@@ -188,6 +190,7 @@
         let stream = ReplicaStream {
             framing,
             received: Bytes::new(),
+            received_memory: None,
             body,
             peeked: None,
             connection,
@@ -450,9 +453,7 @@
     memory: Option<&CallMemory>,
 ) -> BufferedBody {
     let mut received = BytesMut::new();
-    // Given back when the response is forwarded, which counts it again.
-    let mut reservations: Vec<Reservation> = Vec::new();
-    let mut reserved = 0;
+    let mut reservation = memory.map(CallMemory::response);
     loop {
         match stream.frame().await {
             Some(Ok(frame)) => {
@@ -470,17 +471,12 @@
                 return BufferedBody::Complete(received.freeze());
             }
         }
-        let mut has_memory = true;
-        if let Some(memory) = memory
-            && received.len() > reserved
-        {
-            let reservation = memory.reserve_response(received.len() - reserved);
-            has_memory = reservation.is_some();
-            reserved = received.len();
-            reservations.extend(reservation);
-        }
+        let has_memory = reservation
+            .as_mut()
+            .is_none_or(|reservation| reservation.extend_to(received.len()));
         if received.len() > limit || !has_memory {
             stream.received = received.freeze();
+            stream.received_memory = reservation;
             return BufferedBody::TooLong(Box::new(stream));
         }
     }
--- a/src/gateway/memory/account.rs
+++ b/src/gateway/memory/account.rs
@@ -285,10 +285,9 @@
         })
     }
 
-    /// Reserves memory for a part of a response that is buffered; `None` if there is none.
-    pub(crate) fn reserve_response(&self, bytes: usize) -> Option<Reservation> {
-        let connection = &self.connection;
-        connection.reserve_now(bytes as u64, MemoryUse::Response)
+    /// Returns the reservation for a response that is buffered, which is empty at first.
+    pub(crate) fn response(&self) -> Reservation {
+        self.connection.reservation(0, MemoryUse::Response)
     }
 }
 
@@ -298,6 +297,20 @@
         self.bytes
     }
 
+    /// Counts memory for `length` bytes that are held already; returns whether the budget has room for them.
+    pub(crate) fn extend_to(&mut self, length: usize) -> bool {
+        let more = (length as u64).saturating_sub(self.bytes);
+        if more == 0 {
+            return true;
+        }
+        let is_granted = self.memory.grow(more, self.used_for) == Growth::Granted;
+        match is_granted {
+            true => self.bytes += more,
+            false => self.merge(self.memory.hold(more, self.used_for)),
+        }
+        is_granted
+    }
+
     /// Adds the memory of `other`, which has to be reserved for the same connection and use.
     pub(crate) fn merge(&mut self, mut other: Self) {
         self.bytes += std::mem::take(&mut other.bytes);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -261,7 +261,8 @@
     let replica = Arc::clone(&stream.replica);
     // Only responses that are forwarded as they arrive have been received in part.
     let received = std::mem::take(&mut stream.received);
-    if !received.is_empty() && chunks.send(received).await.is_err() {
+    let memory = stream.received_memory.take();
+    if !received.is_empty() && chunks.send_reserved(received, memory).await.is_err() {
         return RelayEnd::CallerLeft;
     }
     let mut silent_since = boot_time();
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -103,9 +103,22 @@
         if bytes.len() <= MAX_COPIED_BYTES {
             bytes = Bytes::copy_from_slice(&bytes);
         }
+        self.send_reserved(bytes, Some(reservation)).await
+    }
+
+    /// Sends bytes whose memory is reserved already.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has disconnected.
+    pub(crate) async fn send_reserved(
+        &self,
+        bytes: Bytes,
+        reservation: Option<Reservation>,
+    ) -> Result<(), CallerLeft> {
         let held = HeldBytes {
             bytes,
-            _reservation: Some(reservation),
+            _reservation: reservation,
         };
         let sent = self.sender.send(Chunk::Data(held)).await;
         sent.map_err(|_| CallerLeft)
