--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -6,7 +6,6 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, StatusCode, Uri, request};
 use smallvec::SmallVec;
@@ -15,6 +14,7 @@
 use super::authorization::CallerKey;
 use super::clock::boot_time;
 use super::headers::{HeaderNames, connection_header_names, header_text};
+use super::memory::{CallMemory, StoredBody};
 use super::placement::PlacementRequest;
 use super::prompt::Prompt;
 use super::quota::{QuotaCharge, account_key};
@@ -64,7 +64,9 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     /// The complete body.
-    pub(crate) body: Bytes,
+    pub(crate) body: StoredBody,
+    /// The memory of the caller's connection; `None` until the request may be sent.
+    pub(crate) memory: Option<CallMemory>,
     request_key: OnceLock<SuspectKey>,
 }
 
@@ -153,7 +155,8 @@
             headers: forwarded_headers(header_names, &head.headers, account.as_ref()),
             key: account.is_some().then_some(key),
             account,
-            body: Bytes::new(),
+            body: StoredBody::default(),
+            memory: None,
             request_key: OnceLock::new(),
         })
     }
@@ -167,12 +170,13 @@
             let account = self.account.as_ref().map_or("", |account| &account.name);
             let path = self.uri.path_and_query();
             let path = path.map_or("", |path| path.as_str());
+            let body: Vec<_> = self.body.parts().collect();
             hash_request(
                 account,
                 self.method.as_str(),
                 &self.route.name,
                 path,
-                &self.body,
+                &body,
                 self.prompt.as_ref(),
             )
         })
@@ -200,24 +204,33 @@
 
 /// Hashes what makes a request the same one when it comes again.
 ///
-/// The route stands for the host, which may name the port of a router.
+/// The route stands for the host, which may name the port of a router. How `body` is split into parts makes no difference.
 pub(crate) fn hash_request(
     account: &str,
     method: &str,
     route: &str,
     path: &str,
-    body: &[u8],
+    body: &[&[u8]],
     prompt: Option<&Prompt>,
 ) -> SuspectKey {
     let texts = [account, method, route, path].map(str::as_bytes);
     let model = prompt.map(|prompt| prompt.model.as_bytes());
     let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
     let parts = parts.iter().map(|part| part.id.as_bytes());
-    let fields = texts.into_iter().chain([body]).chain(model).chain(parts);
     let mut hasher = Xxh3::new();
-    for field in fields {
-        hasher.update(&(field.len() as u64).to_le_bytes());
-        hasher.update(field);
+    let mut add = |field: &[&[u8]]| {
+        let length: usize = field.iter().map(|part| part.len()).sum();
+        hasher.update(&(length as u64).to_le_bytes());
+        for part in field {
+            hasher.update(part);
+        }
+    };
+    for text in texts {
+        add(&[text]);
+    }
+    add(body);
+    for field in model.into_iter().chain(parts) {
+        add(&[field]);
     }
     hasher.digest()
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,6 +21,7 @@
 use super::clock::boot_time;
 use super::forwarding::BodyFraming;
 use super::headers::header_text;
+use super::memory::{CallMemory, Reservation};
 use super::shared::{LoadGuard, Observation, Replica, Shared};
 use super::upstream::{ReplicaConnection, RequestBody, SendFailure};
 
@@ -65,6 +66,8 @@
     pub(crate) framing: BodyFraming,
     /// The part of the body that was already received.
     pub(crate) received: Bytes,
+    /// The memory that is reserved for that part.
+    pub(crate) received_memory: Option<Reservation>,
     /// The rest of the body.
     body: Incoming,
     /// The next frame of the body, if it was received and not taken; the inner `None` is the end.
@@ -190,6 +193,7 @@
         let stream = ReplicaStream {
             framing,
             received: Bytes::new(),
+            received_memory: None,
             body,
             peeked: None,
             connection,
@@ -287,7 +291,7 @@
             });
         }
         let framing = stream.framing;
-        let reading = read_to_end(stream, MAX_BUFFERED_BYTES);
+        let reading = read_to_end(stream, MAX_BUFFERED_BYTES, self.call.memory.as_ref());
         let body = tokio::time::timeout(self.call.remaining(), reading).await;
         let response = match body {
             Ok(BufferedBody::Complete(bytes)) => ReplicaResponse {
@@ -353,7 +357,7 @@
         }
         let reason = format!("refused with {}", head.status.as_u16());
         // The connection can be reused only if the rest of the refusal is read.
-        let reading = read_to_end(stream, MAX_REFUSAL_BYTES);
+        let reading = read_to_end(stream, MAX_REFUSAL_BYTES, None);
         let body = tokio::time::timeout(REFUSAL_READ_LIMIT, reading).await;
         if !matches!(body, Ok(BufferedBody::Complete(_))) {
             log::debug!(
@@ -444,9 +448,15 @@
     Broken,
 }
 
-/// Reads a response to its end, or until it exceeds `limit` bytes: a faulty replica may send bytes without end.
-async fn read_to_end(mut stream: ReplicaStream, limit: usize) -> BufferedBody {
+/// Reads a response to its end, or until it exceeds `limit` bytes: a faulty replica may send bytes without end. A response
+/// for which there is no more of `memory` counts as too long, and is then read only as fast as its caller takes it.
+async fn read_to_end(
+    mut stream: ReplicaStream,
+    limit: usize,
+    memory: Option<&CallMemory>,
+) -> BufferedBody {
     let mut received = BytesMut::new();
+    let mut reservation = memory.map(CallMemory::response);
     loop {
         match stream.frame().await {
             Some(Ok(frame)) => {
@@ -464,8 +474,12 @@
                 return BufferedBody::Complete(received.freeze());
             }
         }
-        if received.len() > limit {
+        let has_memory = reservation
+            .as_mut()
+            .is_none_or(|reservation| reservation.extend_to(received.len()));
+        if received.len() > limit || !has_memory {
             stream.received = received.freeze();
+            stream.received_memory = reservation;
             return BufferedBody::TooLong(Box::new(stream));
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::mpsc;
 
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
@@ -18,7 +17,7 @@
 use super::forwarding::{BodyEnd, BodyFraming, Forwarding};
 use super::open_requests::OpenRequestNumber;
 use super::request_end::ClosedBy;
-use super::response::Chunk;
+use super::response::ChunkSender;
 use super::stream_progress::{Lack, SILENCE_LIMIT, StreamProgress, has_fields};
 
 /// The number of chunks buffered for a slow caller; beyond that, the replica's connection is not read.
@@ -81,7 +80,7 @@
 pub(crate) async fn relay(
     mut dispatch: Dispatch,
     mut stream: Box<ReplicaStream>,
-    chunks: mpsc::Sender<Chunk>,
+    chunks: ChunkSender,
     number: OpenRequestNumber,
 ) {
     let mut forwarding = Forwarding::of_kind(dispatch.call.route.kind);
@@ -150,8 +149,7 @@
     }
     if end == RelayEnd::Complete {
         stream.release();
-        // The caller may have disconnected in the meantime and then needs no end.
-        let _ = chunks.send(Chunk::End).await;
+        chunks.end().await;
     }
 }
 
@@ -164,7 +162,7 @@
     stream: &mut ReplicaStream,
     mut held: Option<&mut Forwarding>,
     last_event: Option<&str>,
-    chunks: &mpsc::Sender<Chunk>,
+    chunks: &ChunkSender,
 ) -> Resumption {
     let id = dispatch.call.id.clone();
     let id = id.to_str().unwrap_or("?");
@@ -290,18 +288,24 @@
 async fn relay_stream(
     dispatch: &mut Dispatch,
     stream: &mut ReplicaStream,
-    chunks: &mpsc::Sender<Chunk>,
+    chunks: &ChunkSender,
     forwarding: &mut Forwarding,
 ) -> RelayEnd {
     let is_resumable = matches!(forwarding, Forwarding::CompleteEvents(_));
     let replica = Arc::clone(&stream.replica);
     // Bytes to forward as they are: of a response that is not resumable, or complete events of one that was held.
     let received = std::mem::take(&mut stream.received);
-    if !received.is_empty() && chunks.send(Chunk::Data(received)).await.is_err() {
-        return RelayEnd::CallerLeft;
-    }
+    let memory = stream.received_memory.take();
     let deadline = dispatch.call.deadline;
     let mut progress = StreamProgress::new(deadline, is_resumable, boot_time());
+    if !received.is_empty() {
+        let sending = chunks.send_reserved(received, memory);
+        match tokio::time::timeout(progress.time_for_caller(boot_time()), sending).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return RelayEnd::CallerLeft,
+            Err(_) => return RelayEnd::Late,
+        }
+    }
     loop {
         let now = boot_time();
         if progress.time_for_caller(now).is_zero() {
@@ -344,7 +348,7 @@
         if bytes.is_empty() {
             continue;
         }
-        let sending = chunks.send(Chunk::Data(bytes));
+        let sending = chunks.send(bytes);
         match tokio::time::timeout(progress.time_for_caller(now), sending).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return RelayEnd::CallerLeft,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -46,6 +46,14 @@
     pub link_mbps: f64,
 }
 
+/// The memory for what callers and replicas make the process hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MemorySettings {
+    /// The budget in megabytes; the default is a fraction of the VM's memory.
+    pub budget_mb: Option<u64>,
+}
+
 /// The platform's object store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -122,6 +130,9 @@
     pub vm: VmSize,
     /// The platform's store.
     pub store: StoreAccess,
+    /// The memory for callers.
+    #[serde(default)]
+    pub memory: MemorySettings,
     /// The bounds required by the users.
     #[serde(default)]
     pub bounds: GatewayBounds,
@@ -133,6 +144,13 @@
     pub log: LogSettings,
 }
 
+/// The fraction of the VM's memory that callers may use. The rest is for the process without callers, whose control thread
+/// may take 32 MB, for buffers of the kernel, and for gaps in the heap.
+const MEMORY_BUDGET_FRACTION: f64 = 0.4;
+/// The smallest budget in megabytes; it has room for a body of 4 MiB beside the share for small requests.
+const MIN_MEMORY_BUDGET_MB: u64 = 8;
+const BYTES_PER_MB: u64 = 1_000_000;
+
 const fn default_traffic_threads() -> usize {
     1
 }
@@ -199,6 +217,12 @@
             }
         }
         self.bounds.check_quotas()?;
+        if let Some(budget_mb) = self.memory.budget_mb
+            && !(MIN_MEMORY_BUDGET_MB..=self.vm.memory_mb).contains(&budget_mb)
+        {
+            let reason = "must be from 8 to vm.memory_mb";
+            return Err(Error::invalid("memory.budget_mb", budget_mb, reason));
+        }
         if self.traffic_threads == 0 {
             let reason = "must be above zero";
             return Err(Error::invalid("traffic_threads", 0, reason));
@@ -207,6 +231,16 @@
     }
 }
 
+impl GatewaySettings {
+    /// Returns the memory for what callers and replicas make the process hold, in bytes.
+    pub(crate) fn memory_budget_bytes(&self) -> u64 {
+        let default_mb = (self.vm.memory_mb as f64 * MEMORY_BUDGET_FRACTION) as u64;
+        let default_mb = default_mb.max(MIN_MEMORY_BUDGET_MB);
+        let budget_mb = self.memory.budget_mb.unwrap_or(default_mb);
+        budget_mb.saturating_mul(BYTES_PER_MB)
+    }
+}
+
 impl GatewayBounds {
     fn check_quotas(&self) -> Result<(), Error> {
         let window = self.quota_window_s;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -24,6 +24,7 @@
 use super::load::{
     HeldMemory, LoadMap, LoadSample, ReplicaKey, ReplicaSpeed, SpeedObservations, SpeedSums,
 };
+use super::memory::MemoryAccount;
 use super::open_requests::OpenRequests;
 use super::placement::{PlacementRequest, WeightsBounds};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
@@ -174,6 +175,8 @@
     leave_schedule: OnceLock<LeaveSchedule>,
     /// Becomes true when a router that shuts down answers the requests that still wait for a response.
     closing: watch::Sender<bool>,
+    /// The memory that callers' connections hold.
+    pub(crate) memory: MemoryAccount,
     /// The requests of callers that have not been answered in full.
     pub(crate) open_requests: Arc<OpenRequests>,
     health: Mutex<HashMap<ServiceName, Ejection>>,
@@ -368,6 +371,7 @@
         Self {
             quota: QuotaGate::new(seeds),
             bounds: ArcSwap::from_pointee(settings.bounds),
+            memory: MemoryAccount::new(settings.memory_budget_bytes()),
             settings,
             header_names,
             snapshot: ArcSwap::default(),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -22,6 +22,7 @@
 mod placement;
 mod prefill;
 mod prompt;
+mod replica_memory;
 mod request_end;
 mod response;
 mod revision;
