Keep a part of each replica's queue free of large requests

Change: with admission.large_requests_per_slot, a large request that is not urgent is sent only to a replica with fewer requests in flight than that multiple of its slots, and refused at once if there is none. The costs of placement use the speed of a replica relative to its service, so that a service of equal replicas is placed as before; home weights have a hysteresis; a replica that holds the prefix needs memory only for the rest.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::Xxh3;
 
+use super::admission::Room;
 use super::authorization::CallerKey;
 use super::clock::boot_time;
 use super::headers::{HeaderNames, connection_header_names, header_text};
@@ -124,8 +125,16 @@
                 shared_tokens: 0,
                 own_tokens: 0,
                 output_tokens: 0,
+                room: Room::All,
+            },
+            |prompt| {
+                let admission = shared.settings.admission;
+                prompt.placement_request(
+                    cache_domain.account(),
+                    route.priority,
+                    admission.large_requests_per_slot,
+                )
             },
-            |prompt| prompt.placement_request(cache_domain.account()),
         );
         let time = deadline_ms.map_or(route.timeout, |ms| {
             route.timeout.min(Duration::from_millis(ms))
--- a/src/gateway/control/speeds.rs
+++ b/src/gateway/control/speeds.rs
@@ -48,10 +48,11 @@
             self.next_speed_log = now + LOG_INTERVAL;
         }
         let snapshot = self.shared.snapshot.load();
+        let before = self.shared.speeds();
         let mut published: HashMap<ReplicaKey, ReplicaSpeed> = HashMap::new();
         for (service, replicas) in &snapshot.services {
             let keys: Vec<_> = replicas.iter().map(|replica| replica.key).collect();
-            let speeds = service_speeds(&keys, &total);
+            let speeds = service_speeds(&keys, &total, &before);
             let mut sorted: Vec<_> = speeds.iter().map(|(_, speed)| speed.speed).collect();
             sorted.sort_by(f64::total_cmp);
             if let (Some(least), Some(most)) = (sorted.first(), sorted.last()) {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -436,6 +436,7 @@
             NoReplica::NoneHealthy => ("all replicas have failed", RETRY_AFTER_BUSY),
             NoReplica::ExpiredWeights => ("no replica serves the named weights", RETRY_AFTER_BUSY),
             NoReplica::Overloaded(backoff) => ("all replicas are overloaded", backoff),
+            NoReplica::Full => ("no replica has room for the request", RETRY_AFTER_BUSY),
         };
         LocalReply::not_run(reason, retry_after)
     }
@@ -627,7 +628,7 @@
                     let mut load = replica.load.sample(now);
                     load.add(others.get(&replica.key).copied().unwrap_or_default());
                     let speed = speeds.get(&replica.key).copied().unwrap_or_default();
-                    let status = status(replica, load.prefill_tokens, speed.speed);
+                    let status = status(replica, load.prefill_tokens, speed.home_weight);
                     Candidate {
                         id: &record.id,
                         is_same_zone: record.zone == *zone,
@@ -641,7 +642,9 @@
                         } else {
                             health.map_or(1.0, |health| health.weight(&record.id, now))
                         },
-                        speed: speed.speed,
+                        // The costs are relative to those of the other replicas. A service whose replicas are alike is
+                        // placed by the costs at the reference rate.
+                        speed: speed.home_weight,
                         home_weight: speed.home_weight,
                         weights: status.unwrap_or(WeightsStatus::Expired),
                         is_accepting: replica.known.is_accepting() && !replica.load.is_leaving(),
--- a/src/gateway/load/memory.rs
+++ b/src/gateway/load/memory.rs
@@ -87,14 +87,20 @@
 
 /// Returns the cost of placing a request at a replica with this much free memory, in milliseconds: zero if it fits.
 ///
-/// Otherwise it waits for the missing memory, which is freed about as fast as prompts are prefilled, or a request of about
-/// its size is preempted and prefilled again.
+/// Otherwise it waits for the missing memory, which is freed about as fast as prompts are prefilled, or another request is
+/// preempted and as many tokens are prefilled again. At a replica that holds the prefix, only the rest needs memory.
 pub(crate) fn memory_cost_ms(
     request: &PlacementRequest,
     free_tokens: u64,
+    holds_prefix: bool,
     ms_per_token: f64,
 ) -> f64 {
-    let needed = request.private_tokens() + u64::from(request.shared_tokens);
+    let prefix_tokens = if holds_prefix {
+        0
+    } else {
+        u64::from(request.shared_tokens)
+    };
+    let needed = request.private_tokens() + prefix_tokens;
     let missing = needed.saturating_sub(free_tokens);
     if missing == 0 {
         return 0.0;
--- a/src/gateway/load/speed.rs
+++ b/src/gateway/load/speed.rs
@@ -30,6 +30,9 @@
 const MAX_HOME_WEIGHT: f64 = 2.5;
 /// The factor between two weights of homes; with finer steps, the noise of the speeds would move homes.
 const HOME_WEIGHT_STEP: f64 = 1.25;
+/// How far a speed must be from the present home weight before that changes, in steps. A speed near the boundary of two
+/// steps would move prefixes with each observation, at different times on different routers.
+const HOME_WEIGHT_HYSTERESIS: f64 = 0.75;
 /// The time after which an observation counts half.
 const HALF_LIFE: Duration = Duration::from_secs(30);
 /// The part of the time to the first event that does not depend on the prompt, in milliseconds: the network and one step.
@@ -245,10 +248,12 @@
     }
 }
 
-/// Returns the speeds of a service's replicas, given the sums of all routers; all are 1 without observations.
+/// Returns the speeds of a service's replicas, given the sums of all routers and the speeds `before`; all are 1 without
+/// observations.
 pub(crate) fn service_speeds(
     replicas: &[ReplicaKey],
     total: &SpeedMap,
+    before: &HashMap<ReplicaKey, ReplicaSpeed>,
 ) -> Vec<(ReplicaKey, ReplicaSpeed)> {
     let sums = |key: &ReplicaKey| total.get(key).copied().unwrap_or_default();
     let mut known: Vec<f64> = replicas
@@ -260,11 +265,16 @@
     let speeds = replicas.iter().map(|key| {
         let speed = sums(key).speed(median);
         let steps = (speed / median).ln() / HOME_WEIGHT_STEP.ln();
-        let home_weight = HOME_WEIGHT_STEP.powf(steps.round());
-        let speed = ReplicaSpeed {
-            speed,
-            home_weight: home_weight.clamp(MIN_HOME_WEIGHT, MAX_HOME_WEIGHT),
+        let last_weight = before.get(key).map_or(1.0, |before| before.home_weight);
+        let last_steps = last_weight.ln() / HOME_WEIGHT_STEP.ln();
+        let home_weight = if (steps - last_steps).abs() < HOME_WEIGHT_HYSTERESIS {
+            last_weight
+        } else {
+            HOME_WEIGHT_STEP
+                .powf(steps.round())
+                .clamp(MIN_HOME_WEIGHT, MAX_HOME_WEIGHT)
         };
+        let speed = ReplicaSpeed { speed, home_weight };
         (*key, speed)
     });
     speeds.collect()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::listener::bind_listener;
 
+mod admission;
 mod attempt;
 mod attempt_watch;
 mod authorization;
@@ -78,7 +79,8 @@
     KvStoreTraits, ModelName, Route, WeightedService,
 };
 pub use self::settings::{
-    GatewayBounds, GatewayListen, GatewaySettings, MemorySettings, StoreAccess, VmSize,
+    AdmissionSettings, GatewayBounds, GatewayListen, GatewaySettings, MemorySettings, StoreAccess,
+    VmSize,
 };
 pub use self::store::{
     CallFuture, ConfigurationRead, ListPage, NamedWeights, PlatformStore, StoreCall, StoreFault,
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -22,6 +22,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::admission::Room;
 use super::load::memory_cost_ms;
 use crate::id::ReplicaId;
 
@@ -130,7 +131,7 @@
     pub free_tokens: Option<u64>,
     /// The health weight: 1 if healthy, less while recovering from failures, 0 if ejected.
     pub health: f64,
-    /// The rate of the replica's prefill, as a multiple of the reference rate ([`super::load`]).
+    /// The speed of the replica, as a multiple of the median of its service ([`super::load`]).
     pub speed: f64,
     /// The weight by which the replica attracts the homes of prefixes.
     pub home_weight: f64,
@@ -164,8 +165,9 @@
 
     /// Returns whether the replica has free memory for a request, as far as its memory is known.
     pub(crate) fn fits(&self, request: &PlacementRequest) -> bool {
-        self.free_tokens
-            .is_none_or(|free| memory_cost_ms(request, free, self.ms_per_token()) <= 0.0)
+        self.free_tokens.is_none_or(|free| {
+            memory_cost_ms(request, free, self.is_warm, self.ms_per_token()) <= 0.0
+        })
     }
 
     /// Returns the number of requests that the replica may still run at once.
@@ -175,7 +177,7 @@
 }
 
 /// The inputs for placing a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct PlacementRequest {
     /// The hash of the prompt's shared prefix, if it has one.
     pub prefix: Option<u64>,
@@ -183,6 +185,8 @@
     pub shared_tokens: u32,
     /// The length of the rest of the prompt, in tokens.
     pub own_tokens: u32,
+    /// The part of a replica's room that the request may use.
+    pub room: Room,
     /// The maximum length of the output, in tokens.
     pub output_tokens: u32,
 }
@@ -205,6 +209,8 @@
     ExpiredWeights,
     /// The remaining replicas want no requests; the first one takes them again after this time.
     Overloaded(Duration),
+    /// The remaining replicas have no room for the request.
+    Full,
 }
 
 /// Returns how long a request may wait behind this many tokens that a replica with `speed` still has to prefill.
@@ -252,6 +258,10 @@
             reason = NoReplica::NoneHealthy;
             continue;
         }
+        if !request.room.is_left(candidate.in_flight, candidate.slots) {
+            reason = NoReplica::Full;
+            continue;
+        }
         eligible.push(index);
     }
     if request.prefix.is_none() {
@@ -287,11 +297,11 @@
         + in_flight * IN_FLIGHT_MS
         + f64::from(beyond_slots) * QUEUED_MS;
     if request.prefix.is_some() && !is_home {
-        cost_ms +=
-            FETCH_SETUP_MS + f64::from(request.shared_tokens) * ms_per_token * RECOMPUTE_FACTOR;
+        let recomputed_ms = f64::from(request.shared_tokens) * ms_per_token;
+        cost_ms += FETCH_SETUP_MS + recomputed_ms * RECOMPUTE_FACTOR;
     }
     if let Some(free_tokens) = candidate.free_tokens {
-        cost_ms += memory_cost_ms(request, free_tokens, ms_per_token);
+        cost_ms += memory_cost_ms(request, free_tokens, candidate.is_warm, ms_per_token);
     }
     if !candidate.is_same_zone && !is_home {
         cost_ms += CROSS_ZONE_MS;
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
 
+use super::admission::Room;
 use super::headers::{HeaderNames, header_text};
 use super::placement::PlacementRequest;
 use super::route::ModelName;
@@ -88,7 +89,12 @@
 
     /// Returns the placement inputs of this prompt; pass the name of the client account only if it is isolated.
     #[must_use]
-    pub(crate) fn placement_request(&self, account: Option<&str>) -> PlacementRequest {
+    pub(crate) fn placement_request(
+        &self,
+        account: Option<&str>,
+        priority: u8,
+        large_requests_per_slot: Option<f64>,
+    ) -> PlacementRequest {
         let shared = self.shared_parts();
         // The counts are the caller's and may be of any size.
         let tokens = shared.iter().map(|part| part.tokens);
@@ -97,6 +103,7 @@
             prefix: (!shared.is_empty()).then(|| self.prefix_hash(account)),
             shared_tokens,
             own_tokens: self.tokens.saturating_sub(shared_tokens),
+            room: Room::of(priority, self.tokens, large_requests_per_slot),
             output_tokens: self.output_tokens,
         }
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -112,6 +112,15 @@
     }
 }
 
+/// The limits of admission control; one that is absent does not apply.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdmissionSettings {
+    /// The requests that may be in flight at a replica when a large request that is not urgent is sent to it, as a multiple
+    /// of the replica's slots.
+    pub large_requests_per_slot: Option<f64>,
+}
+
 /// The settings of a gateway process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -136,6 +145,9 @@
     /// The bounds required by the users.
     #[serde(default)]
     pub bounds: GatewayBounds,
+    /// The limits of admission control.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
     /// The number of threads that serve traffic.
     #[serde(default = "default_traffic_threads")]
     pub traffic_threads: usize,
@@ -223,6 +235,12 @@
             let reason = "must be from 8 to vm.memory_mb";
             return Err(Error::invalid("memory.budget_mb", budget_mb, reason));
         }
+        if let Some(limit) = self.admission.large_requests_per_slot
+            && !(limit > 0.0 && limit.is_finite())
+        {
+            let field = "admission.large_requests_per_slot";
+            return Err(Error::invalid(field, limit, "must be above zero"));
+        }
         if self.traffic_threads == 0 {
             let reason = "must be above zero";
             return Err(Error::invalid("traffic_threads", 0, reason));
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions, which need no network and no clock.
 
+mod admission;
 mod attempt;
 mod backpressure;
 mod cache_isolation;
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -6,6 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::ms;
+use crate::gateway::admission::Room;
 use crate::gateway::placement::{
     Candidate, NoReplica, PlacementRequest, WeightsBounds, WeightsStatus, choose, expected_wait,
 };
@@ -16,18 +17,21 @@
     shared_tokens: 13_300,
     own_tokens: 3_720,
     output_tokens: 12,
+    room: Room::All,
 };
 const SHORT: PlacementRequest = PlacementRequest {
     prefix: Some(9),
     shared_tokens: 92,
     own_tokens: 291,
     output_tokens: 5,
+    room: Room::All,
 };
 const PLAIN: PlacementRequest = PlacementRequest {
     prefix: None,
     shared_tokens: 0,
     own_tokens: 0,
     output_tokens: 0,
+    room: Room::All,
 };
 
 fn ids(count: usize) -> Vec<ReplicaId> {
--- a/src/gateway/tests/prompt.rs
+++ b/src/gateway/tests/prompt.rs
@@ -47,7 +47,7 @@
     let prompt = Prompt::from_headers(&headers, &header_names())
         .unwrap()
         .unwrap();
-    let request = prompt.placement_request(None);
+    let request = prompt.placement_request(None, 0, None);
     assert_eq!(request.shared_tokens, 1_210);
     assert_eq!(request.own_tokens, 250);
     assert_eq!(prompt.output_tokens, 80);
@@ -73,7 +73,7 @@
         .unwrap()
         .unwrap();
     assert_ne!(
-        prompt.placement_request(None).prefix,
-        prompt.placement_request(Some("dues")).prefix
+        prompt.placement_request(None, 0, None).prefix,
+        prompt.placement_request(Some("dues"), 0, None).prefix
     );
 }
--- a/src/gateway/tests/replica_memory.rs
+++ b/src/gateway/tests/replica_memory.rs
@@ -4,6 +4,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::ms;
+use crate::gateway::admission::Room;
 use crate::gateway::load::{
     HeldMemory, LoadMap, LoadMessage, LoadSample, PeerLoads, free_tokens, subtract,
 };
@@ -18,6 +19,7 @@
         shared_tokens: 13_300,
         own_tokens: 3_720,
         output_tokens: 12,
+        room: Room::All,
     }
 }
 
--- a/src/gateway/tests/speed.rs
+++ b/src/gateway/tests/speed.rs
@@ -1,5 +1,7 @@
 //! Tests of the learned speeds of replicas.
 
+use std::collections::HashMap;
+
 use std::time::Duration;
 
 use prost::Message;
@@ -58,7 +60,7 @@
     }
     let total = peers.total_excluding(None, &SpeedMap::new());
     let keys: Vec<_> = (0..REPLICAS as ReplicaKey).collect();
-    let speeds = service_speeds(&keys, &total);
+    let speeds = service_speeds(&keys, &total, &HashMap::new());
     let wrong = (0..REPLICAS).filter(|replica| {
         let ratio = speed_of(&speeds, *replica as ReplicaKey) / speed(*replica);
         !(1.0 / 1.2..1.2).contains(&ratio)
@@ -70,7 +72,10 @@
 #[test]
 fn service_speeds_fast_engines_are_faster_than_the_reference() {
     let mut total = SpeedMap::new();
-    assert_eq!(speed_of(&service_speeds(&[0], &total), 0), 1.0);
+    assert_eq!(
+        speed_of(&service_speeds(&[0], &total, &HashMap::new()), 0),
+        1.0
+    );
     for replica in 0..9 {
         let mut observations = SpeedObservations::default();
         for _ in 0..40 {
@@ -80,7 +85,7 @@
         }
         total.insert(replica, observations.sums(ms(0)));
     }
-    let speeds = service_speeds(&(0..10).collect::<Vec<_>>(), &total);
+    let speeds = service_speeds(&(0..10).collect::<Vec<_>>(), &total, &HashMap::new());
     for (_, speed) in &speeds {
         assert!((3.0..3.3).contains(&speed.speed), "{speeds:?}");
         assert_eq!(speed.home_weight, 1.0);
@@ -110,7 +115,7 @@
     }
     let sums = |observations: &SpeedObservations| observations.sums(ms(90_000));
     let total = SpeedMap::from([(0, sums(&slow)), (1, sums(&sound)), (2, sums(&sound))]);
-    let speeds = service_speeds(&[0, 1, 2], &total);
+    let speeds = service_speeds(&[0, 1, 2], &total, &HashMap::new());
     assert!(speed_of(&speeds, 0) > 0.85, "{speeds:?}");
 }
 
@@ -122,7 +127,11 @@
     let report = SpeedReport::decode(&bytes[..]).expect("the frame itself is valid");
     let mut peers = PeerSpeeds::default();
     peers.record_follower("a".into(), &report, ms(0));
-    let speeds = service_speeds(&[0, 1], &peers.total_excluding(None, &SpeedMap::new()));
+    let speeds = service_speeds(
+        &[0, 1],
+        &peers.total_excluding(None, &SpeedMap::new()),
+        &HashMap::new(),
+    );
     assert!(
         speeds
             .iter()
