Return quota only for sends that were not run, and bound what peers and exclusions may do

Cause: a review of the joined parts found that tokens of a send that ran could be returned after the next attempt failed to connect, that an expired grant was charged and sent, that a record of this router at the highest accepted version could not be refuted, and that local ejections and the shared view together could exclude all replicas of a service. Change: each attempt returns its own tokens only; a request whose grant has expired is refused as not run; a record is accepted up to 2^32 versions above the known one; the shared view excludes nothing while this router has ejected the rest.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -443,6 +443,9 @@
 
     async fn attempt(&mut self, last_event: Option<&str>) -> Result<AttemptResult, AttemptError> {
         self.check_refusal()?;
+        if let Some(quota) = &mut self.quota {
+            quota.begin_attempt();
+        }
         self.acquire_quota().await?;
         let (prefix, snapshot) = self.prefix_and_snapshot().await;
         self.check_refusal()?;
@@ -475,9 +478,7 @@
         if last_event.is_none() {
             self.check_key(&snapshot, now)?;
         }
-        if let Some(quota) = &mut self.quota {
-            quota.spend(now);
-        }
+        self.spend_quota(now)?;
         let request = self.request_to(&snapshot, &replica, last_event, now);
         if self.sends == 0 {
             self.shared
@@ -528,6 +529,23 @@
         }
     }
 
+    /// Uses the tokens that the request has acquired, or returns an error if they have expired, as after a pause of the
+    /// process. A request that may have run is charged instead.
+    fn spend_quota(&mut self, now: Duration) -> Result<(), AttemptError> {
+        let may_have_run = self.retry_state.runs > 0;
+        let Some(quota) = &mut self.quota else {
+            return Ok(());
+        };
+        if quota.spend(now) {
+            return Ok(());
+        }
+        if may_have_run {
+            quota.charge();
+            return Ok(());
+        }
+        Err(AttemptError::OverQuota(RETRY_AFTER_BUSY))
+    }
+
     /// Acquires tokens of the account's quota for a request that has not run, or returns an error if there are none.
     async fn acquire_quota(&mut self) -> Result<(), AttemptError> {
         let Some(quota) = self.quota.as_mut().filter(|_| self.retry_state.runs == 0) else {
@@ -619,8 +637,16 @@
         let cache_tokens = self.cache_tokens(snapshot);
         let others = self.shared.others_load();
         let unreachable = self.shared.unreachable();
+        let is_unreachable = |replica: &Replica| unreachable.contains(&replica.key);
         let speeds = self.shared.speeds();
         self.shared.with_health(&self.call.service, |health| {
+            let weight = |replica: &Replica| {
+                health.map_or(1.0, |health| health.weight(&replica.known.record.id, now))
+            };
+            // This router may have ejected all replicas that the others can reach.
+            let can_exclude = replicas.iter().any(|replica| {
+                replica.known.is_accepting() && !is_unreachable(replica) && weight(replica) > 0.0
+            });
             replicas
                 .iter()
                 .map(|replica| {
@@ -637,10 +663,10 @@
                         is_refusing: load.is_refusing,
                         slots: record.slots,
                         free_tokens: free_tokens(cache_tokens, &load),
-                        health: if unreachable.contains(&replica.key) {
+                        health: if can_exclude && is_unreachable(replica) {
                             0.0
                         } else {
-                            health.map_or(1.0, |health| health.weight(&record.id, now))
+                            weight(replica)
                         },
                         // The costs are relative to those of the other replicas. A service whose replicas are alike is
                         // placed by the costs at the reference rate.
--- a/src/gateway/quota/permit.rs
+++ b/src/gateway/quota/permit.rs
@@ -43,12 +43,20 @@
         Ok(())
     }
 
-    /// Uses the tokens for a send; charges the account for it if none are held that can still be used.
-    pub(crate) fn spend(&mut self, now: Duration) {
+    /// Begins another attempt, after which the tokens that an earlier one has used are not taken back.
+    pub(crate) const fn begin_attempt(&mut self) {
+        self.spent_until = None;
+    }
+
+    /// Uses the tokens for a send; returns false if none are held that can still be used.
+    pub(crate) fn spend(&mut self, now: Duration) -> bool {
         self.spent_until = self.granted_until.take().filter(|until| now < *until);
-        if self.spent_until.is_none() {
-            self.shared.charge_quota(&self.charge);
-        }
+        self.spent_until.is_some()
+    }
+
+    /// Charges the account for a send that needs no tokens, since an earlier one may have run.
+    pub(crate) fn charge(&mut self) {
+        self.shared.charge_quota(&self.charge);
     }
 
     /// Takes the tokens back that the latest send has used, since it was not run.
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -12,9 +12,9 @@
 use crate::membership::state::{Action, KnownMember, Membership};
 use crate::membership::sync;
 
-/// The highest version of a record that is accepted. Versions rise by one with each change, so a higher one is malformed;
-/// the member that it names could not refute it.
-const MAX_VERSION: u64 = u64::MAX / 2;
+/// How far the version of a record may be above the known one. Versions start low and rise by one with each change, so a
+/// record beyond that is malformed. The next version is always accepted, so that a member can refute each record that is.
+const MAX_VERSION_STEP: u64 = 1 << 32;
 
 impl Membership {
     pub(super) fn synchronize(
@@ -97,10 +97,17 @@
     }
 
     pub(super) fn merge(&mut self, record: MemberRecord, now: Duration) {
-        if record.version > MAX_VERSION {
+        let is_own = record.router == *self.own.router;
+        let known = if is_own {
+            self.own.version
+        } else {
+            let known = self.others.get(record.router.as_str());
+            known.map_or(0, |known| known.member.version)
+        };
+        if record.version.saturating_sub(known) > MAX_VERSION_STEP {
             return;
         }
-        if record.router == *self.own.router {
+        if is_own {
             self.merge_own(&record);
             return;
         }
