Bound debt in parts of a fleet, and send the events of calls that panic

Change: no debt below half of the fleet; a call that panics yields its uncertain outcome; the reserve includes the exchange.

--- a/src/gateway/control/contain.rs
+++ b/src/gateway/control/contain.rs
@@ -35,6 +35,21 @@
     }
 }
 
+/// Returns the result of `call`, or `fallback` if it panics, so that the event of its end is always sent.
+pub(crate) async fn result_or<T>(
+    name: &'static str,
+    call: impl Future<Output = T>,
+    fallback: T,
+) -> T {
+    match AssertUnwindSafe(call).catch_unwind().await {
+        Ok(result) => result,
+        Err(panic) => {
+            record_panic(name, panic.as_ref());
+            fallback
+        }
+    }
+}
+
 fn record_panic(step: &'static str, panic: &(dyn Any + Send)) {
     let reason = panic
         .downcast_ref::<&str>()
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -35,7 +35,7 @@
 use crate::request::quarantine::Quarantine;
 use crate::rollout::{Lease, LeaseEvent};
 
-mod contain;
+pub(crate) mod contain;
 mod loads;
 mod orders;
 mod prefill;
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -18,7 +18,9 @@
 use crate::id::{ReplicaId, RouterId, WeightsVersion};
 use crate::membership::watchers_of;
 use crate::rollout::{LeaseAction, LeaseEvent, LeaseTiming};
+use crate::store::PutOutcome;
 
+use super::contain::result_or;
 use super::{Control, Event, enqueue};
 
 /// The number of routers that may acquire the lease for orders.
@@ -291,9 +293,13 @@
         let (store, events) = (Arc::clone(&self.store), self.events.clone());
         tokio::spawn(async move {
             let event = match action {
-                LeaseAction::Read => LeaseEvent::Read((store.read_lease)(()).await.ok()),
+                LeaseAction::Read => {
+                    let read = async { (store.read_lease)(()).await.ok() };
+                    LeaseEvent::Read(result_or("lease", read, None).await)
+                }
                 LeaseAction::Write(record, condition) => {
-                    LeaseEvent::Written((store.write_lease)(record, condition).await)
+                    let write = async { (store.write_lease)(record, condition).await };
+                    LeaseEvent::Written(result_or("lease", write, PutOutcome::Unknown).await)
                 }
             };
             enqueue(&events, Event::Lease(event));
@@ -335,7 +341,8 @@
     pub(super) fn send_report(&self, call: ReportCall) {
         let (replicas, events) = (Arc::clone(&self.replicas), self.events.clone());
         tokio::spawn(async move {
-            let report = (replicas.report)(call.clone()).await;
+            let report = async { (replicas.report)(call.clone()).await };
+            let report = result_or("report", report, None).await;
             enqueue(&events, Event::ReportEnded(call, report));
         });
     }
@@ -351,7 +358,8 @@
         };
         let (replicas, events) = (Arc::clone(&self.replicas), self.events.clone());
         tokio::spawn(async move {
-            let reply = send_if_permitted(&replicas, call).await;
+            let reply = send_if_permitted(&replicas, call);
+            let reply = result_or("order", reply, OrderReply::Unanswered).await;
             enqueue(&events, Event::OrderEnded(target, reply, fencing_number));
         });
     }
--- a/src/gateway/memory/account.rs
+++ b/src/gateway/memory/account.rs
@@ -6,11 +6,9 @@
 
 use tokio::sync::{Notify, watch};
 
-use super::budget::{Growth, HolderNumber, HolderPhase, MemoryBudget, MemoryUse};
+use super::budget::{EXCHANGE_BYTES, Growth, HolderNumber, HolderPhase, MemoryBudget, MemoryUse};
 use crate::gateway::clock::boot_time;
 
-/// The memory of an exchange with a replica: its connection, of which the read buffer takes half, and its task.
-const EXCHANGE_BYTES: u64 = 32 << 10;
 /// How long a request waits for the memory of evicted connections.
 const EVICTION_WAIT: Duration = Duration::from_millis(200);
 /// How often a response that waits for memory asks again.
--- a/src/gateway/memory/budget.rs
+++ b/src/gateway/memory/budget.rs
@@ -21,8 +21,10 @@
 
 /// The memory of a connection without a request: its task, its read buffer of 8 KiB and the state of the runtime.
 pub(crate) const CONNECTION_BYTES: u64 = 20 << 10;
-/// The memory up to which a holder counts as small.
-const SMALL_HOLDER_BYTES: u64 = CONNECTION_BYTES + (64 << 10);
+/// The memory of an exchange with a replica: its connection, of which the read buffer takes half, and its task.
+pub(crate) const EXCHANGE_BYTES: u64 = 32 << 10;
+/// The memory up to which a holder counts as small: a request of 64 KiB with its exchange with a replica.
+const SMALL_HOLDER_BYTES: u64 = CONNECTION_BYTES + (64 << 10) + EXCHANGE_BYTES;
 /// The fraction of the budget that only small holders may use.
 const SMALL_RESERVE_FRACTION: f64 = 0.25;
 /// How long a holder makes no progress before it may be evicted.
--- a/src/gateway/quota/owner.rs
+++ b/src/gateway/quota/owner.rs
@@ -30,6 +30,9 @@
 pub(crate) const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
 /// The maximum number of waiting requests in one message.
 pub(crate) const MAX_COSTS: usize = 64;
+/// The smallest share of the fleet in which a request larger than the burst is granted. One such request in each of many
+/// parts of a fleet would exceed the quota.
+const MIN_SHARE_FOR_DEBT: f64 = 0.5;
 /// The maximum time of refilling that sends which ran without being granted may take from an account.
 const MAX_DEBT: Duration = Duration::from_secs(8);
 /// How long it is remembered that a router was the owner of an account; the window of the quota.
@@ -57,6 +60,8 @@
 
 #[derive(Debug)]
 struct Bucket {
+    /// Whether a request that is larger than the burst is granted from a full bucket.
+    may_owe: bool,
     /// The limit in force, as a share of the configured one.
     limit: QuotaLimit,
     level: f64,
@@ -170,6 +175,7 @@
             bucket.set_limit(limit, now);
         }
         bucket.used_at = now;
+        bucket.may_owe = share >= MIN_SHARE_FOR_DEBT;
         bucket.decide(request, now)
     }
 }
@@ -202,6 +208,7 @@
             filling_since: now,
             reserved_until: now,
             is_unknown: false,
+            may_owe: true,
             used_at: now,
         }
     }
@@ -261,9 +268,14 @@
         request.local as f64 * filling.div_duration_f64(age).min(1.0)
     }
 
-    /// Takes `cost` if the bucket has as much, or is full.
+    /// Takes `cost` if the bucket has as much, or is full and may owe the rest.
     fn take(&mut self, cost: f64) -> bool {
-        let is_granted = self.level >= cost.min(self.limit.burst);
+        let needed = if self.may_owe {
+            cost.min(self.limit.burst)
+        } else {
+            cost
+        };
+        let is_granted = self.level >= needed;
         if is_granted {
             self.level -= cost;
         }
--- a/src/gateway/quota/tests/decisions.rs
+++ b/src/gateway/quota/tests/decisions.rs
@@ -1,5 +1,7 @@
 //! Single decisions of an owner and of a router.
 
+use std::collections::HashMap;
+
 use yare::parameterized;
 
 use super::{ACCOUNT, charge, limit, ms};
@@ -40,6 +42,21 @@
     );
 }
 
+/// Many small parts of a fleet that each grant one large request into debt exceed the quota together.
+#[test]
+fn request_above_burst_is_denied_in_a_small_part_of_the_fleet() {
+    let (mut owner, limit) = full_owner();
+    owner.set_owned(&HashMap::from([(ACCOUNT, limit)]), 0.25, ms(1_000));
+    for time in (1_000..=9_000).step_by(400) {
+        owner.tick(ms(time));
+    }
+    assert_eq!(owner.request(&request(&[126]), limit, ms(9_000)).granted, 0);
+    assert_eq!(
+        owner.request(&request(&[125]), limit, ms(9_000)).granted,
+        125
+    );
+}
+
 /// Those who are denied first return first, and each finds the credit that the ones before have left.
 #[test]
 fn denied_requests_return_in_order() {
--- a/src/gateway/tests/control_faults.rs
+++ b/src/gateway/tests/control_faults.rs
@@ -9,6 +9,7 @@
 use yare::parameterized;
 
 use super::prompt::header_names;
+use crate::gateway::control::contain::result_or;
 use crate::gateway::{
     CallerLimits, ConfigurationRead, Gateway, GatewayAdapters, GatewayConfiguration,
     GatewaySettings, ListPage, OrderReply, PlatformStore, ReplicaCalls, StoreFault, WatchPage,
@@ -114,3 +115,11 @@
         std::thread::sleep(Duration::from_millis(10));
     }
 }
+
+/// A panic in a call of the lease lost its event, and the router waited for the end of that call for good.
+#[tokio::test]
+async fn panic_in_a_call_yields_its_uncertain_outcome() {
+    let call = async { panic_any("a malformed answer") };
+    let outcome = result_or("test", call, PutOutcome::Unknown).await;
+    assert!(matches!(outcome, PutOutcome::Unknown));
+}
--- a/src/membership/tests/mod.rs
+++ b/src/membership/tests/mod.rs
@@ -145,6 +145,28 @@
     assert_eq!(liveness_at(&fleet, 2, 0), Some(Liveness::Alive));
 }
 
+/// A record of a router at the highest version that is accepted must be refutable, or the router stays locked out.
+#[test]
+fn receive_own_record_with_the_highest_accepted_version_is_refuted() {
+    let mut fleet = converged_fleet(3, 8);
+    let mut own = member(0, fleet.nodes[0].incarnation);
+    own.version = 1 << 32;
+    own.liveness = Liveness::Suspected;
+    let heartbeat = Heartbeat {
+        sender: Some(MemberRecord::full(&member(1, 9))),
+        updates: vec![MemberRecord::full(&own)],
+        ..Heartbeat::default()
+    };
+    let (now, nodes, rng) = (fleet.now, &mut fleet.nodes, &mut fleet.rng);
+    for node in nodes {
+        let state = node.state.as_mut().expect("all routers run");
+        state.receive(&heartbeat, now, rng);
+    }
+    assert_eq!(liveness_at(&fleet, 2, 0), Some(Liveness::Suspected));
+    fleet.run_for(Duration::from_secs(5));
+    assert_eq!(liveness_at(&fleet, 2, 0), Some(Liveness::Alive));
+}
+
 #[test]
 fn observe_vms_leaving_is_gossiped_and_reverted() {
     let mut fleet = converged_fleet(9, 6);
