Count the read buffer that a relayed part of a response keeps

Cause: a part of 4 to 16 KiB keeps the buffer that it was read into, and was counted by its length, up to four times too low. Change: such a part counts the whole buffer.

--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -17,6 +17,8 @@
 
 /// The length up to which parts of a response are copied, since each would keep the buffer that it was read into.
 const MAX_COPIED_BYTES: usize = 4 << 10;
+/// The size of the buffer into which a replica's response is read.
+const READ_BUFFER_BYTES: usize = 16 << 10;
 
 /// The error of a response body that ended early; the connection to the caller is closed without the final chunk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,6 +84,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct CallerLeft;
 
+/// Returns the memory that a part of a response of this length takes: a long one keeps the whole read buffer that it was
+/// received in.
+const fn retained_bytes(length: usize) -> u64 {
+    if length <= MAX_COPIED_BYTES || length > READ_BUFFER_BYTES {
+        return length as u64;
+    }
+    READ_BUFFER_BYTES as u64
+}
+
 impl ChunkSender {
     /// Creates a sender and its receiver, which buffers up to `length` parts.
     pub(crate) fn new(length: usize, memory: ConnectionMemory) -> (Self, mpsc::Receiver<Chunk>) {
@@ -95,7 +106,7 @@
     ///
     /// Fails if the caller has disconnected.
     pub(crate) async fn send(&self, mut bytes: Bytes) -> Result<(), CallerLeft> {
-        let length = bytes.len() as u64;
+        let length = retained_bytes(bytes.len());
         let reservation = tokio::select! {
             reservation = self.memory.reserve_response(length) => reservation,
             () = self.closed() => return Err(CallerLeft),
