--- a/src/gateway/control/speeds.rs
+++ b/src/gateway/control/speeds.rs
@@ -25,7 +25,8 @@
 
     /// Returns the report of this router and its followers if one is due to the other routers.
     pub(super) fn due_speed_report(&mut self, now: Duration) -> Option<SpeedReport> {
-        if now < self.next_speed_report {
+        let is_used = self.shared.settings.placement.uses_replica_speeds;
+        if !is_used || now < self.next_speed_report {
             return None;
         }
         self.next_speed_report = now + SPEED_INTERVAL;
@@ -35,7 +36,8 @@
 
     /// Publishes the speeds of all replicas.
     pub(super) fn publish_speeds(&mut self, now: Duration) {
-        if now < self.next_speeds {
+        let is_used = self.shared.settings.placement.uses_replica_speeds;
+        if !is_used || now < self.next_speeds {
             return;
         }
         self.next_speeds = now + SPEED_INTERVAL;
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -639,6 +639,7 @@
         let unreachable = self.shared.unreachable();
         let is_unreachable = |replica: &Replica| unreachable.contains(&replica.key);
         let speeds = self.shared.speeds();
+        let uses_memory = self.shared.settings.placement.uses_replica_memory;
         self.shared.with_health(&self.call.service, |health| {
             let weight = |replica: &Replica| {
                 health.map_or(1.0, |health| health.weight(&replica.known.record.id, now))
@@ -662,7 +663,7 @@
                         prefill_tokens: load.prefill_tokens,
                         is_refusing: load.is_refusing,
                         slots: record.slots,
-                        free_tokens: free_tokens(cache_tokens, &load),
+                        free_tokens: free_tokens(cache_tokens, &load).filter(|_| uses_memory),
                         health: if can_exclude && is_unreachable(replica) {
                             0.0
                         } else {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -79,8 +79,8 @@
     KvStoreTraits, ModelName, Route, WeightedService,
 };
 pub use self::settings::{
-    AdmissionSettings, GatewayBounds, GatewayListen, GatewaySettings, MemorySettings, StoreAccess,
-    VmSize,
+    AdmissionSettings, GatewayBounds, GatewayListen, GatewaySettings, MemorySettings,
+    PlacementSettings, StoreAccess, VmSize,
 };
 pub use self::store::{
     CallFuture, ConfigurationRead, ListPage, NamedWeights, PlatformStore, StoreCall, StoreFault,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -121,6 +121,16 @@
     pub large_requests_per_slot: Option<f64>,
 }
 
+/// What the placement of requests takes into account.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlacementSettings {
+    /// Whether routers learn the speeds of replicas and place requests by them.
+    pub uses_replica_speeds: bool,
+    /// Whether requests avoid replicas whose KV cache memory is full of running requests.
+    pub uses_replica_memory: bool,
+}
+
 /// The settings of a gateway process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -148,6 +158,9 @@
     /// The limits of admission control.
     #[serde(default)]
     pub admission: AdmissionSettings,
+    /// What the placement of requests takes into account.
+    #[serde(default)]
+    pub placement: PlacementSettings,
     /// The number of threads that serve traffic.
     #[serde(default = "default_traffic_threads")]
     pub traffic_threads: usize,
