--- a/review/harness-2/src/bin/entry.rs
+++ b/review/harness-2/src/bin/entry.rs
@@ -81,7 +81,13 @@
                 });
             }
         });
-        Ok(Self { id, address, arrivals, exit, _task: task })
+        Ok(Self {
+            id,
+            address,
+            arrivals,
+            exit,
+            _task: task,
+        })
     }
 
     fn register(&self, store: &Store, state: &str) {
@@ -109,14 +115,24 @@
         };
         let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
         buffer.drain(..end + 4);
-        let header = |name: &str| head.lines().find_map(|line| line.strip_prefix(name)).unwrap_or_default();
+        let header = |name: &str| {
+            head.lines()
+                .find_map(|line| line.strip_prefix(name))
+                .unwrap_or_default()
+        };
         let request = header("x-crocuswharf-request-id: ");
         let is_other = header("x-crocuswharf-expect-instance: ") != id;
         let (status, extra) = if is_other {
             ("421 Misdirected Request", "x-crocuswharf-not-executed: 1")
         } else {
             let at = record.now();
-            arrivals.lock().expect("the lock is not poisoned").push(Arrival { id: request.to_owned(), at });
+            arrivals
+                .lock()
+                .expect("the lock is not poisoned")
+                .push(Arrival {
+                    id: request.to_owned(),
+                    at,
+                });
             ("200 OK", "x-crocuswharf-server-stamp: s")
         };
         let answer = format!(
@@ -136,7 +152,9 @@
     tokio::spawn(async move {
         while let Ok((caller, _)) = listener.accept().await {
             tokio::spawn(async move {
-                let Ok(server) = TcpStream::connect(store).await else { return };
+                let Ok(server) = TcpStream::connect(store).await else {
+                    return;
+                };
                 let (mut from_caller, mut to_caller) = caller.into_split();
                 let (mut from_server, mut to_server) = server.into_split();
                 let there = tokio::io::copy(&mut from_caller, &mut to_server);
@@ -172,7 +190,10 @@
     );
     stream.write_all(request.as_bytes()).await.ok()?;
     let mut buffer = Vec::new();
-    let answer = tokio::time::timeout(Duration::from_secs(3), read_answer(&mut stream, &mut buffer));
+    let answer = tokio::time::timeout(
+        Duration::from_secs(3),
+        read_answer(&mut stream, &mut buffer),
+    );
     answer.await.ok()?.map(|answer| answer.status)
 }
 
@@ -216,12 +237,19 @@
     };
     let routers = start_all()?;
     for router in &routers {
-        ensure!(router.wait_until_ready(Duration::from_secs(10)).await, "a router is not ready");
+        ensure!(
+            router.wait_until_ready(Duration::from_secs(10)).await,
+            "a router is not ready"
+        );
     }
-    let addresses: Vec<_> = routers.iter().map(|router| router.address("callers")).collect();
+    let addresses: Vec<_> = routers
+        .iter()
+        .map(|router| router.address("callers"))
+        .collect();
     let is_over = Arc::new(AtomicBool::new(false));
     let caller = {
-        let (record, is_over, addresses) = (Arc::clone(&record), Arc::clone(&is_over), addresses.clone());
+        let (record, is_over, addresses) =
+            (Arc::clone(&record), Arc::clone(&is_over), addresses.clone());
         tokio::spawn(async move {
             let mut number = 0;
             while !is_over.load(Ordering::Relaxed) {
@@ -281,11 +309,20 @@
         for arrival in arrivals.iter().filter(|arrival| arrival.at > *at + DRAIN) {
             late += 1;
             let after = arrival.at - *at;
-            record.line(format!("{} reached {} {} ms after it was draining", arrival.id, replica.id, after.as_millis()));
+            record.line(format!(
+                "{} reached {} {} ms after it was draining",
+                arrival.id,
+                replica.id,
+                after.as_millis()
+            ));
         }
     }
     for replica in &new {
-        let count = replica.arrivals.lock().expect("the lock is not poisoned").len();
+        let count = replica
+            .arrivals
+            .lock()
+            .expect("the lock is not poisoned")
+            .len();
         record.line(format!("{} ran {count} requests", replica.id));
     }
     let line = format!(
@@ -295,5 +332,9 @@
     record.line(&line);
     println!("{line}");
     let is_recovered = recovered * 4 >= LATE_REQUESTS;
-    Ok(if late > 0 || !is_recovered { BROKEN } else { HELD })
+    Ok(if late > 0 || !is_recovered {
+        BROKEN
+    } else {
+        HELD
+    })
 }
--- a/review/harness-2/src/bin/memory.rs
+++ b/review/harness-2/src/bin/memory.rs
@@ -11,7 +11,9 @@
 use anyhow::ensure;
 use crocuswharf_platform_fakes::daemon::configuration;
 use crocuswharf_platform_fakes::store::Store;
-use review_2::{Folder, HELD, BROKEN, RawReplica, Record, Router, RouterPlan, finish, has_trouble, read_answer};
+use review_2::{
+    BROKEN, Folder, HELD, RawReplica, Record, Router, RouterPlan, finish, has_trouble, read_answer,
+};
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -54,7 +56,13 @@
 }
 
 /// Sends one request after the other on a kept connection, and returns the one that got no answer.
-async fn call(router: SocketAddr, load: Arc<Load>, route: &'static str, name: String, pause: Duration) -> Option<String> {
+async fn call(
+    router: SocketAddr,
+    load: Arc<Load>,
+    route: &'static str,
+    name: String,
+    pause: Duration,
+) -> Option<String> {
     let mut connection = None;
     let mut buffer = Vec::with_capacity(1024);
     let mut count = 0_u64;
@@ -66,7 +74,11 @@
             None => TcpStream::connect(router).await.ok()?,
         };
         let _ = stream.set_nodelay(true);
-        if stream.write_all(request(route, &id).as_bytes()).await.is_err() {
+        if stream
+            .write_all(request(route, &id).as_bytes())
+            .await
+            .is_err()
+        {
             return Some(id);
         }
         let Some(answer) = read_answer(&mut stream, &mut buffer).await else {
@@ -101,25 +113,50 @@
     let plan = RouterPlan::new("front-1", "zone-1", MEMORY_MB);
     let settings = plan.settings(store.address, &[]);
     let mut router = Router::start(plan, &settings, &folder.0)?;
-    ensure!(router.wait_until_ready(Duration::from_secs(10)).await, "the router is not ready");
-    record.line(format!("started, memory {} kB of {} kB", router.memory_kb().0, MEMORY_KB));
+    ensure!(
+        router.wait_until_ready(Duration::from_secs(10)).await,
+        "the router is not ready"
+    );
+    record.line(format!(
+        "started, memory {} kB of {} kB",
+        router.memory_kb().0,
+        MEMORY_KB
+    ));
     let load = Arc::new(Load::default());
     let address = router.address("callers");
     let mut callers = Vec::new();
     for number in 0..KEPT_CALLERS {
         let load = Arc::clone(&load);
-        callers.push(tokio::spawn(call(address, load, "safe", format!("kept{number}"), KEPT_PAUSE)));
+        callers.push(tokio::spawn(call(
+            address,
+            load,
+            "safe",
+            format!("kept{number}"),
+            KEPT_PAUSE,
+        )));
         if number % 50 == 0 {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
     for number in 0..BUSY_CALLERS {
         let load = Arc::clone(&load);
-        callers.push(tokio::spawn(call(address, load, "safe", format!("busy{number}"), Duration::ZERO)));
+        callers.push(tokio::spawn(call(
+            address,
+            load,
+            "safe",
+            format!("busy{number}"),
+            Duration::ZERO,
+        )));
     }
     for number in 0..SLOW_CALLERS {
         let load = Arc::clone(&load);
-        callers.push(tokio::spawn(call(address, load, "pay", format!("pay{number}"), Duration::ZERO)));
+        callers.push(tokio::spawn(call(
+            address,
+            load,
+            "pay",
+            format!("pay{number}"),
+            Duration::ZERO,
+        )));
     }
     let client = reqwest::Client::builder().no_proxy().build()?;
     let metrics = format!("http://{}/metrics", router.address("metrics"));
@@ -128,16 +165,24 @@
     let mut next_metrics = Instant::now();
     let mut is_killed = false;
     while Instant::now() < end && !is_killed {
-        ensure!(router.exit_status()?.is_none(), "the router ended by itself");
+        ensure!(
+            router.exit_status()?.is_none(),
+            "the router ended by itself"
+        );
         let (memory_kb, _) = router.memory_kb();
         if memory_kb > MEMORY_KB {
             is_killed = true;
             router.signal(rustix::process::Signal::KILL)?;
-            record.line(format!("memory {memory_kb} kB: the platform kills the process"));
+            record.line(format!(
+                "memory {memory_kb} kB: the platform kills the process"
+            ));
         }
         if Instant::now() >= next_line {
             next_line += Duration::from_secs(1);
-            record.line(format!("answered {} requests, memory {memory_kb} kB", load.served.load(Ordering::Relaxed)));
+            record.line(format!(
+                "answered {} requests, memory {memory_kb} kB",
+                load.served.load(Ordering::Relaxed)
+            ));
         }
         if !has_trouble() && Instant::now() >= next_metrics {
             next_metrics += METRICS_INTERVAL;
@@ -160,13 +205,20 @@
     }
     let mut passed_on = 0;
     for id in &lost {
-        let runs: Vec<_> = replicas.iter().filter(|replica| replica.has_run(id)).collect();
+        let runs: Vec<_> = replicas
+            .iter()
+            .filter(|replica| replica.has_run(id))
+            .collect();
         passed_on += usize::from(!runs.is_empty());
         let runs: Vec<_> = runs.iter().map(|replica| replica.id.as_str()).collect();
-        record.line(format!("{id}: connection closed without an answer; run by {runs:?}"));
+        record.line(format!(
+            "{id}: connection closed without an answer; run by {runs:?}"
+        ));
     }
     let served = load.served.load(Ordering::Relaxed);
-    let line = format!("answered {served} requests, killed for its memory: {is_killed}, passed on and closed without an answer: {passed_on}");
+    let line = format!(
+        "answered {served} requests, killed for its memory: {is_killed}, passed on and closed without an answer: {passed_on}"
+    );
     record.line(&line);
     println!("{line}");
     Ok(if passed_on > MAX_LOST { BROKEN } else { HELD })
--- a/review/harness-2/src/lib.rs
+++ b/review/harness-2/src/lib.rs
@@ -63,7 +63,8 @@
         let mut line = String::new();
         let _ = writeln!(line, "{:9.3} {}", self.now().as_secs_f64(), text.as_ref());
         let mut file = self.file.lock().expect("the lock is not poisoned");
-        file.write_all(line.as_bytes()).expect("the record is writable");
+        file.write_all(line.as_bytes())
+            .expect("the record is writable");
     }
 }
 
@@ -153,7 +154,11 @@
             .stderr(Stdio::from(log))
             .spawn()?;
         let folder = folder.to_owned();
-        Ok(Self { plan, process, folder })
+        Ok(Self {
+            plan,
+            process,
+            folder,
+        })
     }
 
     /// Returns an address by name.
@@ -207,7 +212,11 @@
         let end = Instant::now() + limit;
         let url = format!("http://{}/crocuswharf/ready", self.address("readiness"));
         while Instant::now() < end {
-            let sent = client.get(&url).timeout(Duration::from_secs(1)).send().await;
+            let sent = client
+                .get(&url)
+                .timeout(Duration::from_secs(1))
+                .send()
+                .await;
             if sent.is_ok_and(|response| response.status() == 200) {
                 return true;
             }
@@ -292,7 +301,10 @@
     /// Returns whether the replica has run one of the longer requests.
     #[must_use]
     pub fn has_run(&self, id: &str) -> bool {
-        self.runs.lock().expect("the lock is not poisoned").contains(id)
+        self.runs
+            .lock()
+            .expect("the lock is not poisoned")
+            .contains(id)
     }
 }
 
