--- a/src/gateway/backpressure.rs
+++ b/src/gateway/backpressure.rs
@@ -1,4 +1,5 @@
-//! Reads from the head of any response what a replica asks of this router: to send nothing more, or nothing for a time.
+//! Reads from the head of any response what a replica asks of this router: to send nothing more, nothing for a time, or,
+//! with all other routers together, no more than a rate.
 //!
 //! A replica that leaves says so in all of its responses, and an overloaded one may name the time for which it wants no
 //! requests. Both take effect with the response that says so: the platform's list shows a departure up to seconds later,
@@ -13,6 +14,7 @@
 use http::header::{HeaderMap, RETRY_AFTER};
 
 use super::headers::{HeaderNames, header_text};
+use super::replica_limit::NamedLimit;
 
 /// The longest retry delay that is honoured; a longer one would exclude a replica for the rest of its life.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(300);
@@ -20,12 +22,14 @@
 const LEAVING: &str = "1";
 
 /// What a replica asks of this router.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Backpressure {
     /// Whether the replica is leaving and must get no new requests.
     pub(crate) is_leaving: bool,
     /// The time for which the replica wants no requests.
     pub(crate) retry_after: Option<Duration>,
+    /// The rate that the replica takes from all routers together.
+    pub(crate) limit: NamedLimit,
 }
 
 impl Backpressure {
@@ -43,6 +47,7 @@
         Self {
             is_leaving,
             retry_after,
+            limit: NamedLimit::of_headers(headers, &names.limit),
         }
     }
 }
--- a/src/gateway/control/loads.rs
+++ b/src/gateway/control/loads.rs
@@ -55,6 +55,7 @@
         let mut message = LoadMessage::of(&self.peer_loads.local_total(&own));
         message.reachability = self.unreachable.local_report(now);
         message.speeds = self.due_speed_report(now);
+        message.limits = self.limit_reports(now);
         self.peers.broadcast_loads(&message);
         let others = subtract(&self.peer_loads.total(&own), Some(&own));
         self.apply_others_load(others);
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -36,6 +36,7 @@
 use crate::rollout::{Lease, LeaseEvent};
 
 pub(crate) mod contain;
+mod limits;
 mod loads;
 mod orders;
 mod prefill;
@@ -205,6 +206,7 @@
                 let from = Arc::clone(&from);
                 control.peer_speeds.record_aggregate(from, speeds, now);
             }
+            control.merge_limits(&load.limits, now);
             control
                 .peer_loads
                 .record_aggregate(from, load.into_loads(), now);
@@ -398,6 +400,7 @@
             pool.close_idle(false);
         }
         self.shared.memory.record_gauges();
+        self.record_limit_gauges(now);
         for versions in self.named.values_mut() {
             let newest = versions.last().copied();
             versions.retain(|entry| Some(*entry) == newest || now < entry.1 + NAMED_TTL);
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -336,6 +336,7 @@
                     self.peer_speeds.record_aggregate(source, speeds, now);
                 }
             }
+            self.merge_limits(&load.limits, now);
             self.apply_others_load(load.into_loads());
         }
         let interval = poll_interval(&self.shared);
@@ -410,6 +411,7 @@
                 self.peer_speeds.record_follower(from, &speeds, boot_time());
                 wants_speeds = true;
             }
+            self.merge_limits(&load.limits, boot_time());
             let loads = load.into_loads();
             self.peer_loads
                 .record_follower(Arc::clone(&router), loads, boot_time());
@@ -440,11 +442,13 @@
         }
         let total = self.peer_loads.total(&self.own_loads());
         let reachability = self.unreachable.total_report(now);
+        let limits = self.limit_reports(now);
         for waiting in due {
             let mut update = self.update_for(&waiting.request, is_unavailable, now);
             let others = self.peer_loads.total_excluding(&waiting.router, &total);
             let mut others_load = LoadMessage::of(&others);
             others_load.reachability = reachability.clone();
+            others_load.limits = limits.clone();
             others_load.speeds = waiting.wants_speeds.then(|| {
                 let own = self.own_speeds(now);
                 let others = self
@@ -562,6 +566,7 @@
             let mut load = LoadMessage::of(&self.own_loads());
             load.reachability = self.unreachable.local_report(now);
             load.speeds = self.due_speed_report(now);
+            load.limits = self.limit_reports(now);
             let request = UpdateRequest {
                 configuration_revision: self.platform.configuration_revision,
                 replicas_as_of: self.platform.replicas_as_of,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -22,8 +22,10 @@
 use super::forwarding::BodyFraming;
 use super::headers::header_text;
 use super::memory::{CallMemory, Reservation};
+use super::replica_limit::{LimitChange, NamedLimit};
 use super::shared::{LoadGuard, Observation, Replica, Shared};
 use super::upstream::{ReplicaConnection, RequestBody, SendFailure};
+use crate::id::ReplicaId;
 
 /// The maximum size of a response that is buffered until it is complete; a longer one is streamed.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
@@ -177,6 +179,7 @@
             Arc::clone(&self.replica),
             self.expected_ms,
         );
+        let sent_at = boot_time();
         let result = tokio::select! {
             result = self.receive_head(&mut connection, request) => result,
             refusal = self.shared.wait_until_part_refused(&self.call) => Err(FailedAttempt::new(
@@ -205,6 +208,7 @@
         let receiver = Receiver {
             shared: self.shared,
             call: self.call,
+            sent_at,
         };
         receiver.handle_response(head, stream).await
     }
@@ -242,6 +246,8 @@
 struct Receiver {
     shared: Arc<Shared>,
     call: Arc<Call>,
+    /// When the request was sent.
+    sent_at: Duration,
 }
 
 impl Receiver {
@@ -377,6 +383,7 @@
         let asked =
             Backpressure::of_response(head.status, &head.headers, &self.shared.header_names);
         let record = &replica.known.record;
+        self.observe_limit(head, asked.limit, replica);
         if let Some(time) = asked.retry_after {
             replica.load.record_backoff(time);
             record_signal("retry_after");
@@ -401,6 +408,23 @@
         }
     }
 
+    /// Records the limit that a response names. Only a response that is the replica's own shows that a limit has ended.
+    fn observe_limit(&self, head: &response::Parts, named: NamedLimit, replica: &Replica) {
+        let header_names = &self.shared.header_names;
+        let is_own = head.headers.contains_key(&header_names.signature)
+            || head.headers.contains_key(&header_names.not_run);
+        if named == NamedLimit::None && !is_own {
+            return;
+        }
+        if named == NamedLimit::Unreadable {
+            record_signal("unreadable_limit");
+        }
+        if let Some(change) = replica.load.record_limit(named, self.sent_at) {
+            record_signal("limit");
+            log_limit_change(&replica.known.record.id, change, "response");
+        }
+    }
+
     /// Reports to the control thread if a response names newer weights than are known for the replica.
     fn observe_weights(&self, headers: &HeaderMap, replica: &Replica) {
         let Some(prompt) = &self.call.prompt else {
@@ -423,6 +447,18 @@
     }
 }
 
+/// Logs that the limit of a replica has changed, according to a `source`.
+pub(crate) fn log_limit_change(replica: &ReplicaId, change: LimitChange, source: &'static str) {
+    match change {
+        LimitChange::Named(rate_per_s) => log::info!(
+            "health: Replica limited. replica={replica} rate_per_s={rate_per_s:.3} source={source}"
+        ),
+        LimitChange::Ended => {
+            log::info!("health: Replica no longer limited. replica={replica} source={source}");
+        }
+    }
+}
+
 fn record_signal(signal: &'static str) {
     metrics::counter!("crocuswharf_gateway_replica_signals_total", "signal" => signal).increment(1);
 }
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -28,6 +28,8 @@
     pub not_run: HeaderName,
     /// Says in any response of a replica that the replica is leaving.
     pub leaving: HeaderName,
+    /// The requests per second that a replica takes from all routers together, for as long as its responses say so.
+    pub limit: HeaderName,
     /// The replica's signature, which proves that it produced the response.
     pub signature: HeaderName,
     /// The model that a request is for.
--- a/src/gateway/load/reports.rs
+++ b/src/gateway/load/reports.rs
@@ -12,6 +12,7 @@
 
 use super::speed::SpeedReport;
 use super::unreachable::ReachabilityMessage;
+use crate::gateway::replica_limit::LimitReport;
 use crate::id::{RouterId, WeightsVersion};
 
 /// How long a report of a router stays valid; running routers report several times a second.
@@ -72,7 +73,7 @@
 pub(crate) type LoadMap = HashMap<ReplicaKey, LoadSample>;
 
 /// The wire format of a [`LoadMap`]; entries with the same index belong to the same replica.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct LoadMessage {
     /// The keys of the replicas.
     #[prost(fixed32, repeated, tag = "1")]
@@ -101,6 +102,9 @@
     /// What routers observed of the speeds of replicas; only in some of the messages.
     #[prost(message, optional, tag = "9")]
     pub(crate) speeds: Option<SpeedReport>,
+    /// What the sender knows about the limits that replicas name.
+    #[prost(message, repeated, tag = "10")]
+    pub(crate) limits: Vec<LimitReport>,
 }
 
 impl LoadMessage {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -52,6 +52,7 @@
 mod prompt;
 mod quota;
 mod relay;
+mod replica_limit;
 mod request_end;
 mod request_log;
 mod response;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -29,6 +29,7 @@
 use super::placement::{PlacementRequest, WeightsBounds};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
 use super::quota::gate::QuotaGate;
+use super::replica_limit::{LimitChange, LimitReport, NamedLimit, ReplicaLimit};
 use super::request_end::ConfigurationChange;
 use super::route::{CallerLimits, ModelName, RouteTable};
 use super::settings::{GatewayBounds, GatewaySettings};
@@ -76,6 +77,9 @@
     backoff_until_ms: AtomicU64,
     /// Whether a response said that the replica is leaving.
     is_leaving: AtomicBool,
+    limit: Mutex<ReplicaLimit>,
+    /// Whether `limit` may hold anything, so that requests to other replicas don't lock it.
+    has_limit: AtomicBool,
     /// The weights version named in a response, and when it was received.
     named_version: AtomicU64,
     named_at_ms: AtomicU64,
@@ -281,6 +285,47 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
+    /// Records what the response to a request sent at `asked_at` says about the replica's limit; returns the change.
+    pub(crate) fn record_limit(
+        &self,
+        named: NamedLimit,
+        asked_at: Duration,
+    ) -> Option<LimitChange> {
+        if named == NamedLimit::None && !self.has_limit.load(Ordering::Relaxed) {
+            return None;
+        }
+        self.change_limit(|limit| limit.record(named, asked_at))
+    }
+
+    /// Records what another router has reported about the replica's limit; returns the change.
+    pub(crate) fn merge_limit(&self, report: &LimitReport, now: Duration) -> Option<LimitChange> {
+        self.change_limit(|limit| limit.merge(report, now))
+    }
+
+    fn change_limit<T>(&self, change: impl FnOnce(&mut ReplicaLimit) -> T) -> T {
+        let mut limit = lock(&self.limit);
+        let result = change(&mut limit);
+        let has_limit = *limit != ReplicaLimit::default();
+        self.has_limit.store(has_limit, Ordering::Relaxed);
+        result
+    }
+
+    /// Returns the requests per second that all routers together may send to the replica; `None` if there is no limit.
+    pub(crate) fn limit_rate_per_s(&self, now: Duration) -> Option<f64> {
+        if !self.has_limit.load(Ordering::Relaxed) {
+            return None;
+        }
+        lock(&self.limit).rate_per_s(now)
+    }
+
+    /// Returns what this router knows about the replica's limit, for other routers.
+    pub(crate) fn limit_report(&self, key: ReplicaKey, now: Duration) -> Option<LimitReport> {
+        if !self.has_limit.load(Ordering::Relaxed) {
+            return None;
+        }
+        self.change_limit(|limit| limit.report(key, now))
+    }
+
     /// Records that a response named newer weights than were known.
     pub(crate) fn record_version(&self, version: WeightsVersion) {
         self.named_version.fetch_max(version, Ordering::Relaxed);
--- a/src/gateway/tests/prompt.rs
+++ b/src/gateway/tests/prompt.rs
@@ -11,6 +11,7 @@
     let name = HeaderName::from_static;
     HeaderNames {
         leaving: name("x-leaving"),
+        limit: name("x-limit"),
         request_id: name("x-id"),
         deadline_ms: name("x-deadline"),
         caller_key: name("x-key"),
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -14,7 +14,7 @@
 use crate::membership::{decode_address, encode_address};
 
 /// A request for updates: the revisions that the sender knows and how long it waits.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct UpdateRequest {
     /// The known revision of the configuration.
     #[prost(uint64, tag = "1")]
@@ -34,7 +34,7 @@
 }
 
 /// The changes since the requested revisions.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct PlatformUpdate {
     /// Whether the sender has no updates, because it does not query the platform or can't reach it.
     #[prost(bool, tag = "1")]
