--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -18,7 +18,7 @@
 use super::memory::{CallMemory, StoredBody};
 use super::placement::PlacementRequest;
 use super::prompt::Prompt;
-use super::quota::{QuotaCharge, account_key};
+use super::quota::{QuotaCharge, QuotaSubject, account_key};
 use super::response::LocalReply;
 use super::route::{GatewayAccount, Route};
 use super::shared::{Shared, Snapshot};
@@ -144,6 +144,7 @@
         let quota = account.as_ref().and_then(|account| {
             let quota = account.quota?;
             Some(QuotaCharge {
+                subject: QuotaSubject::Account,
                 account: account_key(&account.name),
                 limit: quota.limit.checked()?,
                 cost: quota.cost(token_counts),
--- a/src/gateway/control/quota.rs
+++ b/src/gateway/control/quota.rs
@@ -31,11 +31,12 @@
 
     /// Updates the accounts that this router owns and the share of their limits that it grants.
     pub(super) fn update_quotas(&mut self, now: Duration) {
+        let alive = self.peers.alive();
+        let alive = alive.map(|member| (&member.router, member.leaving));
         if !self.quotas.is_active() {
+            self.quotas.observe_idle(alive, now);
             return;
         }
-        let alive = self.peers.alive();
-        let alive = alive.map(|member| (&member.router, member.leaving));
         let is_own = |account: AccountKey| self.peers.quota_owner(account) == self.peers.own();
         let generation = self.peers.generation();
         let update = self.quotas.update(alive, generation, is_own, now);
@@ -54,6 +55,10 @@
 
     /// Passes a quota request of this router to the owner of the account, which may be this router itself.
     pub(super) fn request_quota(&mut self, number: u64, request: QuotaRequest) {
+        if !self.quotas.is_active() {
+            self.quotas.activate();
+            self.update_quotas(boot_time());
+        }
         let account = request.account;
         let owner = self.peers.quota_owner(account);
         if owner == self.peers.own() {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -24,6 +24,7 @@
 use super::quota::permit::QuotaPermit;
 use super::response::LocalReply;
 use super::route::CallKind;
+use super::send_permit::WithheldReplicas;
 use super::shared::{Refusal, Replica, Shared, Snapshot};
 use super::upstream::{RequestBody, SendFailure};
 use crate::id::ReplicaId;
@@ -69,11 +70,13 @@
     is_budget_exhausted: bool,
     /// The tokens of the account's quota; `None` if it has none.
     quota: Option<QuotaPermit>,
+    /// The permit for the latest send, if its replica names a limit.
+    pub(crate) send_permit: Option<QuotaPermit>,
 }
 
 /// What is known about the prefix of a request before an attempt.
 #[derive(Clone, Copy, Debug, Default)]
-struct PrefixState {
+pub(crate) struct PrefixState {
     /// The replica that holds the prefix.
     holder: Option<ReplicaKey>,
 }
@@ -97,6 +100,7 @@
             sends: 0,
             prefill_key: None,
             is_budget_exhausted: false,
+            send_permit: None,
         }
     }
 
@@ -116,7 +120,7 @@
             return unknown;
         }
         self.end_prefill(None);
-        let Ok(replica) = self.place(snapshot, unknown) else {
+        let Ok(replica) = self.place(snapshot, unknown, &WithheldReplicas::new()) else {
             return unknown;
         };
         let key = self.prefix_key(snapshot, &replica, prefix);
@@ -251,6 +255,11 @@
         if failed.end == AttemptEnd::Broken && boot_time() >= self.sent_at + MIN_RUN {
             self.lost_attempts += 1;
         }
+        if let Some(permit) = self.send_permit.as_mut()
+            && failed.end == AttemptEnd::Unsent
+        {
+            permit.not_run();
+        }
         let is_not_run = matches!(failed.end, AttemptEnd::Unsent | AttemptEnd::Refused);
         if let Some(quota) = self.quota.as_mut().filter(|_| is_not_run) {
             quota.not_run();
@@ -303,7 +312,9 @@
         let snapshot = self.shared.snapshot.load_full();
         let may_send = next_state.hold(self.call.remaining())
             && self.allows_resend(lost_attempts)
-            && self.place(&snapshot, PrefixState::default()).is_ok();
+            && self
+                .place(&snapshot, PrefixState::default(), &WithheldReplicas::new())
+                .is_ok();
         if !may_send || !self.withdraw_retry() {
             return false;
         }
@@ -449,7 +460,7 @@
         self.acquire_quota().await?;
         let (prefix, snapshot) = self.prefix_and_snapshot().await;
         self.check_refusal()?;
-        let replica = self.place(&snapshot, prefix)?;
+        let replica = self.place_within_limits(&snapshot, prefix).await?;
         let record = &replica.known.record;
         let is_retryable = self.call.route.kind.is_retryable();
         let max_idle = if is_retryable {
@@ -479,6 +490,11 @@
             self.check_key(&snapshot, now)?;
         }
         self.spend_quota(now)?;
+        if !self.spend_permit(&replica, now) {
+            connection.release(None);
+            let reason = "the limit of the replica is used up";
+            return Err(FailedAttempt::new(AttemptEnd::Unsent, reason).into());
+        }
         let request = self.request_to(&snapshot, &replica, last_event, now);
         if self.sends == 0 {
             self.shared
@@ -572,17 +588,18 @@
         Ok(())
     }
 
-    fn place(
+    pub(crate) fn place(
         &self,
         snapshot: &Snapshot,
         prefix: PrefixState,
+        withheld: &WithheldReplicas,
     ) -> Result<Arc<Replica>, AttemptError> {
         let none = AttemptError::NoReplica(NoReplica::NoneAccepting);
         let Some(replicas) = snapshot.services.get(&self.call.service) else {
             return Err(none);
         };
         let now = boot_time();
-        let candidates = self.candidates(snapshot, replicas, prefix, now);
+        let candidates = self.candidates(snapshot, replicas, prefix, withheld, now);
         let chosen = choose(
             &self.call.placement,
             &candidates,
@@ -609,11 +626,17 @@
         }
     }
 
+    /// Returns whether an attempt was made at `replica`.
+    pub(crate) fn has_tried(&self, replica: &Replica) -> bool {
+        self.tried.contains(&replica.known.record.id)
+    }
+
     fn candidates<'a>(
         &self,
         snapshot: &Snapshot,
         replicas: &'a [Arc<Replica>],
         prefix: PrefixState,
+        withheld: &WithheldReplicas,
         now: Duration,
     ) -> Vec<Candidate<'a>> {
         let bounds = self.shared.weights_bounds();
@@ -656,6 +679,7 @@
                     load.add(others.get(&replica.key).copied().unwrap_or_default());
                     let speed = speeds.get(&replica.key).copied().unwrap_or_default();
                     let status = status(replica, load.prefill_tokens, speed.home_weight);
+                    let withheld_time = self.withheld_time(replica, withheld, now);
                     Candidate {
                         id: &record.id,
                         is_same_zone: record.zone == *zone,
@@ -675,7 +699,8 @@
                         home_weight: speed.home_weight,
                         weights: status.unwrap_or(WeightsStatus::Expired),
                         is_accepting: replica.known.is_accepting() && !replica.load.is_leaving(),
-                        backoff: replica.load.backoff(now),
+                        backoff: replica.load.backoff(now).max(withheld_time),
+                        is_withheld: !withheld_time.is_zero(),
                         is_warm: prefix.holder == Some(replica.key),
                     }
                 })
@@ -828,7 +853,7 @@
 }
 
 /// Why an attempt yielded no response.
-enum AttemptError {
+pub(crate) enum AttemptError {
     Failed(Box<FailedAttempt>),
     /// Requests like this one are refused.
     Refused(Refusal),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -58,6 +58,7 @@
 mod response;
 mod revision;
 mod route;
+mod send_permit;
 mod settings;
 mod shared;
 mod source;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -9,7 +9,8 @@
 //! Load patterns handled: many routers with little traffic each in front of few replicas (shared homes instead of local
 //! views); one hot prefix (spills by cost, to the same second choice from all routers); rollouts (old weights cost more
 //! as time passes and are excluded at the bound); failing replicas (the cost grows as the health weight falls); replicas
-//! of different speeds (times and homes follow their speeds); long prompts that fill the memory of their home ([`super::load`]); a burst at
+//! of different speeds (times and homes follow their speeds); a home that is limited (what is over its limit moves to the
+//! next home of each prefix); long prompts that fill the memory of their home ([`super::load`]); a burst at
 //! a plain service (two random replicas are compared, because all routers would send to the least loaded one until its
 //! load comes back to them).
 //!
@@ -141,6 +142,9 @@
     pub is_accepting: bool,
     /// How long the replica still wants no requests of this router; zero if it takes them.
     pub backoff: Duration,
+    /// Whether `backoff` is that of a limit which the replica names. Its prefixes then have their next home, each one the same at
+    /// all routers, instead of any replica.
+    pub is_withheld: bool,
     /// Whether the replica rejected a request from any router recently.
     pub is_refusing: bool,
     /// Whether the replica is known to have the prefix cached.
@@ -233,9 +237,9 @@
     tried: &[ReplicaId],
     rng: &mut impl Rng,
 ) -> Result<usize, NoReplica> {
-    let warm = candidates
-        .iter()
-        .position(|candidate| candidate.is_warm && candidate.is_accepting);
+    let warm = candidates.iter().position(|candidate| {
+        candidate.is_warm && candidate.is_accepting && !candidate.is_withheld
+    });
     let home = warm.or_else(|| home_index(request, candidates));
     let mut eligible: SmallVec<[usize; 16]> = SmallVec::new();
     let mut reason = NoReplica::NoneAccepting;
@@ -331,6 +335,7 @@
         .iter()
         .enumerate()
         .filter(|(_, candidate)| candidate.health > 0.0 && in_scope(candidate))
+        .filter(|(_, candidate)| !candidate.is_withheld)
         .filter(|(_, candidate)| candidate.is_accepting || !is_small)
         .map(|(index, candidate)| (index, home_score(candidate, prefix)))
         .max_by(|(_, left), (_, right)| left.total_cmp(right))
--- a/src/gateway/quota/gate.rs
+++ b/src/gateway/quota/gate.rs
@@ -10,7 +10,7 @@
 
 use super::grants::{Acquired, NumberedRequest, OWNER_TIMEOUT, QuotaGrants, QuotaStep, Ticket};
 use super::message::QuotaReply;
-use super::{AccountKey, QuotaCharge};
+use super::{AccountKey, QuotaCharge, QuotaSubject};
 use crate::gateway::clock::boot_time;
 use crate::gateway::control::Event;
 use crate::gateway::shared::Shared;
@@ -56,6 +56,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns for how long this router refuses requests of an account itself; zero if it would ask the owner.
+    pub(crate) fn denied_for(&self, account: AccountKey, now: Duration) -> Duration {
+        self.lock().grants.denied_for(account, now)
+    }
+
+    /// Returns when a request that was refused may return, since the first of `accounts` has a token for it then; `None`
+    /// if none of them refuses requests.
+    pub(crate) fn reserve_return(
+        &self,
+        accounts: &[AccountKey],
+        now: Duration,
+    ) -> Option<Duration> {
+        let time = self.lock().grants.reserve_return(accounts, now)?;
+        Some(jittered(time))
+    }
+
     /// Removes the state of accounts that are not used any more.
     pub(crate) fn expire(&self, now: Duration) {
         let mut state = self.lock();
@@ -104,8 +120,11 @@
             Acquired::Granted(_) => "granted",
             Acquired::Denied(_) => "denied",
         };
-        metrics::counter!("crocuswharf_gateway_quota_requests_total", "outcome" => outcome)
-            .increment(1);
+        let counter = match charge.subject {
+            QuotaSubject::Account => "crocuswharf_gateway_quota_requests_total",
+            QuotaSubject::Replica => "crocuswharf_gateway_limit_requests_total",
+        };
+        metrics::counter!(counter, "outcome" => outcome).increment(1);
         match decision {
             Acquired::Granted(expires_at) => Ok(expires_at),
             Acquired::Denied(retry_after) => Err(jittered(retry_after)),
--- a/src/gateway/quota/grants.rs
+++ b/src/gateway/quota/grants.rs
@@ -289,6 +289,27 @@
         }
     }
 
+    /// Returns for how long requests of an account are refused without asking its owner; zero if they are not.
+    pub(crate) fn denied_for(&self, account: AccountKey, now: Duration) -> Duration {
+        let grants = self.accounts.get(&account);
+        let denial = grants.and_then(|grants| grants.denial);
+        denial.map_or(Duration::ZERO, |denial| denial.until.saturating_sub(now))
+    }
+
+    /// Refuses a request that a token of any of `accounts` would do for; returns when the first of them has one.
+    pub(crate) fn reserve_return(
+        &mut self,
+        accounts: &[AccountKey],
+        now: Duration,
+    ) -> Option<Duration> {
+        let denials = accounts.iter().filter_map(|account| {
+            let denial = self.accounts.get(account)?.denial?;
+            (now < denial.until).then_some((denial.retry_at, *account))
+        });
+        let (_, first) = denials.min()?;
+        self.accounts.get_mut(&first)?.refuse(1, now)
+    }
+
     /// Removes the state of accounts that are not used any more.
     pub(crate) fn expire(&mut self, now: Duration) {
         self.accounts.retain(|_, grants| {
--- a/src/gateway/quota/mod.rs
+++ b/src/gateway/quota/mod.rs
@@ -1,6 +1,7 @@
-//! Quotas of client accounts, which all routers enforce together.
+//! Quotas of client accounts and limits of replicas, which all routers enforce together.
 //!
-//! Each account has one owner among the routers, which keeps a token bucket for it ([`owner`]) and grants tokens from
+//! A replica that names a limit ([`crate::gateway::replica_limit`]) is treated as an account whose rate its responses
+//! name. Each account has one owner among the routers, which keeps a token bucket for it ([`owner`]) and grants tokens from
 //! it. The other routers request tokens before they send a request to a replica ([`grants`]). A grant expires soon after
 //! its request was sent, so the tokens that are granted and not yet used are bounded whatever fails. See
 //! docs/design/quotas.md.
@@ -27,7 +28,7 @@
 /// half again and again uses more than the tolerance.
 const GRANTED_TOLERANCE: f64 = 0.15;
 
-/// The hash of an account's name, which identifies the account in messages.
+/// The hash of an account's name, or of a replica that names a limit; identifies either in messages.
 pub(crate) type AccountKey = u64;
 
 /// Returns the key of the account called `name`.
@@ -96,9 +97,20 @@
     }
 }
 
+/// Whose rate is limited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum QuotaSubject {
+    /// A client account, by the configuration.
+    Account,
+    /// A replica, by what its responses name.
+    Replica,
+}
+
 /// The quota that applies to one request, and what the request costs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct QuotaCharge {
+    /// Whose rate is limited.
+    pub(crate) subject: QuotaSubject,
     /// The account.
     pub(crate) account: AccountKey,
     /// The limit of the account in this router's configuration.
--- a/src/gateway/quota/owned.rs
+++ b/src/gateway/quota/owned.rs
@@ -16,6 +16,9 @@
 use super::{AccountKey, QuotaLimit};
 use crate::id::RouterId;
 
+/// The interval at which the routers that are alive are recorded while no quota is in use.
+const IDLE_OBSERVATION_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The quotas of the configuration and the buckets of the accounts that this router owns.
 #[derive(Debug)]
 pub(crate) struct OwnedQuotas {
@@ -28,6 +31,7 @@
     fleet: FleetShare,
     /// Whether any account has had a quota, or a router has asked for one.
     is_active: bool,
+    next_idle_observation: Duration,
 }
 
 /// What an update has found.
@@ -53,6 +57,7 @@
             owner: QuotaOwner::new(now),
             fleet: FleetShare::new(expected, now),
             is_active: false,
+            next_idle_observation: now,
         }
     }
 
@@ -74,6 +79,25 @@
         self.is_active
     }
 
+    /// Enables the quotas, since a request needs tokens of an account that no configuration names.
+    pub(crate) const fn activate(&mut self) {
+        self.is_active = true;
+    }
+
+    /// Records the routers that are alive while no quota is in use, so that the share of this router is known when one is;
+    /// to be called at least every 500 ms.
+    pub(crate) fn observe_idle<'a>(
+        &mut self,
+        alive: impl Iterator<Item = (&'a RouterId, bool)>,
+        now: Duration,
+    ) {
+        self.owner.tick(now);
+        if now >= self.next_idle_observation {
+            self.next_idle_observation = now + IDLE_OBSERVATION_INTERVAL;
+            self.fleet.observe(alive, now);
+        }
+    }
+
     /// Updates the accounts that this router owns and the share of their limits that it grants; to be called at least every
     /// 500 ms.
     ///
--- a/src/gateway/quota/tests/fleet.rs
+++ b/src/gateway/quota/tests/fleet.rs
@@ -15,8 +15,25 @@
 use crate::id::RouterId;
 use crate::membership::owner_of;
 
-/// The window of the quota.
-pub(super) const WINDOW: Duration = Duration::from_secs(8);
+/// What may run in any window, as the users specify it.
+#[derive(Clone, Copy)]
+pub(super) struct Rule {
+    pub(super) window: Duration,
+    /// The factor by which more than the quota may run.
+    pub(super) factor: f64,
+    /// The units that may run in addition.
+    pub(super) slack: f64,
+    /// Whether the limit is one that requests name, which no configuration does.
+    pub(super) is_unknown: bool,
+}
+
+const QUOTA_RULE: Rule = Rule {
+    window: Duration::from_secs(8),
+    factor: 1.1,
+    slack: 190_000.0,
+    is_unknown: false,
+};
+
 const TICK: Duration = ms(100);
 /// How long a request waits for its decision, as in `gate.rs`.
 const WAIT: Duration = ms(320);
@@ -63,6 +80,7 @@
     last_event: u64,
     rng: ChaCha8Rng,
     network: Network,
+    rule: Rule,
     runs: VecDeque<(Duration, u32)>,
     in_window: u64,
     /// The limits in force at any router, with the time from which each counts.
@@ -77,6 +95,17 @@
 impl Fleet {
     /// Starts `count` routers that know each other.
     pub(super) fn new(count: usize, limit: QuotaLimit, network: Network, seed: u64) -> Self {
+        Self::with_rule(count, limit, network, seed, QUOTA_RULE)
+    }
+
+    /// Starts `count` routers that know each other and are held to `rule`.
+    pub(super) fn with_rule(
+        count: usize,
+        limit: QuotaLimit,
+        network: Network,
+        seed: u64,
+        rule: Rule,
+    ) -> Self {
         let mut fleet = Self {
             now: Duration::from_secs(1_000),
             routers: Vec::new(),
@@ -84,6 +113,7 @@
             last_event: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             network,
+            rule,
             runs: VecDeque::new(),
             in_window: 0,
             limits: VecDeque::from([(Duration::ZERO, limit)]),
@@ -105,7 +135,11 @@
         let heard = (0..count).map(|_| (now, ms(self.rng.random_range(1_000..2_500))));
         let heard = heard.collect();
         let mut quotas = OwnedQuotas::new(count, now);
-        quotas.set_limits([(ACCOUNT, Some(owner_limit(limit)))].into_iter());
+        if self.rule.is_unknown {
+            quotas.activate();
+        } else {
+            quotas.set_limits([(ACCOUNT, Some(owner_limit(limit)))].into_iter());
+        }
         Router {
             id: Arc::from(format!("r{index}")),
             is_up: true,
@@ -183,9 +217,10 @@
         for (other, router) in self.routers.iter_mut().enumerate() {
             if index.is_none_or(|index| index == other) {
                 router.limit = limit;
-                router
-                    .quotas
-                    .set_limits([(ACCOUNT, Some(owner_limit(limit)))].into_iter());
+                if !self.rule.is_unknown {
+                    let limit = Some(owner_limit(limit));
+                    router.quotas.set_limits([(ACCOUNT, limit)].into_iter());
+                }
             }
         }
     }
@@ -320,8 +355,8 @@
         match self.rng.random_range(0..50) {
             // A replica has refused the request.
             0 => return at.grants.give_back(&charged, until, self.now),
-            // The response broke, and the request was sent again.
-            1 => {
+            // The response broke, and the request was sent again; to a replica with a limit, it would need another token.
+            1 if !self.rule.is_unknown => {
                 at.grants.charge(&charged, at.fleet, self.now);
                 self.record_run(cost);
                 self.ask(router);
@@ -408,13 +443,13 @@
         self.in_window += u64::from(cost);
         self.total += u64::from(cost);
         while let Some((at, cost)) = self.runs.front().copied()
-            && at + WINDOW <= self.now
+            && at + self.rule.window <= self.now
         {
             self.runs.pop_front();
             self.in_window -= u64::from(cost);
         }
         let quota = self.allowed();
-        let allowed = quota * 1.1 + 190_000.0;
+        let allowed = quota * self.rule.factor + self.rule.slack;
         let used = self.in_window as f64;
         self.worst = self.worst.max((used - quota) / (allowed - quota));
         assert!(
@@ -426,7 +461,7 @@
 
     /// Returns what the limits that were in force within the window allow in it.
     fn allowed(&self) -> f64 {
-        let start = self.now.saturating_sub(WINDOW);
+        let start = self.now.saturating_sub(self.rule.window);
         let (mut units, mut burst, mut until): (f64, f64, _) = (0.0, 0.0, self.now);
         for (from, limit) in self.limits.iter().rev() {
             let part = until.saturating_sub((*from).max(start));
@@ -437,6 +472,10 @@
                 break;
             }
         }
+        // A replica's limit has no burst; that of the grants is this project's own.
+        if self.rule.is_unknown {
+            return units;
+        }
         units + burst
     }
 }
--- a/src/gateway/quota/tests/mod.rs
+++ b/src/gateway/quota/tests/mod.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use super::{AccountQuota, QuotaCharge, QuotaLimit, QuotaTolerance, QuotaUnit};
+use super::{AccountQuota, QuotaCharge, QuotaLimit, QuotaSubject, QuotaTolerance, QuotaUnit};
 
 mod decisions;
 mod fleet;
 mod replay;
+mod replica_limits;
 
 /// The account of the tests.
 const ACCOUNT: u64 = 0x5eed;
@@ -36,6 +37,7 @@
 
 const fn charge(limit: QuotaLimit, cost: u32) -> QuotaCharge {
     QuotaCharge {
+        subject: QuotaSubject::Account,
         account: ACCOUNT,
         limit,
         cost,
--- a/src/gateway/replica_limit.rs
+++ b/src/gateway/replica_limit.rs
@@ -17,14 +17,18 @@
 use std::time::Duration;
 
 use http::header::{HeaderMap, HeaderName};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::load::ReplicaKey;
+use super::quota::{AccountKey, QuotaLimit};
 
 /// The lowest rate that is applied, in requests per second. A replica that names less still gets a request now and then,
 /// since only its responses tell that the limit has ended.
 const MIN_RATE_PER_S: f64 = 0.2;
 /// The highest rate that is applied, in requests per second.
 const MAX_RATE_PER_S: f64 = 1_000_000.0;
+/// The length of the burst in seconds of the rate, beyond one request.
+const BURST_S: f64 = 0.25;
 /// How long a limit that has ended is still applied, at a growing rate.
 const RAMP: Duration = Duration::from_secs(3);
 /// The time in which the rate doubles after the end of a limit.
@@ -35,6 +39,8 @@
 const REPORT_SLACK: Duration = Duration::from_millis(50);
 /// The smallest relative change of a limit that is logged.
 const MIN_LOGGED_CHANGE: f64 = 0.05;
+/// Distinguishes the keys of limits from those of accounts, which share the owners' messages.
+const LIMIT_KEY_SEED: u64 = 0x6c69_6d69_7473;
 
 /// What a response says about the limit of its replica.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -205,3 +211,15 @@
         })
     }
 }
+/// Returns the key under which the limit of an incarnation of a replica is shared between routers.
+pub(crate) fn limit_key(id: &str, born_ms: u64) -> AccountKey {
+    xxh3_64_with_seed(id.as_bytes(), born_ms ^ LIMIT_KEY_SEED)
+}
+
+/// Returns the rate and the burst that the owner of a limit grants.
+pub(crate) fn granted_limit(rate_per_s: f64) -> QuotaLimit {
+    QuotaLimit {
+        rate_per_s,
+        burst: 1.0 + rate_per_s * BURST_S,
+    }
+}
--- a/src/gateway/tests/admission.rs
+++ b/src/gateway/tests/admission.rs
@@ -50,6 +50,7 @@
             weights: WeightsStatus::Current,
             is_accepting: true,
             backoff: ms(0),
+            is_withheld: false,
             is_refusing: false,
             is_warm: false,
         })
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -54,6 +54,7 @@
             weights: WeightsStatus::Current,
             is_accepting: true,
             backoff: ms(0),
+            is_withheld: false,
             is_refusing: false,
             is_warm: false,
         })
--- a/src/gateway/tests/replica_memory.rs
+++ b/src/gateway/tests/replica_memory.rs
@@ -53,6 +53,7 @@
                 weights: WeightsStatus::Current,
                 is_accepting: true,
                 backoff: ms(0),
+                is_withheld: false,
                 is_refusing: false,
                 is_warm: false,
             })
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -114,6 +114,27 @@
         &[],
         "Orders that were not sent because the lease had expired meanwhile.",
     ),
+    metric(
+        "crocuswharf_gateway_limit_requests_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["outcome"],
+        "Sends to replicas that name a limit, by whether they were granted or denied.",
+    ),
+    metric(
+        "crocuswharf_gateway_limited_replicas",
+        MetricKind::Gauge,
+        Unit::Count,
+        &[],
+        "Replicas whose limit is applied, also for a short time after its end.",
+    ),
+    metric(
+        "crocuswharf_gateway_limits_per_second",
+        MetricKind::Gauge,
+        Unit::Count,
+        &[],
+        "The requests per second that the limited replicas get together from all routers.",
+    ),
     metric(
         "crocuswharf_gateway_memory_budget_bytes",
         MetricKind::Gauge,
@@ -245,7 +266,7 @@
         MetricKind::Counter,
         Unit::Count,
         &["signal"],
-        "Responses in which a replica asked for no more requests, by signal: leaving or retry_after.",
+        "Responses in which a replica asked for no or fewer requests, by signal: leaving, retry_after, or a change of its limit.",
     ),
     metric(
         "crocuswharf_gateway_replica_speed",
