--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -20,7 +20,7 @@
 use super::prompt::Prompt;
 use super::quota::{QuotaCharge, QuotaSubject, account_key};
 use super::response::LocalReply;
-use super::route::{GatewayAccount, Route};
+use super::route::{CallKind, GatewayAccount, Route};
 use super::shared::{Shared, Snapshot};
 use crate::id::ServiceName;
 use crate::request::quarantine::SuspectKey;
@@ -36,6 +36,15 @@
 /// The highest priority value that replicas support.
 const MAX_REPLICA_PRIORITY: u8 = 9;
 
+/// A stream that a caller takes up again after its connection broke.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct TakeUp {
+    /// The attempt that brought the first event, as the caller names it.
+    pub(crate) first_attempt: Option<Arc<str>>,
+    /// The last event that the caller has received.
+    pub(crate) last_event: Arc<str>,
+}
+
 /// A request of a caller.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -68,6 +77,8 @@
     pub(crate) body: StoredBody,
     /// The memory of the caller's connection; `None` until the request may be sent.
     pub(crate) memory: Option<CallMemory>,
+    /// The stream that the caller takes up again, if it does.
+    pub(crate) take_up: Option<TakeUp>,
     request_key: OnceLock<SuspectKey>,
 }
 
@@ -150,8 +161,11 @@
                 cost: quota.cost(token_counts),
             })
         });
+        let take_up = read_take_up(&head.headers, header_names)
+            .filter(|_| route.kind == CallKind::Stream { is_resumable: true });
         Ok(Self {
             id,
+            take_up,
             route: route.clone(),
             service: Arc::clone(service),
             quota,
@@ -245,6 +259,16 @@
     hasher.digest()
 }
 
+/// Returns the stream that a caller takes up again; `None` if the request begins anew.
+fn read_take_up(headers: &HeaderMap, header_names: &HeaderNames) -> Option<TakeUp> {
+    let last_event = headers.get(&header_names.last_event_id)?;
+    let first_attempt = header_text(headers, &header_names.resumes).map(str::trim);
+    Some(TakeUp {
+        first_attempt: first_attempt.filter(|id| !id.is_empty()).map(Arc::from),
+        last_event: String::from_utf8_lossy(last_event.as_bytes()).into(),
+    })
+}
+
 fn read_deadline(
     headers: &HeaderMap,
     header_names: &HeaderNames,
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -233,6 +233,17 @@
 
     fn accept(&mut self, response: ReplicaResponse) -> ReplicaResponse {
         self.set_responder(&response.replica);
+        if let Some(take_up) = &self.call.take_up {
+            log::info!(
+                "request: Stream taken up. id={} first_attempt={} after={} replica={} software_version={} status={}",
+                self.call.id_text(),
+                take_up.first_attempt.as_deref().unwrap_or("-"),
+                take_up.last_event,
+                response.replica.known.record.id,
+                response.replica.known.record.software_version,
+                response.head.status.as_u16()
+            );
+        }
         if response.head.status.is_success() {
             self.end_prefill(Some(response.replica.key));
         }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -64,6 +64,8 @@
     pub state: ReplicaState,
     /// The weights that the replica serves.
     pub weights: LoadedWeights,
+    /// The version of the replica's software, which is not that of its weights; empty if its entry names none.
+    pub software_version: Arc<str>,
 }
 
 /// One entry of the platform's list, or its removal.
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -48,6 +48,8 @@
     pub priority: HeaderName,
     /// The last event that the caller received of a resumed stream.
     pub last_event_id: HeaderName,
+    /// The attempt that brought the first event of a stream that the caller takes up again.
+    pub resumes: HeaderName,
     /// Headers that only the gateway may set; those sent by callers are dropped.
     pub reserved: Vec<HeaderName>,
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -191,8 +191,10 @@
         }
         Ok(Beginning { next, .. }) => {
             log::info!(
-                "request: Stream resumed. id={id} replica={} after={}",
+                "request: Stream resumed. id={id} replica={} software_version={} before={} after={}",
                 next.replica.known.record.id,
+                next.replica.known.record.software_version,
+                stream.replica.known.record.software_version,
                 last_event.unwrap_or("-")
             );
             Resumption::Resumed {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -61,6 +61,7 @@
         slots: 12,
         state: ReplicaState::Ready,
         weights: smallvec![(Arc::from("m"), version)],
+        software_version: "v1".into(),
     }
 }
 
--- a/src/gateway/tests/prompt.rs
+++ b/src/gateway/tests/prompt.rs
@@ -30,6 +30,7 @@
         save_to: name("x-save"),
         priority: name("x-rank"),
         last_event_id: name("last-event-id"),
+        resumes: name("x-resumes"),
         reserved: vec![name("x-account"), name("x-scope")],
     }
 }
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -104,6 +104,9 @@
     /// The revision of the store at which the entry was written.
     #[prost(uint64, tag = "10")]
     pub(crate) revision: u64,
+    /// The version of the replica's software.
+    #[prost(string, tag = "11")]
+    pub(crate) software_version: String,
 }
 
 /// The wire format of a version of a model's weights.
@@ -147,6 +150,7 @@
             zone: record.zone.to_string(),
             slots: record.slots,
             is_draining: record.state == ReplicaState::Draining,
+            software_version: record.software_version.to_string(),
             weights: weights
                 .map(|(model, version)| WeightsUpdate {
                     model: model.to_string(),
@@ -184,6 +188,7 @@
             weights: weights
                 .map(|weights| (weights.model.into(), weights.version))
                 .collect::<SmallVec<_>>(),
+            software_version: self.software_version.into(),
         })
     }
 }
