--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -22,6 +22,7 @@
 use super::response::LocalReply;
 use super::route::{CallKind, GatewayAccount, Route};
 use super::shared::{Shared, Snapshot};
+use super::stream_origin::{ReleaseKey, StreamKey, stream_key};
 use crate::id::ServiceName;
 use crate::request::quarantine::SuspectKey;
 
@@ -33,6 +34,8 @@
 pub(crate) const RETRY_AFTER_LEAVING: Duration = Duration::from_millis(10);
 /// The lowest priority value that the gateway sends to replicas, used for routes of priority 0.
 const MIN_REPLICA_PRIORITY: u8 = 3;
+/// The kind of requests whose streams callers may take up again.
+const RESUMABLE: CallKind = CallKind::Stream { is_resumable: true };
 /// The highest priority value that replicas support.
 const MAX_REPLICA_PRIORITY: u8 = 9;
 
@@ -79,6 +82,10 @@
     pub(crate) memory: Option<CallMemory>,
     /// The stream that the caller takes up again, if it does.
     pub(crate) take_up: Option<TakeUp>,
+    /// The stream that this request begins or takes up, if it can be taken up and the caller names it.
+    pub(crate) stream: Option<StreamKey>,
+    /// The release that began the stream which is taken up.
+    pub(crate) release: Option<ReleaseKey>,
     request_key: OnceLock<SuspectKey>,
 }
 
@@ -161,11 +168,18 @@
                 cost: quota.cost(token_counts),
             })
         });
-        let take_up = read_take_up(&head.headers, header_names)
-            .filter(|_| route.kind == CallKind::Stream { is_resumable: true });
+        let take_up = read_take_up(&head.headers, header_names).filter(|_| route.kind == RESUMABLE);
+        let account_name = account.as_ref().map_or("", |account| &account.name);
+        let first_attempt = match &take_up {
+            Some(take_up) => take_up.first_attempt.as_deref(),
+            None => id.to_str().ok(),
+        };
+        let stream = first_attempt.map(|attempt| stream_key(account_name, attempt));
         Ok(Self {
             id,
             take_up,
+            stream,
+            release: None,
             route: route.clone(),
             service: Arc::clone(service),
             quota,
@@ -215,6 +229,11 @@
             .min(MAX_REPLICA_PRIORITY)
     }
 
+    /// Returns whether the caller may take the response up again after its connection broke.
+    pub(crate) fn can_be_taken_up(&self) -> bool {
+        self.route.kind == RESUMABLE
+    }
+
     /// Returns the request ID as text, for logs.
     pub(crate) fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("?")
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -22,10 +22,13 @@
 use crate::gateway::prefill::{PrefillDecision, PrefillMessage, PrefillTracker, PrefixKey};
 use crate::gateway::quota::message::QuotaRequest;
 use crate::gateway::quota::owned::OwnedQuotas;
+use crate::gateway::releases::{ReleaseRecord, Releases};
 use crate::gateway::route::{ModelName, RouteTable};
 use crate::gateway::shared::{Observation, Replica, ReplicaLoad, Shared, Snapshot};
 use crate::gateway::source::{SourceSelector, UpdateSource};
 use crate::gateway::store::{ConfigurationRead, NamedWeights, PlatformStore, StoreFault};
+use crate::gateway::stream_origin::{ReleaseKey, StreamKey, release_key};
+use crate::gateway::take_up::StreamLookup;
 use crate::gateway::updates::PlatformUpdate;
 use crate::gateway::upstream::ReplicaPool;
 use crate::gateway::weights::{LoadTarget, OrderReply, WeightsReport, WeightsRollout};
@@ -34,6 +37,7 @@
 use crate::peer::{Inbound, PeerEvent};
 use crate::request::quarantine::Quarantine;
 use crate::rollout::{Lease, LeaseEvent};
+use crate::store::ObjectVersion;
 
 pub(crate) mod contain;
 mod limits;
@@ -43,6 +47,7 @@
 mod quarantine;
 mod quota;
 mod speeds;
+mod streams;
 mod unreachable;
 mod updates;
 
@@ -101,6 +106,14 @@
     PrefillEnded(PrefillMessage),
     /// Requests of this router need tokens of an account; the number matches the reply.
     QuotaRequested(u64, QuotaRequest),
+    /// This router passes events of a release on to the caller of a stream.
+    StreamBegun(StreamKey, ReleaseKey),
+    /// A request of this router needs the release that began a stream.
+    StreamLookup(StreamLookup),
+    /// A read of the record of releases has ended.
+    ReleasesRead(Option<Option<(ObjectVersion, ReleaseRecord)>>),
+    /// A write of the record of releases has ended; without a version, its result is not known.
+    ReleasesWritten(ReleaseRecord, Option<ObjectVersion>),
     /// The process is shutting down.
     Leave,
 }
@@ -218,6 +231,7 @@
         Some(PeerMessage::QuotaRequested(request, reply)) => {
             control.answer_quota_request(&request, reply);
         }
+        Some(PeerMessage::Streams(message, reply)) => control.handle_streams(&message, reply),
         Some(PeerMessage::Crashes(report)) => control.handle_crash_report(report, boot_time()),
         None => {}
     }
@@ -256,6 +270,7 @@
     quarantine: Quarantine,
     pending_crashes: PendingCrashes,
     quotas: OwnedQuotas,
+    releases: Releases,
     next_load_exchange: Duration,
     is_update_pending: bool,
     polls_configuration: watch::Sender<bool>,
@@ -315,6 +330,7 @@
             quarantine: Quarantine::default(),
             pending_crashes: PendingCrashes::default(),
             quotas: OwnedQuotas::new(seeds, boot_time()),
+            releases: Releases::new(),
             next_load_exchange: Duration::ZERO,
             is_update_pending: false,
             polls_configuration: watch::Sender::new(true),
@@ -396,6 +412,8 @@
         self.peers.set_ready(is_ready);
         self.peers.tick();
         self.update_quotas(now);
+        self.advance_releases(now);
+        self.expire_streams(now);
         for (_, pool) in self.replica_states.values() {
             pool.close_idle(false);
         }
@@ -442,6 +460,12 @@
                 }
             }
             Event::QuotaRequested(number, request) => self.request_quota(number, request),
+            Event::StreamBegun(stream, release) => self.tell_streams(&[(stream, release)]),
+            Event::StreamLookup(lookup) => self.look_up_stream(lookup),
+            Event::ReleasesRead(result) => self.handle_releases_read(result, now),
+            Event::ReleasesWritten(record, version) => {
+                self.handle_releases_written(record, version);
+            }
             Event::Leave => {
                 self.peers.leave();
                 let released = self.lease.release(now);
@@ -494,6 +518,8 @@
         if !std::mem::take(&mut self.is_dirty) {
             return;
         }
+        // Streams of a new release are told to other routers from the first one on.
+        self.advance_releases(boot_time());
         let routers = self.peers.alive().count().max(1);
         let mut snapshot = Snapshot {
             table: self.table.clone(),
@@ -548,6 +574,7 @@
         }
         Replica {
             key: replica_key(&record.id, record.born_ms),
+            release: release_key(&record.service, &record.software_version),
             load: Arc::clone(load),
             pool: Arc::clone(pool),
             known,
--- a/src/gateway/control/quota.rs
+++ b/src/gateway/control/quota.rs
@@ -34,7 +34,9 @@
         let alive = self.peers.alive();
         let alive = alive.map(|member| (&member.router, member.leaving));
         if !self.quotas.is_active() {
-            self.quotas.observe_idle(alive, now);
+            if let Some(fleet) = self.quotas.observe_idle(alive, now) {
+                self.shared.quota.set_fleet(fleet);
+            }
             return;
         }
         let is_own = |account: AccountKey| self.peers.quota_owner(account) == self.peers.own();
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -211,6 +211,7 @@
             let table = RouteTable::new(configuration);
             log_cache_isolation(self.table.as_deref(), &table);
             self.set_quotas(&table);
+            self.set_release_services(&table);
             self.table = Some(Arc::new(table));
             self.is_dirty = true;
             // Traffic must use the new table before it counts as confirmed.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -26,6 +26,8 @@
 use super::route::CallKind;
 use super::send_permit::WithheldReplicas;
 use super::shared::{Refusal, Replica, Shared, Snapshot};
+use super::stream_origin::ReleaseKey;
+use super::take_up::RELEASE_GONE;
 use super::upstream::{RequestBody, SendFailure};
 use crate::id::ReplicaId;
 use crate::request::quarantine::MIN_RUN;
@@ -72,6 +74,8 @@
     quota: Option<QuotaPermit>,
     /// The permit for the latest send, if its replica names a limit.
     pub(crate) send_permit: Option<QuotaPermit>,
+    /// The release whose events the caller has got, which alone may go on with the stream.
+    pub(crate) release: Option<ReleaseKey>,
 }
 
 /// What is known about the prefix of a request before an attempt.
@@ -89,6 +93,7 @@
         let quota = call.quota.filter(|charge| charge.cost > 0);
         Self {
             quota: quota.map(|charge| QuotaPermit::new(Arc::clone(&shared), charge)),
+            release: call.release,
             shared,
             call: Arc::new(call),
             retry_state,
@@ -454,6 +459,7 @@
             return LocalReply::bad_gateway("the replica's answer was lost");
         }
         let (reason, retry_after) = match reason {
+            NoReplica::NoneAccepting if self.release.is_some() => (RELEASE_GONE, RETRY_AFTER_BUSY),
             NoReplica::NoneAccepting => ("no replica takes requests", RETRY_AFTER_BUSY),
             NoReplica::NoneHealthy => ("all replicas have failed", RETRY_AFTER_BUSY),
             NoReplica::ExpiredWeights => ("no replica serves the named weights", RETRY_AFTER_BUSY),
@@ -637,6 +643,30 @@
         }
     }
 
+    /// Returns a filter for the replicas at which the stream may go on or begin. One that can be taken up begins at a release
+    /// that is recorded, if a replica of one accepts requests.
+    fn release_filter(
+        &self,
+        replicas: &[Arc<Replica>],
+        is_healthy: &dyn Fn(&Replica) -> bool,
+    ) -> impl Fn(&Replica) -> bool + use<> {
+        let releases = self.shared.releases();
+        let is_recorded = move |replica: &Replica| {
+            let recorded = releases.recorded.as_ref();
+            recorded.is_none_or(|recorded| recorded.contains(&replica.release))
+        };
+        let release = self.release;
+        let prefers_recorded = self.call.can_be_taken_up()
+            && release.is_none()
+            && replicas.iter().any(|replica| {
+                is_recorded(replica) && replica.accepts_requests() && is_healthy(replica)
+            });
+        move |replica| match release {
+            Some(release) => replica.release == release,
+            None => !prefers_recorded || is_recorded(replica),
+        }
+    }
+
     /// Returns whether an attempt was made at `replica`.
     pub(crate) fn has_tried(&self, replica: &Replica) -> bool {
         self.tried.contains(&replica.known.record.id)
@@ -682,6 +712,8 @@
             let can_exclude = replicas.iter().any(|replica| {
                 replica.known.is_accepting() && !is_unreachable(replica) && weight(replica) > 0.0
             });
+            let is_healthy = |replica: &Replica| weight(replica) > 0.0 && !is_unreachable(replica);
+            let is_eligible = self.release_filter(replicas, &is_healthy);
             replicas
                 .iter()
                 .map(|replica| {
@@ -709,7 +741,7 @@
                         speed: speed.home_weight,
                         home_weight: speed.home_weight,
                         weights: status.unwrap_or(WeightsStatus::Expired),
-                        is_accepting: replica.known.is_accepting() && !replica.load.is_leaving(),
+                        is_accepting: replica.accepts_requests() && is_eligible(replica),
                         backoff: replica.load.backoff(now).max(withheld_time),
                         is_withheld: !withheld_time.is_zero(),
                         is_warm: prefix.holder == Some(replica.key),
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -411,6 +411,10 @@
             return Err(reply);
         }
     }
+    if let Err(reply) = call.resolve_take_up(shared).await {
+        shared.log_local_reply(call.id_text(), &call.route.name, &reply);
+        return Err(reply);
+    }
     let mut dispatch = Dispatch::new(Arc::clone(shared), call);
     let waiting = WaitingRequest {
         dispatch: &mut dispatch,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -52,6 +52,7 @@
 mod prompt;
 mod quota;
 mod relay;
+mod releases;
 mod replica_limit;
 mod request_end;
 mod request_log;
@@ -63,7 +64,9 @@
 mod shared;
 mod source;
 mod store;
+mod stream_origin;
 mod stream_progress;
+mod take_up;
 mod updates;
 mod upstream;
 mod weights;
@@ -75,6 +78,7 @@
 pub use self::fleet::{LoadedWeights, ReplicaEntry, ReplicaRecord, ReplicaState};
 pub use self::headers::HeaderNames;
 pub use self::quota::{AccountQuota, QuotaLimit, QuotaUnit};
+pub use self::releases::ReleaseRecord;
 pub use self::revision::{StoreRevision, revision_era, revision_number, store_revision};
 pub use self::route::{
     CallKind, CallerLimits, EngineTraits, GatewayAccount, GatewayConfiguration, GatewayService,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -22,11 +22,13 @@
 use super::settings::GatewaySettings;
 use super::shared::EntryPoint;
 use super::source::watchers;
+use super::stream_origin::{StreamKey, StreamMessage, StreamReply};
 use super::updates::{PlatformUpdate, UpdateRequest};
 use crate::error::Error;
 use crate::id::{RouterId, ZoneName};
 use crate::membership::{
     Action, Heartbeat, Liveness, LoadLevel, Member, Membership, MembershipOptions, Stage, owner_of,
+    watchers_of,
 };
 use crate::peer::{
     Body, Inbound, Kind, LinkOptions, LinkTimes, Links, PeerEvent, PeerIdentity, PeerKeys,
@@ -53,6 +55,8 @@
 /// A message of a peer for the control thread.
 #[derive(Debug)]
 pub(crate) enum PeerMessage {
+    /// A router has begun streams, or asks for one.
+    Streams(StreamMessage, Option<ReplyHandle>),
     /// Notices about replicas, sent by this router.
     Notices(RouterId, ReplicaNotices),
     /// A request for platform updates, sent by this router.
@@ -273,6 +277,10 @@
                 let reply = event.reply?;
                 Some(PeerMessage::QuotaRequested(request, reply))
             }),
+            Kind::Streams => {
+                let message = event.body.decode::<StreamMessage>();
+                message.map(|message| Some(PeerMessage::Streams(message, event.reply)))
+            }
             _ => Ok(None),
         };
         match decoded {
@@ -361,6 +369,44 @@
         }
     }
 
+    /// Returns the addresses of up to `count` other routers to which the hash of a stream leads.
+    pub(crate) fn stream_holders(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let others = self
+            .alive()
+            .filter(|member| !member.leaving && member.router != *self.own());
+        let holders = watchers_of(stream, others.map(|member| &member.router), count);
+        let members = holders.into_iter();
+        members
+            .filter_map(|router| self.membership.get(router))
+            .map(|member| member.peers)
+            .collect()
+    }
+
+    /// Tells another router about streams.
+    pub(crate) fn send_streams(&self, to: SocketAddr, message: &StreamMessage) {
+        self.links.send(to, Body::encode(Kind::Streams, message));
+    }
+
+    /// Tells all other routers about streams.
+    pub(crate) fn broadcast_streams(&self, message: &StreamMessage) {
+        self.broadcast(&Body::encode(Kind::Streams, message));
+    }
+
+    /// Asks another router for a stream; the result is `None` if it does not answer in time.
+    pub(crate) fn request_stream(
+        &self,
+        to: SocketAddr,
+        message: &StreamMessage,
+        timeout: Duration,
+    ) -> impl Future<Output = Option<StreamReply>> + use<> {
+        let links = self.links.clone();
+        let body = Body::encode(Kind::Streams, message);
+        async move {
+            let reply = links.request(to, body, timeout).await?;
+            reply.decode::<StreamReply>().ok()
+        }
+    }
+
     /// Requests a decision from the router that tracks a prefix; `decision` is dropped unsent if the router is
     /// unreachable.
     pub(crate) fn request_prefill(
--- a/src/gateway/quota/gate.rs
+++ b/src/gateway/quota/gate.rs
@@ -48,7 +48,8 @@
         self.fleet.store(fleet, Ordering::Relaxed);
     }
 
-    fn fleet(&self) -> usize {
+    /// Returns the size of the whole fleet, with the routers that disappeared lately.
+    pub(crate) fn fleet(&self) -> usize {
         self.fleet.load(Ordering::Relaxed)
     }
 
--- a/src/gateway/quota/owned.rs
+++ b/src/gateway/quota/owned.rs
@@ -85,17 +85,18 @@
     }
 
     /// Records the routers that are alive while no quota is in use, so that the share of this router is known when one is;
-    /// to be called at least every 500 ms.
+    /// to be called at least every 500 ms. Returns the size of the whole fleet once a second.
     pub(crate) fn observe_idle<'a>(
         &mut self,
         alive: impl Iterator<Item = (&'a RouterId, bool)>,
         now: Duration,
-    ) {
+    ) -> Option<usize> {
         self.owner.tick(now);
-        if now >= self.next_idle_observation {
-            self.next_idle_observation = now + IDLE_OBSERVATION_INTERVAL;
-            self.fleet.observe(alive, now);
+        if now < self.next_idle_observation {
+            return None;
         }
+        self.next_idle_observation = now + IDLE_OBSERVATION_INTERVAL;
+        Some(self.fleet.observe(alive, now).1)
     }
 
     /// Updates the accounts that this router owns and the share of their limits that it grants; to be called at least every
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,7 +1,8 @@
 //! Relays a streaming response to its caller and resumes it at another replica if that is allowed.
 //!
 //! A resumable stream is forwarded in complete events, so that it can be resumed after the last one. Other responses
-//! are forwarded as they arrive. A silent stream ([`super::stream_progress`]) is held until another replica has taken it
+//! are forwarded as they arrive. Once bytes are forwarded, only the release that sent them may go on
+//! ([`super::stream_origin`]). A silent stream ([`super::stream_progress`]) is held until another replica has taken it
 //! ([`super::attempt`]). If the caller disconnects, the connection to the replica is closed at once, which makes the
 //! replica stop generating.
 
@@ -301,6 +302,7 @@
     let deadline = dispatch.call.deadline;
     let mut progress = StreamProgress::new(deadline, is_resumable, boot_time());
     if !received.is_empty() {
+        dispatch.pass_on_from(&replica);
         let sending = chunks.send_reserved(received, memory);
         match tokio::time::timeout(progress.time_for_caller(boot_time()), sending).await {
             Ok(Ok(())) => {}
@@ -350,6 +352,7 @@
         if bytes.is_empty() {
             continue;
         }
+        dispatch.pass_on_from(&replica);
         let sending = chunks.send(bytes);
         match tokio::time::timeout(progress.time_for_caller(now), sending).await {
             Ok(Ok(())) => {}
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -29,10 +29,12 @@
 use super::placement::{PlacementRequest, WeightsBounds};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
 use super::quota::gate::QuotaGate;
+use super::releases::ReleaseView;
 use super::replica_limit::{LimitChange, LimitReport, NamedLimit, ReplicaLimit};
 use super::request_end::ConfigurationChange;
 use super::route::{CallerLimits, ModelName, RouteTable};
 use super::settings::{GatewayBounds, GatewaySettings};
+use super::stream_origin::{ReleaseKey, StreamTable};
 use super::upstream::ReplicaPool;
 use crate::id::{ReplicaId, ServiceName, WeightsVersion, ZoneName};
 use crate::request::ejection::{Ejection, EjectionOptions};
@@ -92,6 +94,8 @@
     pub(crate) known: KnownReplica,
     /// The key of the replica in load messages between routers.
     pub(crate) key: ReplicaKey,
+    /// The service and the software version of the replica.
+    pub(crate) release: ReleaseKey,
     /// The load that this router causes at the replica.
     pub(crate) load: Arc<ReplicaLoad>,
     /// This router's connections to the replica.
@@ -189,6 +193,8 @@
     /// The replicas that no router can reach.
     unreachable: ArcSwap<HashSet<ReplicaKey>>,
     speeds: ArcSwap<HashMap<ReplicaKey, ReplicaSpeed>>,
+    releases: ArcSwap<ReleaseView>,
+    streams: Mutex<StreamTable>,
     /// The parts of prompts and whole requests that are suspected to crash replicas.
     pub(crate) suspects: ArcSwap<Suspects>,
     /// Whether whole requests are among the suspects.
@@ -233,6 +239,13 @@
     }
 }
 
+impl Replica {
+    /// Returns whether the replica accepts new requests.
+    pub(crate) fn accepts_requests(&self) -> bool {
+        self.known.is_accepting() && !self.load.is_leaving()
+    }
+}
+
 impl ReplicaLoad {
     /// Counts a request whose own part of the prompt the replica still has to prefill.
     pub(crate) fn begin(self: &Arc<Self>, request: &PlacementRequest) -> LoadGuard {
@@ -430,6 +443,8 @@
             others_load: ArcSwap::default(),
             unreachable: ArcSwap::default(),
             speeds: ArcSwap::default(),
+            releases: ArcSwap::default(),
+            streams: Mutex::default(),
             suspects: ArcSwap::default(),
             suspects_requests: AtomicBool::new(false),
             suspects_changed: watch::Sender::new(()),
@@ -594,6 +609,21 @@
         self.others_load.load_full()
     }
 
+    /// Replaces what is known about the releases of services.
+    pub(crate) fn set_releases(&self, releases: ReleaseView) {
+        self.releases.store(Arc::new(releases));
+    }
+
+    /// Returns what is known about the releases of services.
+    pub(crate) fn releases(&self) -> Arc<ReleaseView> {
+        self.releases.load_full()
+    }
+
+    /// Locks the streams whose releases are known.
+    pub(crate) fn lock_streams(&self) -> MutexGuard<'_, StreamTable> {
+        lock(&self.streams)
+    }
+
     /// Replaces the replicas that no router can reach.
     pub(crate) fn set_unreachable(&self, replicas: HashSet<ReplicaKey>) {
         if **self.unreachable.load() != replicas {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 
 use super::fleet::ReplicaEntry;
+use super::releases::ReleaseRecord;
 use super::revision::StoreRevision;
 use super::route::{GatewayConfiguration, ModelName};
 use crate::id::WeightsVersion;
@@ -110,6 +111,11 @@
     pub read_lease: StoreCall<(), Option<(ObjectVersion, LeaseRecord)>>,
     /// Writes the lease for orders to replicas. A write conditional on a version of an earlier era is not sent.
     pub write_lease: Box<dyn Fn(LeaseRecord, PutCondition) -> CallFuture<PutOutcome> + Send + Sync>,
+    /// Reads the record of the releases that serve, like the lease.
+    pub read_releases: StoreCall<(), Option<(ObjectVersion, ReleaseRecord)>>,
+    /// Writes the record of the releases that serve, like the lease.
+    pub write_releases:
+        Box<dyn Fn(ReleaseRecord, PutCondition) -> CallFuture<PutOutcome> + Send + Sync>,
 }
 
 impl fmt::Debug for PlatformStore {
--- a/src/gateway/tests/control_faults.rs
+++ b/src/gateway/tests/control_faults.rs
@@ -75,6 +75,8 @@
         watch_weights: Box::new(|(_, wait)| Box::pin(no_changes(wait))),
         read_lease: Box::new(|()| Box::pin(async { Ok(None) })),
         write_lease: Box::new(|_, _| Box::pin(async { PutOutcome::NotSent })),
+        read_releases: Box::new(|()| Box::pin(async { Ok(None) })),
+        write_releases: Box::new(|_, _| Box::pin(async { PutOutcome::NotSent })),
     }
 }
 
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -23,6 +23,7 @@
 mod placement;
 mod prefill;
 mod prompt;
+mod releases;
 mod replica_limit;
 mod replica_memory;
 mod request_end;
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -54,11 +54,13 @@
     Crashes = 16,
     /// Requests tokens of a client account's quota from its owner.
     Quota = 17,
+    /// Tells which software versions began streams, or asks for one of them.
+    Streams = 18,
 }
 
 impl Kind {
     /// All kinds, ordered by their numbers.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Ping,
         Self::Pong,
         Self::Heartbeat,
@@ -77,6 +79,7 @@
         Self::Reading,
         Self::Crashes,
         Self::Quota,
+        Self::Streams,
     ];
 
     /// The newest kind that routers know which don't announce theirs in the handshake.
@@ -109,6 +112,7 @@
             Self::Reading => "reading",
             Self::Crashes => "crashes",
             Self::Quota => "quota",
+            Self::Streams => "streams",
         }
     }
 }
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -114,6 +114,13 @@
         &[],
         "Orders that were not sent because the lease had expired meanwhile.",
     ),
+    metric(
+        "crocuswharf_gateway_known_streams",
+        MetricKind::Gauge,
+        Unit::Count,
+        &[],
+        "Streams whose release this router knows, since it has begun them or was told of them.",
+    ),
     metric(
         "crocuswharf_gateway_limit_requests_total",
         MetricKind::Counter,
@@ -331,6 +338,13 @@
         &[],
         "Whole requests under which replicas crashed and none has answered since.",
     ),
+    metric(
+        "crocuswharf_gateway_take_ups_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["origin"],
+        "Streams that callers took up again, by whether their release was known, the sole one, unknown or unconfirmed.",
+    ),
     metric(
         "crocuswharf_gateway_unreachable_replicas",
         MetricKind::Gauge,
