--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -31,6 +31,8 @@
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 /// The maximum size of a refusal that is read in order to reuse its connection.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
+/// The highest status that HTTP defines (RFC 9110, section 15); others are no answer.
+const MAX_STATUS: u16 = 599;
 /// How long the rest of a refusal is read.
 const REFUSAL_READ_LIMIT: Duration = Duration::from_millis(20);
 /// The longest keep-alive timeout of a replica that is used.
@@ -277,12 +279,15 @@
         }
         let is_signed = head.headers.contains_key(&header_names.signature);
         let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
-        if is_encoded || (head.status.is_success() && !is_signed) {
+        if is_encoded
+            || head.status.as_u16() > MAX_STATUS
+            || (head.status.is_success() && !is_signed)
+        {
             stream.watch.settle();
             self.shared.record_outcome(&replica, 1, boot_time());
             return Err(FailedAttempt::new(
                 AttemptEnd::Broken,
-                "the response is encoded or not signed by the replica",
+                "the response is encoded, not signed by the replica or has no valid status",
             ));
         }
         let failures = u32::from(head.status.is_server_error());
