--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -17,6 +17,9 @@
 pub(crate) const CRASH_BODY: &str = "a body that crashes replicas";
 /// The time after which a caller replaces its client, and so opens new connections.
 const CLIENT_LIFETIME: Duration = Duration::from_secs(3);
+/// How often a caller tries to take up a stream, and the pause before each time.
+const MAX_TAKE_UPS: u32 = 3;
+const TAKE_UP_PAUSE: Duration = Duration::from_millis(100);
 /// The share of requests whose responses are read slowly, if there are slow readers.
 const SLOW_READER_SHARE: f64 = 0.2;
 /// The pause of a slow reader before each part of a response.
@@ -85,6 +88,10 @@
 }
 
 impl Outcome {
+    const fn is_success(&self) -> bool {
+        matches!(self, Self::Answer { status: 200, .. })
+    }
+
     /// Returns whether a router that shuts down refused the request, which the caller then sends to another router.
     #[must_use]
     pub const fn is_turned_away(&self) -> bool {
@@ -99,6 +106,15 @@
     }
 }
 
+/// A stream that a caller takes up again after its answer broke off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakeUp {
+    /// The id of the attempt that brought the first event.
+    pub first_attempt: String,
+    /// The last event that was received.
+    pub last_event: u32,
+}
+
 /// A request that a caller sent, and its outcome.
 #[derive(Clone, Debug)]
 pub struct SentRequest {
@@ -116,6 +132,43 @@
     pub ended_at: Instant,
     /// The outcome.
     pub outcome: Outcome,
+    /// The stream that it takes up, if it does.
+    pub take_up: Option<TakeUp>,
+}
+
+impl SentRequest {
+    /// Returns the stream to take up if the answer broke off after an event.
+    fn broken_stream(&self) -> Option<TakeUp> {
+        let Outcome::Answer {
+            status: 200,
+            body,
+            is_complete: false,
+            ..
+        } = &self.outcome
+        else {
+            return None;
+        };
+        if self.kind != RequestKind::Resumable {
+            return None;
+        }
+        let known = self.take_up.as_ref();
+        let last_event = last_event(body).or(known.map(|known| known.last_event))?;
+        let first_attempt = known.map_or(&self.id, |known| &known.first_attempt);
+        Some(TakeUp {
+            first_attempt: first_attempt.clone(),
+            last_event,
+        })
+    }
+}
+
+/// Returns the id of the last complete event in a body.
+fn last_event(body: &[u8]) -> Option<u32> {
+    let text = std::str::from_utf8(body).ok()?;
+    let (whole, _) = text.rsplit_once("\n\n")?;
+    let lines = whole.lines().rev();
+    lines
+        .filter_map(|line| line.strip_prefix("id: "))
+        .find_map(|id| id.parse().ok())
 }
 
 /// State that the callers share with the test cluster.
@@ -131,6 +184,8 @@
     pub(crate) sent: Mutex<Vec<SentRequest>>,
     /// Whether the callers must send no further requests.
     pub(crate) is_stopped: AtomicBool,
+    /// Whether callers take up streams that break off.
+    pub(crate) takes_up: AtomicBool,
     /// Whether some callers read slowly.
     pub(crate) has_slow_readers: AtomicBool,
     next_id: AtomicU64,
@@ -155,12 +210,30 @@
             continue;
         };
         let kind = random_kind(&mut rng);
-        let sent = send_request(&shared, &client.1, (router, address), kind, &mut rng).await;
+        let sent = send_request(&shared, &client.1, (router, address), kind, None, &mut rng).await;
         let is_turned_away = sent.outcome.is_turned_away();
+        let mut take_up = sent.broken_stream();
         lock(&shared.sent).push(sent);
+        for _ in 0..MAX_TAKE_UPS {
+            let Some(wanted) = take_up.take_if(|_| shared.takes_up.load(Ordering::Relaxed)) else {
+                break;
+            };
+            tokio::time::sleep(TAKE_UP_PAUSE).await;
+            let Some(router) = pick_router(&shared, None, &mut rng) else {
+                take_up = Some(wanted);
+                continue;
+            };
+            let again = Some(wanted.clone());
+            let sent = send_request(&shared, &new_client(), router, kind, again, &mut rng).await;
+            // One that was refused may be known to another router.
+            take_up = sent
+                .broken_stream()
+                .or_else(|| (!sent.outcome.is_success()).then_some(wanted));
+            lock(&shared.sent).push(sent);
+        }
         if is_turned_away && let Some(other) = pick_router(&shared, Some(router), &mut rng) {
             let kind = random_kind(&mut rng);
-            let sent = send_request(&shared, &client.1, other, kind, &mut rng).await;
+            let sent = send_request(&shared, &client.1, other, kind, None, &mut rng).await;
             lock(&shared.sent).push(sent);
         }
     }
@@ -173,7 +246,7 @@
         tokio::time::sleep(CRASHING_REQUEST_INTERVAL).await;
         if let Some(router) = pick_router(&shared, None, &mut rng) {
             let kind = RequestKind::Crashing;
-            let sent = send_request(&shared, &new_client(), router, kind, &mut rng).await;
+            let sent = send_request(&shared, &new_client(), router, kind, None, &mut rng).await;
             lock(&shared.sent).push(sent);
         }
     }
@@ -225,6 +298,7 @@
     client: &reqwest::Client,
     (router, address): (usize, SocketAddr),
     kind: RequestKind,
+    take_up: Option<TakeUp>,
     rng: &mut impl Rng,
 ) -> SentRequest {
     let id = format!("r{}", shared.next_id.fetch_add(1, Ordering::Relaxed));
@@ -234,6 +308,12 @@
     } else {
         caller_post(client, address, kind.route(), &id, &key_text)
     };
+    let request = match &take_up {
+        Some(take_up) => request
+            .header("resumes", &take_up.first_attempt)
+            .header("last-event-id", take_up.last_event),
+        None => request,
+    };
     let is_slow =
         shared.has_slow_readers.load(Ordering::Relaxed) && rng.random_bool(SLOW_READER_SHARE);
     let pause = is_slow.then_some(SLOW_READ_PAUSE);
@@ -247,6 +327,7 @@
         at,
         ended_at: Instant::now(),
         outcome,
+        take_up,
     }
 }
 
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use crocuswharf_platform_fakes::daemon::{REVOCATION_LIMIT, WEIGHTS_LIMIT};
-use crocuswharf_platform_fakes::replica::{ReceivedOrder, ReceivedRequest, stream_text};
+use crocuswharf_platform_fakes::replica::{
+    FIRST_VERSION, ReceivedOrder, ReceivedRequest, stream_text_after,
+};
 
 use crate::callers::{Outcome, RequestKind, SentRequest, request_body};
 use crate::configuration::Changes;
@@ -19,6 +21,8 @@
 const MAX_RESPONSE_TIME: Duration = Duration::from_millis(3_500);
 /// The number of requests per run that may run on more replicas than their route allows, as the users count it.
 const MAX_OVER_LIMIT: usize = 3;
+/// The number of streams per run that may hold events of two software versions, as the users count it.
+const MAX_JOINED: usize = 2;
 /// How long requests may still reach a replica after it registered as draining, by the users' larger sheet.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
 
@@ -105,6 +109,7 @@
         let seen = format!("{:?} ran at {} as {}", run.id(), run.replica, run.target);
         findings.push(finding("only callers' requests run", seen));
     }
+    findings.extend(check_versions(&records.sent));
     findings.extend(check_cache_scopes(&records.received));
     findings.extend(check_orders(&records.orders));
     findings.extend(check_crashing_request(records));
@@ -175,8 +180,9 @@
     let signer = signature.as_deref().unwrap_or_default();
     let ran_there = runs.iter().any(|run| run.replica == signer);
     let is_right = if kind.is_stream() {
-        let whole = stream_text();
-        whole.as_bytes().starts_with(body) && (!is_complete || body.len() == whole.len())
+        let whole = stream_text_after(sent.take_up.as_ref().map_or(0, |taken| taken.last_event));
+        let (text, _) = without_versions(body);
+        whole.starts_with(&text) && (!is_complete || text.len() == whole.len())
     } else {
         !is_complete || body == signer.as_bytes()
     };
@@ -202,6 +208,43 @@
     Some(finding("every request is answered in time", seen))
 }
 
+/// Returns the text of a stream as the first software version writes it, and the versions of its events.
+fn without_versions(body: &[u8]) -> (String, BTreeSet<String>) {
+    let mut versions = BTreeSet::new();
+    let text = String::from_utf8_lossy(body);
+    let lines = text.split('\n').map(|line| {
+        let Some(data) = line.strip_prefix("data: ") else {
+            return line;
+        };
+        let (event, version) = data.split_once(' ').unwrap_or((data, FIRST_VERSION));
+        versions.insert(version.to_owned());
+        &line[.."data: ".len() + event.len()]
+    });
+    let lines: Vec<_> = lines.collect();
+    (lines.join("\n"), versions)
+}
+
+/// Checks that no more than a few streams hold events of two software versions, over all attempts of their callers.
+fn check_versions(sent: &[SentRequest]) -> Option<Finding> {
+    let mut streams: BTreeMap<&str, BTreeSet<String>> = BTreeMap::new();
+    for sent in sent.iter().filter(|sent| sent.kind.is_stream()) {
+        let Outcome::Answer {
+            status: 200, body, ..
+        } = &sent.outcome
+        else {
+            continue;
+        };
+        let first = sent.take_up.as_ref();
+        let first = first.map_or(&sent.id, |taken| &taken.first_attempt);
+        let versions = without_versions(body).1;
+        streams.entry(first).or_default().extend(versions);
+    }
+    let joined = streams.iter().filter(|(_, versions)| versions.len() > 1);
+    let joined: Vec<_> = joined.collect();
+    let seen = format!("{} streams: {joined:?}", joined.len());
+    (joined.len() > MAX_JOINED).then(|| finding("a stream goes on at its software version", seen))
+}
+
 /// Checks that each cache scope is used for one weights version only: cache entries are separated by weights and by client
 /// account.
 fn check_cache_scopes(seen: &[ReceivedRequest]) -> Vec<Finding> {
@@ -292,6 +335,10 @@
             if sent.key < first_valid_key || sent.outcome == Outcome::NoConnection {
                 continue;
             }
+            // A stream can't be taken up where nobody knows which software version began it.
+            if sent.take_up.is_some() {
+                continue;
+            }
             // The caller has sent it to another router, and that request counts.
             if sent.outcome.is_turned_away() {
                 continue;
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Context;
 use crocuswharf_platform_fakes::daemon::{Daemon, GRACE, configuration, settings};
-use crocuswharf_platform_fakes::replica::{Mode, ReceivedRequest, Replica};
+use crocuswharf_platform_fakes::replica::{FIRST_VERSION, Mode, ReceivedRequest, Replica};
 use crocuswharf_platform_fakes::store::{Store, StoreMode};
 use rustix::process::Signal;
 use serde_json::Value;
@@ -42,6 +42,9 @@
 const FIRST_START_MS: u64 = 1_000_000;
 /// The interval of start times that leaves room for those of replicas that crash and start by themselves.
 const START_INTERVAL_MS: u64 = 1_300;
+/// The software versions of replicas, and how many replicas start with one until the next one follows.
+const VERSIONS: [&str; 3] = [FIRST_VERSION, "v2", "v3"];
+const STARTS_PER_VERSION: u64 = 3;
 /// The ids of the replicas, which must be `'static`.
 const APP_REPLICAS: [&str; 4] = ["app-1", "app-2", "app-3", "app-4"];
 const MODEL_REPLICAS: [&str; 6] = ["llm-1", "llm-2", "llm-3", "llm-4", "llm-5", "llm-6"];
@@ -98,6 +101,8 @@
     /// Whether a request is sent that crashes replicas.
     pub(crate) has_crashing_request: bool,
     replica_starts: u64,
+    /// The software versions of replicas, in the order in which they begin to be used.
+    versions: &'static [&'static str],
     /// The difference between the start times of two replicas, apart from clocks that step back.
     start_interval_ms: u64,
     /// The scheduled actions, each with its time.
@@ -144,6 +149,9 @@
         let is_slow = &cluster.callers.has_slow_readers;
         is_slow.store(true, Ordering::Relaxed);
     }
+    if size.overlays.contains(&Overlay::Versions) {
+        cluster.release_versions();
+    }
     for number in 0..size.routers * callers_per_router {
         let caller_seed = seed.wrapping_mul(1_000).wrapping_add(number as u64);
         callers.spawn(run_caller(Arc::clone(&cluster.callers), caller_seed));
@@ -217,6 +225,7 @@
             weights_version: 1,
             has_crashing_request: false,
             replica_starts: 10,
+            versions: &VERSIONS[..1],
             start_interval_ms: 1,
             scheduled: Vec::new(),
         };
@@ -228,6 +237,16 @@
         Ok(cluster)
     }
 
+    /// Lets half of the replicas of each service serve with the second software version, and later starts with others.
+    fn release_versions(&mut self) {
+        self.versions = &VERSIONS;
+        self.callers.takes_up.store(true, Ordering::Relaxed);
+        for (replica, _) in self.replicas.iter().skip(1).step_by(2) {
+            replica.set_software_version(VERSIONS[1]);
+            replica.register("ready");
+        }
+    }
+
     /// Runs the actions scheduled up to `end`, and returns at `end`.
     pub(crate) async fn wait_until(&mut self, end: Instant) {
         while let Some(index) = self.next_action(end) {
@@ -343,6 +362,9 @@
                 // What the previous instance was running is lost.
                 self.note_availability(Member::Replica(self.replicas[replica].0.id), false);
                 self.set_replica_link(replica, Link::Open);
+                let starts = (self.replica_starts / STARTS_PER_VERSION) as usize;
+                let version = self.versions[starts % self.versions.len()];
+                self.replicas[replica].0.set_software_version(version);
                 self.replicas[replica].0.restart(born_ms);
             }
             Action::UnregisterReplica(replica) => self.replicas[replica].0.unregister(),
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -22,7 +22,7 @@
 mod recovery;
 mod unanswered;
 
-pub use callers::{Outcome, RequestKind, SentRequest};
+pub use callers::{Outcome, RequestKind, SentRequest, TakeUp};
 pub use checker::{Finding, KeyRecord, Records, RouterOutage, check_records};
 pub use cluster::{Report, run};
 pub use configuration::{Changes, ConfigurationChange};
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -44,6 +44,9 @@
     Fields,
     /// Replicas differ in speed, and some callers read slowly. It adds no faults to the plan.
     Uneven,
+    /// Replicas start with different software versions, and callers take up streams that break off. It adds no faults to
+    /// the plan.
+    Versions,
 }
 
 /// One injected fault. Routers and replicas are given by index; the replicas of the service without a model come first.
@@ -116,7 +119,7 @@
             match overlay {
                 Overlay::Silence => add_silences(&mut rng, size, &mut faults),
                 Overlay::Configuration => add_changes(&mut rng, size, &mut faults),
-                Overlay::CrashingRequest | Overlay::Uneven => {}
+                Overlay::CrashingRequest | Overlay::Uneven | Overlay::Versions => {}
                 Overlay::Fields => add_field_changes(&mut rng, size, &mut faults),
             }
         }
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -6,7 +6,7 @@
 use crocuswharf_platform_fakes::replica::{Mode, ReceivedOrder, ReceivedRequest, stream_text};
 use crocuswharf_soak::{
     AvailabilityChange, Changes, ConfigurationChange, Ends, EndsByChange, KeyRecord, Member,
-    Outcome, Records, RequestKind, RouterOutage, SentRequest, Silence, check_records,
+    Outcome, Records, RequestKind, RouterOutage, SentRequest, Silence, TakeUp, check_records,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -41,6 +41,7 @@
         at,
         ended_at: at + SECOND,
         outcome: answer(200, "a", &body, true),
+        take_up: None,
     };
     Records {
         sent: vec![sent],
@@ -336,6 +337,7 @@
             at,
             ended_at: at + SECOND / 10,
             outcome: answer(502, "", "", true),
+            take_up: None,
         });
     }
     let last = records.sent.len() - 1;
@@ -456,3 +458,39 @@
     let keyless = changed(RequestKind::Pay, ConfigurationChange::KeysRemoved(true));
     assert_single_finding(&keyless, "a removed route stops working in time");
 }
+
+/// Streams of which each attempt is right by itself, and which hold events of two software versions.
+#[test]
+fn check_records_streams_joined_from_two_versions_are_found() {
+    let mut records = Records::default();
+    for number in 0..3 {
+        let (first, second) = (format!("s{number}"), format!("t{number}"));
+        let mut valid = valid_records(RequestKind::Resumable);
+        let sent = valid.sent.remove(0);
+        let take_up = TakeUp {
+            first_attempt: first.clone(),
+            last_event: 4,
+        };
+        records.sent.push(SentRequest {
+            id: first.clone(),
+            outcome: answer(200, "a", stream_text().split_at(64).0, false),
+            ..sent.clone()
+        });
+        records.sent.push(SentRequest {
+            id: second.clone(),
+            outcome: answer(200, "a", "id: 5\ndata: e5 v2\n\n", true),
+            take_up: Some(take_up),
+            ..sent
+        });
+        for id in [&first, &second] {
+            let mut run = seen_run("a", id, RequestKind::Resumable);
+            run.mode = Mode::BreakStream;
+            records.received.push(run);
+        }
+        records.keys = valid.keys;
+        if number < 2 {
+            assert_eq!(check_records(&records), []);
+        }
+    }
+    assert_single_finding(&records, "a stream goes on at its software version");
+}
