--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -20,7 +20,7 @@
 use super::prompt::Prompt;
 use super::quota::{QuotaCharge, QuotaSubject, account_key};
 use super::response::LocalReply;
-use super::route::{CallKind, GatewayAccount, Route};
+use super::route::{GatewayAccount, Route};
 use super::shared::{Shared, Snapshot};
 use super::stream_origin::{ReleaseKey, StreamKey, stream_key};
 use crate::id::ServiceName;
@@ -34,8 +34,6 @@
 pub(crate) const RETRY_AFTER_LEAVING: Duration = Duration::from_millis(10);
 /// The lowest priority value that the gateway sends to replicas, used for routes of priority 0.
 const MIN_REPLICA_PRIORITY: u8 = 3;
-/// The kind of requests whose streams callers may take up again.
-const RESUMABLE: CallKind = CallKind::Stream { is_resumable: true };
 /// The highest priority value that replicas support.
 const MAX_REPLICA_PRIORITY: u8 = 9;
 
@@ -168,7 +166,7 @@
                 cost: quota.cost(token_counts),
             })
         });
-        let take_up = read_take_up(&head.headers, header_names).filter(|_| route.kind == RESUMABLE);
+        let take_up = read_take_up(&head.headers, header_names).filter(|_| route.kind.is_stream());
         let account_name = account.as_ref().map_or("", |account| &account.name);
         let first_attempt = match &take_up {
             Some(take_up) => take_up.first_attempt.as_deref(),
@@ -229,9 +227,10 @@
             .min(MAX_REPLICA_PRIORITY)
     }
 
-    /// Returns whether the caller may take the response up again after its connection broke.
-    pub(crate) fn can_be_taken_up(&self) -> bool {
-        self.route.kind == RESUMABLE
+    /// Returns whether the caller may take the response up again after its connection broke. That holds for any stream, since
+    /// the operator may allow it while the stream lasts, or no longer allow it when the caller does.
+    pub(crate) const fn can_be_taken_up(&self) -> bool {
+        self.route.kind.is_stream()
     }
 
     /// Returns the request ID as text, for logs.
--- a/src/gateway/control/streams.rs
+++ b/src/gateway/control/streams.rs
@@ -24,8 +24,8 @@
 
 /// How many more routers are asked for a stream than know it, since some may have gone and others come.
 const ASKED_BEYOND_HOLDERS: usize = 2;
-/// A stream may last for this many times its route's timeout, with all attempts of its caller.
-const LIVES_PER_TIMEOUT: u32 = 2;
+/// A stream that may be resumed may last for this many times its route's timeout, with all attempts of its caller.
+const TIMEOUTS_OF_RESUMABLE: u32 = 2;
 /// The maximum number of streams in one message.
 const MAX_STREAMS_IN_MESSAGE: usize = 4_096;
 
@@ -45,11 +45,14 @@
     /// Applies the routes of a new configuration.
     pub(super) fn set_release_services(&mut self, table: &RouteTable) {
         let routes = table.configuration().routes.iter();
-        let resumable =
-            routes.filter(|route| route.kind == CallKind::Stream { is_resumable: true });
+        let streams = routes.filter(|route| route.kind.is_stream());
         let (mut services, mut stream_life) = (Vec::new(), Duration::ZERO);
-        for route in resumable {
-            stream_life = stream_life.max(route.timeout * LIVES_PER_TIMEOUT);
+        for route in streams {
+            let timeouts = match route.kind {
+                CallKind::Stream { is_resumable: true } => TIMEOUTS_OF_RESUMABLE,
+                _ => 1,
+            };
+            stream_life = stream_life.max(route.timeout * timeouts);
             services.extend(
                 route
                     .targets
