--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -88,7 +88,7 @@
 }
 
 impl Outcome {
-    const fn is_success(&self) -> bool {
+    pub(crate) const fn is_success(&self) -> bool {
         matches!(self, Self::Answer { status: 200, .. })
     }
 
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -224,8 +224,8 @@
     (lines.join("\n"), versions)
 }
 
-/// Checks that no more than a few streams hold events of two software versions, over all attempts of their callers.
-fn check_versions(sent: &[SentRequest]) -> Option<Finding> {
+/// Returns the streams that hold events of two software versions, over all attempts of their callers.
+pub(crate) fn joined_streams(sent: &[SentRequest]) -> Vec<String> {
     let mut streams: BTreeMap<&str, BTreeSet<String>> = BTreeMap::new();
     for sent in sent.iter().filter(|sent| sent.kind.is_stream()) {
         let Outcome::Answer {
@@ -240,7 +240,14 @@
         streams.entry(first).or_default().extend(versions);
     }
     let joined = streams.iter().filter(|(_, versions)| versions.len() > 1);
-    let joined: Vec<_> = joined.collect();
+    joined
+        .map(|(stream, versions)| format!("{stream} of {versions:?}"))
+        .collect()
+}
+
+/// Checks that no more than a few streams hold events of two software versions.
+fn check_versions(sent: &[SentRequest]) -> Option<Finding> {
+    let joined = joined_streams(sent);
     let seen = format!("{} streams: {joined:?}", joined.len());
     (joined.len() > MAX_JOINED).then(|| finding("a stream goes on at its software version", seen))
 }
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -14,7 +14,9 @@
 use tokio::task::JoinSet;
 
 use crate::callers::{CRASH_BODY, CallerState, lock, run_caller, run_crashing_caller};
-use crate::checker::{Finding, KeyRecord, Records, RouterOutage, Served, check_records, finding};
+use crate::checker::{
+    Finding, KeyRecord, Records, RouterOutage, Served, check_records, finding, joined_streams,
+};
 use crate::configuration::Changes;
 use crate::loss::{AvailabilityChange, Member, Silence};
 use crate::plan::{Fault, FaultPlan, Overlay, Size, slowness};
@@ -27,6 +29,8 @@
 const CALLERS_AT_SILENCES: usize = 5;
 /// The delay between two events of a stream in such runs.
 const EVENT_INTERVAL_AT_SILENCES: Duration = Duration::from_millis(30);
+/// The delay between two events of a stream in runs with several software versions, which have to break off many streams.
+const EVENT_INTERVAL_AT_VERSIONS: Duration = Duration::from_millis(60);
 /// The maximum number of seed peers in a router's settings.
 const MAX_SEED_PEERS: usize = 3;
 /// The time after the last fault within which all routers must serve again, by the users' sheets.
@@ -62,6 +66,10 @@
     pub served: usize,
     /// The requests that ended without a response, beside changes of the configuration and away from them.
     pub ends: EndsByChange,
+    /// How often callers took up a stream, and how often it went on.
+    pub take_ups: (usize, usize),
+    /// The number of streams that hold events of two software versions.
+    pub joined: usize,
     /// The number of injected faults.
     pub faults: usize,
     /// The log lines of all processes, by router name.
@@ -150,7 +158,10 @@
         is_slow.store(true, Ordering::Relaxed);
     }
     if size.overlays.contains(&Overlay::Versions) {
-        cluster.release_versions();
+        let takes_up = &cluster.callers.takes_up;
+        takes_up.store(true, Ordering::Relaxed);
+        let replicas = cluster.replicas.iter();
+        replicas.for_each(|(replica, _)| replica.set_event_interval(EVENT_INTERVAL_AT_VERSIONS));
     }
     for number in 0..size.routers * callers_per_router {
         let caller_seed = seed.wrapping_mul(1_000).wrapping_add(number as u64);
@@ -180,6 +191,10 @@
 impl Cluster {
     async fn start(binary: &Path, size: Size) -> anyhow::Result<Self> {
         let store = Store::start().await;
+        let versions = match size.overlays.contains(&Overlay::Versions) {
+            true => &VERSIONS[..],
+            false => &VERSIONS[..1],
+        };
         let mut replicas = Vec::new();
         let apps = APP_REPLICAS.iter().take(size.app_replicas);
         let models = MODEL_REPLICAS.iter().take(size.model_replicas);
@@ -193,6 +208,8 @@
                 .context("cannot start a proxy")?;
             replica.set_registered_address(link.address);
             replica.set_load_time(LOAD_TIME);
+            // Two versions serve from the beginning.
+            replica.set_software_version(versions[replicas.len() % versions.len().min(2)]);
             replica.register("ready");
             replicas.push((replica, link));
         }
@@ -225,7 +242,7 @@
             weights_version: 1,
             has_crashing_request: false,
             replica_starts: 10,
-            versions: &VERSIONS[..1],
+            versions,
             start_interval_ms: 1,
             scheduled: Vec::new(),
         };
@@ -237,16 +254,6 @@
         Ok(cluster)
     }
 
-    /// Lets half of the replicas of each service serve with the second software version, and later starts with others.
-    fn release_versions(&mut self) {
-        self.versions = &VERSIONS;
-        self.callers.takes_up.store(true, Ordering::Relaxed);
-        for (replica, _) in self.replicas.iter().skip(1).step_by(2) {
-            replica.set_software_version(VERSIONS[1]);
-            replica.register("ready");
-        }
-    }
-
     /// Runs the actions scheduled up to `end`, and returns at `end`.
     pub(crate) async fn wait_until(&mut self, end: Instant) {
         while let Some(index) = self.next_action(end) {
@@ -646,6 +653,13 @@
         findings.extend(check_records(&self.records));
         let first_valid_key = *lock(&self.callers.first_valid_key);
         let share = Served::since(&self.records.sent, self.started_at, first_valid_key);
+        let taken_up = self
+            .records
+            .sent
+            .iter()
+            .filter(|sent| sent.take_up.is_some());
+        let (went_on, refused): (Vec<_>, Vec<_>) =
+            taken_up.partition(|sent| sent.outcome.is_success());
         let logs = self.routers.into_iter().map(|router| {
             let lines = router.logs.into_iter().flatten();
             (router.name, lines.collect())
@@ -655,6 +669,8 @@
             findings,
             sent: self.records.sent.len(),
             served: share.served,
+            take_ups: (went_on.len() + refused.len(), went_on.len()),
+            joined: joined_streams(&self.records.sent).len(),
             ends: EndsByChange::count(&self.records),
             faults,
             logs: logs.collect(),
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -116,6 +116,11 @@
         "  read whole and not answered: {} of {} beside changes, {} of {} away from them",
         beside.unanswered, beside.requests, away.unanswered, away.requests
     );
+    let (take_ups, went_on) = report.take_ups;
+    println!(
+        "  streams taken up: {went_on} of {take_ups} went on, {} joined from two versions",
+        report.joined
+    );
     for finding in report.findings.iter().take(20) {
         println!("  {}: {}", finding.promise, finding.seen);
     }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -44,8 +44,8 @@
     Fields,
     /// Replicas differ in speed, and some callers read slowly. It adds no faults to the plan.
     Uneven,
-    /// Replicas start with different software versions, and callers take up streams that break off. It adds no faults to
-    /// the plan.
+    /// Replicas start with different software versions, routers and replicas are killed under long streams, and callers take
+    /// up those that break off.
     Versions,
 }
 
@@ -119,7 +119,8 @@
             match overlay {
                 Overlay::Silence => add_silences(&mut rng, size, &mut faults),
                 Overlay::Configuration => add_changes(&mut rng, size, &mut faults),
-                Overlay::CrashingRequest | Overlay::Uneven | Overlay::Versions => {}
+                Overlay::CrashingRequest | Overlay::Uneven => {}
+                Overlay::Versions => add_kills(&mut rng, size, &mut faults),
                 Overlay::Fields => add_field_changes(&mut rng, size, &mut faults),
             }
         }
@@ -223,6 +224,24 @@
     }
 }
 
+/// Kills routers, one or all, and replicas of the model service.
+fn add_kills(rng: &mut impl Rng, size: Size, faults: &mut Vec<(Duration, Fault)>) {
+    let mut at = MEAN_FAULT_INTERVAL;
+    while at < size.length {
+        let time = Duration::from_millis(rng.random_range(200..900));
+        let replica = size.app_replicas + rng.random_range(0..size.model_replicas);
+        faults.push((
+            at,
+            match rng.random_range(0..5) {
+                0 => Fault::AllRoutersKilled(time / 2),
+                1..=2 => Fault::RouterKilled(rng.random_range(0..size.routers), time),
+                _ => Fault::ReplicaCrashed(replica, time),
+            },
+        ));
+        at += Duration::from_millis(rng.random_range(600..2_000));
+    }
+}
+
 fn random_link(rng: &mut impl Rng) -> Link {
     match rng.random_range(0..5) {
         0 => Link::Slow(Duration::from_millis(rng.random_range(5..400))),
