--- a/src/gateway/control/streams.rs
+++ b/src/gateway/control/streams.rs
@@ -12,6 +12,7 @@
 use crate::gateway::clock::boot_time;
 use crate::gateway::releases::{RecordCall, ReleaseRecord};
 use crate::gateway::route::{CallKind, RouteTable};
+use crate::gateway::store::StoreFault;
 use crate::gateway::stream_origin::{
     OriginSearch, ReleaseKey, StreamKey, StreamMessage, StreamReply,
 };
@@ -116,7 +117,13 @@
         tokio::spawn(async move {
             let event = match call {
                 RecordCall::Read => {
-                    let read = async { (store.read_releases)(()).await.ok() };
+                    let read = async {
+                        let read = (store.read_releases)(()).await;
+                        let log = |fault: &StoreFault| {
+                            log::info!("releases: Failed to read the record. fault=\"{fault}\"");
+                        };
+                        read.inspect_err(log).ok()
+                    };
                     Event::ReleasesRead(result_or("releases", read, None).await)
                 }
                 RecordCall::Write(record, version) => {
--- a/src/gateway/take_up.rs
+++ b/src/gateway/take_up.rs
@@ -66,7 +66,8 @@
         };
         let snapshot = shared.snapshot.load();
         if !serves(&snapshot, &self.service, release) {
-            let targets = self.route.targets.iter();
+            // A target without a weight gets no requests.
+            let targets = self.route.targets.iter().filter(|target| target.weight > 0);
             let mut services = targets.map(|target| &target.service);
             let service = services.find(|service| serves(&snapshot, service, release));
             self.service = service.ok_or(begin_anew(RELEASE_GONE))?.clone();
