Log requests that are sent to, and begin on, old weights

Change: one line for a send and one for a begin, each only where newer weights were named 1.5 s ago or earlier, and a counter of such begins within and beyond the bound.

--- a/src/gateway/attempt_watch.rs
+++ b/src/gateway/attempt_watch.rs
@@ -34,6 +34,8 @@
     sent_at: Duration,
     /// The expected time to the first event at the reference speed, until that has come ([`super::load`]).
     expected_ms: Option<f64>,
+    /// Whether an event has arrived.
+    has_begun: bool,
     progress: Progress,
     is_settled: bool,
 }
@@ -52,6 +54,7 @@
             replica,
             sent_at: boot_time(),
             expected_ms,
+            has_begun: false,
             progress: Progress::Waiting,
             is_settled: false,
         }
@@ -64,11 +67,8 @@
 
     /// Records that `events` complete events have arrived.
     pub(crate) fn record_events(&mut self, events: u32) {
-        if events > 0
-            && let Some(expected_ms) = self.expected_ms.take()
-        {
-            let observed = boot_time().saturating_sub(self.sent_at);
-            self.replica.load.record_first_event(expected_ms, observed);
+        if events > 0 {
+            self.record_begin();
         }
         let before = std::mem::replace(&mut self.progress, Progress::of_events(events));
         if before < Progress::WentOn && events >= KEPT_EVENTS {
@@ -76,6 +76,48 @@
         }
     }
 
+    /// Records that the replica has begun the request; only the first call counts.
+    fn record_begin(&mut self) {
+        if std::mem::replace(&mut self.has_begun, true) {
+            return;
+        }
+        let now = boot_time();
+        let waited = now.saturating_sub(self.sent_at);
+        if let Some(expected_ms) = self.expected_ms.take() {
+            self.replica.load.record_first_event(expected_ms, waited);
+        }
+        self.log_outdated_begin(now, waited);
+    }
+
+    /// Logs a request that has begun on weights for which there are newer ones.
+    fn log_outdated_begin(&self, now: Duration, waited: Duration) {
+        let Some(prompt) = &self.call.prompt else {
+            return;
+        };
+        let version = self.replica.known.version_of(&prompt.model);
+        let version = version.unwrap_or_default();
+        let snapshot = self.shared.snapshot.load();
+        let Some(named_at) = snapshot.outdated_since(&prompt.model, version) else {
+            return;
+        };
+        let age = now.saturating_sub(named_at);
+        if age < self.shared.weights_bounds().stale_after {
+            return;
+        }
+        let bound_ms = self.shared.bounds().weights_ms;
+        let is_beyond = bound_ms.is_some_and(|ms| age >= Duration::from_millis(ms));
+        let bound = if is_beyond { "beyond" } else { "within" };
+        metrics::counter!("crocuswharf_gateway_outdated_begins_total", "bound" => bound)
+            .increment(1);
+        log::info!(
+            "request: Begun on older weights. id={} replica={} weights={version} newer_age_ms={} first_event_ms={} bound={bound}",
+            self.call.id_text(),
+            self.replica.known.record.id,
+            age.as_millis(),
+            waited.as_millis()
+        );
+    }
+
     /// Records that the whole response has arrived.
     pub(crate) fn complete(&mut self) {
         if !std::mem::replace(&mut self.is_settled, true) {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -512,6 +512,7 @@
             let reason = "the limit of the replica is used up";
             return Err(FailedAttempt::new(AttemptEnd::Unsent, reason).into());
         }
+        self.log_outdated_send(&snapshot, &replica, now);
         let request = self.request_to(&snapshot, &replica, last_event, now);
         if self.sends == 0 {
             self.shared
@@ -779,6 +780,32 @@
         engine.map_or(0, |engine| engine.cache_tokens)
     }
 
+    /// Logs a request that is about to be sent to a replica with old weights.
+    fn log_outdated_send(&self, snapshot: &Snapshot, replica: &Replica, now: Duration) {
+        let Some(prompt) = &self.call.prompt else {
+            return;
+        };
+        let version = replica.known.version_of(&prompt.model).unwrap_or_default();
+        let Some(named_at) = snapshot.outdated_since(&prompt.model, version) else {
+            return;
+        };
+        let age = now.saturating_sub(named_at);
+        if age < self.shared.weights_bounds().stale_after {
+            return;
+        }
+        let others = self.shared.others_load();
+        let others = others.get(&replica.key).copied().unwrap_or_default();
+        let ahead = replica.load.prefill_tokens() + others.prefill_tokens;
+        log::info!(
+            "request: Sent to older weights. id={} replica={} weights={version} newer_age_ms={} expected_wait_ms={} in_flight={}",
+            self.call.id_text(),
+            replica.known.record.id,
+            age.as_millis(),
+            expected_wait(ahead, 1.0).as_millis(),
+            replica.load.in_flight() + others.in_flight
+        );
+    }
+
     fn connect_failed(&mut self, replica: &Replica, failure: SendFailure) -> FailedAttempt {
         if matches!(failure, SendFailure::Full) {
             // The limit is this router's own and says nothing about the replica.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -128,6 +128,19 @@
     pub(crate) has_replicas: bool,
 }
 
+impl Snapshot {
+    /// Returns when the first version newer than `version` was named; `None` if there is none.
+    pub(crate) fn outdated_since(
+        &self,
+        model: &ModelName,
+        version: WeightsVersion,
+    ) -> Option<Duration> {
+        let newer = self.named.get(model)?.iter();
+        let newer = newer.filter(|(newer, _)| *newer > version);
+        newer.map(|(_, named_at)| *named_at).min()
+    }
+}
+
 /// What a traffic thread observed about a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Observation {
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -177,6 +177,13 @@
         &[],
         "Observations of replicas that the gateway dropped because the control thread's queue was full.",
     ),
+    metric(
+        "crocuswharf_gateway_outdated_begins_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["bound"],
+        "Requests that replicas began on weights for which newer ones had been named 1.5 s ago or earlier, within or beyond the bound.",
+    ),
     metric(
         "crocuswharf_gateway_own_answers_total",
         MetricKind::Counter,
