Withdraw requests that replicas with old weights have not begun

What callers saw: requests began on weights for which newer ones had been named longer ago than the users allow.

Cause: the age of the weights was looked at once, when a replica was chosen. The promise is about the begin, which comes after any time of waiting at the replica, in its queue, for memory or behind other prompts; nothing looked again.

Change: an attempt has a limit until which its replica may begin it. A request without an event 0.5 to 1 s before the bound (each has its own time, so that there is no wave) is taken off by closing its connection, also where only the head of its response has arrived, while it is held beside another attempt, and where the version is named while it waits. One that may run twice goes on elsewhere and draws on the retry budget; any other ends with 502, since the replica may have begun it meanwhile. The age is looked at again right before the send. The last sends to old weights are spread over 0.5 s too.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -38,6 +38,8 @@
     TimedOut,
     /// The gateway gave the attempt up, since the request may crash its replica.
     Withdrawn,
+    /// The gateway gave the attempt up, since the replica had not begun it before its weights became too old.
+    Outdated,
 }
 
 /// The retry state of a request, updated when an attempt ends.
@@ -97,7 +99,8 @@
             AttemptEnd::Failed
             | AttemptEnd::Broken
             | AttemptEnd::TimedOut
-            | AttemptEnd::Withdrawn => self.runs += 1,
+            | AttemptEnd::Withdrawn
+            | AttemptEnd::Outdated => self.runs += 1,
         }
         let step = self.next_step(end);
         assert!(
@@ -119,7 +122,7 @@
             AttemptEnd::Withdrawn => NextStep::Fail,
             _ if has_time && self.can_run_again() => NextStep::Resend,
             AttemptEnd::Failed => NextStep::Deliver,
-            AttemptEnd::Broken => NextStep::Fail,
+            AttemptEnd::Broken | AttemptEnd::Outdated => NextStep::Fail,
             AttemptEnd::TimedOut => NextStep::TimeOut,
         }
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,7 +9,7 @@
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, StatusCode, Uri, request};
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use super::admission::Room;
 use super::authorization::CallerKey;
@@ -238,6 +238,12 @@
         self.id.to_str().unwrap_or("?")
     }
 
+    /// Returns a time below `range` that is the same for all attempts of this request, and differs between requests.
+    pub(crate) fn spread(&self, range: Duration) -> Duration {
+        let fraction = xxh3_64(self.id.as_bytes()) as f64 / u64::MAX as f64;
+        range.mul_f64(fraction)
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_sub(boot_time())
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -552,7 +552,7 @@
                 .map(|replica| Arc::clone(&replica.known.record.id));
             self.shared.set_tracked_replicas(service, ids.collect());
         }
-        self.shared.snapshot.store(Arc::new(snapshot));
+        self.shared.publish(snapshot);
     }
 
     fn replica(&mut self, known: KnownReplica, routers: usize) -> Replica {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -14,10 +14,13 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::attempt::{AttemptEnd, NextStep, RetryState};
+use super::begin_limit::{BeginLimit, SPREAD};
 use super::cache_isolation::CacheDomain;
 use super::call::{Call, RETRY_AFTER_BUSY, RETRY_AFTER_LEAVING};
 use super::clock::boot_time;
-use super::exchange::{Exchange, FailedAttempt, PendingExchange, ReplicaResponse, failed_send};
+use super::exchange::{
+    Exchange, FailedAttempt, OUTDATED, PendingExchange, ReplicaResponse, StreamFault, failed_send,
+};
 use super::load::{ReplicaKey, expected_ms, free_tokens};
 use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
@@ -293,13 +296,13 @@
         (replica.map_or("-", |replica| &**replica), self.sends)
     }
 
-    /// Records that the relayed response broke and returns whether the stream may be resumed at another replica.
-    pub(crate) fn may_resume(&mut self) -> bool {
-        self.lost_attempts += 1;
-        let step = self
-            .retry_state
-            .attempt_ended(AttemptEnd::Broken, self.call.remaining());
-        let step = self.charge_resend(step, AttemptEnd::Broken);
+    /// Records that the relayed response ended early, and returns whether the stream may be resumed at another replica.
+    pub(crate) fn may_resume(&mut self, end: AttemptEnd) -> bool {
+        if end == AttemptEnd::Broken {
+            self.lost_attempts += 1;
+        }
+        let step = self.retry_state.attempt_ended(end, self.call.remaining());
+        let step = self.charge_resend(step, end);
         step == NextStep::Resend
     }
 
@@ -351,14 +354,16 @@
         self.is_unsettled = is_unsettled;
     }
 
-    /// Records that the replica that resumed a stream broke it off while another stream was held.
-    pub(crate) fn record_broken_resumption(&mut self) {
+    /// Records that the stream that resumed another one ended early while that one was held.
+    pub(crate) fn record_broken_resumption(&mut self, fault: StreamFault) {
         self.is_unsettled = false;
-        self.lost_attempts += 1;
+        let end = match fault {
+            StreamFault::Broken => AttemptEnd::Broken,
+            StreamFault::Outdated => AttemptEnd::Outdated,
+        };
+        self.lost_attempts += u32::from(end == AttemptEnd::Broken);
         // The step is not taken: the held stream goes on.
-        let _ = self
-            .retry_state
-            .attempt_ended(AttemptEnd::Broken, self.call.remaining());
+        let _ = self.retry_state.attempt_ended(end, self.call.remaining());
     }
 
     /// Charges a resend to the retry budget; returns the fallback step if the budget is exhausted.
@@ -414,6 +419,9 @@
             NextStep::Refuse => {
                 LocalReply::not_run("no replica took the request", RETRY_AFTER_BUSY)
             }
+            NextStep::Fail if failed.end == AttemptEnd::Outdated => {
+                LocalReply::bad_gateway(OUTDATED)
+            }
             NextStep::Fail => LocalReply::bad_gateway("the replica's answer was lost"),
             NextStep::TimeOut => LocalReply::gateway_timeout("no answer in time"),
         };
@@ -506,6 +514,11 @@
         if last_event.is_none() {
             self.check_key(&snapshot, now)?;
         }
+        let limit = BeginLimit::of(&self.shared, &self.call, &replica);
+        if limit.is_some_and(|limit| limit.has_passed()) {
+            connection.release(None);
+            return Err(FailedAttempt::new(AttemptEnd::Unsent, OUTDATED).into());
+        }
         self.spend_quota(now)?;
         if !self.spend_permit(&replica, now) {
             connection.release(None);
@@ -695,7 +708,7 @@
             };
             let version = replica.known.version_of(model)?;
             // The bound is a promise, so a high speed does not shorten the assumed wait.
-            let wait = expected_wait(prefill_tokens, speed.min(1.0));
+            let wait = expected_wait(prefill_tokens, speed.min(1.0)) + self.call.spread(SPREAD);
             Some(bounds.status(version, &named, wait))
         };
         let zone = &self.shared.settings.zone;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,6 +17,7 @@
 use super::attempt::AttemptEnd;
 use super::attempt_watch::AttemptWatch;
 use super::backpressure::Backpressure;
+use super::begin_limit::BeginLimit;
 use super::call::Call;
 use super::clock::boot_time;
 use super::forwarding::BodyFraming;
@@ -24,6 +25,7 @@
 use super::memory::{CallMemory, Reservation};
 use super::replica_limit::{LimitChange, NamedLimit};
 use super::shared::{LoadGuard, Observation, Replica, Shared};
+use super::stream_progress::has_fields;
 use super::upstream::{ReplicaConnection, RequestBody, SendFailure};
 use crate::id::ReplicaId;
 
@@ -35,6 +37,9 @@
 const MAX_STATUS: u16 = 599;
 /// How long the rest of a refusal is read.
 const REFUSAL_READ_LIMIT: Duration = Duration::from_millis(20);
+/// Why an attempt was withdrawn from old weights.
+pub(crate) const OUTDATED: &str =
+    "the replica did not begin the request while its weights were new enough";
 /// The longest keep-alive timeout of a replica that is used.
 pub(crate) const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
 
@@ -75,7 +80,12 @@
     /// The rest of the body.
     body: Incoming,
     /// The next frame of the body, if it was received and not taken; the inner `None` is the end.
-    peeked: Option<Option<Result<Frame<Bytes>, hyper::Error>>>,
+    peeked: Option<Option<Result<Frame<Bytes>, StreamFault>>>,
+    /// Until when the replica may begin the request; `None` once it has, or if there is no limit.
+    begin_limit: Option<BeginLimit>,
+    /// When the request was sent.
+    sent_at: Duration,
+    call: Arc<Call>,
     /// The connection; it is closed if the response is not read to the end.
     pub(crate) connection: ReplicaConnection,
     /// Counts the request towards the load of the replica.
@@ -107,6 +117,15 @@
     }
 }
 
+/// Why the body of a response ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StreamFault {
+    /// Its connection broke.
+    Broken,
+    /// The replica's weights became too old before it had begun the request.
+    Outdated,
+}
+
 /// How a body goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Peek {
@@ -114,17 +133,38 @@
     Data,
     /// It has ended.
     End,
-    /// Its connection broke.
-    Broken,
+    /// It ended early.
+    Fault(StreamFault),
 }
 
 impl ReplicaStream {
     /// Returns the next frame of the body; `None` at its end.
-    pub(crate) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+    pub(crate) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, StreamFault>> {
         match self.peeked.take() {
             Some(frame) => frame,
-            None => self.body.frame().await,
+            None => self.receive_frame().await,
+        }
+    }
+
+    async fn receive_frame(&mut self) -> Option<Result<Frame<Bytes>, StreamFault>> {
+        let Some(limit) = &self.begin_limit else {
+            let frame = self.body.frame().await?;
+            return Some(frame.map_err(|_| StreamFault::Broken));
+        };
+        let frame = tokio::select! {
+            biased;
+            frame = self.body.frame() => frame?,
+            () = limit.passed() => {
+                limit.log_withdrawal(&self.call, &self.replica, self.sent_at);
+                self.watch.settle();
+                return Some(Err(StreamFault::Outdated));
+            }
+        };
+        let bytes = frame.as_ref().ok().and_then(Frame::data_ref);
+        if bytes.is_some_and(|bytes| has_fields(bytes)) {
+            self.begin_limit = None;
         }
+        Some(frame.map_err(|_| StreamFault::Broken))
     }
 
     /// Returns the connection to its pool after the body was read to the end.
@@ -135,12 +175,13 @@
     /// Waits until the body goes on, without taking its next frame.
     pub(crate) async fn peek(&mut self) -> Peek {
         if self.peeked.is_none() {
-            self.peeked = Some(self.body.frame().await);
+            self.peeked = Some(self.receive_frame().await);
         }
         match self.peeked {
             Some(Some(Ok(_))) => Peek::Data,
+            Some(Some(Err(fault))) => Peek::Fault(fault),
             Some(None) => Peek::End,
-            _ => Peek::Broken,
+            None => Peek::Fault(StreamFault::Broken),
         }
     }
 }
@@ -182,8 +223,16 @@
             self.expected_ms,
         );
         let sent_at = boot_time();
+        let begin_limit = BeginLimit::of(&self.shared, &self.call, &self.replica);
         let result = tokio::select! {
+            biased;
             result = self.receive_head(&mut connection, request) => result,
+            () = passed(begin_limit.as_ref()) => {
+                if let Some(limit) = &begin_limit {
+                    limit.log_withdrawal(&self.call, &self.replica, sent_at);
+                }
+                Err(FailedAttempt::new(AttemptEnd::Outdated, OUTDATED))
+            }
             refusal = self.shared.wait_until_part_refused(&self.call) => Err(FailedAttempt::new(
                 AttemptEnd::Withdrawn,
                 refusal.reason(),
@@ -201,6 +250,9 @@
             received_memory: None,
             body,
             peeked: None,
+            begin_limit,
+            sent_at,
+            call: Arc::clone(&self.call),
             connection,
             guard: self.guard,
             replica: Arc::clone(&self.replica),
@@ -231,11 +283,15 @@
     }
 
     fn record_failure(&self, failed: &FailedAttempt, watch: &mut AttemptWatch) {
-        if !matches!(failed.end, AttemptEnd::Unsent | AttemptEnd::Withdrawn) {
+        let is_own = matches!(
+            failed.end,
+            AttemptEnd::Unsent | AttemptEnd::Withdrawn | AttemptEnd::Outdated
+        );
+        if !is_own {
             self.shared.record_outcome(&self.replica, 1, boot_time());
         }
         match failed.end {
-            AttemptEnd::Unsent => watch.settle(),
+            AttemptEnd::Unsent | AttemptEnd::Outdated => watch.settle(),
             AttemptEnd::Broken => watch.broken(),
             // The replica may still run the request; the watch is dropped with the attempt.
             _ => {}
@@ -324,12 +380,15 @@
                     "the replica's error response is too long",
                 ));
             }
-            Ok(BufferedBody::Broken) => {
+            Ok(BufferedBody::Fault(StreamFault::Broken)) => {
                 return Err(FailedAttempt::new(
                     AttemptEnd::Broken,
                     "the answer broke off",
                 ));
             }
+            Ok(BufferedBody::Fault(StreamFault::Outdated)) => {
+                return Err(FailedAttempt::new(AttemptEnd::Outdated, OUTDATED));
+            }
             Err(_) => {
                 return Err(FailedAttempt::new(
                     AttemptEnd::TimedOut,
@@ -464,6 +523,13 @@
     }
 }
 
+async fn passed(limit: Option<&BeginLimit>) {
+    match limit {
+        Some(limit) => limit.passed().await,
+        None => std::future::pending().await,
+    }
+}
+
 fn record_signal(signal: &'static str) {
     metrics::counter!("crocuswharf_gateway_replica_signals_total", "signal" => signal).increment(1);
 }
@@ -485,8 +551,8 @@
     Complete(Bytes),
     /// The body is longer than the limit; what was read is kept in the stream.
     TooLong(Box<ReplicaStream>),
-    /// The body is truncated.
-    Broken,
+    /// The body ended early.
+    Fault(StreamFault),
 }
 
 /// Reads a response to its end, or until it exceeds `limit` bytes: a faulty replica may send bytes without end. A response
@@ -505,9 +571,11 @@
                     received.extend_from_slice(bytes);
                 }
             }
-            Some(Err(_)) => {
-                stream.watch.broken();
-                return BufferedBody::Broken;
+            Some(Err(fault)) => {
+                if fault == StreamFault::Broken {
+                    stream.watch.broken();
+                }
+                return BufferedBody::Fault(fault);
             }
             None => {
                 stream.watch.complete();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod attempt_watch;
 mod authorization;
 mod backpressure;
+mod begin_limit;
 mod cache_isolation;
 mod call;
 mod caller_activity;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -73,8 +73,10 @@
 pub(crate) struct WeightsBounds {
     /// The time after which older weights are penalized.
     pub stale_after: Duration,
-    /// The time after which no request may start on older weights; `None` if there is no such bound.
+    /// The time after which no request is sent to older weights; `None` if there is no bound.
     pub expired_after: Option<Duration>,
+    /// The time after which a request is withdrawn from older weights that have not begun it ([`super::begin_limit`]).
+    pub withdrawn_after: Option<Duration>,
 }
 
 impl WeightsBounds {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,9 +12,10 @@
 
 use bytes::Bytes;
 
+use super::attempt::AttemptEnd;
 use super::clock::boot_time;
 use super::dispatch::Dispatch;
-use super::exchange::{Peek, ReplicaBody, ReplicaStream};
+use super::exchange::{Peek, ReplicaBody, ReplicaStream, StreamFault};
 use super::forwarding::{BodyEnd, BodyFraming, Forwarding};
 use super::open_requests::OpenRequestNumber;
 use super::request_end::ClosedBy;
@@ -35,6 +36,8 @@
     Broken,
     /// The replica is silent, and another one may resume the stream.
     Silent,
+    /// The weights of the replica became too old before its first event.
+    Outdated,
     /// The deadline has passed.
     Late,
     /// The caller has disconnected.
@@ -62,6 +65,7 @@
         match self {
             Self::Complete => "complete",
             Self::Broken | Self::Silent => "broken_off",
+            Self::Outdated => "outdated",
             Self::Late => "late",
             Self::CallerLeft => "caller_left",
         }
@@ -72,6 +76,7 @@
         match self {
             Self::Complete | Self::CallerLeft => None,
             Self::Broken | Self::Silent => Some(ClosedBy::Replica),
+            Self::Outdated => Some(ClosedBy::OldWeights),
             Self::Late => Some(ClosedBy::Deadline),
         }
     }
@@ -97,7 +102,12 @@
             _ => break end,
         };
         // A silent stream is reported only if its resumption is permitted.
-        let may_resume = is_held || (end == RelayEnd::Broken && dispatch.may_resume());
+        let may_resume = match end {
+            RelayEnd::Silent => true,
+            RelayEnd::Broken => dispatch.may_resume(AttemptEnd::Broken),
+            RelayEnd::Outdated => dispatch.may_resume(AttemptEnd::Outdated),
+            RelayEnd::Complete | RelayEnd::Late | RelayEnd::CallerLeft => false,
+        };
         if !may_resume {
             break end;
         }
@@ -167,8 +177,8 @@
 ) -> Resumption {
     let id = dispatch.call.id.clone();
     let id = id.to_str().unwrap_or("?");
-    let was_held = held.is_some();
-    let mut is_held = was_held;
+    let mut is_held = held.is_some();
+    let mut is_held_broken = false;
     let mut resuming = pin!(begin_resumption(dispatch, last_event, is_held));
     let resumed = loop {
         tokio::select! {
@@ -177,7 +187,10 @@
                 Part::Progress(events) => return Resumption::HeldWentOn(events),
                 Part::End => return Resumption::HeldWentOn(Bytes::new()),
                 Part::Incomplete => {}
-                Part::Broken => is_held = false,
+                Part::Fault(fault) => {
+                    is_held = false;
+                    is_held_broken = fault == StreamFault::Broken;
+                }
             },
             resumed = &mut resuming => break resumed,
             () = chunks.closed() => return Resumption::CallerLeft,
@@ -200,7 +213,7 @@
             );
             Resumption::Resumed {
                 next,
-                is_held_broken: was_held && !is_held,
+                is_held_broken,
             }
         }
         Err(reason) => {
@@ -220,7 +233,8 @@
     Incomplete,
     /// The end of the response, which the stream has still to return.
     End,
-    Broken,
+    /// The early end of the response.
+    Fault(StreamFault),
 }
 
 async fn next_part(stream: &mut ReplicaStream, held: Option<&mut Forwarding>) -> Part {
@@ -232,17 +246,21 @@
         Peek::End => {
             let framing = stream.framing;
             let is_whole = framing != BodyFraming::Connection && forwarding.is_complete(framing);
-            return if is_whole { Part::End } else { Part::Broken };
+            return if is_whole {
+                Part::End
+            } else {
+                Part::Fault(StreamFault::Broken)
+            };
         }
-        Peek::Broken => return Part::Broken,
+        Peek::Fault(fault) => return Part::Fault(fault),
     }
     let Some(Ok(frame)) = stream.frame().await else {
-        return Part::Broken;
+        return Part::Fault(StreamFault::Broken);
     };
     match forwarding.push(frame.into_data().unwrap_or_default()) {
         Ok(events) if has_fields(&events) => Part::Progress(events),
         Ok(_) => Part::Incomplete,
-        Err(_) => Part::Broken,
+        Err(_) => Part::Fault(StreamFault::Broken),
     }
 }
 
@@ -275,14 +293,16 @@
     }
     dispatch.set_unsettled(true);
     let first = tokio::time::timeout(FIRST_EVENT_LIMIT, next.peek()).await;
-    if first == Ok(Peek::Broken) {
-        dispatch
-            .shared
-            .record_outcome(&next.replica, 1, boot_time());
+    if let Ok(Peek::Fault(fault)) = first {
         dispatch.set_responder(&next.replica);
-        next.watch.broken();
-        dispatch.record_broken_resumption();
-        return Err("the replica broke off before its first event".into());
+        if fault == StreamFault::Broken {
+            dispatch
+                .shared
+                .record_outcome(&next.replica, 1, boot_time());
+            next.watch.broken();
+        }
+        dispatch.record_broken_resumption(fault);
+        return Err("the replica's stream ended before its first event".into());
     }
     let has_begun = first.is_ok();
     Ok(Beginning { next, has_begun })
@@ -329,7 +349,8 @@
                 stream.watch.complete();
                 return RelayEnd::Complete;
             }
-            Ok(Some(Err(_))) => {
+            Ok(Some(Err(StreamFault::Outdated))) => return RelayEnd::Outdated,
+            Ok(Some(Err(StreamFault::Broken))) => {
                 dispatch.shared.record_outcome(&replica, 1, boot_time());
                 return RelayEnd::Broken;
             }
--- a/src/gateway/request_end.rs
+++ b/src/gateway/request_end.rs
@@ -50,6 +50,8 @@
     Deadline,
     /// The replica broke its response off, and no other one resumed it.
     Replica,
+    /// The gateway, since the replica's weights became too old before its first event, and no other one resumed the stream.
+    OldWeights,
     /// The gateway, since the memory for callers is used up.
     MemoryLimit,
     /// The process stops.
@@ -129,6 +131,7 @@
             Self::StallLimit => "stall_limit",
             Self::Deadline => "deadline",
             Self::Replica => "replica",
+            Self::OldWeights => "old_weights",
             Self::MemoryLimit => "memory_limit",
             Self::Stop => "stop",
             Self::Task => "task",
@@ -153,7 +156,8 @@
             | Self::CallerReset
             | Self::InvalidRequest
             | Self::Deadline
-            | Self::Replica => false,
+            | Self::Replica
+            | Self::OldWeights => false,
         }
     }
 
@@ -173,6 +177,7 @@
             Self::StallLimit,
             Self::Deadline,
             Self::Replica,
+            Self::OldWeights,
             Self::MemoryLimit,
             Self::Stop,
             Self::Task,
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -212,6 +212,9 @@
         }
         ClosedBy::Deadline => "Unanswered, since its deadline passed.",
         ClosedBy::Replica => "Unanswered, since its replica broke off.",
+        ClosedBy::OldWeights => {
+            "Unanswered, since its replica had not begun it on weights that are too old."
+        }
         ClosedBy::Stop => "Unanswered, since the process stops.",
         ClosedBy::Task => "Unanswered, since its task ended.",
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -14,6 +14,7 @@
 use smallvec::SmallVec;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use super::begin_limit::WITHDRAWAL_MARGIN;
 use super::call::Call;
 use super::clock::boot_time;
 use super::control::Event;
@@ -48,8 +49,8 @@
 const RETRY_SLACK_FRACTION: f64 = 0.6;
 /// The age of a newer named version from which a run on older weights has less value, as specified by the users.
 const WEIGHTS_PREFERRED_AFTER: Duration = Duration::from_millis(1_500);
-/// The safety margin subtracted from the bound on old weights, since a request may queue at a busy replica for this
-/// long before it starts.
+/// The time before the bound on old weights from which no request is sent to them, so that one that was sent before has
+/// time to begin.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
 /// How long a replica that refused a request is avoided; half of the time of a weights load, during which it refuses
 /// all requests.
@@ -213,6 +214,7 @@
     /// Whether whole requests are among the suspects.
     suspects_requests: AtomicBool,
     suspects_changed: watch::Sender<()>,
+    named_changed: watch::Sender<()>,
     kept_parts: Mutex<KeptParts>,
     /// The quotas of client accounts.
     pub(crate) quota: QuotaGate,
@@ -461,12 +463,26 @@
             suspects: ArcSwap::default(),
             suspects_requests: AtomicBool::new(false),
             suspects_changed: watch::Sender::new(()),
+            named_changed: watch::Sender::new(()),
             kept_parts: Mutex::default(),
             observations,
             control: OnceLock::new(),
         }
     }
 
+    /// Replaces the routing state.
+    pub(crate) fn publish(&self, snapshot: Snapshot) {
+        let before = self.snapshot.swap(Arc::new(snapshot));
+        if before.named != self.snapshot.load().named {
+            self.named_changed.send_replace(());
+        }
+    }
+
+    /// Returns a receiver that changes when versions are named.
+    pub(crate) fn named_changes(&self) -> watch::Receiver<()> {
+        self.named_changed.subscribe()
+    }
+
     /// Sets the sender of events to the control thread.
     pub(crate) fn set_control(&self, control: mpsc::Sender<Event>) {
         assert!(
@@ -602,13 +618,11 @@
 
     /// Returns the bounds on the age of weights that requests may start on.
     pub(crate) fn weights_bounds(&self) -> WeightsBounds {
-        let expired_after = self
-            .bounds()
-            .weights_ms
-            .map(|bound_ms| Duration::from_millis(bound_ms).saturating_sub(WEIGHTS_MARGIN));
+        let bound = self.bounds().weights_ms.map(Duration::from_millis);
         WeightsBounds {
             stale_after: WEIGHTS_PREFERRED_AFTER,
-            expired_after,
+            expired_after: bound.map(|bound| bound.saturating_sub(WEIGHTS_MARGIN)),
+            withdrawn_after: bound.map(|bound| bound.saturating_sub(WITHDRAWAL_MARGIN)),
         }
     }
 
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempt;
 mod backpressure;
+mod begin_limit;
 mod cache_isolation;
 mod call;
 mod caller_activity;
--- a/src/gateway/tests/placement.rs
+++ b/src/gateway/tests/placement.rs
@@ -164,6 +164,7 @@
     let bounds = WeightsBounds {
         stale_after: ms(1_500),
         expired_after: Some(ms(5_000)),
+        withdrawn_after: None,
     };
     // Versions 2 and 3 were named 5.1 s and 0.1 s ago.
     let named = [(2, ms(5_100)), (3, ms(100))];
@@ -183,6 +184,7 @@
     let bounds = WeightsBounds {
         stale_after: ms(1_500),
         expired_after: Some(ms(6_500)),
+        withdrawn_after: None,
     };
     let at_start = bounds.initial_age();
     assert_ne!(
@@ -265,6 +267,7 @@
     let bounds = WeightsBounds {
         stale_after: ms(1_500),
         expired_after: Some(ms(8_500)),
+        withdrawn_after: None,
     };
     let named = [(2, ms(8_280))];
     assert_eq!(bounds.status(1, &named, ms(0)), WeightsStatus::Stale);
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -184,6 +184,13 @@
         &["bound"],
         "Requests that replicas began on weights for which newer ones had been named 1.5 s ago or earlier, within or beyond the bound.",
     ),
+    metric(
+        "crocuswharf_gateway_outdated_withdrawals_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &[],
+        "Requests that were taken off replicas that had not begun them, since their weights became too old.",
+    ),
     metric(
         "crocuswharf_gateway_own_answers_total",
         MetricKind::Counter,
