Close the connection of a withdrawn stream at once

Cause: a stream of which only the head had come was withdrawn, but its connection was kept until another replica had taken the stream, or was found to be unable to. The old replica could begin it after the bound meanwhile.

Change: the connection is closed at the moment of the withdrawal.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -157,6 +157,8 @@
             () = limit.passed() => {
                 limit.log_withdrawal(&self.call, &self.replica, self.sent_at);
                 self.watch.settle();
+                // The stream may be kept for as long as another replica is asked.
+                self.connection.close();
                 return Some(Err(StreamFault::Outdated));
             }
         };
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -342,6 +342,11 @@
         }
     }
 
+    /// Closes the connection, which makes the replica drop its request.
+    pub(crate) fn close(&self) {
+        self.driver.abort();
+    }
+
     /// Returns the connection to the pool after the response was read to the end.
     ///
     /// `idle_timeout` is the keep-alive timeout announced by the replica, if any.
