Hold the limits of old weights at the send, and across frames

Cause, found by the independent review: the check right before the send used the time of the withdrawal, so that a request that may run only once could be sent and be withdrawn some milliseconds later; a comment that came in two frames counted as the beginning of a response; the margin of 0.5 s before the bound also has to cover the time in which a router learns of a version.

Change: before the send, the limit for sends counts; the lines of a response are followed across frames; the last sends are 1.8 to 2.3 s and the withdrawals 0.8 to 1.3 s before the bound; a change of the bounds wakes what waits; the line 'Begun on older weights' is written where the limit is lifted, so for all kinds.

--- a/src/gateway/attempt_watch.rs
+++ b/src/gateway/attempt_watch.rs
@@ -34,8 +34,6 @@
     sent_at: Duration,
     /// The expected time to the first event at the reference speed, until that has come ([`super::load`]).
     expected_ms: Option<f64>,
-    /// Whether an event has arrived.
-    has_begun: bool,
     progress: Progress,
     is_settled: bool,
 }
@@ -54,7 +52,6 @@
             replica,
             sent_at: boot_time(),
             expected_ms,
-            has_begun: false,
             progress: Progress::Waiting,
             is_settled: false,
         }
@@ -67,20 +64,14 @@
 
     /// Records that `events` complete events have arrived.
     pub(crate) fn record_events(&mut self, events: u32) {
-        if events > 0 {
-            self.record_begin();
-        }
         let before = std::mem::replace(&mut self.progress, Progress::of_events(events));
         if before < Progress::WentOn && events >= KEPT_EVENTS {
             self.shared.record_kept(&self.call, boot_time(), false);
         }
     }
 
-    /// Records that the replica has begun the request; only the first call counts.
-    fn record_begin(&mut self) {
-        if std::mem::replace(&mut self.has_begun, true) {
-            return;
-        }
+    /// Records that the replica has begun the request.
+    pub(crate) fn record_begin(&mut self) {
         let now = boot_time();
         let waited = now.saturating_sub(self.sent_at);
         if let Some(expected_ms) = self.expected_ms.take() {
--- a/src/gateway/begin_limit.rs
+++ b/src/gateway/begin_limit.rs
@@ -4,7 +4,8 @@
 //! after it was sent: it may wait for a slot, for memory or behind the prefills of others, and be put back. Looking at the age
 //! of the weights before the send is therefore not enough. A request that shows no sign of having begun is taken off its
 //! replica before the bound, by closing its connection, early enough for the close to arrive. The first event is that
-//! sign, since a replica may send the head of a response before.
+//! sign, since a replica may send the head of a response before; a response that is no stream has none before its head, so
+//! that a request for one may be taken off while it runs.
 //!
 //! A request that was taken off may go to another replica if it may run twice, which draws on the retry budget. Any other one
 //! ends with an unknown outcome, because the replica may have begun it while the close was on its way.
@@ -28,13 +29,16 @@
 
 /// The time over which the last sends to old weights, and the withdrawals, of different requests are spread.
 pub(crate) const SPREAD: Duration = Duration::from_millis(500);
-/// How long before the bound the last request is withdrawn, so that the close reaches its replica.
-pub(crate) const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(500);
+/// How long before the bound the last request is withdrawn: the close has to reach its replica, and a router may learn of a
+/// version some hundred milliseconds after it was named.
+pub(crate) const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(800);
 
 /// The limit on the time until a replica begins a request.
 #[derive(Debug)]
 pub(crate) struct BeginLimit {
     shared: Arc<Shared>,
+    /// What has arrived of the body.
+    line: Line,
     model: ModelName,
     /// The weights that the request was sent to.
     version: WeightsVersion,
@@ -42,6 +46,28 @@
     spread: Duration,
 }
 
+/// Where in its lines a body without a field so far ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Start,
+    Comment,
+}
+
+impl Line {
+    /// Reads the next bytes and returns whether a field has begun.
+    fn push(&mut self, bytes: &[u8]) -> bool {
+        for byte in bytes {
+            *self = match (*self, byte) {
+                (_, b'\n' | b'\r') => Self::Start,
+                (Self::Comment, _) | (Self::Start, b':') => Self::Comment,
+                (Self::Start, _) => return true,
+            };
+        }
+        false
+    }
+}
+
 impl WeightsBounds {
     /// Returns when a request is withdrawn from weights that are outdated since `outdated_since`; `None` if there is no bound.
     pub(crate) fn withdrawn_at(
@@ -60,6 +86,7 @@
         let prompt = call.prompt.as_ref()?;
         Some(Self {
             shared: Arc::clone(shared),
+            line: Line::default(),
             model: Arc::clone(&prompt.model),
             version: replica.known.version_of(&prompt.model).unwrap_or_default(),
             spread: call.spread(SPREAD),
@@ -75,9 +102,18 @@
             .withdrawn_at(since, self.spread)
     }
 
-    /// Returns whether the request has to be withdrawn.
-    pub(crate) fn has_passed(&self) -> bool {
-        self.withdrawn_at().is_some_and(|at| boot_time() >= at)
+    /// Returns whether the request may still be sent at `now`.
+    pub(crate) fn allows_send(&self, now: Duration) -> bool {
+        let snapshot = self.shared.snapshot.load();
+        let since = snapshot.outdated_since(&self.model, self.version);
+        let limit = self.shared.weights_bounds().expired_after;
+        let last = since.zip(limit).map(|(since, limit)| since + limit);
+        last.is_none_or(|last| now + self.spread < last)
+    }
+
+    /// Reads the next bytes of the response and returns whether the replica has begun the request: comments are no sign.
+    pub(crate) fn has_begun(&mut self, bytes: &[u8]) -> bool {
+        self.line.push(bytes)
     }
 
     /// Waits until the request has to be withdrawn. Versions may be named meanwhile.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -515,7 +515,7 @@
             self.check_key(&snapshot, now)?;
         }
         let limit = BeginLimit::of(&self.shared, &self.call, &replica);
-        if limit.is_some_and(|limit| limit.has_passed()) {
+        if limit.is_some_and(|limit| !limit.allows_send(now)) {
             connection.release(None);
             return Err(FailedAttempt::new(AttemptEnd::Unsent, OUTDATED).into());
         }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -25,7 +25,6 @@
 use super::memory::{CallMemory, Reservation};
 use super::replica_limit::{LimitChange, NamedLimit};
 use super::shared::{LoadGuard, Observation, Replica, Shared};
-use super::stream_progress::has_fields;
 use super::upstream::{ReplicaConnection, RequestBody, SendFailure};
 use crate::id::ReplicaId;
 
@@ -147,7 +146,7 @@
     }
 
     async fn receive_frame(&mut self) -> Option<Result<Frame<Bytes>, StreamFault>> {
-        let Some(limit) = &self.begin_limit else {
+        let Some(limit) = &mut self.begin_limit else {
             let frame = self.body.frame().await?;
             return Some(frame.map_err(|_| StreamFault::Broken));
         };
@@ -163,8 +162,9 @@
             }
         };
         let bytes = frame.as_ref().ok().and_then(Frame::data_ref);
-        if bytes.is_some_and(|bytes| has_fields(bytes)) {
+        if bytes.is_some_and(|bytes| limit.has_begun(bytes)) {
             self.begin_limit = None;
+            self.watch.record_begin();
         }
         Some(frame.map_err(|_| StreamFault::Broken))
     }
@@ -333,6 +333,7 @@
             || head.headers.contains_key(&header_names.not_run)
         {
             stream.watch.settle();
+            stream.begin_limit = None;
             return Err(self.handle_refusal(&head, stream).await);
         }
         let is_signed = head.headers.contains_key(&header_names.signature);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -51,7 +51,7 @@
 const WEIGHTS_PREFERRED_AFTER: Duration = Duration::from_millis(1_500);
 /// The time before the bound on old weights from which no request is sent to them, so that one that was sent before has
 /// time to begin.
-const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(1_800);
 /// How long a replica that refused a request is avoided; half of the time of a weights load, during which it refuses
 /// all requests.
 const REFUSAL_TTL: Duration = Duration::from_millis(300);
@@ -478,7 +478,7 @@
         }
     }
 
-    /// Returns a receiver that changes when versions are named.
+    /// Returns a receiver that changes when versions are named or the bounds change.
     pub(crate) fn named_changes(&self) -> watch::Receiver<()> {
         self.named_changed.subscribe()
     }
@@ -527,7 +527,11 @@
     /// Replaces the bounds; returns whether they changed.
     pub(crate) fn set_bounds(&self, bounds: GatewayBounds) -> bool {
         let before = self.bounds.swap(Arc::new(bounds));
-        *before != bounds
+        let has_changed = *before != bounds;
+        if has_changed {
+            self.named_changed.send_replace(());
+        }
+        has_changed
     }
 
     /// Records that the configuration was current when a call was sent at `sent_at`.
