Judge old weights by a named version until its successor is old

Cause: a named version was dropped 60 s after it was named, unless it was the newest. Weights older than it were then judged by the next version alone: with versions named at 1 s and 62 s, a replica that is stuck on the version before both counted as current again from 62 s on, for as long as the bound.

Change: the named versions are a type of their own, without I/O. A version is dropped only once its successor was named longer than 60 s, and longer than the bound on old weights, ago. Either then gives the same verdict.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -4,7 +4,7 @@
 //! The decisions are made in [`super::fleet`], [`super::weights`], [`crate::rollout::Lease`] and [`crate::membership`],
 //! which do no I/O. This module passes events to them and executes the resulting actions.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,13 +17,14 @@
 use crate::gateway::fleet_size::FleetSize;
 use crate::gateway::list_watch::{ListWatchEvent, list_and_watch};
 use crate::gateway::load::{PeerLoads, PeerSpeeds, UnreachableView, replica_key};
+use crate::gateway::named_versions::NamedVersions;
 use crate::gateway::notice::ReplicaNotice;
 use crate::gateway::peers::{PeerMessage, Peers};
 use crate::gateway::prefill::{PrefillDecision, PrefillMessage, PrefillTracker, PrefixKey};
 use crate::gateway::quota::message::QuotaRequest;
 use crate::gateway::quota::owned::OwnedQuotas;
 use crate::gateway::releases::{ReleaseRecord, Releases};
-use crate::gateway::route::{ModelName, RouteTable};
+use crate::gateway::route::RouteTable;
 use crate::gateway::shared::{Observation, Replica, ReplicaLoad, Shared, Snapshot};
 use crate::gateway::source::{SourceSelector, UpdateSource};
 use crate::gateway::store::{ConfigurationRead, NamedWeights, PlatformStore, StoreFault};
@@ -32,7 +33,7 @@
 use crate::gateway::updates::PlatformUpdate;
 use crate::gateway::upstream::ReplicaPool;
 use crate::gateway::weights::{LoadTarget, OrderReply, WeightsReport, WeightsRollout};
-use crate::id::{ReplicaId, RouterId, WeightsVersion};
+use crate::id::{ReplicaId, RouterId};
 use crate::membership::Heartbeat;
 use crate::peer::{Inbound, PeerEvent};
 use crate::request::quarantine::Quarantine;
@@ -76,7 +77,7 @@
 /// The number of routers that announce departing replicas; all routers watch the platform, but some may be
 /// disconnected.
 const LEAVING_ANNOUNCERS: usize = 2;
-/// How long named versions older than the newest are kept.
+/// How long named versions are kept after their successors were named, at least.
 const NAMED_TTL: Duration = Duration::from_secs(60);
 /// The fraction of a replica's connection limit that all routers together use.
 const CONNECTIONS_FRACTION: f64 = 0.85;
@@ -248,7 +249,7 @@
     table: Option<Arc<RouteTable>>,
     fleet: Fleet,
     fleet_size: FleetSize,
-    named: BTreeMap<ModelName, Vec<(WeightsVersion, Duration)>>,
+    named: NamedVersions,
     lease: Lease,
     rollout: WeightsRollout,
     last_holder: Option<RouterId>,
@@ -309,7 +310,7 @@
             table: None,
             fleet: Fleet::default(),
             fleet_size: FleetSize::default(),
-            named: BTreeMap::new(),
+            named: NamedVersions::default(),
             lease,
             rollout: WeightsRollout::default(),
             last_holder: None,
@@ -421,10 +422,9 @@
         }
         self.shared.memory.record_gauges();
         self.record_limit_gauges(now);
-        for versions in self.named.values_mut() {
-            let newest = versions.last().copied();
-            versions.retain(|entry| Some(*entry) == newest || now < entry.1 + NAMED_TTL);
-        }
+        let bound = self.shared.weights_bounds().expired_after;
+        self.named
+            .prune(now, NAMED_TTL.max(bound.unwrap_or_default()));
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -525,7 +525,7 @@
         let routers = self.peers.alive().count().max(1);
         let mut snapshot = Snapshot {
             table: self.table.clone(),
-            named: self.named.clone(),
+            named: self.named.models().clone(),
             entries: self.peers.entries(),
             budget_routers: self.fleet_size.observe(routers, boot_time()),
             has_replicas: self.fleet.has_list(),
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -212,7 +212,7 @@
     }
 
     pub(super) fn target_versions(&self) -> BTreeMap<ModelName, WeightsVersion> {
-        let newest = self.named.iter().filter_map(|(model, versions)| {
+        let newest = self.named.models().iter().filter_map(|(model, versions)| {
             versions
                 .last()
                 .map(|(version, _)| (Arc::clone(model), *version))
@@ -221,7 +221,7 @@
     }
 
     pub(super) fn is_rollout_wanted(&self) -> bool {
-        !self.named.is_empty()
+        !self.named.models().is_empty()
             && WeightsRollout::is_needed(self.fleet.replicas(), &self.target_versions())
     }
 
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -290,7 +290,7 @@
         };
         self.platform.weights_as_of = self.platform.weights_as_of.max(as_of);
         for named in entries {
-            let is_found = is_list && !self.named.contains_key(&named.model);
+            let is_found = is_list && !self.named.models().contains_key(&named.model);
             let age = if is_found {
                 self.shared.weights_bounds().initial_age()
             } else {
@@ -307,16 +307,10 @@
         version: WeightsVersion,
         named_at: Duration,
     ) {
-        let versions = self.named.entry(Arc::clone(model)).or_default();
-        if versions
-            .last()
-            .is_some_and(|(newest, _)| version <= *newest)
-        {
-            return;
+        if self.named.record(model, version, named_at) {
+            log::info!("rollout: Weights named. model={model} version={version}");
+            self.is_dirty = true;
         }
-        log::info!("rollout: Weights named. model={model} version={version}");
-        versions.push((version, named_at));
-        self.is_dirty = true;
     }
 
     /// Applies the reply of another router to a request sent at `sent_at`.
@@ -511,7 +505,7 @@
                     .collect()
             }
         };
-        let named = self.named.iter().flat_map(|(model, versions)| {
+        let named = self.named.models().iter().flat_map(|(model, versions)| {
             versions.iter().map(|(version, at)| WeightsUpdate {
                 model: model.to_string(),
                 version: *version,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 mod list_watch;
 mod load;
 mod memory;
+mod named_versions;
 mod notice;
 mod open_requests;
 mod peers;
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -21,6 +21,7 @@
 mod list_watch;
 mod loads;
 mod memory;
+mod named_versions;
 mod placement;
 mod prefill;
 mod prompt;
