Count a named version from the begin of the gap before it was found

Cause: a router counted a version from when it learned of it, unless the model was new to it. A version may have been named long before: while the watch hung or failed, while another router was followed that had died or whose own watch hung, or while the response lay unread. Requests then began on older weights later than the bound allows.

Change: list and watch events carry the sending of their call and the time up to which they are complete; a watch that ends without changes is an event too. The named versions keep the time up to which they are complete, from own calls or from the router that is followed, whose updates tell it. A compaction makes no gap, since a watch vouches up to its end. The line 'Weights named' has the age.

--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -226,8 +226,9 @@
 
     pub(super) fn handle_replicas(&mut self, event: ListWatchEvent<ReplicaEntry>, now: Duration) {
         match event {
-            ListWatchEvent::Listed(entries, as_of) => self.replace_replicas(entries, as_of, now),
-            ListWatchEvent::Changed(entries, as_of) => self.change_replicas(entries, as_of, now),
+            ListWatchEvent::Listed(entries, as_of, _) => self.replace_replicas(entries, as_of, now),
+            ListWatchEvent::Changed(entries, as_of, _) => self.change_replicas(entries, as_of, now),
+            ListWatchEvent::Unchanged(..) => {}
             ListWatchEvent::Disconnected(fault) => {
                 log::warn!("store: Failed to watch the replicas. fault=\"{fault}\"");
             }
@@ -274,10 +275,12 @@
     }
 
     pub(super) fn handle_weights(&mut self, event: ListWatchEvent<NamedWeights>, now: Duration) {
-        let is_list = matches!(event, ListWatchEvent::Listed(..));
-        let (entries, as_of) = match event {
-            ListWatchEvent::Listed(entries, as_of) | ListWatchEvent::Changed(entries, as_of) => {
-                (entries, as_of)
+        let (entries, as_of, read) = match event {
+            ListWatchEvent::Listed(entries, as_of, read)
+            | ListWatchEvent::Changed(entries, as_of, read) => (entries, as_of, read),
+            ListWatchEvent::Unchanged(_, read) => {
+                self.named.confirm(read.complete_until);
+                return;
             }
             ListWatchEvent::Disconnected(fault) => {
                 log::warn!("store: Failed to watch the named weights. fault=\"{fault}\"");
@@ -289,18 +292,15 @@
             }
         };
         self.platform.weights_as_of = self.platform.weights_as_of.max(as_of);
+        let max_age = self.shared.weights_bounds().initial_age();
+        let found_at = self.named.found_at(read, now, max_age);
         for named in entries {
-            let is_found = is_list && !self.named.models().contains_key(&named.model);
-            let age = if is_found {
-                self.shared.weights_bounds().initial_age()
-            } else {
-                Duration::ZERO
-            };
-            self.record_named_weights(&named.model, named.version, now.saturating_sub(age));
+            self.record_named_weights(&named.model, named.version, found_at);
         }
+        self.named.confirm(read.complete_until);
     }
 
-    /// Records that the operator named a version, which was learned at `named_at`.
+    /// Records that the operator named a version, which counts from `named_at`.
     pub(super) fn record_named_weights(
         &mut self,
         model: &ModelName,
@@ -308,7 +308,8 @@
         named_at: Duration,
     ) {
         if self.named.record(model, version, named_at) {
-            log::info!("rollout: Weights named. model={model} version={version}");
+            let age_ms = boot_time().saturating_sub(named_at).as_millis();
+            log::info!("rollout: Weights named. model={model} version={version} age_ms={age_ms}");
             self.is_dirty = true;
         }
     }
@@ -386,6 +387,10 @@
             let model = named.model.into();
             self.record_named_weights(&model, named.version, now.saturating_sub(age));
         }
+        if let Some(age_ms) = update.weights_complete_age_ms {
+            let complete_until = sent_at.saturating_sub(Duration::from_millis(age_ms));
+            self.named.confirm(complete_until);
+        }
     }
 
     /// Queues the update request of a router until there is an update or its wait time has passed.
@@ -464,6 +469,7 @@
                 boot_time().saturating_sub(self.shared.confirmed_at()),
                 poll_interval(&self.shared),
             )
+            && self.named.is_current(boot_time())
             && self.fleet.has_list()
             && self.table.is_some()
     }
@@ -532,6 +538,7 @@
                 named.collect()
             },
             recovered_age_ms: platform.recovered_at.map(age_of),
+            weights_complete_age_ms: self.named.complete_until().map(|at| age_of(at) + 1),
             others_load: None,
         }
     }
--- a/src/gateway/list_watch.rs
+++ b/src/gateway/list_watch.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::watch;
 
+use super::clock::boot_time;
 use super::revision::{StoreRevision, revision_era};
 use super::store::{ListPage, StoreFault, WatchPage};
 use crate::store::Backoff;
@@ -30,25 +31,57 @@
     Backoff::with_max_delays(INITIAL_BACKOFF, MAX_BACKOFF)
 }
 
+/// When a list or a watch was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ReadTime {
+    /// When the call was sent; the first one if there were several pages.
+    pub(crate) sent_at: Duration,
+    /// The time up to which all changes are known after the read.
+    pub(crate) complete_until: Duration,
+}
+
 /// An event of a list-and-watch loop.
 #[derive(Debug)]
 pub(crate) enum ListWatchEvent<T> {
     /// The complete list as of a revision of the store.
-    Listed(Vec<T>, StoreRevision),
+    Listed(Vec<T>, StoreRevision, ReadTime),
     /// Changed entries up to a revision of the store.
-    Changed(Vec<T>, StoreRevision),
+    Changed(Vec<T>, StoreRevision, ReadTime),
+    /// A watch ended without changes.
+    Unchanged(StoreRevision, ReadTime),
     /// The store became unreachable.
     Disconnected(StoreFault),
     /// The store responds again after this many failures.
     Recovered(u32),
 }
 
+impl ReadTime {
+    /// Returns the time of a list whose first page was requested at `sent_at`.
+    const fn of_list(sent_at: Duration) -> Self {
+        Self {
+            sent_at,
+            complete_until: sent_at,
+        }
+    }
+
+    /// Returns the time of a watch. The store answers at the first change, or after [`WATCH_TIMEOUT`]; a response that
+    /// arrives later was held up on its way or by a pause of this process.
+    pub(crate) fn of_watch(sent_at: Duration, received_at: Duration) -> Self {
+        Self {
+            sent_at,
+            complete_until: received_at.min(sent_at + WATCH_TIMEOUT),
+        }
+    }
+}
+
 impl<T> ListWatchEvent<T> {
-    /// Returns the number of entries and the revision that they are current as of.
-    fn count_and_revision(&self) -> (usize, StoreRevision) {
+    /// Returns the revision that the event is current as of.
+    const fn revision(&self) -> StoreRevision {
         match self {
-            Self::Listed(entries, as_of) | Self::Changed(entries, as_of) => (entries.len(), *as_of),
-            Self::Disconnected(_) | Self::Recovered(_) => (0, 0),
+            Self::Listed(_, as_of, _) | Self::Changed(_, as_of, _) | Self::Unchanged(as_of, _) => {
+                *as_of
+            }
+            Self::Disconnected(_) | Self::Recovered(_) => 0,
         }
     }
 }
@@ -86,11 +119,10 @@
                     on_event(ListWatchEvent::Recovered(backoff.failures()));
                     backoff.reset();
                 }
-                let (count, as_of) = event.count_and_revision();
-                let is_list = known.is_none();
-                known = Some(as_of);
-                if count > 0 || is_list {
-                    on_event(event);
+                known = Some(event.revision());
+                let is_change = !matches!(event, ListWatchEvent::Unchanged(..));
+                on_event(event);
+                if is_change {
                     tokio::time::sleep(pause).await;
                 }
             }
@@ -120,15 +152,22 @@
     L: Future<Output = Result<ListPage<T>, StoreFault>>,
     W: Future<Output = Result<WatchPage<T>, StoreFault>>,
 {
+    let sent_at = boot_time();
     let Some(known) = known else {
         let (entries, as_of) = read_all_pages(list).await?;
-        return Ok(ListWatchEvent::Listed(entries, as_of));
+        let time = ReadTime::of_list(sent_at);
+        return Ok(ListWatchEvent::Listed(entries, as_of, time));
     };
     let page = watch((known, WATCH_TIMEOUT)).await?;
     if revision_era(page.as_of) != revision_era(known) {
         return Err(StoreFault::HistoryGone);
     }
-    Ok(ListWatchEvent::Changed(page.entries, page.as_of.max(known)))
+    let time = ReadTime::of_watch(sent_at, boot_time());
+    let as_of = page.as_of.max(known);
+    if page.entries.is_empty() {
+        return Ok(ListWatchEvent::Unchanged(as_of, time));
+    }
+    Ok(ListWatchEvent::Changed(page.entries, as_of, time))
 }
 
 async fn read_all_pages<T, L>(
--- a/src/gateway/tests/list_watch.rs
+++ b/src/gateway/tests/list_watch.rs
@@ -58,8 +58,9 @@
         is_active,
         |event| {
             let text = match event {
-                ListWatchEvent::Listed(entries, as_of) => format!("list {entries:?} {as_of}"),
-                ListWatchEvent::Changed(entries, as_of) => format!("change {entries:?} {as_of}"),
+                ListWatchEvent::Listed(entries, as_of, _) => format!("list {entries:?} {as_of}"),
+                ListWatchEvent::Changed(entries, as_of, _) => format!("change {entries:?} {as_of}"),
+                ListWatchEvent::Unchanged(as_of, _) => format!("unchanged {as_of}"),
                 ListWatchEvent::Disconnected(_) => "disconnected".to_owned(),
                 ListWatchEvent::Recovered(failures) => format!("recovered {failures}"),
             };
@@ -75,7 +76,12 @@
 async fn list_and_watch_paged_list_is_reported_whole() {
     let lists = vec![page(&[1, 2], Some("b"), 7), page(&[3], None, 9)];
     let watches = vec![changes(&[4], 11), changes(&[], 12), changes(&[5], 13)];
-    let expected = ["list [1, 2, 3] 7", "change [4] 11", "change [5] 13"];
+    let expected = [
+        "list [1, 2, 3] 7",
+        "change [4] 11",
+        "unchanged 12",
+        "change [5] 13",
+    ];
     assert_eq!(events_of(lists, watches).await, expected);
 }
 
@@ -120,3 +126,42 @@
     assert_eq!(events.len(), 1, "{events:?}");
     assert!(events[0].contains("[1, 2]"), "{events:?}");
 }
+
+/// A compaction alone is no gap: a version that the list finds must not look old.
+#[tokio::test]
+async fn list_and_watch_lost_history_leaves_no_gap() {
+    const WATCH_TIME: Duration = Duration::from_millis(100);
+    let reads = RefCell::new(Vec::new());
+    let (_active, is_active) = watch::channel(true);
+    let watches = RefCell::new(0);
+    let list_watch = list_and_watch(
+        |_| async { page(&[1], None, 7) },
+        |_| {
+            *watches.borrow_mut() += 1;
+            let is_first = *watches.borrow() == 1;
+            async move {
+                tokio::time::sleep(WATCH_TIME).await;
+                match is_first {
+                    true => changes(&[], 8),
+                    false => Err(StoreFault::HistoryGone),
+                }
+            }
+        },
+        Duration::ZERO,
+        is_active,
+        |event: ListWatchEvent<u32>| match event {
+            ListWatchEvent::Listed(_, _, read)
+            | ListWatchEvent::Changed(_, _, read)
+            | ListWatchEvent::Unchanged(_, read) => reads.borrow_mut().push(read),
+            ListWatchEvent::Disconnected(_) | ListWatchEvent::Recovered(_) => {}
+        },
+    );
+    let result = tokio::time::timeout(15 * WATCH_TIME, list_watch).await;
+    assert!(result.is_err(), "the loop ended by itself");
+    let reads = reads.take();
+    assert!(reads.len() >= 3, "{reads:?}");
+    // The first watch vouches up to its end, so that only the one that found the history gone lies in between.
+    assert!(reads[1].complete_until >= reads[1].sent_at + WATCH_TIME);
+    let gap = reads[2].sent_at - reads[1].complete_until;
+    assert!(gap < 5 * WATCH_TIME, "{gap:?}");
+}
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -69,6 +69,9 @@
     /// The load that the requests of all other routers cause at replicas.
     #[prost(message, optional, tag = "11")]
     pub(crate) others_load: Option<LoadMessage>,
+    /// The time since all named weights were known, in milliseconds; `None` from a router that doesn't tell it.
+    #[prost(uint64, optional, tag = "12")]
+    pub(crate) weights_complete_age_ms: Option<u64>,
 }
 
 /// The wire format of a [`ReplicaEntry`].
