Count a relayed version from the sending of the request for it

Cause: a router that follows another one counted the age of a named version from the arrival of the update, and the age was rounded down to a millisecond. An update may be under way for up to 0.5 s, by which the version became younger.

Change: the age counts from the sending of the request, as that of the configuration does, and is rounded up.

A version is counted as up to 0.2 s older than it is, the wait of the request.

--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -22,7 +22,9 @@
     ChangeLog, UPDATE_WAIT, UpdateSource, configuration_interval, is_current,
 };
 use crate::gateway::store::{ConfigurationRead, NamedWeights, PlatformStore, StoreFault};
-use crate::gateway::updates::{PlatformUpdate, ReplicaUpdate, UpdateRequest, WeightsUpdate};
+use crate::gateway::updates::{
+    PlatformUpdate, ReplicaUpdate, UpdateRequest, WeightsUpdate, age_ms,
+};
 use crate::id::{RouterId, WeightsVersion};
 use crate::peer::{Body, Kind, ReplyHandle};
 
@@ -383,9 +385,9 @@
         }
         self.platform.weights_as_of = self.platform.weights_as_of.max(update.weights_as_of);
         for named in update.weights {
-            let age = Duration::from_millis(named.age_ms);
+            let named_at = named.named_at(sent_at);
             let model = named.model.into();
-            self.record_named_weights(&model, named.version, now.saturating_sub(age));
+            self.record_named_weights(&model, named.version, named_at);
         }
         if let Some(age_ms) = update.weights_complete_age_ms {
             let complete_until = sent_at.saturating_sub(Duration::from_millis(age_ms));
@@ -512,11 +514,8 @@
             }
         };
         let named = self.named.models().iter().flat_map(|(model, versions)| {
-            versions.iter().map(|(version, at)| WeightsUpdate {
-                model: model.to_string(),
-                version: *version,
-                age_ms: age_of(*at),
-            })
+            let versions = versions.iter();
+            versions.map(|(version, at)| WeightsUpdate::of_named(model, *version, *at, now))
         });
         let knows_weights = request.weights_as_of >= platform.weights_as_of;
         PlatformUpdate {
@@ -538,7 +537,7 @@
                 named.collect()
             },
             recovered_age_ms: platform.recovered_at.map(age_of),
-            weights_complete_age_ms: self.named.complete_until().map(|at| age_of(at) + 1),
+            weights_complete_age_ms: self.named.complete_until().map(|at| age_ms(at, now)),
             others_load: None,
         }
     }
--- a/src/gateway/tests/named_versions.rs
+++ b/src/gateway/tests/named_versions.rs
@@ -10,6 +10,7 @@
 use crate::gateway::named_versions::NamedVersions;
 use crate::gateway::route::ModelName;
 use crate::gateway::shared::Snapshot;
+use crate::gateway::updates::WeightsUpdate;
 use crate::id::WeightsVersion;
 
 const KEEP: Duration = ms(60_000);
@@ -164,3 +165,21 @@
     assert!(named.is_current(ms(23_400)));
     assert!(!named.is_current(ms(24_000)));
 }
+
+/// An update that is under way for long must not make a version younger. The requests are sent at 10.3 s.
+#[parameterized(
+    answered_at_once = { 10_300_200, 10_200_000 },
+    answered_after_the_wait = { 10_500_900, 10_400_900 },
+    held_up_after_its_creation = { 10_301_000, 10_300_900 },
+    created_within_a_millisecond = { 10_300_999, 10_300_500 },
+)]
+fn named_at_is_never_younger_at_another_router(created_us: u64, named_us: u64) {
+    let (created, named_at) = (
+        Duration::from_micros(created_us),
+        Duration::from_micros(named_us),
+    );
+    let update = WeightsUpdate::of_named(&model(), 2, named_at, created);
+    let received = update.named_at(ms(10_300));
+    assert!(received <= named_at, "{received:?}");
+    assert!(named_at - received < ms(202), "{received:?}");
+}
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -5,12 +5,15 @@
 //! they know and the age of the last confirmation. See docs/design/gateway.md.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use smallvec::SmallVec;
 
 use super::fleet::{ReplicaEntry, ReplicaRecord, ReplicaState};
 use super::load::LoadMessage;
+use super::route::ModelName;
+use crate::id::WeightsVersion;
 use crate::membership::{decode_address, encode_address};
 
 /// A request for updates: the revisions that the sender knows and how long it waits.
@@ -126,6 +129,35 @@
     pub(crate) age_ms: u64,
 }
 
+impl WeightsUpdate {
+    /// Encodes a version that counts as named at `named_at`, for an update that is created at `now`.
+    pub(crate) fn of_named(
+        model: &ModelName,
+        version: WeightsVersion,
+        named_at: Duration,
+        now: Duration,
+    ) -> Self {
+        Self {
+            model: model.to_string(),
+            version,
+            age_ms: age_ms(named_at, now),
+        }
+    }
+
+    /// Returns from when the version counts as named; the request for the update was sent at `sent_at`.
+    ///
+    /// The update was created later, so that the time for which it was under way makes the version no younger.
+    pub(crate) const fn named_at(&self, sent_at: Duration) -> Duration {
+        sent_at.saturating_sub(Duration::from_millis(self.age_ms))
+    }
+}
+
+/// Returns the time since `at` in milliseconds, rounded up.
+pub(crate) fn age_ms(at: Duration, now: Duration) -> u64 {
+    let age = now.saturating_sub(at).as_nanos().div_ceil(1_000_000);
+    u64::try_from(age).unwrap_or(u64::MAX)
+}
+
 impl ReplicaUpdate {
     /// Encodes an entry; returns `None` for a malformed one.
     pub(crate) fn of(entry: &ReplicaEntry) -> Option<Self> {
