--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -22,7 +22,9 @@
     ChangeLog, UPDATE_WAIT, UpdateSource, configuration_interval, is_current,
 };
 use crate::gateway::store::{ConfigurationRead, NamedWeights, PlatformStore, StoreFault};
-use crate::gateway::updates::{PlatformUpdate, ReplicaUpdate, UpdateRequest, WeightsUpdate};
+use crate::gateway::updates::{
+    PlatformUpdate, ReplicaUpdate, UpdateRequest, WeightsUpdate, age_ms,
+};
 use crate::id::{RouterId, WeightsVersion};
 use crate::peer::{Body, Kind, ReplyHandle};
 
@@ -226,8 +228,9 @@
 
     pub(super) fn handle_replicas(&mut self, event: ListWatchEvent<ReplicaEntry>, now: Duration) {
         match event {
-            ListWatchEvent::Listed(entries, as_of) => self.replace_replicas(entries, as_of, now),
-            ListWatchEvent::Changed(entries, as_of) => self.change_replicas(entries, as_of, now),
+            ListWatchEvent::Listed(entries, as_of, _) => self.replace_replicas(entries, as_of, now),
+            ListWatchEvent::Changed(entries, as_of, _) => self.change_replicas(entries, as_of, now),
+            ListWatchEvent::Unchanged(..) => {}
             ListWatchEvent::Disconnected(fault) => {
                 log::warn!("store: Failed to watch the replicas. fault=\"{fault}\"");
             }
@@ -274,10 +277,12 @@
     }
 
     pub(super) fn handle_weights(&mut self, event: ListWatchEvent<NamedWeights>, now: Duration) {
-        let is_list = matches!(event, ListWatchEvent::Listed(..));
-        let (entries, as_of) = match event {
-            ListWatchEvent::Listed(entries, as_of) | ListWatchEvent::Changed(entries, as_of) => {
-                (entries, as_of)
+        let (entries, as_of, read) = match event {
+            ListWatchEvent::Listed(entries, as_of, read)
+            | ListWatchEvent::Changed(entries, as_of, read) => (entries, as_of, read),
+            ListWatchEvent::Unchanged(_, read) => {
+                self.named.confirm(read.complete_until);
+                return;
             }
             ListWatchEvent::Disconnected(fault) => {
                 log::warn!("store: Failed to watch the named weights. fault=\"{fault}\"");
@@ -289,34 +294,26 @@
             }
         };
         self.platform.weights_as_of = self.platform.weights_as_of.max(as_of);
+        let max_age = self.shared.weights_bounds().initial_age();
+        let found_at = self.named.found_at(read, now, max_age);
         for named in entries {
-            let is_found = is_list && !self.named.contains_key(&named.model);
-            let age = if is_found {
-                self.shared.weights_bounds().initial_age()
-            } else {
-                Duration::ZERO
-            };
-            self.record_named_weights(&named.model, named.version, now.saturating_sub(age));
+            self.record_named_weights(&named.model, named.version, found_at);
         }
+        self.named.confirm(read.complete_until);
     }
 
-    /// Records that the operator named a version, which was learned at `named_at`.
+    /// Records that the operator named a version, which counts from `named_at`.
     pub(super) fn record_named_weights(
         &mut self,
         model: &ModelName,
         version: WeightsVersion,
         named_at: Duration,
     ) {
-        let versions = self.named.entry(Arc::clone(model)).or_default();
-        if versions
-            .last()
-            .is_some_and(|(newest, _)| version <= *newest)
-        {
-            return;
+        if self.named.record(model, version, named_at) {
+            let age_ms = boot_time().saturating_sub(named_at).as_millis();
+            log::info!("rollout: Weights named. model={model} version={version} age_ms={age_ms}");
+            self.is_dirty = true;
         }
-        log::info!("rollout: Weights named. model={model} version={version}");
-        versions.push((version, named_at));
-        self.is_dirty = true;
     }
 
     /// Applies the reply of another router to a request sent at `sent_at`.
@@ -388,9 +385,13 @@
         }
         self.platform.weights_as_of = self.platform.weights_as_of.max(update.weights_as_of);
         for named in update.weights {
-            let age = Duration::from_millis(named.age_ms);
+            let named_at = named.named_at(sent_at);
             let model = named.model.into();
-            self.record_named_weights(&model, named.version, now.saturating_sub(age));
+            self.record_named_weights(&model, named.version, named_at);
+        }
+        if let Some(age_ms) = update.weights_complete_age_ms {
+            let complete_until = sent_at.saturating_sub(Duration::from_millis(age_ms));
+            self.named.confirm(complete_until);
         }
     }
 
@@ -470,6 +471,7 @@
                 boot_time().saturating_sub(self.shared.confirmed_at()),
                 poll_interval(&self.shared),
             )
+            && self.named.is_current(boot_time())
             && self.fleet.has_list()
             && self.table.is_some()
     }
@@ -511,12 +513,9 @@
                     .collect()
             }
         };
-        let named = self.named.iter().flat_map(|(model, versions)| {
-            versions.iter().map(|(version, at)| WeightsUpdate {
-                model: model.to_string(),
-                version: *version,
-                age_ms: age_of(*at),
-            })
+        let named = self.named.models().iter().flat_map(|(model, versions)| {
+            let versions = versions.iter();
+            versions.map(|(version, at)| WeightsUpdate::of_named(model, *version, *at, now))
         });
         let knows_weights = request.weights_as_of >= platform.weights_as_of;
         PlatformUpdate {
@@ -538,6 +537,7 @@
                 named.collect()
             },
             recovered_age_ms: platform.recovered_at.map(age_of),
+            weights_complete_age_ms: self.named.complete_until().map(|at| age_ms(at, now)),
             others_load: None,
         }
     }
