Expect as long a wait at replicas with old weights as was observed

What callers saw: a request that may not be repeated ended with 502, because it was withdrawn from a replica with old weights that had not begun it. Before there was a withdrawal, it began after the bound.

Cause: whether a request may still be sent to old weights was decided by a wait that came from prompt tokens alone. At a full replica it waits for slots, memory and the output of others.

Change: each router observes the time from the send to the first event of streams with a prompt, over the present second and the two before it, and the age of the oldest that has not begun. It sends the larger one beside its loads, a byte a replica, nothing where there is none; the largest figure of any router counts, and the tokens still do where they say more. A request that can't run twice is sent only where twice the wait ends in time. "Sent to older weights" names the new estimate.

--- a/src/gateway/attempt_watch.rs
+++ b/src/gateway/attempt_watch.rs
@@ -36,6 +36,8 @@
     expected_ms: Option<f64>,
     /// Whether an event has arrived.
     has_begun: bool,
+    /// Whether the attempt counts among those that wait for their begin; only the events of streams show it.
+    is_waiting: bool,
     progress: Progress,
     is_settled: bool,
 }
@@ -48,13 +50,19 @@
         replica: Arc<Replica>,
         expected_ms: Option<f64>,
     ) -> Self {
+        let sent_at = boot_time();
+        let is_waiting = call.prompt.is_some() && call.route.kind.is_stream();
+        if is_waiting {
+            replica.load.with_waits(|waits| waits.record_send(sent_at));
+        }
         Self {
             shared,
             call,
             replica,
-            sent_at: boot_time(),
+            sent_at,
             expected_ms,
             has_begun: false,
+            is_waiting,
             progress: Progress::Waiting,
             is_settled: false,
         }
@@ -83,6 +91,10 @@
         }
         let now = boot_time();
         let waited = now.saturating_sub(self.sent_at);
+        if std::mem::take(&mut self.is_waiting) {
+            let load = &self.replica.load;
+            load.with_waits(|waits| waits.record_begin(self.sent_at, now));
+        }
         if let Some(expected_ms) = self.expected_ms.take() {
             self.replica.load.record_first_event(expected_ms, waited);
         }
@@ -172,6 +184,10 @@
 
 impl Drop for AttemptWatch {
     fn drop(&mut self) {
+        if self.is_waiting {
+            let load = &self.replica.load;
+            load.with_waits(|waits| waits.end_wait(self.sent_at));
+        }
         if self.is_settled {
             return;
         }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -21,8 +21,8 @@
 use super::exchange::{
     Exchange, FailedAttempt, OUTDATED, PendingExchange, ReplicaResponse, StreamFault, failed_send,
 };
-use super::load::{ReplicaKey, expected_ms, free_tokens};
-use super::placement::{Candidate, NoReplica, WeightsStatus, choose, expected_wait};
+use super::load::{LoadSample, ReplicaKey, allowed_wait, begin_wait, expected_ms, free_tokens};
+use super::placement::{Candidate, NoReplica, WeightsStatus, choose};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefixKey};
 use super::quota::permit::QuotaPermit;
 use super::response::LocalReply;
@@ -702,14 +702,14 @@
             .flatten()
             .map(|(version, at)| (*version, now.saturating_sub(*at)))
             .collect();
-        let status = |replica: &Replica, prefill_tokens: u64, speed: f64| {
+        let is_retryable = self.call.route.kind.is_retryable();
+        let status = |replica: &Replica, load: &LoadSample, speed: f64| {
             let Some(model) = model else {
                 return Some(WeightsStatus::Current);
             };
             let version = replica.known.version_of(model)?;
-            // The bound is a promise, so a high speed does not shorten the assumed wait.
-            let wait = expected_wait(prefill_tokens, speed.min(1.0)) + self.call.spread(SPREAD);
-            Some(bounds.status(version, &named, wait))
+            let wait = allowed_wait(begin_wait(load, speed), is_retryable);
+            Some(bounds.status(version, &named, wait + self.call.spread(SPREAD)))
         };
         let zone = &self.shared.settings.zone;
         let cache_tokens = self.cache_tokens(snapshot);
@@ -735,7 +735,7 @@
                     let mut load = replica.load.sample(now);
                     load.add(others.get(&replica.key).copied().unwrap_or_default());
                     let speed = speeds.get(&replica.key).copied().unwrap_or_default();
-                    let status = status(replica, load.prefill_tokens, speed.home_weight);
+                    let status = status(replica, &load, speed.home_weight);
                     let withheld_time = self.withheld_time(replica, withheld, now);
                     Candidate {
                         id: &record.id,
@@ -808,14 +808,17 @@
         }
         let others = self.shared.others_load();
         let others = others.get(&replica.key).copied().unwrap_or_default();
-        let ahead = replica.load.prefill_tokens() + others.prefill_tokens;
+        let mut load = replica.load.sample(now);
+        load.add(others);
+        let speed = self.shared.speeds().get(&replica.key).copied();
+        let wait = begin_wait(&load, speed.unwrap_or_default().home_weight);
         log::info!(
             "request: Sent to older weights. id={} replica={} weights={version} newer_age_ms={} expected_wait_ms={} in_flight={}",
             self.call.id_text(),
             replica.known.record.id,
             age.as_millis(),
-            expected_wait(ahead, 1.0).as_millis(),
-            replica.load.in_flight() + others.in_flight
+            wait.as_millis(),
+            load.in_flight
         );
     }
 
--- a/src/gateway/load/mod.rs
+++ b/src/gateway/load/mod.rs
@@ -4,6 +4,7 @@
 mod reports;
 mod speed;
 mod unreachable;
+mod waits;
 
 pub(crate) use self::memory::{HeldMemory, free_tokens, memory_cost_ms};
 pub(crate) use self::reports::{
@@ -14,3 +15,4 @@
     service_speeds,
 };
 pub(crate) use self::unreachable::{ConnectionSample, UnreachableView};
+pub(crate) use self::waits::{BeginWaits, allowed_wait, begin_wait};
--- a/src/gateway/load/reports.rs
+++ b/src/gateway/load/reports.rs
@@ -12,6 +12,7 @@
 
 use super::speed::SpeedReport;
 use super::unreachable::ReachabilityMessage;
+use super::waits::{of_report_units, report_units};
 use crate::gateway::replica_limit::LimitReport;
 use crate::id::{RouterId, WeightsVersion};
 
@@ -37,6 +38,8 @@
     pub(crate) held_tokens: u64,
     /// The tokens of the distinct shared prefixes of those requests; of several routers, the largest figure.
     pub(crate) held_prefix_tokens: u64,
+    /// How long requests have waited of late before the replica began them; of several routers, the largest figure.
+    pub(crate) begin_wait: Duration,
     /// Whether the replica rejected a request recently.
     pub(crate) is_refusing: bool,
     /// The weights version named in a recent response; 0 if there is none.
@@ -46,7 +49,11 @@
 impl LoadSample {
     /// Returns whether there is nothing to report.
     pub(crate) const fn is_zero(self) -> bool {
-        self.in_flight == 0 && self.prefill_tokens == 0 && !self.is_refusing && self.version == 0
+        self.in_flight == 0
+            && self.prefill_tokens == 0
+            && self.begin_wait.is_zero()
+            && !self.is_refusing
+            && self.version == 0
     }
 
     /// Adds the load caused by other routers.
@@ -55,6 +62,7 @@
         self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
         self.held_tokens = self.held_tokens.saturating_add(other.held_tokens);
         self.held_prefix_tokens = self.held_prefix_tokens.max(other.held_prefix_tokens);
+        self.begin_wait = self.begin_wait.max(other.begin_wait);
         self.is_refusing |= other.is_refusing;
         self.version = self.version.max(other.version);
     }
@@ -105,6 +113,9 @@
     /// What the sender knows about the limits that replicas name.
     #[prost(message, repeated, tag = "10")]
     pub(crate) limits: Vec<LimitReport>,
+    /// The waits for the begin, in units of 100 ms; empty if there are none.
+    #[prost(uint32, repeated, tag = "11")]
+    begin_waits: Vec<u32>,
 }
 
 impl LoadMessage {
@@ -118,10 +129,14 @@
             message.versions.push(load.version);
             message.held_tokens.push(load.held_tokens);
             message.held_prefix_tokens.push(load.held_prefix_tokens);
+            message.begin_waits.push(report_units(load.begin_wait));
             if load.is_refusing {
                 message.refusing.push(message.keys.len() as u32 - 1);
             }
         }
+        if message.begin_waits.iter().all(|units| *units == 0) {
+            message.begin_waits.clear();
+        }
         message
     }
 
@@ -129,7 +144,7 @@
     pub(crate) fn into_loads(self) -> LoadMap {
         let columns = self.in_flight.into_iter().zip(self.prefill_tokens);
         let columns = columns.zip(self.versions).enumerate();
-        // A router of an earlier version sends no figures of memory.
+        // A router of an earlier version sends no figures of memory, and no waits.
         let at = |column: &[u64], index: usize| column.get(index).copied().unwrap_or_default();
         let loads = columns.map(
             |(index, ((in_flight, prefill_tokens), version))| LoadSample {
@@ -137,6 +152,9 @@
                 prefill_tokens,
                 held_tokens: at(&self.held_tokens, index),
                 held_prefix_tokens: at(&self.held_prefix_tokens, index),
+                begin_wait: of_report_units(
+                    self.begin_waits.get(index).copied().unwrap_or_default(),
+                ),
                 is_refusing: self.refusing.contains(&(index as u32)),
                 version,
             },
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -23,7 +23,8 @@
 use super::headers::HeaderNames;
 use super::leaving::LeaveSchedule;
 use super::load::{
-    HeldMemory, LoadMap, LoadSample, ReplicaKey, ReplicaSpeed, SpeedObservations, SpeedSums,
+    BeginWaits, HeldMemory, LoadMap, LoadSample, ReplicaKey, ReplicaSpeed, SpeedObservations,
+    SpeedSums,
 };
 use super::memory::MemoryAccount;
 use super::open_requests::OpenRequests;
@@ -74,6 +75,7 @@
     prefill_tokens: AtomicU64,
     held: Mutex<HeldMemory>,
     speed: Mutex<SpeedObservations>,
+    waits: Mutex<BeginWaits>,
     last_response_ms: AtomicU64,
     last_refusal_ms: AtomicU64,
     /// Until when the replica wants no requests of this router.
@@ -373,6 +375,7 @@
             prefill_tokens: self.prefill_tokens(),
             held_tokens: held.own_tokens(),
             held_prefix_tokens: held.prefix_tokens(),
+            begin_wait: lock(&self.waits).wait(now),
             is_refusing: is_recent(&self.last_refusal_ms, REFUSAL_TTL),
             version: if names_version {
                 self.named_version.load(Ordering::Relaxed)
@@ -393,6 +396,11 @@
         metrics::counter!("crocuswharf_gateway_speed_observations_total").increment(1);
     }
 
+    /// Lets `act` read or change the waits of this router's requests at the replica.
+    pub(crate) fn with_waits<T>(&self, act: impl FnOnce(&mut BeginWaits) -> T) -> T {
+        act(&mut lock(&self.waits))
+    }
+
     /// Returns what this router has observed of the replica's speed.
     pub(crate) fn speed_sums(&self, now: Duration) -> SpeedSums {
         lock(&self.speed).sums(now)
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -37,6 +37,7 @@
 mod speed;
 mod stream_progress;
 mod unreachable;
+mod waits;
 mod weights;
 
 use std::sync::Arc;
