Report no waits of a router that is cut off, and replay a house that fills up

The rule by which a router that no replica responds to keeps its waiting requests to itself was in the control thread, without a test. It is in the deciding module now, with one: after 1 s without a response only waits of requests that began are reported.

The estimate follows a queue that grows.

--- a/src/gateway/control/loads.rs
+++ b/src/gateway/control/loads.rs
@@ -10,9 +10,6 @@
 
 /// The interval between exchanges of aggregated loads.
 const LOAD_INTERVAL: Duration = Duration::from_millis(150);
-/// The time without a response of any replica after which this router may be cut off from them. Its requests then wait
-/// for the link, which says nothing about replicas.
-const MAX_LINK_SILENCE: Duration = Duration::from_secs(1);
 
 impl Control {
     /// Returns the loads that this router's requests cause at replicas.
@@ -20,13 +17,10 @@
         let now = boot_time();
         let replicas = self.replica_states.values();
         let latest_response = replicas.filter_map(|(load, _)| load.responded_at()).max();
-        let is_link_sound = latest_response.is_some_and(|at| now < at + MAX_LINK_SILENCE);
         let replicas = self.replica_states.iter();
         let loads = replicas.map(|((id, born_ms), (load, _))| {
             let mut sample = load.sample(now);
-            if !is_link_sound {
-                sample.begin_wait = load.with_waits(|waits| waits.begun_wait(now));
-            }
+            sample.begin_wait = load.with_waits(|waits| waits.reported_wait(now, latest_response));
             (replica_key(id, *born_ms), sample)
         });
         loads.filter(|(_, load)| !load.is_zero()).collect()
--- a/src/gateway/load/waits.rs
+++ b/src/gateway/load/waits.rs
@@ -33,6 +33,9 @@
 const MIN_WAIT: Duration = Duration::from_millis(300);
 /// The longest wait that a router claims or believes; no caller waits for longer.
 const MAX_WAIT: Duration = Duration::from_secs(30);
+/// The time without a response of any replica after which this router may be cut off from them. Its requests then wait
+/// for the link, which says nothing about replicas.
+const MAX_LINK_SILENCE: Duration = Duration::from_secs(1);
 /// The unit of waits in reports, in milliseconds.
 const REPORT_UNIT_MS: u64 = 100;
 /// By how much the expected wait of a request is multiplied that can't be taken back without harm.
@@ -71,7 +74,7 @@
     }
 
     /// Returns the longest wait of requests that began of late; zero if it is short.
-    pub(crate) fn begun_wait(&self, now: Duration) -> Duration {
+    fn begun_wait(&self, now: Duration) -> Duration {
         let passed = now.as_secs().saturating_sub(self.begun_second);
         let kept = WINDOW_PARTS.saturating_sub(usize::try_from(passed).unwrap_or(WINDOW_PARTS));
         rounded(self.begun[..kept].iter().copied().max().unwrap_or_default())
@@ -84,6 +87,18 @@
         self.begun_wait(now).max(rounded(age))
     }
 
+    /// Returns the wait to report to other routers, given the latest response of any replica to this one.
+    pub(crate) fn reported_wait(
+        &self,
+        now: Duration,
+        latest_response: Option<Duration>,
+    ) -> Duration {
+        match latest_response {
+            Some(at) if now < at + MAX_LINK_SILENCE => self.wait(now),
+            _ => self.begun_wait(now),
+        }
+    }
+
     /// Makes the first of `begun` that of the second of `now`.
     fn advance(&mut self, now: Duration) {
         let second = now.as_secs().max(self.begun_second);
--- a/src/gateway/tests/waits.rs
+++ b/src/gateway/tests/waits.rs
@@ -184,6 +184,7 @@
     one_quick_one_slow = { Scenario { run_ms: &[400, 2_400], interval_ms: (10, 10), ..FULL_HOUSE } },
     tokens_a_tenth = { Scenario { tokens: 30, ..FULL_HOUSE } },
     tokens_tenfold = { Scenario { tokens: 3_000, ..FULL_HOUSE } },
+    fills_up_not_retryable = { Scenario { interval_ms: (40, 20), is_retryable: false, ..FULL_HOUSE } },
     not_retryable = { Scenario { run_ms: &[1_000], interval_ms: (20, 20), is_retryable: false, ..FULL_HOUSE } },
 )]
 fn begin_wait_keeps_requests_from_beginning_late(scenario: Scenario) {
@@ -240,12 +241,24 @@
     waits.record_send(ms(1_000));
     waits.record_send(ms(2_000));
     assert_eq!(waits.wait(ms(2_100)), ms(1_100));
-    assert_eq!(waits.begun_wait(ms(2_100)), ms(0));
     assert_eq!(waits.wait(ms(90_000)), ms(30_000));
     waits.end_wait(ms(1_000));
     assert_eq!(waits.wait(ms(3_000)), ms(1_000));
 }
 
+/// A router that is cut off from replicas must not make others expect long waits there.
+#[test]
+fn reported_wait_of_a_router_that_is_cut_off_has_begun_requests_only() {
+    let mut waits = BeginWaits::default();
+    waits.record_send(ms(1_000));
+    waits.record_begin(ms(1_000), ms(1_500));
+    waits.record_send(ms(1_400));
+    assert_eq!(waits.reported_wait(ms(2_300), Some(ms(1_500))), ms(900));
+    assert_eq!(waits.reported_wait(ms(2_500), Some(ms(1_500))), ms(500));
+    assert_eq!(waits.reported_wait(ms(2_500), None), ms(500));
+    assert_eq!(waits.wait(ms(2_500)), ms(1_100));
+}
+
 /// A request that can't be withdrawn without harm is sent only where even twice the wait ends in time.
 #[test]
 fn allowed_wait_of_a_request_that_cannot_run_twice_is_longer() {
