--- a/src/gateway/attempt_watch.rs
+++ b/src/gateway/attempt_watch.rs
@@ -34,6 +34,8 @@
     sent_at: Duration,
     /// The expected time to the first event at the reference speed, until that has come ([`super::load`]).
     expected_ms: Option<f64>,
+    /// Whether the attempt counts among those that wait for their begin; only the events of streams show it.
+    is_waiting: bool,
     progress: Progress,
     is_settled: bool,
 }
@@ -46,12 +48,18 @@
         replica: Arc<Replica>,
         expected_ms: Option<f64>,
     ) -> Self {
+        let sent_at = boot_time();
+        let is_waiting = call.prompt.is_some() && call.route.kind.is_stream();
+        if is_waiting {
+            replica.load.with_waits(|waits| waits.record_send(sent_at));
+        }
         Self {
             shared,
             call,
             replica,
-            sent_at: boot_time(),
+            sent_at,
             expected_ms,
+            is_waiting,
             progress: Progress::Waiting,
             is_settled: false,
         }
@@ -74,6 +82,10 @@
     pub(crate) fn record_begin(&mut self) {
         let now = boot_time();
         let waited = now.saturating_sub(self.sent_at);
+        if std::mem::take(&mut self.is_waiting) {
+            let load = &self.replica.load;
+            load.with_waits(|waits| waits.record_begin(self.sent_at, now));
+        }
         if let Some(expected_ms) = self.expected_ms.take() {
             self.replica.load.record_first_event(expected_ms, waited);
         }
@@ -163,6 +175,10 @@
 
 impl Drop for AttemptWatch {
     fn drop(&mut self) {
+        if self.is_waiting {
+            let load = &self.replica.load;
+            load.with_waits(|waits| waits.end_wait(self.sent_at));
+        }
         if self.is_settled {
             return;
         }
--- a/src/gateway/control/loads.rs
+++ b/src/gateway/control/loads.rs
@@ -15,9 +15,14 @@
     /// Returns the loads that this router's requests cause at replicas.
     pub(super) fn own_loads(&self) -> LoadMap {
         let now = boot_time();
+        let replicas = self.replica_states.values();
+        let latest_response = replicas.filter_map(|(load, _)| load.responded_at()).max();
         let replicas = self.replica_states.iter();
-        let loads = replicas
-            .map(|((id, born_ms), (load, _))| (replica_key(id, *born_ms), load.sample(now)));
+        let loads = replicas.map(|((id, born_ms), (load, _))| {
+            let mut sample = load.sample(now);
+            sample.begin_wait = load.with_waits(|waits| waits.reported_wait(now, latest_response));
+            (replica_key(id, *born_ms), sample)
+        });
         loads.filter(|(_, load)| !load.is_zero()).collect()
     }
 
