Open connections over other routers where the direct path is cut

Cause: a router whose links to all replicas were cut answered what it got itself, and took the cut for crashes of the replicas.

Change: where a direct connection fails, the byte stream to the replica is opened over another router: a connection to its peer listener, the handshake, one request and one reply, then bytes in both directions. The router that asked stays in charge of the request. Once another router has connected where this one has not, the path counts as cut: later connections skip the direct attempt until a probe connects. A router that reaches no replica directly while others do cuts all its paths, forgets the failures that it has recorded, and relays for nobody. A replica is down only if another router can't connect to it either, and a request that a cut link broke off is no evidence of a crash.

--- a/src/gateway/attempt_watch.rs
+++ b/src/gateway/attempt_watch.rs
@@ -5,7 +5,8 @@
 //! after the caller has left. However the attempt ends, its watch reports the crash in the same way.
 //!
 //! A broken connection may be all that was lost: a response can be garbled or cut off while the replica lives. One that
-//! has crashed refuses connections until it is back, so the router checks that before it reports. An attempt that is
+//! has crashed refuses connections until it is back, so the router checks that before it reports, and asks another router
+//! before it trusts its own links ([`super::path`]). What a cut link broke off is not reported. An attempt that is
 //! dropped before its end, such as one whose caller has left, is reported only if the replica is down shortly
 //! afterwards.
 
@@ -201,6 +202,15 @@
             break;
         }
     }
+    if !crash.is_down && replica.pool.is_relayed() {
+        log::info!(
+            "request: A cut link broke a request off. id={} replica={} ran_ms={}",
+            crash.id,
+            replica.known.record.id,
+            crash.ran.as_millis()
+        );
+        return;
+    }
     log_crash("Replica broke a request off.", &replica, &crash, &parts);
     shared.observe(Observation::Crash(crash));
 }
--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::runtime::Handle;
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
 use crate::error::{Error, ErrorKind};
 use crate::gateway::clock::boot_time;
@@ -22,6 +23,9 @@
 use crate::gateway::prefill::{PrefillDecision, PrefillMessage, PrefillTracker, PrefixKey};
 use crate::gateway::quota::message::QuotaRequest;
 use crate::gateway::quota::owned::OwnedQuotas;
+use crate::gateway::relay_client::RelayClient;
+use crate::gateway::relay_message::ConnectRequest;
+use crate::gateway::relay_server;
 use crate::gateway::releases::{ReleaseRecord, Releases};
 use crate::gateway::route::{ModelName, RouteTable};
 use crate::gateway::shared::{Observation, Replica, ReplicaLoad, Shared, Snapshot};
@@ -30,7 +34,7 @@
 use crate::gateway::stream_origin::{ReleaseKey, StreamKey, release_key};
 use crate::gateway::take_up::StreamLookup;
 use crate::gateway::updates::PlatformUpdate;
-use crate::gateway::upstream::ReplicaPool;
+use crate::gateway::upstream::{RelayRoute, ReplicaPool};
 use crate::gateway::weights::{LoadTarget, OrderReply, WeightsReport, WeightsRollout};
 use crate::id::{ReplicaId, RouterId, WeightsVersion};
 use crate::membership::Heartbeat;
@@ -43,6 +47,7 @@
 mod limits;
 mod loads;
 mod orders;
+mod paths;
 mod prefill;
 mod quarantine;
 mod quota;
@@ -59,6 +64,7 @@
 pub(crate) use self::streams::holders;
 
 use self::contain::{contain, restart_after_panic};
+use self::paths::MAX_PATH_PROBES;
 use self::prefill::{PendingPrefill, PrefillResponder};
 use self::quarantine::PendingCrashes;
 use self::updates::{PendingUpdate, PlatformState, poll_configuration};
@@ -129,6 +135,8 @@
     pub(crate) peers: TcpListener,
     /// The address that this router listens on for callers.
     pub(crate) callers: SocketAddr,
+    /// The runtime that serves traffic.
+    pub(crate) traffic: Handle,
 }
 
 /// Starts the control thread and returns the sender of its events.
@@ -158,6 +166,7 @@
         mut observations,
         peers,
         callers,
+        traffic,
     } = parts;
     let started = Peers::start(&shared.settings, peers, callers, events.clone());
     let (peers, mut inbound) = match started {
@@ -167,7 +176,14 @@
             std::process::exit(1);
         }
     };
-    let mut control = Control::new(shared, store, replicas, peers, events);
+    let relays = Arc::new(RelayClient::new(peers.links().clone()));
+    let requests = peers.links().accept_relays();
+    traffic.spawn(relay_server::serve(
+        Arc::clone(&shared),
+        Arc::clone(&relays),
+        requests,
+    ));
+    let mut control = Control::new(shared, store, replicas, peers, relays, events);
     control.start_platform_tasks();
     loop {
         let tick = control.tick_interval();
@@ -187,6 +203,7 @@
         contain("tick", || control.tick());
         let now = boot_time();
         contain("source", || control.select_source(now));
+        contain("paths", || control.advance_paths(now));
         contain("reachability", || control.advance_reachability(now));
         contain("updates", || control.answer_update_requests(now));
         contain("loads", || control.exchange_loads(now));
@@ -244,6 +261,10 @@
     store: Arc<PlatformStore>,
     replicas: Arc<ReplicaCalls>,
     peers: Peers,
+    relays: Arc<RelayClient>,
+    /// The probes of direct paths that may still begin.
+    path_probes: Arc<Semaphore>,
+    next_path_check: Duration,
     events: mpsc::Sender<Event>,
     table: Option<Arc<RouteTable>>,
     fleet: Fleet,
@@ -295,6 +316,7 @@
         store: PlatformStore,
         replicas: ReplicaCalls,
         peers: Peers,
+        relays: Arc<RelayClient>,
         events: mpsc::Sender<Event>,
     ) -> Self {
         let seeds = shared.settings.seeds.len();
@@ -305,6 +327,9 @@
             store: Arc::new(store),
             replicas: Arc::new(replicas),
             peers,
+            relays,
+            path_probes: Arc::new(Semaphore::new(MAX_PATH_PROBES)),
+            next_path_check: Duration::ZERO,
             events,
             table: None,
             fleet: Fleet::default(),
@@ -522,6 +547,7 @@
         }
         // Streams of a new release are told to other routers from the first one on.
         self.advance_releases(boot_time());
+        self.relays.set_helpers(self.peers.helpers());
         let routers = self.peers.alive().count().max(1);
         let mut snapshot = Snapshot {
             table: self.table.clone(),
@@ -566,10 +592,19 @@
         let limit = (share as u32).max(MIN_CONNECTIONS);
         let key = (Arc::clone(&record.id), record.born_ms);
         let address = record.address;
-        let (load, pool) = self
-            .replica_states
-            .entry(key)
-            .or_insert_with(|| (Arc::default(), Arc::new(ReplicaPool::new(address, limit))));
+        let relays = &self.relays;
+        let (load, pool) = self.replica_states.entry(key).or_insert_with(|| {
+            let route = RelayRoute {
+                client: Arc::clone(relays),
+                request: ConnectRequest {
+                    replica: record.id.to_string(),
+                    born_ms: record.born_ms,
+                },
+                key: replica_key(&record.id, record.born_ms),
+            };
+            let pool = ReplicaPool::new(address, limit, route);
+            (Arc::default(), Arc::new(pool))
+        });
         pool.set_limit(limit);
         if known.phase == ReplicaPhase::Draining {
             pool.close_idle(true);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -506,6 +506,13 @@
                 );
             }
         };
+        if connection.is_relayed() {
+            log::debug!(
+                "request: Sent over another router. id={} replica={}",
+                self.call.id_text(),
+                record.id
+            );
+        }
         // The grant may have expired since.
         self.acquire_quota().await?;
         let now = boot_time();
@@ -820,8 +827,8 @@
     }
 
     fn connect_failed(&mut self, replica: &Replica, failure: SendFailure) -> FailedAttempt {
-        if matches!(failure, SendFailure::Full) {
-            // The limit is this router's own and says nothing about the replica.
+        if matches!(failure, SendFailure::Full | SendFailure::NoPath) {
+            // The limit and the links are this router's own and say nothing about the replica.
             self.tried.push(Arc::clone(&replica.known.record.id));
         } else {
             // A failed connection counts as much as three failed requests.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -541,6 +541,10 @@
             AttemptEnd::Unsent,
             "all connections to the replica are in use",
         ),
+        SendFailure::NoPath => FailedAttempt::new(
+            AttemptEnd::Unsent,
+            "the links of this router are cut, and no other router could help",
+        ),
         SendFailure::Broken(reason) => FailedAttempt::new(AttemptEnd::Broken, reason),
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 mod freshness;
 mod front;
 mod headers;
+mod helpers;
 mod leaving;
 mod limited_stream;
 mod list_watch;
@@ -47,12 +48,16 @@
 mod memory;
 mod notice;
 mod open_requests;
+mod path;
 mod peers;
 mod placement;
 mod prefill;
 mod prompt;
 mod quota;
 mod relay;
+mod relay_client;
+mod relay_message;
+mod relay_server;
 mod releases;
 mod replica_limit;
 mod request_end;
@@ -176,6 +181,7 @@
             observations,
             peers,
             callers: addresses.callers,
+            traffic: traffic.handle().clone(),
         })?;
         shared.set_control(events.clone());
         let (closing, closed) = watch::channel(false);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -14,6 +14,7 @@
 use super::clock::boot_time;
 use super::control::{Event, enqueue};
 use super::crash_report::CrashReport;
+use super::helpers::Helper;
 use super::load::LoadMessage;
 use super::notice::{ReplicaNotice, ReplicaNotices};
 use super::prefill::{PrefillDecision, PrefillMessage, PrefillReply, PrefixKey};
@@ -331,6 +332,23 @@
         }
     }
 
+    /// Returns the connections to other routers.
+    pub(crate) const fn links(&self) -> &Links {
+        &self.links
+    }
+
+    /// Returns the routers that may open connections for this one: the other ready ones.
+    pub(crate) fn helpers(&self) -> impl Iterator<Item = Helper> {
+        let is_ready = |member: &&Member| member.takes_new_work() && member.load != LoadLevel::Full;
+        let others = self.membership.members().filter(is_ready);
+        let others = others.filter(|member| member.router != *self.own());
+        others.map(|member| Helper {
+            router: Arc::clone(&member.router),
+            address: member.peers,
+            zone: Arc::clone(&member.zone),
+        })
+    }
+
     /// Returns the routers in this router's zone that are believed to be alive and not leaving, including this one.
     pub(crate) fn zone_routers(&self) -> Vec<&RouterId> {
         let zone = &self.membership.own().zone;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -777,6 +777,13 @@
         read(lock(&self.health).get(service))
     }
 
+    /// Forgets the failures of all replicas, which were those of this router's links.
+    pub(crate) fn forget_failures(&self) {
+        for ejection in lock(&self.health).values_mut() {
+            ejection.forget_failures();
+        }
+    }
+
     /// Records the outcome of an attempt at a replica; `failures` is the weight of the failure, 0 for success.
     pub(crate) fn record_outcome(&self, replica: &Replica, failures: u32, now: Duration) {
         let record = &replica.known.record;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -21,7 +21,11 @@
 
 use super::clock::boot_time;
 use super::limited_stream::{LimitedStream, ReadAllowance};
+use super::load::ReplicaKey;
 use super::memory::BodyReader;
+use super::path::Path;
+use super::relay_client::{HelperLease, RelayClient, RelayFailure};
+use super::relay_message::ConnectRequest;
 
 /// The timeout for opening a connection; the specified latency is 1 ms for a link and 1 ms for the handshake of a
 /// replica.
@@ -38,6 +42,9 @@
 /// The number of unacknowledged probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// How long it is known that the replica refuses the connections of other routers too; a crash makes many requests ask.
+const REFUTED_TTL: Duration = Duration::from_millis(100);
+
 /// How long a proxy may take to close a connection that it has accepted for a replica without a process.
 const PROXY_CLOSE_TIME: Duration = Duration::from_millis(20);
 
@@ -52,10 +59,27 @@
 /// The body of a request to a replica.
 pub(crate) type RequestBody = BodyReader;
 
+/// The way to a replica over other routers.
+#[derive(Debug)]
+pub(crate) struct RelayRoute {
+    /// The client that asks them.
+    pub(crate) client: Arc<RelayClient>,
+    /// The replica.
+    pub(crate) request: ConnectRequest,
+    /// The key of the replica.
+    pub(crate) key: ReplicaKey,
+}
+
 /// The connections to one replica.
 #[derive(Debug)]
 pub(crate) struct ReplicaPool {
     address: SocketAddr,
+    route: RelayRoute,
+    path: Mutex<Path>,
+    /// When the replica last responded over a direct connection, in milliseconds of boot time; 0 if never.
+    direct_response_ms: AtomicU64,
+    /// When other routers last said that the replica refuses connections, in milliseconds of boot time; 0 if never.
+    refuted_ms: AtomicU64,
     idle: Mutex<Vec<IdleConnection>>,
     open: AtomicU32,
     limit: AtomicU32,
@@ -81,6 +105,24 @@
     allowance: ReadAllowance,
     driver: AbortHandle,
     pool: Arc<ReplicaPool>,
+    /// Set if the connection runs over another router.
+    lease: Option<HelperLease>,
+}
+
+/// A TCP connection to a replica.
+struct OpenedStream {
+    stream: TcpStream,
+    lease: Option<HelperLease>,
+}
+
+/// Why no connection to a replica was opened.
+enum OpenFailure {
+    /// The replica failed, as far as this router and those that it asked can tell.
+    Replica(io::Error),
+    /// This router has failed, and those that it asked could not tell.
+    Unclear(io::Error),
+    /// The links of this router are cut, and no other router has helped.
+    NoPath,
 }
 
 /// The result of a check whether a replica is down.
@@ -97,6 +139,8 @@
     Unsent(Arc<str>),
     /// Nothing of the request was sent, because this router may open no more connections to the replica.
     Full,
+    /// Nothing of the request was sent, because this router's links are cut and no other router could help.
+    NoPath,
     /// The request may have reached the replica.
     Broken(Arc<str>),
 }
@@ -110,9 +154,13 @@
 
 impl ReplicaPool {
     /// Creates a pool without connections.
-    pub(crate) fn new(address: SocketAddr, limit: u32) -> Self {
+    pub(crate) fn new(address: SocketAddr, limit: u32, route: RelayRoute) -> Self {
         Self {
             address,
+            route,
+            path: Mutex::default(),
+            direct_response_ms: AtomicU64::new(0),
+            refuted_ms: AtomicU64::new(0),
             idle: Mutex::default(),
             open: AtomicU32::new(0),
             limit: AtomicU32::new(limit),
@@ -161,28 +209,38 @@
 
     /// Returns whether the replica refuses or closes connections. One that is opened for this is kept for the next request.
     async fn check_connection(self: &Arc<Self>) -> bool {
-        if self.has_open_idle() {
+        if self.has_open_idle() || self.route.client.is_cut_off() {
             return false;
         }
         if self.open.load(Ordering::Relaxed) >= self.limit.load(Ordering::Relaxed) {
             return false;
         }
-        let stream = match self.open_stream().await {
-            Ok(stream) => stream,
-            Err(error) => {
-                return matches!(
-                    error.kind(),
-                    io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
-                );
-            }
+        let opened = match self.open().await {
+            Ok(opened) => opened,
+            Err(OpenFailure::Replica(error)) => return is_refusal(&error),
+            Err(OpenFailure::Unclear(_) | OpenFailure::NoPath) => return false,
         };
-        let Ok(connection) = self.handshake(stream).await else {
+        let is_direct = opened.lease.is_none();
+        let is_closed = self.is_closed_at_once(opened).await;
+        if !is_closed || !is_direct {
+            return is_closed;
+        }
+        // A cut link may close connections in the same way.
+        match self.open_relayed().await {
+            Ok(opened) => self.is_closed_at_once(opened).await,
+            Err(failure) => matches!(failure, RelayFailure::NoHelper | RelayFailure::Refused),
+        }
+    }
+
+    /// Returns whether the replica closes the connection; otherwise it is kept for the next request.
+    async fn is_closed_at_once(self: &Arc<Self>, opened: OpenedStream) -> bool {
+        let Ok(connection) = self.handshake(opened).await else {
             return false;
         };
         tokio::time::sleep(PROXY_CLOSE_TIME).await;
-        let is_down = connection.sender.is_closed();
+        let is_closed = connection.sender.is_closed();
         connection.release(None);
-        is_down
+        is_closed
     }
 
     fn has_open_idle(&self) -> bool {
@@ -203,11 +261,15 @@
 
     fn take_idle(&self, max_idle: Duration) -> Option<ReplicaConnection> {
         let now = boot_time();
+        let direct_response = read_time(&self.direct_response_ms);
+        let allows_direct = self.lock_path().allows_idle_direct(direct_response, now);
         let mut idle = self.lock_idle();
         // The most recently used connection is the least likely to have been closed by the replica.
         while let Some(entry) = idle.pop() {
             let age = now.saturating_sub(entry.idle_since);
-            let is_usable = entry.connection.sender.is_ready() && age < entry.idle_timeout;
+            let is_usable = entry.connection.sender.is_ready()
+                && age < entry.idle_timeout
+                && (allows_direct || entry.connection.is_relayed());
             if is_usable && age < max_idle {
                 return Some(entry.connection);
             }
@@ -224,33 +286,164 @@
     }
 
     async fn connect(self: &Arc<Self>) -> Result<ReplicaConnection, SendFailure> {
-        let stream = self.open_stream().await.map_err(|error| unsent(&error))?;
+        let opened = self.open().await.map_err(|failure| match failure {
+            OpenFailure::Replica(error) | OpenFailure::Unclear(error) => unsent(&error),
+            OpenFailure::NoPath => SendFailure::NoPath,
+        })?;
+        self.handshake(opened).await
+    }
+
+    /// Opens a connection, directly or over another router.
+    async fn open(self: &Arc<Self>) -> Result<OpenedStream, OpenFailure> {
+        let path = *self.lock_path();
+        let prefers_direct = path.prefers_direct(boot_time(), rand::random());
+        if !prefers_direct {
+            match self.open_relayed().await {
+                Ok(opened) => return Ok(opened),
+                Err(RelayFailure::Refused) if path.is_relayed() => {
+                    let error = io::Error::from(io::ErrorKind::ConnectionRefused);
+                    return Err(self.replica_failed(error));
+                }
+                Err(RelayFailure::TimedOut) if path.is_relayed() => {
+                    let error = io::Error::from(io::ErrorKind::TimedOut);
+                    return Err(self.replica_failed(error));
+                }
+                Err(_) if path.is_relayed() => return Err(OpenFailure::NoPath),
+                Err(_) => {}
+            }
+        }
+        let error = match self.open_stream().await {
+            Ok(stream) => {
+                self.direct_connected();
+                return Ok(OpenedStream {
+                    stream,
+                    lease: None,
+                });
+            }
+            Err(error) => error,
+        };
+        if !is_link_failure(&error) {
+            return Err(OpenFailure::Replica(error));
+        }
+        self.route.client.direct_failed(self.route.key);
+        match self.open_relayed().await {
+            Ok(opened) => {
+                self.cut_path(&error.to_string());
+                Ok(opened)
+            }
+            Err(RelayFailure::Unknown) => {
+                record_time(&self.failed_ms);
+                Err(OpenFailure::Unclear(error))
+            }
+            Err(_) => Err(self.replica_failed(error)),
+        }
+    }
+
+    async fn open_relayed(&self) -> Result<OpenedStream, RelayFailure> {
+        let refuted_at = read_time(&self.refuted_ms);
+        if refuted_at.is_some_and(|at| boot_time() < at + REFUTED_TTL) {
+            return Err(RelayFailure::Refused);
+        }
+        let opened = self.route.client.open(&self.route.request).await;
+        match opened {
+            Ok(relayed) => {
+                record_time(&self.connected_ms);
+                Ok(OpenedStream {
+                    stream: relayed.stream,
+                    lease: Some(relayed.lease),
+                })
+            }
+            Err(failure) => {
+                if failure == RelayFailure::Refused {
+                    record_time(&self.refuted_ms);
+                }
+                Err(failure)
+            }
+        }
+    }
+
+    /// Records a failed connection that no other router has refuted.
+    fn replica_failed(&self, error: io::Error) -> OpenFailure {
+        record_time(&self.failed_ms);
+        OpenFailure::Replica(error)
+    }
+
+    /// Opens a direct connection for another router.
+    pub(crate) async fn open_for_peer(&self) -> io::Result<TcpStream> {
+        let result = self.open_stream().await;
+        match &result {
+            Ok(stream) => {
+                self.direct_connected();
+                set_keepalive_options(stream)?;
+            }
+            Err(error) if is_link_failure(error) => {
+                self.route.client.direct_failed(self.route.key);
+            }
+            Err(_) => {}
+        }
+        result
+    }
+
+    /// Records that the replica has accepted a direct connection.
+    fn direct_connected(&self) {
         record_time(&self.connected_ms);
-        self.handshake(stream).await
+        self.route.client.direct_responded();
+        let restored = self.lock_path().connected(boot_time());
+        if let Some(time) = restored {
+            metrics::counter!("crocuswharf_gateway_path_changes_total", "path" => "direct")
+                .increment(1);
+            log::info!(
+                "path: Replica is connected directly again. replica={} relayed_ms={}",
+                self.route.request.replica,
+                time.as_millis()
+            );
+        }
+    }
+
+    /// Opens the next connections over other routers, until a probe connects.
+    pub(crate) fn cut_path(&self, reason: &str) {
+        if self.lock_path().cut(boot_time()) {
+            metrics::counter!("crocuswharf_gateway_path_changes_total", "path" => "relayed")
+                .increment(1);
+            log::info!(
+                "path: Replica is connected over other routers. replica={} reason=\"{reason}\"",
+                self.route.request.replica
+            );
+        }
+    }
+
+    /// Returns whether connections are opened over other routers.
+    pub(crate) fn is_relayed(&self) -> bool {
+        self.lock_path().is_relayed()
+    }
+
+    /// Returns whether the direct path is to be probed now.
+    pub(crate) fn take_due_path_probe(&self, now: Duration) -> bool {
+        self.lock_path().take_due_probe(now)
+    }
+
+    /// Opens a direct connection and closes it, without evidence against the replica if that fails.
+    pub(crate) async fn probe_path(&self) {
+        if let Ok(stream) = self.open_stream().await
+            && is_kept_open(&stream).await
+        {
+            self.direct_connected();
+        }
+    }
+
+    fn lock_path(&self) -> std::sync::MutexGuard<'_, Path> {
+        self.path.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn open_stream(&self) -> io::Result<TcpStream> {
         let connecting = TcpStream::connect(self.address);
         let timeout = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-        let result = timeout.unwrap_or_else(|_| {
+        timeout.unwrap_or_else(|_| {
             Err(io::Error::new(
                 io::ErrorKind::TimedOut,
                 "connection timed out",
             ))
-        });
-        // Other errors, such as a lack of descriptors, are this router's own.
-        if let Err(error) = &result
-            && matches!(
-                error.kind(),
-                io::ErrorKind::TimedOut
-                    | io::ErrorKind::ConnectionRefused
-                    | io::ErrorKind::ConnectionReset
-                    | io::ErrorKind::HostUnreachable
-            )
-        {
-            record_time(&self.failed_ms);
-        }
-        result
+        })
     }
 
     /// Returns when a connection last failed in a way that may be the replica's fault.
@@ -265,24 +458,25 @@
 
     /// Opens a connection and closes it; returns whether the replica accepted it.
     pub(crate) async fn probe(&self) -> bool {
-        let Ok(stream) = self.open_stream().await else {
-            return false;
+        let is_accepted = match self.open_stream().await {
+            Ok(stream) => is_kept_open(&stream).await,
+            // Other errors, such as a lack of descriptors, are this router's own.
+            Err(error) if !is_link_failure(&error) => return false,
+            Err(_) => false,
         };
-        // A proxy accepts connections for a replica without a process and closes them at once.
-        let closed = tokio::time::timeout(PROXY_CLOSE_TIME, stream.peek(&mut [0; 1])).await;
-        let is_accepted = matches!(closed, Err(_) | Ok(Ok(1..)));
-        record_time(if is_accepted {
-            &self.connected_ms
+        if is_accepted {
+            self.direct_connected();
         } else {
-            &self.failed_ms
-        });
+            record_time(&self.failed_ms);
+        }
         is_accepted
     }
 
     async fn handshake(
         self: &Arc<Self>,
-        stream: TcpStream,
+        opened: OpenedStream,
     ) -> Result<ReplicaConnection, SendFailure> {
+        let OpenedStream { stream, lease } = opened;
         set_liveness_options(&stream).map_err(|error| unsent(&error))?;
         let allowance = ReadAllowance::unlimited();
         let handshake = http1::Builder::new()
@@ -301,10 +495,35 @@
             allowance,
             driver: driver.abort_handle(),
             pool: Arc::clone(self),
+            lease,
         })
     }
 }
 
+/// Returns whether the replica keeps the connection: a proxy accepts those for a replica without a process and closes them at
+/// once.
+async fn is_kept_open(stream: &TcpStream) -> bool {
+    let closed = tokio::time::timeout(PROXY_CLOSE_TIME, stream.peek(&mut [0; 1])).await;
+    matches!(closed, Err(_) | Ok(Ok(1..)))
+}
+
+/// Returns whether the replica or the link to it has failed; other errors, such as a lack of descriptors, are this router's
+/// own.
+fn is_link_failure(error: &io::Error) -> bool {
+    let is_silence = matches!(
+        error.kind(),
+        io::ErrorKind::TimedOut | io::ErrorKind::HostUnreachable
+    );
+    is_silence || is_refusal(error)
+}
+
+fn is_refusal(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+    )
+}
+
 fn record_time(time_ms: &AtomicU64) {
     let now_ms = u64::try_from(boot_time().as_millis()).unwrap_or(u64::MAX);
     time_ms.store(now_ms, Ordering::Relaxed);
@@ -320,6 +539,11 @@
 }
 
 impl ReplicaConnection {
+    /// Returns whether the connection runs over another router.
+    pub(crate) const fn is_relayed(&self) -> bool {
+        self.lease.is_some()
+    }
+
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &mut self,
@@ -329,7 +553,13 @@
         let result = self.sender.try_send_request(request).await;
         self.allowance.set(usize::MAX);
         match result {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                if !self.is_relayed() {
+                    record_time(&self.pool.direct_response_ms);
+                    self.pool.route.client.direct_responded();
+                }
+                Ok(response)
+            }
             Err(mut failure) => {
                 let is_unsent = failure.take_message().is_some();
                 let reason: Arc<str> = failure.into_error().to_string().into();
--- a/src/peer/accept.rs
+++ b/src/peer/accept.rs
@@ -14,6 +14,7 @@
 use crate::peer::handshake::{self, FramedStream, Role, Session};
 use crate::peer::link;
 use crate::peer::links::{PeerEvent, ReplyHandle, Shared};
+use crate::peer::relay::RelayRequest;
 
 /// The maximum number of replies queued for writing per connection.
 const REPLY_QUEUE_FRAMES: usize = 64;
@@ -51,7 +52,7 @@
 }
 
 async fn serve(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     stream: TcpStream,
     events: &mpsc::Sender<PeerEvent>,
 ) -> Result<(), Error> {
@@ -65,27 +66,39 @@
     let mut session = timeout(shared.options.times.connect_timeout, handshake)
         .await
         .map_err(|_| Error::new(ErrorKind::Unavailable, "handshake timed out"))??;
-    serve_frames(shared, &mut framed, &mut session, events).await
+    let Some(frame) = serve_frames(shared, &mut framed, &mut session, events).await? else {
+        return Ok(());
+    };
+    let request = RelayRequest::new(Arc::clone(shared), framed, session, frame)?;
+    let relays = shared.relays.get();
+    if relays.is_none_or(|relays| relays.try_send(request).is_err()) {
+        shared.traffic.add_dropped(Kind::Connect);
+    }
+    Ok(())
 }
 
+/// Serves frames until the connection ends, or returns the one that asks to relay another connection on this one.
 async fn serve_frames(
     shared: &Shared,
     framed: &mut FramedStream,
     session: &mut Session,
     events: &mpsc::Sender<PeerEvent>,
-) -> Result<(), Error> {
+) -> Result<Option<Frame>, Error> {
     // The initiator closes an idle connection first. A connection whose initiator has disappeared is closed here later.
     let unused_timeout = shared.options.times.idle_timeout * 2;
     let (replies, mut reply_queue) = mpsc::channel(REPLY_QUEUE_FRAMES);
     loop {
         tokio::select! {
             reply = reply_queue.recv() => {
-                let Some(reply) = reply else { return Ok(()) };
+                let Some(reply) = reply else { return Ok(None) };
                 write(shared, framed, session, &reply).await?;
             }
             read = timeout(unused_timeout, framed.next()) => {
                 let read = read.map_err(|_| Error::new(ErrorKind::Unavailable, "idle connection timed out"))?;
                 let frame = link::decode_frame(read, session, shared)?;
+                if frame.kind == Kind::Connect as i32 {
+                    return Ok(Some(frame));
+                }
                 if let Some(pong) = handle_frame(shared, session, events, &replies, frame)? {
                     write(shared, framed, session, &pong).await?;
                 }
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -56,11 +56,13 @@
     Quota = 17,
     /// Tells which software versions began streams, or asks for one of them.
     Streams = 18,
+    /// Asks for a connection to a replica that carries its bytes on the connection of the request.
+    Connect = 19,
 }
 
 impl Kind {
     /// All kinds, ordered by their numbers.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::Ping,
         Self::Pong,
         Self::Heartbeat,
@@ -80,6 +82,7 @@
         Self::Crashes,
         Self::Quota,
         Self::Streams,
+        Self::Connect,
     ];
 
     /// The newest kind that routers know which don't announce theirs in the handshake.
@@ -113,6 +116,7 @@
             Self::Crashes => "crashes",
             Self::Quota => "quota",
             Self::Streams => "streams",
+            Self::Connect => "connect",
         }
     }
 }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -97,7 +97,11 @@
     }
 }
 
-async fn connect(shared: &Shared, to: SocketAddr) -> Result<(FramedStream, Session), Error> {
+/// Opens a connection to the router at `to` and authenticates both ends.
+pub(crate) async fn connect(
+    shared: &Shared,
+    to: SocketAddr,
+) -> Result<(FramedStream, Session), Error> {
     let attempt = async {
         let stream = TcpStream::connect(to)
             .await
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
 
@@ -15,12 +15,15 @@
 use crate::peer::handshake::PeerIdentity;
 use crate::peer::key::PeerKeys;
 use crate::peer::link::{self, LinkTimes, Outgoing};
+use crate::peer::relay::{self, RelayRequest};
 use crate::peer::traffic::TrafficByKind;
 
 /// The maximum number of bodies queued per peer; more are dropped and counted.
 const LINK_QUEUE_BODIES: usize = 256;
 /// The maximum number of bodies from all peers queued for the control thread; more are dropped and counted.
 const INBOUND_QUEUE_BODIES: usize = 4_096;
+/// The maximum number of requests for relayed connections that wait to be served; more are closed.
+const RELAY_QUEUE_LEN: usize = 64;
 
 /// The options of [`Links`].
 #[derive(Clone, Debug)]
@@ -81,6 +84,8 @@
     pub(crate) options: LinkOptions,
     pub(crate) traffic: TrafficByKind,
     queues: Mutex<HashMap<SocketAddr, mpsc::Sender<Outgoing>>>,
+    /// Set if this router serves relayed connections.
+    pub(crate) relays: OnceLock<mpsc::Sender<RelayRequest>>,
 }
 
 impl Links {
@@ -117,6 +122,7 @@
             options,
             traffic: TrafficByKind::default(),
             queues: Mutex::default(),
+            relays: OnceLock::new(),
         });
         let (events, inbound) = mpsc::channel(INBOUND_QUEUE_BODIES);
         tokio::spawn(accept::run(Arc::clone(&shared), listener, events));
@@ -139,6 +145,29 @@
         &self.shared.traffic
     }
 
+    /// Returns the requests for relayed connections that arrive from now on; only the first receiver gets any.
+    pub(crate) fn accept_relays(&self) -> mpsc::Receiver<RelayRequest> {
+        let (relays, requests) = mpsc::channel(RELAY_QUEUE_LEN);
+        let _ = self.shared.relays.set(relays);
+        requests
+    }
+
+    /// Asks the router at `to` to carry the bytes of another connection; returns its reply and the connection, which
+    /// belongs to the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`ErrorKind::Unavailable`] if there is no reply within `timeout`, and with [`ErrorKind::Protocol`] if
+    /// the router does not know the request.
+    pub(crate) async fn open_relay(
+        &self,
+        to: SocketAddr,
+        body: Body,
+        timeout: Duration,
+    ) -> Result<(Body, TcpStream), Error> {
+        relay::open(&self.shared, to, body, timeout).await
+    }
+
     /// Queues `body` for the router at `to`. Returns whether the queue had room.
     ///
     /// A queued body is lost if its connection fails. Nothing is sent twice.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -14,6 +14,7 @@
 mod key;
 mod link;
 mod links;
+mod relay;
 mod traffic;
 
 #[cfg(test)]
@@ -25,3 +26,5 @@
 pub use self::link::LinkTimes;
 pub use self::links::{Inbound, LinkOptions, Links, PeerEvent, ReplyHandle};
 pub use self::traffic::{Traffic, TrafficByKind};
+
+pub(crate) use self::relay::RelayRequest;
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -51,6 +51,37 @@
         .expect("loopback can be bound")
 }
 
+#[tokio::test]
+async fn open_relay_connection_carries_bytes_after_the_reply() {
+    let (server, _inbound) = start("server", &["k"]).await;
+    let (client, _client_inbound) = start("client", &["k"]).await;
+    let mut requests = server.accept_relays();
+    let connect = |text| Body {
+        kind: Kind::Connect,
+        ..body(text)
+    };
+    let serving = async {
+        let request = requests.recv().await.expect("a request arrives");
+        assert_eq!(&*request.from.router, "client");
+        assert_eq!(request.body, connect("a"));
+        let mut stream = request.reply(connect("b")).await.expect("the peer reads");
+        let mut bytes = [0; 3];
+        stream.read_exact(&mut bytes).await.expect("bytes arrive");
+        stream.write_all(&bytes).await.expect("the peer reads");
+    };
+    let opening = async {
+        let to = server.identity().address;
+        let opened = client.open_relay(to, connect("a"), TIMEOUT).await;
+        let (reply, mut stream) = opened.expect("the request is served");
+        assert_eq!(reply, connect("b"));
+        stream.write_all(b"xyz").await.expect("the peer reads");
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).await.expect("bytes arrive");
+        assert_eq!(bytes, b"xyz");
+    };
+    tokio::join!(serving, opening);
+}
+
 /// Starts a router that replies to each request with the request's payload.
 async fn start_echo(keys: &[&str]) -> SocketAddr {
     let (links, mut inbound) = start("echo", keys).await;
--- a/src/request/ejection.rs
+++ b/src/request/ejection.rs
@@ -153,6 +153,13 @@
         ejects
     }
 
+    /// Forgets all failures and ends all ejections.
+    pub fn forget_failures(&mut self) {
+        for record in self.records.values_mut() {
+            *record = ReplicaHealth::default();
+        }
+    }
+
     fn ejected_count(&self, now: Duration) -> usize {
         let is_ejected = |record: &&ReplicaHealth| record.is_ejected(now);
         self.records.values().filter(is_ejected).count()
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -107,6 +107,13 @@
         &[],
         "Connections on which bytes of a request arrived after the gateway had closed them.",
     ),
+    metric(
+        "crocuswharf_gateway_cut_offs_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["change"],
+        "Changes of the verdict whether this router reaches no replicas while others do: cut_off or restored.",
+    ),
     metric(
         "crocuswharf_gateway_expired_orders_total",
         MetricKind::Counter,
@@ -198,6 +205,13 @@
         &["status", "reason"],
         "Answers that the gateway gave itself, by status and reason.",
     ),
+    metric(
+        "crocuswharf_gateway_path_changes_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["path"],
+        "Changes of the path on which connections to a replica are opened: direct, or relayed over other routers.",
+    ),
     metric(
         "crocuswharf_gateway_placements_beyond_memory_total",
         MetricKind::Counter,
@@ -275,6 +289,20 @@
         &[],
         "Whole requests that are refused, since replicas crashed under them.",
     ),
+    metric(
+        "crocuswharf_gateway_relay_requests_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["outcome"],
+        "Connections that this router asked other routers to open for it, by their answer.",
+    ),
+    metric(
+        "crocuswharf_gateway_relays_served_total",
+        MetricKind::Counter,
+        Unit::Count,
+        &["outcome"],
+        "Connections that other routers asked this one to open for them, by its answer.",
+    ),
     metric(
         "crocuswharf_gateway_replica_probes_total",
         MetricKind::Counter,
