Give the lease for orders up where no replica can be reached

Cause: a router that held the lease for orders kept it while its links to all replicas were cut. Its orders reached nobody, and no other router could send them.

Change: a router that can open a direct connection to no replica releases the lease, doesn't acquire it, and doesn't probe replicas for the shared view.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -495,11 +495,7 @@
             }
             Event::Leave => {
                 self.peers.leave();
-                let released = self.lease.release(now);
-                if released.is_some() {
-                    log::info!("rollout: The lease was released.");
-                }
-                self.execute_lease_action(released);
+                self.release_lease("this router shuts down");
             }
         }
     }
--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -248,6 +248,11 @@
         if !self.is_rollout_wanted() || self.shared.is_leaving() {
             return;
         }
+        if self.reaches_no_replicas() {
+            self.release_lease("this router reaches no replicas");
+            self.rollout.lease_lost();
+            return;
+        }
         let Some(lease_rank) = self.lease_rank() else {
             return;
         };
@@ -279,6 +284,15 @@
         }
     }
 
+    /// Gives the lease up, so that another router can acquire it at once.
+    pub(super) fn release_lease(&mut self, reason: &str) {
+        let released = self.lease.release(boot_time());
+        if released.is_some() {
+            log::info!("rollout: The lease was released. reason=\"{reason}\"");
+        }
+        self.execute_lease_action(released);
+    }
+
     pub(super) fn advance_lease(&mut self, event: LeaseEvent, now: Duration) {
         log::debug!("rollout: Lease call ended. event={event:?}");
         let lease_rank = self.lease_rank().unwrap_or(LEASE_CANDIDATES);
--- a/src/gateway/control/paths.rs
+++ b/src/gateway/control/paths.rs
@@ -37,6 +37,13 @@
         }
     }
 
+    /// Returns whether this router can open a direct connection to no replica, as control calls need one.
+    pub(super) fn reaches_no_replicas(&self) -> bool {
+        let mut pools = self.replica_states.values().map(|(_, pool)| pool);
+        self.relays.is_cut_off()
+            || (!self.replica_states.is_empty() && pools.all(|pool| pool.is_relayed()))
+    }
+
     fn probe_path_if_due(&self, pool: &Arc<ReplicaPool>, now: Duration) {
         let Ok(permit) = Arc::clone(&self.path_probes).try_acquire_owned() else {
             return;
--- a/src/gateway/control/unreachable.rs
+++ b/src/gateway/control/unreachable.rs
@@ -57,7 +57,9 @@
         }));
         metrics::gauge!("crocuswharf_gateway_unreachable_replicas").set(excluded.len() as f64);
         self.shared.set_unreachable(excluded);
-        self.probe_unreachable(now);
+        if !self.reaches_no_replicas() {
+            self.probe_unreachable(now);
+        }
     }
 
     fn probe_unreachable(&mut self, now: Duration) {
