The soak names weights while replicas ignore orders and prompts wait

Cause: nothing in the soak let requests wait at replicas whose weights become too old, and only the final phase checked old weights, by when requests reached their replicas; a stream that was sent in time and began too late passed.

Change: a series in which new weights are named, up to three times within two seconds, while some or all model replicas ignore orders and most let requests wait up to 3 s before they begin; it overlaps the other faults, and one that lasts longer than the bound follows in the calm before the final phase, since few routers stay in touch under the faults of all overlays. In these runs callers allow streams the 3 s of their route. The check 'no request begins on old weights after the bound' goes by the streams that replicas began; excused are routers that were paused, killed, started or told to leave, or whose links to the store, store or link to the replica were disturbed, in the 4 s before.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -8,6 +8,7 @@
 use crocuswharf_platform_fakes::daemon::{caller_post, caller_stream, signature};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 
 /// The pause of a caller before each request.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
@@ -20,6 +21,9 @@
 /// How often a caller tries to take up a stream, and the pause before each time.
 const MAX_TAKE_UPS: u32 = 3;
 const TAKE_UP_PAUSE: Duration = Duration::from_millis(100);
+/// The deadline of patient callers, which is the default timeout of routes.
+const LONG_DEADLINE_MS: HeaderValue = HeaderValue::from_static("3000");
+const DEADLINE: HeaderName = HeaderName::from_static("x-crocuswharf-deadline-ms");
 /// The share of requests whose responses are read slowly, if there are slow readers.
 const SLOW_READER_SHARE: f64 = 0.2;
 /// The pause of a slow reader before each part of a response.
@@ -188,6 +192,8 @@
     pub(crate) takes_up: AtomicBool,
     /// Whether some callers read slowly.
     pub(crate) has_slow_readers: AtomicBool,
+    /// Whether callers allow streams all of the time of their route.
+    pub(crate) waits_long: AtomicBool,
     next_id: AtomicU64,
 }
 
@@ -314,6 +320,14 @@
             .header("last-event-id", take_up.last_event),
         None => request,
     };
+    let waits_long = kind.is_stream() && shared.waits_long.load(Ordering::Relaxed);
+    let request = if waits_long {
+        // Replaces the value that is set by default.
+        let headers = [(DEADLINE, LONG_DEADLINE_MS)];
+        request.headers(HeaderMap::from_iter(headers))
+    } else {
+        request
+    };
     let is_slow =
         shared.has_slow_readers.load(Ordering::Relaxed) && rng.random_bool(SLOW_READER_SHARE);
     let pause = is_slow.then_some(SLOW_READ_PAUSE);
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -7,13 +7,14 @@
 
 use crocuswharf_platform_fakes::daemon::{REVOCATION_LIMIT, WEIGHTS_LIMIT};
 use crocuswharf_platform_fakes::replica::{
-    FIRST_VERSION, ReceivedOrder, ReceivedRequest, stream_text_after,
+    BegunStream, FIRST_VERSION, ReceivedOrder, ReceivedRequest, stream_text_after,
 };
 
 use crate::callers::{Outcome, RequestKind, SentRequest, request_body};
 use crate::configuration::Changes;
 use crate::crashes::check_crashing_request;
 use crate::loss::{AvailabilityChange, Silence, check_loss, check_route, check_size};
+use crate::outdated::check_begins;
 use crate::unanswered::check_end;
 
 /// The maximum time from the start of a request to its complete response: the route allows 3 s, and the users allow
@@ -62,11 +63,15 @@
     pub received: Vec<ReceivedRequest>,
     /// The orders that replicas received, each with the id of the replica.
     pub orders: Vec<(&'static str, ReceivedOrder)>,
+    /// The streams that replicas began, each with the id of the replica.
+    pub begun: Vec<(&'static str, BegunStream)>,
+    /// When the store acknowledged each version of the weights.
+    pub named_weights: Vec<(Instant, u64)>,
     /// The keys, by index.
     pub keys: Vec<KeyRecord>,
     /// The periods in which routers were unavailable.
     pub outages: Vec<RouterOutage>,
-    /// The changes in the availability of routers and replicas, all of which are available at first.
+    /// The changes in the availability of parts of the cluster, all of which are available at first.
     pub availability: Vec<AvailabilityChange>,
     /// The periods in which replicas were silent.
     pub silences: Vec<Silence>,
@@ -113,6 +118,7 @@
     findings.extend(check_cache_scopes(&records.received));
     findings.extend(check_orders(&records.orders));
     findings.extend(check_crashing_request(records));
+    findings.extend(check_begins(records));
     findings.extend(check_final_phase(records));
     findings
 }
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -128,6 +128,7 @@
     RestoreStore,
     RestoreReplica(usize),
     OpenReplicaLink(usize),
+    FollowOrders(Vec<usize>),
     RestartReplica(usize),
     UnregisterReplica(usize),
     RevokeOldKeys,
@@ -163,6 +164,10 @@
         let replicas = cluster.replicas.iter();
         replicas.for_each(|(replica, _)| replica.set_event_interval(EVENT_INTERVAL_AT_VERSIONS));
     }
+    if size.overlays.contains(&Overlay::Weights) {
+        let waits_long = &cluster.callers.waits_long;
+        waits_long.store(true, Ordering::Relaxed);
+    }
     for number in 0..size.routers * callers_per_router {
         let caller_seed = seed.wrapping_mul(1_000).wrapping_add(number as u64);
         callers.spawn(run_caller(Arc::clone(&cluster.callers), caller_seed));
@@ -182,7 +187,7 @@
     }
     cluster.wait_until(started_at + size.length).await;
     cluster.end_faults().await;
-    cluster.check_recovery().await;
+    cluster.check_recovery(&plan.late_faults).await;
     cluster.callers.is_stopped.store(true, Ordering::Relaxed);
     callers.join_all().await;
     Ok(cluster.into_report(seed, plan.faults.len()))
@@ -276,7 +281,7 @@
         self.scheduled.push((Instant::now() + after, action));
     }
 
-    async fn apply(&mut self, fault: &Fault) {
+    pub(crate) async fn apply(&mut self, fault: &Fault) {
         match fault {
             Fault::RouterPaused(router, time) => {
                 if self.signal(*router, Signal::STOP) {
@@ -302,14 +307,19 @@
             }
             Fault::RouterReloaded(router) => self.reload(*router),
             Fault::StoreLink(router, link, time) => {
-                self.routers[*router].store_link.set(*link);
+                self.set_store_link(*router, *link);
                 self.schedule(*time, Action::OpenStoreLink(*router));
             }
             Fault::Store(mode, time) => {
                 self.store.set_mode(*mode);
+                self.note_availability(Member::Store, false);
                 self.schedule(*time, Action::RestoreStore);
             }
             Fault::StoreCompacted => self.store.compact(),
+            Fault::OrdersIgnored(replicas, time) => {
+                self.set_ignores_orders(replicas, true);
+                self.schedule(*time, Action::FollowOrders(replicas.clone()));
+            }
             Fault::ReplicasSilent(replicas, time) => self.silence(replicas, *time),
             Fault::ConfigurationChanged(change) => {
                 self.changes.add(*change);
@@ -356,8 +366,12 @@
                     self.check_exit(router, due).await;
                 }
             }
-            Action::OpenStoreLink(router) => self.routers[router].store_link.set(Link::Open),
-            Action::RestoreStore => self.store.set_mode(StoreMode::Serve),
+            Action::OpenStoreLink(router) => self.set_store_link(router, Link::Open),
+            Action::RestoreStore => {
+                self.store.set_mode(StoreMode::Serve);
+                self.note_availability(Member::Store, true);
+            }
+            Action::FollowOrders(replicas) => self.set_ignores_orders(&replicas, false),
             Action::RestoreReplica(replica) => self.restore_replica(replica),
             Action::OpenReplicaLink(replica) => self.set_replica_link(replica, Link::Open),
             Action::RestartReplica(replica) => {
@@ -390,11 +404,14 @@
             Signal::STOP => self.note_availability(Member::Router(router), false),
             Signal::CONT => self.note_availability(Member::Router(router), true),
             // What is still open in the last sixth of the grace period may be lost.
-            Signal::TERM => self.records.availability.push(AvailabilityChange {
-                member: Member::Router(router),
-                at: Instant::now() + GRACE * 5 / 6,
-                is_available: false,
-            }),
+            Signal::TERM => {
+                self.note_availability(Member::Entry(router), false);
+                self.records.availability.push(AvailabilityChange {
+                    member: Member::Router(router),
+                    at: Instant::now() + GRACE * 5 / 6,
+                    is_available: false,
+                });
+            }
             _ => {}
         }
         true
@@ -415,6 +432,17 @@
         self.note_availability(member, link == Link::Open);
     }
 
+    fn set_store_link(&mut self, router: usize, link: Link) {
+        self.routers[router].store_link.set(link);
+        self.note_availability(Member::StoreLink(router), link == Link::Open);
+    }
+
+    fn set_ignores_orders(&self, replicas: &[usize], ignores_orders: bool) {
+        for replica in replicas {
+            self.replicas[*replica].0.set_ignores_orders(ignores_orders);
+        }
+    }
+
     fn silence(&mut self, replicas: &[usize], time: Duration) {
         for replica in replicas {
             let replica = &self.replicas[*replica].0;
@@ -514,6 +542,7 @@
         let daemon = Daemon::start_with(&self.binary, &settings).await;
         lock(&self.callers.routers)[router] = Some(daemon.callers());
         self.note_availability(Member::Router(router), true);
+        self.note_availability(Member::Entry(router), true);
         let started = &mut self.routers[router];
         started.daemon = Some(daemon);
         started.generation += 1;
@@ -592,6 +621,8 @@
     pub(crate) fn publish_weights(&mut self) {
         self.weights_version += 1;
         self.store.name_weights("m0", self.weights_version);
+        let named = (Instant::now(), self.weights_version);
+        self.records.named_weights.push(named);
     }
 
     fn add_invalid_entries(&self) {
@@ -648,6 +679,9 @@
             let orders = replica.received_orders();
             let orders = orders.into_iter().map(|order| (replica.id, order));
             self.records.orders.extend(orders);
+            let begun = replica.begun().into_iter();
+            let begun = begun.map(|begun| (replica.id, begun));
+            self.records.begun.extend(begun);
         }
         let mut findings = std::mem::take(&mut self.findings);
         findings.extend(check_records(&self.records));
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,7 +4,7 @@
 //! callers. A fault plan, generated from a seed, injects faults from outside: signals pause, kill and restart routers,
 //! links stop passing bytes, the store and the replicas misbehave, keys are revoked and new weights are published.
 //! Overlays add series of faults that overlap these: silent replicas, changes of all fields of the
-//! configuration, replicas of unequal speed and callers that read slowly.
+//! configuration, replicas of unequal speed, callers that read slowly, and new weights that replicas load late or never.
 //! Callers and replicas record what they observe, and a checker compares the two sides afterwards. DEVELOPERS.md explains
 //! how to run it.
 //!
@@ -17,6 +17,7 @@
 mod configuration;
 mod crashes;
 mod loss;
+mod outdated;
 mod plan;
 mod proxy;
 mod recovery;
--- a/soak/src/loss.rs
+++ b/soak/src/loss.rs
@@ -14,19 +14,37 @@
 /// The time that a replica which goes on and its router have for a response until the request's deadline.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(300);
 
-/// A router or a replica.
+/// A part of the cluster that may be unavailable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Member {
     /// The router with this index.
     Router(usize),
     /// The replica with this id.
     Replica(&'static str),
+    /// The router with this index as one that has not been told to leave.
+    Entry(usize),
+    /// The link between the router with this index and the store.
+    StoreLink(usize),
+    /// The store.
+    Store,
 }
 
-/// A change in whether a router or a replica runs and its connections are sound.
+impl Member {
+    /// Returns the parts on which it depends whether a router is in touch.
+    pub(crate) const fn of_contact(router: usize) -> [Self; 4] {
+        [
+            Self::Router(router),
+            Self::Entry(router),
+            Self::StoreLink(router),
+            Self::Store,
+        ]
+    }
+}
+
+/// A change in whether a part runs and its connections are sound.
 #[derive(Clone, Copy, Debug)]
 pub struct AvailabilityChange {
-    /// The router or replica.
+    /// The part.
     pub member: Member,
     /// When it changed.
     pub at: Instant,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -66,6 +66,7 @@
                 Overlay::Fields,
                 Overlay::Uneven,
                 Overlay::Versions,
+                Overlay::Weights,
             ],
             (false, true) => &[
                 Overlay::Silence,
@@ -73,6 +74,7 @@
                 Overlay::Fields,
                 Overlay::Uneven,
                 Overlay::Versions,
+                Overlay::Weights,
                 Overlay::CrashingRequest,
             ],
         },
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crocuswharf_platform_fakes::daemon::WEIGHTS_LIMIT;
 use crocuswharf_platform_fakes::replica::Mode;
 use crocuswharf_platform_fakes::store::StoreMode;
 use rand::seq::SliceRandom;
@@ -16,6 +17,10 @@
 /// The maximum duration of one fault.
 const MAX_FAULT_DURATION: Duration = Duration::from_secs(5);
 
+/// How long the faults for a stable cluster last, which is longer than the time limit for new weights.
+pub(crate) const LATE_FAULTS_TIME: Duration =
+    WEIGHTS_LIMIT.saturating_add(Duration::from_millis(2_500));
+
 /// The size of a test cluster and the duration of its faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
@@ -47,6 +52,8 @@
     /// Replicas start with different software versions, routers and replicas are killed under long streams, and callers take
     /// up those that break off.
     Versions,
+    /// New weights are named in quick succession, while replicas ignore orders and requests wait there before they begin.
+    Weights,
 }
 
 /// One injected fault. Routers and replicas are given by index; the replicas of the service without a model come first.
@@ -84,6 +91,8 @@
     KeysRotated,
     /// A newer version of the weights is published.
     WeightsPublished,
+    /// These replicas neither answer orders nor carry them out for this time.
+    OrdersIgnored(Vec<usize>, Duration),
     /// Server entries that describe no replica are written to the store.
     InvalidEntriesAdded,
 }
@@ -93,6 +102,8 @@
 pub struct FaultPlan {
     /// The faults, sorted by the time since the start of the run.
     pub faults: Vec<(Duration, Fault)>,
+    /// Faults for a stable cluster after all others have ended, each with its time from then on.
+    pub late_faults: Vec<(Duration, Fault)>,
 }
 
 impl FaultPlan {
@@ -101,6 +112,7 @@
     pub fn generate(seed: u64, size: Size) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut faults = Vec::new();
+        let mut late_faults = Vec::new();
         let mut at = Duration::from_millis(300);
         while at < size.length {
             let fault = random_fault(&mut rng, size);
@@ -121,12 +133,19 @@
                 Overlay::Configuration => add_changes(&mut rng, size, &mut faults),
                 Overlay::CrashingRequest | Overlay::Uneven => {}
                 Overlay::Versions => add_kills(&mut rng, size, &mut faults),
+                Overlay::Weights => {
+                    add_rollouts(&mut rng, size, &mut faults);
+                    late_faults = held_rollout(&mut rng, size, LATE_FAULTS_TIME);
+                }
                 Overlay::Fields => add_field_changes(&mut rng, size, &mut faults),
             }
         }
         faults.retain(|(at, _)| *at < size.length);
         faults.sort_by_key(|(at, _)| *at);
-        Self { faults }
+        Self {
+            faults,
+            late_faults,
+        }
     }
 }
 
@@ -242,6 +261,49 @@
     }
 }
 
+/// Adds series of new weights, held up for less or more than their time limit.
+fn add_rollouts(rng: &mut impl Rng, size: Size, faults: &mut Vec<(Duration, Fault)>) {
+    let mut at = MEAN_FAULT_INTERVAL;
+    while at < size.length {
+        let time = WEIGHTS_LIMIT.mul_f64(rng.random_range(0.2..1.6));
+        let rollout = held_rollout(rng, size, time).into_iter();
+        faults.extend(rollout.map(|(after, fault)| (at + after, fault)));
+        at += time + MEAN_FAULT_INTERVAL.mul_f64(rng.random_range(0.0..4.0));
+    }
+}
+
+/// Names new weights in a quick series while some or all replicas ignore orders for this time, and while requests wait at
+/// most replicas before they begin.
+fn held_rollout(rng: &mut impl Rng, size: Size, time: Duration) -> Vec<(Duration, Fault)> {
+    let mut faults = Vec::new();
+    let mut replicas: Vec<usize> =
+        (size.app_replicas..size.app_replicas + size.model_replicas).collect();
+    for replica in &replicas {
+        if rng.random_bool(0.2) {
+            continue;
+        }
+        let wait = Duration::from_millis(rng.random_range(200..3_000));
+        let mode = if rng.random_bool(0.6) {
+            Mode::Slow(wait)
+        } else {
+            Mode::SlowBegin(wait)
+        };
+        let time = time.max(WEIGHTS_LIMIT.mul_f64(1.3));
+        faults.push((Duration::ZERO, Fault::Replica(*replica, mode, time)));
+    }
+    replicas.shuffle(rng);
+    if rng.random_bool(0.5) {
+        replicas.truncate(rng.random_range(1..replicas.len().max(2)));
+    }
+    faults.push((Duration::ZERO, Fault::OrdersIgnored(replicas, time)));
+    let mut at = Duration::ZERO;
+    for _ in 0..rng.random_range(1..4) {
+        faults.push((at, Fault::WeightsPublished));
+        at += Duration::from_millis(rng.random_range(50..800));
+    }
+    faults
+}
+
 fn random_link(rng: &mut impl Rng) -> Link {
     match rng.random_range(0..5) {
         0 => Link::Slow(Duration::from_millis(rng.random_range(5..400))),
--- a/soak/src/recovery.rs
+++ b/soak/src/recovery.rs
@@ -8,17 +8,20 @@
 use crate::callers::lock;
 use crate::checker::{Served, finding, lost_requests};
 use crate::cluster::{Cluster, RECOVERY};
+use crate::plan::{Fault, LATE_FAULTS_TIME};
 
 /// The time after the last fault from which routers and store count as stable, by the users' larger sheet.
 const STABILIZATION: Duration = Duration::from_secs(4);
 /// The duration of the final phase: a rollout is given one and a half times the time limit for new weights.
 const FINAL_PHASE: Duration = Duration::from_secs(9);
+/// How long after their time the ends of the late faults are certainly due.
+const SCHEDULING_MARGIN: Duration = Duration::from_secs(1);
 /// The minimum share of requests that must be served in the final phase, which has no faults.
 const MIN_SERVED_SHARE: f64 = 0.95;
 
 impl Cluster {
     /// Checks that the cluster recovers after the last fault has ended.
-    pub(crate) async fn check_recovery(&mut self) {
+    pub(crate) async fn check_recovery(&mut self, late_faults: &[(Duration, Fault)]) {
         let faults_ended_at = Instant::now();
         for router in 0..self.routers.len() {
             let daemon = self.routers[router]
@@ -36,6 +39,7 @@
             }
         }
         self.wait_until(faults_ended_at + STABILIZATION).await;
+        self.play_late_faults(late_faults).await;
         let phase_start = Instant::now();
         self.publish_weights();
         self.records.published_weights = Some((self.weights_version, phase_start));
@@ -51,6 +55,18 @@
         self.check_final_phase(phase_start);
     }
 
+    async fn play_late_faults(&mut self, faults: &[(Duration, Fault)]) {
+        let started_at = Instant::now();
+        for (after, fault) in faults {
+            self.wait_until(started_at + *after).await;
+            self.apply(fault).await;
+        }
+        if !faults.is_empty() {
+            self.wait_until(started_at + LATE_FAULTS_TIME + SCHEDULING_MARGIN)
+                .await;
+        }
+    }
+
     /// Shuts the first router down while there are no faults, and checks that no request is lost.
     async fn check_termination(&mut self) {
         let signal_at = Instant::now();
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use crocuswharf_platform_fakes::daemon::{REVOCATION_LIMIT, WEIGHTS_LIMIT};
-use crocuswharf_platform_fakes::replica::{Mode, ReceivedOrder, ReceivedRequest, stream_text};
+use crocuswharf_platform_fakes::replica::{
+    BegunStream, Mode, ReceivedOrder, ReceivedRequest, stream_text,
+};
 use crocuswharf_soak::{
     AvailabilityChange, Changes, ConfigurationChange, Ends, EndsByChange, KeyRecord, Member,
     Outcome, Records, RequestKind, RouterOutage, SentRequest, Silence, TakeUp, check_records,
@@ -494,3 +496,46 @@
     }
     assert_single_finding(&records, "a stream goes on at its software version");
 }
+
+#[test]
+fn check_records_stream_that_begins_on_old_weights_after_the_bound_is_found() {
+    let mut records = valid_records(RequestKind::Resumable);
+    let at = records.sent[0].at + SECOND;
+    records.begun.push((
+        "a",
+        BegunStream {
+            id: "r1".into(),
+            at,
+            weights: 1,
+        },
+    ));
+    let bound = at - WEIGHTS_LIMIT;
+    records.named_weights = vec![(bound - 2 * SECOND, 1), (bound, 2)];
+    assert_eq!(check_records(&records), []);
+    records.named_weights = vec![(bound - SECOND, 2), (bound + SECOND, 3)];
+    let promise = "no request begins on old weights after the bound";
+    assert_single_finding(&records, promise);
+    for (member, age, is_found) in [
+        (Member::Router(0), 3 * SECOND, false),
+        (Member::Entry(0), 3 * SECOND, false),
+        (Member::StoreLink(0), 3 * SECOND, false),
+        (Member::Store, 3 * SECOND, false),
+        (Member::Replica("a"), 3 * SECOND, false),
+        (Member::Store, 5 * SECOND, true),
+        (Member::StoreLink(1), 3 * SECOND, true),
+    ] {
+        let mut records = records.clone();
+        for (at, is_available) in [(at - age, false), (at - age + SECOND / 10, true)] {
+            records.availability.push(AvailabilityChange {
+                member,
+                at,
+                is_available,
+            });
+        }
+        if is_found {
+            assert_single_finding(&records, promise);
+        } else {
+            assert_eq!(check_records(&records), []);
+        }
+    }
+}
