--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -21,8 +21,8 @@
 /// How often a caller tries to take up a stream, and the pause before each time.
 const MAX_TAKE_UPS: u32 = 3;
 const TAKE_UP_PAUSE: Duration = Duration::from_millis(100);
-/// The deadline of patient callers, which is the default timeout of routes.
-const LONG_DEADLINE_MS: HeaderValue = HeaderValue::from_static("3000");
+/// The deadline of patient callers: a slow reader of a stream that is cut then still ends within the time for a response.
+const LONG_DEADLINE_MS: HeaderValue = HeaderValue::from_static("2500");
 const DEADLINE: HeaderName = HeaderName::from_static("x-crocuswharf-deadline-ms");
 /// The share of requests whose responses are read slowly, if there are slow readers.
 const SLOW_READER_SHARE: f64 = 0.2;
@@ -192,7 +192,7 @@
     pub(crate) takes_up: AtomicBool,
     /// Whether some callers read slowly.
     pub(crate) has_slow_readers: AtomicBool,
-    /// Whether callers allow streams all of the time of their route.
+    /// Whether callers allow streams more time than other requests.
     pub(crate) waits_long: AtomicBool,
     next_id: AtomicU64,
 }
