Routers that start within a grace period count as available again in the soak

Cause: a SIGTERM notes the router as unavailable from 2.5 s later on. When the process was killed or had ended before, or got a further SIGTERM in a burst, the note took effect after the next process had started and excused the router until its next start, in all checks that go by availability.

Change: notes for the future are dropped with the process. No excuse is added.

--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -494,6 +494,12 @@
     /// Removes a router's process, killing it if it still runs, and keeps its log.
     fn remove_process(&mut self, router: usize) {
         lock(&self.callers.routers)[router] = None;
+        // The next process isn't in this one's grace period.
+        let now = Instant::now();
+        let is_due = |change: &AvailabilityChange| {
+            change.member != Member::Router(router) || change.at <= now
+        };
+        self.records.availability.retain(is_due);
         self.note_availability(Member::Router(router), false);
         let router = &mut self.routers[router];
         if let Some(daemon) = router.daemon.take() {
