Routers of different soak runs have different peer keys

Cause, by reading: all runs had the same peer key and the same names of routers and replicas, and routers listen on free ports. A router dials the peer address of one that was killed again every 2 s for up to two minutes (reconnect_interval, removed_ttl). Where another run's router has got that port, the two memberships join, and a router may take the other run's replicas and configuration from the other run's watcher of the platform.

Change: the peer key names the process and the run.

--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
@@ -10,7 +10,7 @@
 use crocuswharf_platform_fakes::replica::{FIRST_VERSION, Mode, ReceivedRequest, Replica};
 use crocuswharf_platform_fakes::store::{Store, StoreMode};
 use rustix::process::Signal;
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::task::JoinSet;
 
 use crate::callers::{CRASH_BODY, CallerState, lock, run_caller, run_crashing_caller};
@@ -103,6 +103,8 @@
     pub(crate) findings: Vec<Finding>,
     configuration_version: u64,
     changes: Changes,
+    /// The key that routers show each other.
+    peer_key: String,
     /// The index of the first key in the configuration.
     first_key: usize,
     pub(crate) weights_version: u64,
@@ -134,6 +136,13 @@
     RevokeOldKeys,
 }
 
+/// Returns a key that keeps routers apart from those of other runs, which may listen on ports of routers that were killed.
+fn unique_peer_key() -> String {
+    static RUNS: AtomicU64 = AtomicU64::new(0);
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    format!("peer-key-of-run-{}-{run}", std::process::id())
+}
+
 /// Runs a test cluster with the fault plan of `seed`, and checks what was observed.
 ///
 /// # Errors
@@ -243,6 +252,7 @@
             findings: Vec::new(),
             configuration_version: 0,
             changes: Changes::default(),
+            peer_key: unique_peer_key(),
             first_key: 0,
             weights_version: 1,
             has_crashing_request: false,
@@ -564,7 +574,9 @@
             .filter_map(|other| other.daemon.as_ref());
         let seeds: Vec<_> = running.map(Daemon::peers).take(MAX_SEED_PEERS).collect();
         let router = &self.routers[router];
-        settings(&router.name, router.store_link.address, &seeds)
+        let mut settings = settings(&router.name, router.store_link.address, &seeds);
+        settings["peer_keys"] = json!([self.peer_key]);
+        settings
     }
 
     fn reload(&mut self, router: usize) {
