The soak cuts routers off from all replicas, off by default

Cause: the soak had links to a replica that fail for all routers, and none that fail for one router only, so a router that reaches no replica while the others do was never played.

Change: the proxies of replicas find the process that opened a connection in the kernel's tables and apply the cut of its router: hang, reset, one way, or new connections reset while old ones live. The check 'routers that are cut off serve nearly as often' compares the first tries at routers in touch from 4 s after the beginning to the end: less than two thirds as often as at the others, and more than 10 + 1 in 50 of all failed, is a finding.

--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -13,6 +13,7 @@
 use crate::callers::{Outcome, RequestKind, SentRequest, request_body};
 use crate::configuration::Changes;
 use crate::crashes::check_crashing_request;
+use crate::cut_off::{CutPeriod, check_cuts};
 use crate::loss::{AvailabilityChange, Silence, check_loss, check_route, check_size};
 use crate::outdated::check_begins;
 use crate::unanswered::check_end;
@@ -75,6 +76,8 @@
     pub availability: Vec<AvailabilityChange>,
     /// The periods in which replicas were silent.
     pub silences: Vec<Silence>,
+    /// The periods in which routers were cut off from all replicas.
+    pub cuts: Vec<CutPeriod>,
     /// When no router was running, so that what routers know of crashes was lost.
     pub all_routers_down: Vec<Instant>,
     /// When the store acknowledged each configuration, with the operator's changes in it.
@@ -119,6 +122,7 @@
     findings.extend(check_orders(&records.orders));
     findings.extend(check_crashing_request(records));
     findings.extend(check_begins(records));
+    findings.extend(check_cuts(records));
     findings.extend(check_final_phase(records));
     findings
 }
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -18,7 +18,9 @@
     Finding, KeyRecord, Records, RouterOutage, Served, check_records, finding, joined_streams,
 };
 use crate::configuration::Changes;
+use crate::cut_off::CutPeriod;
 use crate::loss::{AvailabilityChange, Member, Silence};
+use crate::partition::{Cut, Partition};
 use crate::plan::{Fault, FaultPlan, Overlay, Size, slowness};
 use crate::proxy::{Link, Proxy};
 use crate::unanswered::EndsByChange;
@@ -27,7 +29,9 @@
 const CALLERS_PER_ROUTER: usize = 2;
 /// The number of callers for each router in runs with silent replicas, which have to find many streams open.
 const CALLERS_AT_SILENCES: usize = 5;
-/// The delay between two events of a stream in such runs.
+/// The number of callers for each router in runs with cuts, in which many of them wait for routers that are cut off.
+const CALLERS_AT_CUTS: usize = 8;
+/// The delay between two events of a stream in runs with silent replicas.
 const EVENT_INTERVAL_AT_SILENCES: Duration = Duration::from_millis(30);
 /// The delay between two events of a stream in runs with several software versions, which have to break off many streams.
 const EVENT_INTERVAL_AT_VERSIONS: Duration = Duration::from_millis(60);
@@ -98,6 +102,7 @@
     store: Store,
     pub(crate) replicas: Vec<(Replica, Proxy)>,
     pub(crate) routers: Vec<Router>,
+    partition: Arc<Partition>,
     pub(crate) callers: Arc<CallerState>,
     pub(crate) records: Records,
     pub(crate) findings: Vec<Finding>,
@@ -131,6 +136,7 @@
     RestoreReplica(usize),
     OpenReplicaLink(usize),
     FollowOrders(Vec<usize>),
+    EndCut(Vec<usize>),
     RestartReplica(usize),
     UnregisterReplica(usize),
     RevokeOldKeys,
@@ -152,7 +158,7 @@
     let plan = FaultPlan::generate(seed, size);
     let mut cluster = Cluster::start(binary, size).await?;
     let mut callers = JoinSet::new();
-    let callers_per_router = if size.overlays.contains(&Overlay::Silence) {
+    let mut callers_per_router = if size.overlays.contains(&Overlay::Silence) {
         let replicas = cluster.replicas.iter();
         replicas.for_each(|(replica, _)| replica.set_event_interval(EVENT_INTERVAL_AT_SILENCES));
         CALLERS_AT_SILENCES
@@ -173,6 +179,9 @@
         let replicas = cluster.replicas.iter();
         replicas.for_each(|(replica, _)| replica.set_event_interval(EVENT_INTERVAL_AT_VERSIONS));
     }
+    if size.overlays.contains(&Overlay::Cuts) {
+        callers_per_router = CALLERS_AT_CUTS;
+    }
     if size.overlays.contains(&Overlay::Weights) {
         let waits_long = &cluster.callers.waits_long;
         waits_long.store(true, Ordering::Relaxed);
@@ -209,6 +218,7 @@
             true => &VERSIONS[..],
             false => &VERSIONS[..1],
         };
+        let partition = Arc::new(Partition::default());
         let mut replicas = Vec::new();
         let apps = APP_REPLICAS.iter().take(size.app_replicas);
         let models = MODEL_REPLICAS.iter().take(size.model_replicas);
@@ -217,7 +227,7 @@
             .chain(models.map(|id| (*id, "llm")))
         {
             let replica = Replica::start_unregistered(&store, id, service).await;
-            let link = Proxy::start(replica.address)
+            let link = Proxy::start_in(&partition, replica.address)
                 .await
                 .context("cannot start a proxy")?;
             replica.set_registered_address(link.address);
@@ -247,6 +257,7 @@
             store,
             replicas,
             routers,
+            partition,
             callers: Arc::default(),
             records: Records::default(),
             findings: Vec::new(),
@@ -326,6 +337,7 @@
                 self.schedule(*time, Action::RestoreStore);
             }
             Fault::StoreCompacted => self.store.compact(),
+            Fault::RoutersCutOff(cuts, time) => self.cut_off(cuts, *time),
             Fault::OrdersIgnored(replicas, time) => {
                 self.set_ignores_orders(replicas, true);
                 self.schedule(*time, Action::FollowOrders(replicas.clone()));
@@ -381,6 +393,12 @@
                 self.store.set_mode(StoreMode::Serve);
                 self.note_availability(Member::Store, true);
             }
+            Action::EndCut(routers) => {
+                for router in routers {
+                    self.partition.set(router, None);
+                    self.note_availability(Member::ReplicaLinks(router), true);
+                }
+            }
             Action::FollowOrders(replicas) => self.set_ignores_orders(&replicas, false),
             Action::RestoreReplica(replica) => self.restore_replica(replica),
             Action::OpenReplicaLink(replica) => self.set_replica_link(replica, Link::Open),
@@ -447,6 +465,21 @@
         self.note_availability(Member::StoreLink(router), link == Link::Open);
     }
 
+    fn cut_off(&mut self, cuts: &[(usize, Cut)], time: Duration) {
+        let routers: Vec<_> = cuts.iter().map(|(router, _)| *router).collect();
+        for (router, cut) in cuts {
+            self.partition.set(*router, Some(*cut));
+            self.note_availability(Member::ReplicaLinks(*router), false);
+        }
+        let from = Instant::now();
+        self.records.cuts.push(CutPeriod {
+            routers: routers.clone(),
+            from,
+            to: from + time,
+        });
+        self.schedule(time, Action::EndCut(routers));
+    }
+
     fn set_ignores_orders(&self, replicas: &[usize], ignores_orders: bool) {
         for replica in replicas {
             self.replicas[*replica].0.set_ignores_orders(ignores_orders);
@@ -556,6 +589,7 @@
     async fn start_router(&mut self, router: usize) {
         let settings = self.router_settings(router);
         let daemon = Daemon::start_with(&self.binary, &settings).await;
+        self.partition.set_process(router, daemon.process_id());
         lock(&self.callers.routers)[router] = Some(daemon.callers());
         self.note_availability(Member::Router(router), true);
         self.note_availability(Member::Entry(router), true);
@@ -650,6 +684,9 @@
 
     /// Ends all faults at once, and starts the routers that are down.
     async fn end_faults(&mut self) {
+        for cut in &mut self.records.cuts {
+            cut.to = cut.to.min(Instant::now());
+        }
         if self.changes != Changes::default() {
             self.changes = Changes::default();
             self.put_configuration();
--- a/soak/src/crashes.rs
+++ b/soak/src/crashes.rs
@@ -28,17 +28,19 @@
     let sent = sent.filter(|sent| sent.kind == RequestKind::Crashing);
     let routers: HashMap<&str, usize> = sent.map(|sent| (sent.id.as_str(), sent.router)).collect();
     let was_in_touch = |seen: &ReceivedRequest| {
-        let router = Member::Router(*routers.get(seen.id())?);
+        let router = *routers.get(seen.id())?;
         let from = seen.at.checked_sub(CONTACT_TIME).unwrap_or(seen.at);
         records
-            .is_available(router, from, seen.at)
+            .is_available(Member::Router(router), from, seen.at)
             .then_some(router)
     };
     let is_reported = |seen: &ReceivedRequest| {
         let end = seen.at + REPORT_TIME;
         let replica = Member::Replica(seen.replica);
         let is_sound = |member| records.is_available(member, seen.at, end);
-        seen.ran && was_in_touch(seen).is_some_and(|router| is_sound(router) && is_sound(replica))
+        let is_linked =
+            |router| is_sound(Member::Router(router)) && is_sound(Member::ReplicaLinks(router));
+        seen.ran && is_sound(replica) && was_in_touch(seen).is_some_and(is_linked)
     };
     let mut findings = Vec::new();
     for (from, to) in periods(records) {
--- a/soak/src/loss.rs
+++ b/soak/src/loss.rs
@@ -23,6 +23,8 @@
     Replica(&'static str),
     /// The router with this index as one that has not been told to leave.
     Entry(usize),
+    /// The links between the router with this index and all replicas.
+    ReplicaLinks(usize),
     /// The link between the router with this index and the store.
     StoreLink(usize),
     /// The store.
@@ -90,7 +92,9 @@
         Outcome::Answer { .. } => return None,
     };
     let is_available = records.is_available(Member::Router(sent.router), sent.at, sent.ended_at);
-    if sent.kind == RequestKind::Crashing || !is_available {
+    let links = Member::ReplicaLinks(sent.router);
+    let is_cut_off = !records.is_available(links, sent.at, sent.ended_at);
+    if sent.kind == RequestKind::Crashing || !is_available || is_cut_off {
         return None;
     }
     let deadline = records.deadline(sent);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -32,6 +32,9 @@
     /// also send a request again and again that crashes the replicas that run it
     #[argh(switch)]
     crashing_request: bool,
+    /// also cut routers off from all replicas
+    #[argh(switch)]
+    cuts: bool,
     /// the daemon's executable (default: crocuswharf-platform in the folder of this program)
     #[argh(option)]
     daemon: Option<PathBuf>,
@@ -57,27 +60,7 @@
         app_replicas: 3,
         model_replicas: 4,
         length: Duration::from_secs_f64(args.disturbed_s),
-        overlays: match (args.base_only, args.crashing_request) {
-            (true, false) => &[],
-            (true, true) => &[Overlay::CrashingRequest],
-            (false, false) => &[
-                Overlay::Silence,
-                Overlay::Configuration,
-                Overlay::Fields,
-                Overlay::Uneven,
-                Overlay::Versions,
-                Overlay::Weights,
-            ],
-            (false, true) => &[
-                Overlay::Silence,
-                Overlay::Configuration,
-                Overlay::Fields,
-                Overlay::Uneven,
-                Overlay::Versions,
-                Overlay::Weights,
-                Overlay::CrashingRequest,
-            ],
-        },
+        overlays: overlays(&args).leak(),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -104,6 +87,27 @@
     })
 }
 
+fn overlays(args: &Args) -> Vec<Overlay> {
+    let mut overlays = Vec::new();
+    if !args.base_only {
+        overlays.extend([
+            Overlay::Silence,
+            Overlay::Configuration,
+            Overlay::Fields,
+            Overlay::Uneven,
+            Overlay::Versions,
+            Overlay::Weights,
+        ]);
+    }
+    if args.crashing_request {
+        overlays.push(Overlay::CrashingRequest);
+    }
+    if args.cuts {
+        overlays.push(Overlay::Cuts);
+    }
+    overlays
+}
+
 fn print_report(report: &Report) {
     println!(
         "seed {}: {} faults, {} of {} requests served, {} promises broken",
--- a/soak/src/outdated.rs
+++ b/soak/src/outdated.rs
@@ -30,6 +30,7 @@
         let from = begun.at.checked_sub(TOUCH_TIME).unwrap_or(begun.at);
         let mut members = Member::of_contact(*router).into_iter();
         let is_sound = members.all(|member| records.is_available(member, from, begun.at))
+            && records.is_available(Member::ReplicaLinks(*router), from, begun.at)
             && records.is_available(Member::Replica(replica), from, begun.at);
         if delay > WEIGHTS_LIMIT && is_sound {
             let seen = format!(
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::configuration::ConfigurationChange;
+use crate::partition::Cut;
 use crate::proxy::Link;
 
 /// The mean interval between two faults in a cluster with few routers.
@@ -18,8 +19,10 @@
 const MAX_FAULT_DURATION: Duration = Duration::from_secs(5);
 
 /// How long the faults for a stable cluster last, which is longer than the time limit for new weights.
-pub(crate) const LATE_FAULTS_TIME: Duration =
-    WEIGHTS_LIMIT.saturating_add(Duration::from_millis(2_500));
+const LATE_FAULTS_TIME: Duration = WEIGHTS_LIMIT.saturating_add(Duration::from_millis(2_500));
+
+/// How long after their time the ends of faults are certainly due.
+const SCHEDULING_MARGIN: Duration = Duration::from_secs(1);
 
 /// The size of a test cluster and the duration of its faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +57,8 @@
     Versions,
     /// New weights are named in quick succession, while replicas ignore orders and requests wait there before they begin.
     Weights,
+    /// Routers are cut off from all replicas.
+    Cuts,
 }
 
 /// One injected fault. Routers and replicas are given by index; the replicas of the service without a model come first.
@@ -91,6 +96,8 @@
     KeysRotated,
     /// A newer version of the weights is published.
     WeightsPublished,
+    /// These routers are cut off from all replicas for this time, each in its own way.
+    RoutersCutOff(Vec<(usize, Cut)>, Duration),
     /// These replicas neither answer orders nor carry them out for this time.
     OrdersIgnored(Vec<usize>, Duration),
     /// Server entries that describe no replica are written to the store.
@@ -133,6 +140,12 @@
                 Overlay::Configuration => add_changes(&mut rng, size, &mut faults),
                 Overlay::CrashingRequest | Overlay::Uneven => {}
                 Overlay::Versions => add_kills(&mut rng, size, &mut faults),
+                Overlay::Cuts => {
+                    add_cuts(&mut rng, size, &mut faults);
+                    let at = late_faults_end(&late_faults);
+                    let late_cut = late_cut(&mut rng, size).into_iter();
+                    late_faults.extend(late_cut.map(|(after, fault)| (at + after, fault)));
+                }
                 Overlay::Weights => {
                     add_rollouts(&mut rng, size, &mut faults);
                     late_faults = held_rollout(&mut rng, size, LATE_FAULTS_TIME);
@@ -149,6 +162,15 @@
     }
 }
 
+/// Returns how long after their start all of these faults have ended.
+pub(crate) fn late_faults_end(faults: &[(Duration, Fault)]) -> Duration {
+    let starts = faults.iter().map(|(at, _)| *at);
+    let last = starts.max();
+    last.map_or(Duration::ZERO, |at| {
+        at + LATE_FAULTS_TIME + SCHEDULING_MARGIN
+    })
+}
+
 /// Returns by how much longer than the others each of these replicas takes between two events, from 0.6 to 1.6 times.
 pub(crate) fn slowness(seed: u64, replicas: usize) -> Vec<f64> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -304,6 +326,65 @@
     faults
 }
 
+/// Cuts routers off from all replicas in series that don't overlap.
+fn add_cuts(rng: &mut impl Rng, size: Size, faults: &mut Vec<(Duration, Fault)>) {
+    let mut at = MEAN_FAULT_INTERVAL;
+    while at < size.length {
+        let time = Duration::from_millis(rng.random_range(6_000..10_000));
+        faults.push((at, random_cuts(rng, size, time)));
+        at += time + MEAN_FAULT_INTERVAL.mul_f64(rng.random_range(0.2..2.0));
+    }
+}
+
+/// Cuts one, half or all but one of the routers off.
+fn random_cuts(rng: &mut impl Rng, size: Size, time: Duration) -> Fault {
+    let mut routers: Vec<usize> = (0..size.routers).collect();
+    routers.shuffle(rng);
+    routers.truncate(match rng.random_range(0..3) {
+        0 => 1,
+        1 => size.routers.div_ceil(2),
+        _ => size.routers.saturating_sub(1),
+    });
+    let common = random_cut(rng);
+    let are_alike = rng.random_bool(0.6);
+    let cuts = routers.into_iter().map(|router| {
+        let cut = if are_alike { common } else { random_cut(rng) };
+        (router, cut)
+    });
+    Fault::RoutersCutOff(cuts.collect(), time)
+}
+
+/// Cuts routers off, and stops, releases or kills a router meanwhile, unless it is the only one that isn't cut off.
+fn late_cut(rng: &mut impl Rng, size: Size) -> Vec<(Duration, Fault)> {
+    let cut = random_cuts(rng, size, LATE_FAULTS_TIME);
+    let router = rng.random_range(0..size.routers);
+    let time = Duration::from_millis(rng.random_range(200..1_500));
+    let disturbance = match rng.random_range(0..3) {
+        0 => Fault::RouterPaused(router, time),
+        1 => Fault::RouterKilled(router, time),
+        _ => Fault::RouterTerminated(router),
+    };
+    let after = LATE_FAULTS_TIME.mul_f64(rng.random_range(0.1..0.7));
+    let may_disturb = matches!(
+        &cut,
+        Fault::RoutersCutOff(cuts, _)
+            if cuts.len() + 1 < size.routers || cuts.iter().any(|(other, _)| *other == router)
+    );
+    let mut faults = vec![(Duration::ZERO, cut)];
+    faults.extend(may_disturb.then_some((after, disturbance)));
+    faults
+}
+
+fn random_cut(rng: &mut impl Rng) -> Cut {
+    match rng.random_range(0..6) {
+        0..=1 => Cut::All(Link::BlockBoth),
+        2 => Cut::All(Link::Reset),
+        3 => Cut::All(Link::BlockToServer),
+        4 => Cut::All(Link::BlockToClient),
+        _ => Cut::New,
+    }
+}
+
 fn random_link(rng: &mut impl Rng) -> Link {
     match rng.random_range(0..5) {
         0 => Link::Slow(Duration::from_millis(rng.random_range(5..400))),
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback TCP proxy for one link, which can delay bytes, block either direction or both, or reset connections.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -9,6 +10,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::partition::{Connection, Cut, Partition};
+
 /// How much later than held-up bytes the end of their connection arrives: a server then handles the request before.
 const LATE_END: Duration = Duration::from_millis(20);
 
@@ -63,12 +66,28 @@
     ///
     /// Returns an error if no port can be bound.
     pub async fn start(server: SocketAddr) -> std::io::Result<Self> {
+        Self::start_in(&Arc::default(), server).await
+    }
+
+    /// Starts a proxy like [`Self::start`], whose connections fail as `partition` says.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn start_in(partition: &Arc<Partition>, server: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (link, state) = watch::channel(Link::Open);
+        let partition = Arc::clone(partition);
         tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(forward_connection(client, server, state.clone()));
+            while let Ok((client, from)) = listener.accept().await {
+                let state = State {
+                    link: state.clone(),
+                    cuts: partition.subscribe(),
+                    partition: Arc::clone(&partition),
+                    connection: Connection::new(from, address),
+                };
+                tokio::spawn(forward_connection(client, server, state));
             }
         });
         Ok(Self { address, link })
@@ -80,8 +99,34 @@
     }
 }
 
-async fn forward_connection(client: TcpStream, server: SocketAddr, state: watch::Receiver<Link>) {
-    if *state.borrow() == Link::Reset {
+/// The state of a connection, by the link and by the cuts of its router.
+#[derive(Clone)]
+struct State {
+    link: watch::Receiver<Link>,
+    cuts: watch::Receiver<Vec<(usize, Cut)>>,
+    partition: Arc<Partition>,
+    connection: Connection,
+}
+
+impl State {
+    async fn current(&mut self) -> Link {
+        self.cuts.mark_unchanged();
+        let link = *self.link.borrow_and_update();
+        let cut = self.partition.link(self.connection).await;
+        cut.unwrap_or(link)
+    }
+
+    /// Waits for a change, and returns whether further ones may follow.
+    async fn changed(&mut self) -> bool {
+        tokio::select! {
+            changed = self.link.changed() => changed.is_ok(),
+            changed = self.cuts.changed() => changed.is_ok(),
+        }
+    }
+}
+
+async fn forward_connection(client: TcpStream, server: SocketAddr, mut state: State) {
+    if state.current().await == Link::Reset || state.partition.resets(state.connection).await {
         reset(&client);
         return;
     }
@@ -105,12 +150,12 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     direction: Direction,
-    mut state: watch::Receiver<Link>,
+    mut state: State,
 ) {
     let mut bytes = vec![0; 16 << 10];
     let mut was_blocked = false;
     loop {
-        let link = *state.borrow_and_update();
+        let link = state.current().await;
         if link == Link::Reset {
             reset(from.as_ref());
             reset(to.as_ref());
@@ -118,7 +163,7 @@
         }
         if link.blocks(direction) {
             was_blocked = true;
-            if state.changed().await.is_err() {
+            if !state.changed().await {
                 return;
             }
             continue;
--- a/soak/src/recovery.rs
+++ b/soak/src/recovery.rs
@@ -8,14 +8,12 @@
 use crate::callers::lock;
 use crate::checker::{Served, finding, lost_requests};
 use crate::cluster::{Cluster, RECOVERY};
-use crate::plan::{Fault, LATE_FAULTS_TIME};
+use crate::plan::{Fault, late_faults_end};
 
 /// The time after the last fault from which routers and store count as stable, by the users' larger sheet.
 const STABILIZATION: Duration = Duration::from_secs(4);
 /// The duration of the final phase: a rollout is given one and a half times the time limit for new weights.
 const FINAL_PHASE: Duration = Duration::from_secs(9);
-/// How long after their time the ends of the late faults are certainly due.
-const SCHEDULING_MARGIN: Duration = Duration::from_secs(1);
 /// The minimum share of requests that must be served in the final phase, which has no faults.
 const MIN_SERVED_SHARE: f64 = 0.95;
 
@@ -61,10 +59,7 @@
             self.wait_until(started_at + *after).await;
             self.apply(fault).await;
         }
-        if !faults.is_empty() {
-            self.wait_until(started_at + LATE_FAULTS_TIME + SCHEDULING_MARGIN)
-                .await;
-        }
+        self.wait_until(started_at + late_faults_end(faults)).await;
     }
 
     /// Shuts the first router down while there are no faults, and checks that no request is lost.
--- a/soak/src/unanswered.rs
+++ b/soak/src/unanswered.rs
@@ -79,6 +79,8 @@
         );
         !is_sound || !records.is_available(Member::Replica(seen.replica), seen.at, sent.ended_at)
     };
+    let links = Member::ReplicaLinks(sent.router);
+    let is_stable = is_stable && records.is_available(links, sent.at, sent.ended_at);
     if !is_stable || took >= judged_time || records.arrivals(sent).any(broke_off) {
         return None;
     }
--- a/soak/tests/plan_and_proxy.rs
+++ b/soak/tests/plan_and_proxy.rs
@@ -1,8 +1,9 @@
 //! Tests that fault plans depend only on their seeds, and that proxies apply the state of their link.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use crocuswharf_soak::{Fault, FaultPlan, Link, Overlay, Proxy, Size};
+use crocuswharf_soak::{Cut, Fault, FaultPlan, Link, Overlay, Partition, Proxy, Size};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -81,3 +82,28 @@
     assert!(client.read_u8().await.is_err());
     assert!(server.read_u8().await.is_err());
 }
+
+#[tokio::test]
+async fn partition_cuts_only_connections_of_its_process() {
+    let server = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let partition = Arc::new(Partition::default());
+    partition.set_process(0, std::process::id());
+    partition.set_process(1, 0);
+    let proxy = Proxy::start_in(&partition, server.local_addr().unwrap());
+    let proxy = proxy.await.unwrap();
+    let mut client = TcpStream::connect(proxy.address).await.unwrap();
+    let (mut accepted, _) = server.accept().await.unwrap();
+    partition.set(1, Some(Cut::All(Link::BlockBoth)));
+    client.write_u8(1).await.unwrap();
+    assert_eq!(accepted.read_u8().await.unwrap(), 1);
+    partition.set(0, Some(Cut::All(Link::BlockToServer)));
+    tokio::time::sleep(SHORT).await;
+    client.write_u8(2).await.unwrap();
+    assert!(timeout(SHORT, accepted.read_u8()).await.is_err());
+    partition.set(0, Some(Cut::New));
+    assert_eq!(accepted.read_u8().await.unwrap(), 2);
+    let mut refused = TcpStream::connect(proxy.address).await.unwrap();
+    assert!(refused.read_u8().await.is_err());
+    partition.set(0, Some(Cut::All(Link::Reset)));
+    assert!(client.read_u8().await.is_err());
+}
