--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
@@ -10,7 +10,7 @@
 use crocuswharf_platform_fakes::replica::{FIRST_VERSION, Mode, ReceivedRequest, Replica};
 use crocuswharf_platform_fakes::store::{Store, StoreMode};
 use rustix::process::Signal;
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::task::JoinSet;
 
 use crate::callers::{CRASH_BODY, CallerState, lock, run_caller, run_crashing_caller};
@@ -18,7 +18,9 @@
     Finding, KeyRecord, Records, RouterOutage, Served, check_records, finding, joined_streams,
 };
 use crate::configuration::Changes;
+use crate::cut_off::CutPeriod;
 use crate::loss::{AvailabilityChange, Member, Silence};
+use crate::partition::{Cut, Partition};
 use crate::plan::{Fault, FaultPlan, Overlay, Size, slowness};
 use crate::proxy::{Link, Proxy};
 use crate::unanswered::EndsByChange;
@@ -27,7 +29,9 @@
 const CALLERS_PER_ROUTER: usize = 2;
 /// The number of callers for each router in runs with silent replicas, which have to find many streams open.
 const CALLERS_AT_SILENCES: usize = 5;
-/// The delay between two events of a stream in such runs.
+/// The number of callers for each router in runs with cuts, in which many of them wait for routers that are cut off.
+const CALLERS_AT_CUTS: usize = 8;
+/// The delay between two events of a stream in runs with silent replicas.
 const EVENT_INTERVAL_AT_SILENCES: Duration = Duration::from_millis(30);
 /// The delay between two events of a stream in runs with several software versions, which have to break off many streams.
 const EVENT_INTERVAL_AT_VERSIONS: Duration = Duration::from_millis(60);
@@ -98,11 +102,14 @@
     store: Store,
     pub(crate) replicas: Vec<(Replica, Proxy)>,
     pub(crate) routers: Vec<Router>,
+    partition: Arc<Partition>,
     pub(crate) callers: Arc<CallerState>,
     pub(crate) records: Records,
     pub(crate) findings: Vec<Finding>,
     configuration_version: u64,
     changes: Changes,
+    /// The key that routers show each other.
+    peer_key: String,
     /// The index of the first key in the configuration.
     first_key: usize,
     pub(crate) weights_version: u64,
@@ -128,11 +135,20 @@
     RestoreStore,
     RestoreReplica(usize),
     OpenReplicaLink(usize),
+    FollowOrders(Vec<usize>),
+    EndCut(Vec<usize>),
     RestartReplica(usize),
     UnregisterReplica(usize),
     RevokeOldKeys,
 }
 
+/// Returns a key that keeps routers apart from those of other runs, which may listen on ports of routers that were killed.
+fn unique_peer_key() -> String {
+    static RUNS: AtomicU64 = AtomicU64::new(0);
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    format!("peer-key-of-run-{}-{run}", std::process::id())
+}
+
 /// Runs a test cluster with the fault plan of `seed`, and checks what was observed.
 ///
 /// # Errors
@@ -142,7 +158,7 @@
     let plan = FaultPlan::generate(seed, size);
     let mut cluster = Cluster::start(binary, size).await?;
     let mut callers = JoinSet::new();
-    let callers_per_router = if size.overlays.contains(&Overlay::Silence) {
+    let mut callers_per_router = if size.overlays.contains(&Overlay::Silence) {
         let replicas = cluster.replicas.iter();
         replicas.for_each(|(replica, _)| replica.set_event_interval(EVENT_INTERVAL_AT_SILENCES));
         CALLERS_AT_SILENCES
@@ -163,6 +179,13 @@
         let replicas = cluster.replicas.iter();
         replicas.for_each(|(replica, _)| replica.set_event_interval(EVENT_INTERVAL_AT_VERSIONS));
     }
+    if size.overlays.contains(&Overlay::Cuts) {
+        callers_per_router = CALLERS_AT_CUTS;
+    }
+    if size.overlays.contains(&Overlay::Weights) {
+        let waits_long = &cluster.callers.waits_long;
+        waits_long.store(true, Ordering::Relaxed);
+    }
     for number in 0..size.routers * callers_per_router {
         let caller_seed = seed.wrapping_mul(1_000).wrapping_add(number as u64);
         callers.spawn(run_caller(Arc::clone(&cluster.callers), caller_seed));
@@ -182,7 +205,7 @@
     }
     cluster.wait_until(started_at + size.length).await;
     cluster.end_faults().await;
-    cluster.check_recovery().await;
+    cluster.check_recovery(&plan.late_faults).await;
     cluster.callers.is_stopped.store(true, Ordering::Relaxed);
     callers.join_all().await;
     Ok(cluster.into_report(seed, plan.faults.len()))
@@ -195,6 +218,7 @@
             true => &VERSIONS[..],
             false => &VERSIONS[..1],
         };
+        let partition = Arc::new(Partition::default());
         let mut replicas = Vec::new();
         let apps = APP_REPLICAS.iter().take(size.app_replicas);
         let models = MODEL_REPLICAS.iter().take(size.model_replicas);
@@ -203,7 +227,7 @@
             .chain(models.map(|id| (*id, "llm")))
         {
             let replica = Replica::start_unregistered(&store, id, service).await;
-            let link = Proxy::start(replica.address)
+            let link = Proxy::start_in(&partition, replica.address)
                 .await
                 .context("cannot start a proxy")?;
             replica.set_registered_address(link.address);
@@ -233,11 +257,13 @@
             store,
             replicas,
             routers,
+            partition,
             callers: Arc::default(),
             records: Records::default(),
             findings: Vec::new(),
             configuration_version: 0,
             changes: Changes::default(),
+            peer_key: unique_peer_key(),
             first_key: 0,
             weights_version: 1,
             has_crashing_request: false,
@@ -276,7 +302,7 @@
         self.scheduled.push((Instant::now() + after, action));
     }
 
-    async fn apply(&mut self, fault: &Fault) {
+    pub(crate) async fn apply(&mut self, fault: &Fault) {
         match fault {
             Fault::RouterPaused(router, time) => {
                 if self.signal(*router, Signal::STOP) {
@@ -302,14 +328,20 @@
             }
             Fault::RouterReloaded(router) => self.reload(*router),
             Fault::StoreLink(router, link, time) => {
-                self.routers[*router].store_link.set(*link);
+                self.set_store_link(*router, *link);
                 self.schedule(*time, Action::OpenStoreLink(*router));
             }
             Fault::Store(mode, time) => {
                 self.store.set_mode(*mode);
+                self.note_availability(Member::Store, false);
                 self.schedule(*time, Action::RestoreStore);
             }
             Fault::StoreCompacted => self.store.compact(),
+            Fault::RoutersCutOff(cuts, time) => self.cut_off(cuts, *time),
+            Fault::OrdersIgnored(replicas, time) => {
+                self.set_ignores_orders(replicas, true);
+                self.schedule(*time, Action::FollowOrders(replicas.clone()));
+            }
             Fault::ReplicasSilent(replicas, time) => self.silence(replicas, *time),
             Fault::ConfigurationChanged(change) => {
                 self.changes.add(*change);
@@ -356,8 +388,18 @@
                     self.check_exit(router, due).await;
                 }
             }
-            Action::OpenStoreLink(router) => self.routers[router].store_link.set(Link::Open),
-            Action::RestoreStore => self.store.set_mode(StoreMode::Serve),
+            Action::OpenStoreLink(router) => self.set_store_link(router, Link::Open),
+            Action::RestoreStore => {
+                self.store.set_mode(StoreMode::Serve);
+                self.note_availability(Member::Store, true);
+            }
+            Action::EndCut(routers) => {
+                for router in routers {
+                    self.partition.set(router, None);
+                    self.note_availability(Member::ReplicaLinks(router), true);
+                }
+            }
+            Action::FollowOrders(replicas) => self.set_ignores_orders(&replicas, false),
             Action::RestoreReplica(replica) => self.restore_replica(replica),
             Action::OpenReplicaLink(replica) => self.set_replica_link(replica, Link::Open),
             Action::RestartReplica(replica) => {
@@ -390,11 +432,14 @@
             Signal::STOP => self.note_availability(Member::Router(router), false),
             Signal::CONT => self.note_availability(Member::Router(router), true),
             // What is still open in the last sixth of the grace period may be lost.
-            Signal::TERM => self.records.availability.push(AvailabilityChange {
-                member: Member::Router(router),
-                at: Instant::now() + GRACE * 5 / 6,
-                is_available: false,
-            }),
+            Signal::TERM => {
+                self.note_availability(Member::Entry(router), false);
+                self.records.availability.push(AvailabilityChange {
+                    member: Member::Router(router),
+                    at: Instant::now() + GRACE * 5 / 6,
+                    is_available: false,
+                });
+            }
             _ => {}
         }
         true
@@ -415,6 +460,32 @@
         self.note_availability(member, link == Link::Open);
     }
 
+    fn set_store_link(&mut self, router: usize, link: Link) {
+        self.routers[router].store_link.set(link);
+        self.note_availability(Member::StoreLink(router), link == Link::Open);
+    }
+
+    fn cut_off(&mut self, cuts: &[(usize, Cut)], time: Duration) {
+        let routers: Vec<_> = cuts.iter().map(|(router, _)| *router).collect();
+        for (router, cut) in cuts {
+            self.partition.set(*router, Some(*cut));
+            self.note_availability(Member::ReplicaLinks(*router), false);
+        }
+        let from = Instant::now();
+        self.records.cuts.push(CutPeriod {
+            routers: routers.clone(),
+            from,
+            to: from + time,
+        });
+        self.schedule(time, Action::EndCut(routers));
+    }
+
+    fn set_ignores_orders(&self, replicas: &[usize], ignores_orders: bool) {
+        for replica in replicas {
+            self.replicas[*replica].0.set_ignores_orders(ignores_orders);
+        }
+    }
+
     fn silence(&mut self, replicas: &[usize], time: Duration) {
         for replica in replicas {
             let replica = &self.replicas[*replica].0;
@@ -466,6 +537,12 @@
     /// Removes a router's process, killing it if it still runs, and keeps its log.
     fn remove_process(&mut self, router: usize) {
         lock(&self.callers.routers)[router] = None;
+        // The next process isn't in this one's grace period.
+        let now = Instant::now();
+        let is_due = |change: &AvailabilityChange| {
+            change.member != Member::Router(router) || change.at <= now
+        };
+        self.records.availability.retain(is_due);
         self.note_availability(Member::Router(router), false);
         let router = &mut self.routers[router];
         if let Some(daemon) = router.daemon.take() {
@@ -512,8 +589,10 @@
     async fn start_router(&mut self, router: usize) {
         let settings = self.router_settings(router);
         let daemon = Daemon::start_with(&self.binary, &settings).await;
+        self.partition.set_process(router, daemon.process_id());
         lock(&self.callers.routers)[router] = Some(daemon.callers());
         self.note_availability(Member::Router(router), true);
+        self.note_availability(Member::Entry(router), true);
         let started = &mut self.routers[router];
         started.daemon = Some(daemon);
         started.generation += 1;
@@ -529,7 +608,9 @@
             .filter_map(|other| other.daemon.as_ref());
         let seeds: Vec<_> = running.map(Daemon::peers).take(MAX_SEED_PEERS).collect();
         let router = &self.routers[router];
-        settings(&router.name, router.store_link.address, &seeds)
+        let mut settings = settings(&router.name, router.store_link.address, &seeds);
+        settings["peer_keys"] = json!([self.peer_key]);
+        settings
     }
 
     fn reload(&mut self, router: usize) {
@@ -592,6 +673,8 @@
     pub(crate) fn publish_weights(&mut self) {
         self.weights_version += 1;
         self.store.name_weights("m0", self.weights_version);
+        let named = (Instant::now(), self.weights_version);
+        self.records.named_weights.push(named);
     }
 
     fn add_invalid_entries(&self) {
@@ -601,6 +684,9 @@
 
     /// Ends all faults at once, and starts the routers that are down.
     async fn end_faults(&mut self) {
+        for cut in &mut self.records.cuts {
+            cut.to = cut.to.min(Instant::now());
+        }
         if self.changes != Changes::default() {
             self.changes = Changes::default();
             self.put_configuration();
@@ -648,6 +734,9 @@
             let orders = replica.received_orders();
             let orders = orders.into_iter().map(|order| (replica.id, order));
             self.records.orders.extend(orders);
+            let begun = replica.begun().into_iter();
+            let begun = begun.map(|begun| (replica.id, begun));
+            self.records.begun.extend(begun);
         }
         let mut findings = std::mem::take(&mut self.findings);
         findings.extend(check_records(&self.records));
--- a/soak/src/loss.rs
+++ b/soak/src/loss.rs
@@ -14,19 +14,39 @@
 /// The time that a replica which goes on and its router have for a response until the request's deadline.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(300);
 
-/// A router or a replica.
+/// A part of the cluster that may be unavailable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Member {
     /// The router with this index.
     Router(usize),
     /// The replica with this id.
     Replica(&'static str),
+    /// The router with this index as one that has not been told to leave.
+    Entry(usize),
+    /// The links between the router with this index and all replicas.
+    ReplicaLinks(usize),
+    /// The link between the router with this index and the store.
+    StoreLink(usize),
+    /// The store.
+    Store,
 }
 
-/// A change in whether a router or a replica runs and its connections are sound.
+impl Member {
+    /// Returns the parts on which it depends whether a router is in touch.
+    pub(crate) const fn of_contact(router: usize) -> [Self; 4] {
+        [
+            Self::Router(router),
+            Self::Entry(router),
+            Self::StoreLink(router),
+            Self::Store,
+        ]
+    }
+}
+
+/// A change in whether a part runs and its connections are sound.
 #[derive(Clone, Copy, Debug)]
 pub struct AvailabilityChange {
-    /// The router or replica.
+    /// The part.
     pub member: Member,
     /// When it changed.
     pub at: Instant,
@@ -72,7 +92,9 @@
         Outcome::Answer { .. } => return None,
     };
     let is_available = records.is_available(Member::Router(sent.router), sent.at, sent.ended_at);
-    if sent.kind == RequestKind::Crashing || !is_available {
+    let links = Member::ReplicaLinks(sent.router);
+    let is_cut_off = !records.is_available(links, sent.at, sent.ended_at);
+    if sent.kind == RequestKind::Crashing || !is_available || is_cut_off {
         return None;
     }
     let deadline = records.deadline(sent);
--- a/soak/src/recovery.rs
+++ b/soak/src/recovery.rs
@@ -8,6 +8,7 @@
 use crate::callers::lock;
 use crate::checker::{Served, finding, lost_requests};
 use crate::cluster::{Cluster, RECOVERY};
+use crate::plan::{Fault, late_faults_end};
 
 /// The time after the last fault from which routers and store count as stable, by the users' larger sheet.
 const STABILIZATION: Duration = Duration::from_secs(4);
@@ -18,7 +19,7 @@
 
 impl Cluster {
     /// Checks that the cluster recovers after the last fault has ended.
-    pub(crate) async fn check_recovery(&mut self) {
+    pub(crate) async fn check_recovery(&mut self, late_faults: &[(Duration, Fault)]) {
         let faults_ended_at = Instant::now();
         for router in 0..self.routers.len() {
             let daemon = self.routers[router]
@@ -36,6 +37,7 @@
             }
         }
         self.wait_until(faults_ended_at + STABILIZATION).await;
+        self.play_late_faults(late_faults).await;
         let phase_start = Instant::now();
         self.publish_weights();
         self.records.published_weights = Some((self.weights_version, phase_start));
@@ -51,6 +53,15 @@
         self.check_final_phase(phase_start);
     }
 
+    async fn play_late_faults(&mut self, faults: &[(Duration, Fault)]) {
+        let started_at = Instant::now();
+        for (after, fault) in faults {
+            self.wait_until(started_at + *after).await;
+            self.apply(fault).await;
+        }
+        self.wait_until(started_at + late_faults_end(faults)).await;
+    }
+
     /// Shuts the first router down while there are no faults, and checks that no request is lost.
     async fn check_termination(&mut self) {
         let signal_at = Instant::now();
