Probe another replica for the verdict of a router that is cut off

Cause: the verdict needs failed connections to two replicas. Where all requests share a prefix, they go to its home, and one replica is all that fails.

Change: once another router has connected where this one has not, and no replica responds directly, another replica's direct path is probed.

--- a/src/gateway/control/paths.rs
+++ b/src/gateway/control/paths.rs
@@ -33,7 +33,15 @@
             if is_cut_off {
                 pool.cut_path("this router reaches no replicas");
             }
-            self.probe_path_if_due(pool, now);
+            if pool.is_relayed() {
+                self.probe_path(pool, || pool.take_due_path_probe(now));
+            }
+        }
+        if self.relays.needs_probe(self.replica_states.len()) {
+            let mut pools = self.replica_states.values().map(|(_, pool)| pool);
+            if let Some(pool) = pools.find(|pool| !self.relays.has_failed(pool.key())) {
+                self.probe_path(pool, || true);
+            }
         }
     }
 
@@ -44,11 +52,12 @@
             || (!self.replica_states.is_empty() && pools.all(|pool| pool.is_relayed()))
     }
 
-    fn probe_path_if_due(&self, pool: &Arc<ReplicaPool>, now: Duration) {
+    /// Probes the direct path to a replica if it is due and not too many probes run.
+    fn probe_path(&self, pool: &Arc<ReplicaPool>, is_due: impl FnOnce() -> bool) {
         let Ok(permit) = Arc::clone(&self.path_probes).try_acquire_owned() else {
             return;
         };
-        if !pool.take_due_path_probe(now) {
+        if !is_due() {
             return;
         }
         let pool = Arc::clone(pool);
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -138,6 +138,18 @@
         Some(ReachChange::Restored(now.saturating_sub(since)))
     }
 
+    /// Returns whether another replica is to be probed for the verdict: requests may all go to one.
+    pub(crate) fn needs_probe(&self, replicas: usize, now: Duration) -> bool {
+        let is_silent = now >= self.first_failed_at + CUT_OFF_SILENCE;
+        let is_open = self.failed.len() < CUT_OFF_REPLICAS.min(replicas);
+        !self.is_cut_off() && self.has_relayed && is_silent && is_open
+    }
+
+    /// Returns whether a direct connection to this replica has failed since one responded directly.
+    pub(crate) fn has_failed(&self, replica: ReplicaKey) -> bool {
+        self.failed.contains(&replica)
+    }
+
     /// Returns the change of the verdict by the passage of time, for a router that knows `replicas`.
     pub(crate) fn evaluate(&mut self, replicas: usize, now: Duration) -> Option<ReachChange> {
         let is_silent = now >= self.first_failed_at + CUT_OFF_SILENCE;
--- a/src/gateway/relay_client.rs
+++ b/src/gateway/relay_client.rs
@@ -99,6 +99,16 @@
         }
     }
 
+    /// Returns whether another replica than those that failed is to be probed for the verdict; this router knows `replicas`.
+    pub(crate) fn needs_probe(&self, replicas: usize) -> bool {
+        lock(&self.reach).needs_probe(replicas, boot_time())
+    }
+
+    /// Returns whether a direct connection to this replica has failed since one responded directly.
+    pub(crate) fn has_failed(&self, replica: ReplicaKey) -> bool {
+        lock(&self.reach).has_failed(replica)
+    }
+
     /// Returns whether this router is found to be cut off now; it knows `replicas`.
     pub(crate) fn is_newly_cut_off(&self, replicas: usize) -> bool {
         let change = lock(&self.reach).evaluate(replicas, boot_time());
--- a/src/gateway/tests/path.rs
+++ b/src/gateway/tests/path.rs
@@ -64,6 +64,22 @@
     assert!(!reach.is_cut_off());
 }
 
+/// All requests of a service may go to one replica, the home of their prefix.
+#[test]
+fn needs_probe_after_one_replica_failed_until_a_second_one_did() {
+    let mut reach = Reach::default();
+    reach.direct_failed(1, ms(1_000));
+    assert!(!reach.needs_probe(4, ms(1_200)), "it may be down");
+    reach.relayed();
+    assert!(!reach.needs_probe(4, ms(1_199)), "too early");
+    assert!(reach.needs_probe(4, ms(1_200)));
+    assert!(!reach.needs_probe(1, ms(1_200)), "there is no other one");
+    reach.direct_failed(2, ms(1_210));
+    assert!(reach.has_failed(2) && !reach.has_failed(3));
+    assert!(!reach.needs_probe(4, ms(1_220)));
+    assert_eq!(reach.evaluate(4, ms(1_220)), Some(ReachChange::CutOff));
+}
+
 #[test]
 fn evaluate_response_over_an_old_connection_is_no_cut() {
     let mut reach = Reach::default();
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -412,6 +412,11 @@
         }
     }
 
+    /// Returns the key of the replica.
+    pub(crate) const fn key(&self) -> ReplicaKey {
+        self.route.key
+    }
+
     /// Returns whether connections are opened over other routers.
     pub(crate) fn is_relayed(&self) -> bool {
         self.lock_path().is_relayed()
@@ -424,10 +429,10 @@
 
     /// Opens a direct connection and closes it, without evidence against the replica if that fails.
     pub(crate) async fn probe_path(&self) {
-        if let Ok(stream) = self.open_stream().await
-            && is_kept_open(&stream).await
-        {
-            self.direct_connected();
+        match self.open_stream().await {
+            Ok(stream) if is_kept_open(&stream).await => self.direct_connected(),
+            Err(error) if !is_link_failure(&error) => {}
+            Ok(_) | Err(_) => self.route.client.direct_failed(self.route.key),
         }
     }
 
