Ask other routers about crashes while a router is cut off

Cause: a router that is cut off took no replica for down, so a crash under a request that it had relayed was reported by nobody.

Change: its paths are all relayed, so what other routers say decides. Found by reading, no test.

--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -212,7 +212,7 @@
 
     /// Returns whether the replica refuses or closes connections. One that is opened for this is kept for the next request.
     async fn check_connection(self: &Arc<Self>) -> bool {
-        if self.has_open_idle() || self.route.client.is_cut_off() {
+        if self.has_open_idle() {
             return false;
         }
         if self.open.load(Ordering::Relaxed) >= self.limit.load(Ordering::Relaxed) {
