Choose lease candidates from several zones

Cause: three routers may acquire the lease for orders. By their hashes they may all be in a zone that is cut off from the replicas, and then none of the others acquires it.

Change: one of each zone comes first, and there are five. Found by reading; no test fails without it in every run.

--- a/src/gateway/control/orders.rs
+++ b/src/gateway/control/orders.rs
@@ -23,8 +23,8 @@
 use super::contain::result_or;
 use super::{Control, Event, enqueue};
 
-/// The number of routers that may acquire the lease for orders.
-const LEASE_CANDIDATES: usize = 3;
+/// The number of routers that may acquire the lease for orders; several, since those of a zone may reach no replicas.
+const LEASE_CANDIDATES: usize = 5;
 /// How much longer each lower-ranked candidate waits after a lease expires; several store calls fit in.
 const RANK_DELAY: Duration = Duration::from_millis(300);
 /// The timeout of an order.
@@ -225,18 +225,30 @@
             && WeightsRollout::is_needed(self.fleet.replicas(), &self.target_versions())
     }
 
-    /// Returns this router's rank among the lease candidates, with the last holder first; `None` if it is not a
-    /// candidate.
+    /// Returns this router's rank among the lease candidates, with the last holder first, then one of each zone; `None` if it
+    /// is not a candidate.
     pub(super) fn lease_rank(&self) -> Option<usize> {
-        let alive = self.peers.candidates();
+        let candidates = self.peers.candidates();
+        let routers: Vec<_> = candidates.iter().map(|member| &member.router).collect();
         let last = self
             .last_holder
             .as_ref()
-            .filter(|last| alive.contains(last));
-        let others = watchers_of(xxh3_64(b"orders"), alive.iter().copied(), LEASE_CANDIDATES);
+            .filter(|last| routers.contains(last));
+        let ranked = watchers_of(xxh3_64(b"orders"), routers.iter().copied(), routers.len());
+        let zone = |router: &RouterId| {
+            let member = candidates.iter().find(|member| member.router == *router);
+            member.map(|member| &member.zone)
+        };
+        let mut zones = Vec::new();
+        let (firsts, others): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|router| {
+            let is_first = !zones.contains(&zone(router));
+            zones.push(zone(router));
+            is_first
+        });
+        let ordered = firsts.into_iter().chain(others);
         let order = last
             .into_iter()
-            .chain(others.into_iter().filter(|other| Some(*other) != last));
+            .chain(ordered.filter(|other| Some(*other) != last));
         order
             .take(LEASE_CANDIDATES)
             .position(|router| router == self.peers.own())
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -146,15 +146,11 @@
     }
 
     /// Returns the routers that may acquire the lease for orders: the ready ones, or all alive ones if none is ready.
-    pub(crate) fn candidates(&self) -> Vec<&RouterId> {
+    pub(crate) fn candidates(&self) -> Vec<&Member> {
         let is_ready = |member: &&Member| member.takes_new_work() && member.load != LoadLevel::Full;
-        let ready: Vec<_> = self
-            .alive()
-            .filter(is_ready)
-            .map(|member| &member.router)
-            .collect();
+        let ready: Vec<_> = self.alive().filter(is_ready).collect();
         if ready.is_empty() {
-            return self.alive().map(|member| &member.router).collect();
+            return self.alive().collect();
         }
         ready
     }
