Open connections over other routers where direct links are silent

What callers saw: at routers whose links to the replicas open connections and carry nothing, requests waited until their deadlines.

Cause: a path counted as cut only where a connection failed to open. Behind a device that accepts connections each one opens, and each counted as a sign of a sound link.

Change: requests that wait at several replicas of a service without any response make its links suspect; connections are then opened over other routers where that is possible. A response that comes over another router confirms it. A request that may be repeated tries the links once a second, and any direct response ends the silence.

--- a/src/gateway/control/mod.rs
+++ b/src/gateway/control/mod.rs
@@ -35,9 +35,9 @@
 use crate::gateway::stream_origin::{ReleaseKey, StreamKey, release_key};
 use crate::gateway::take_up::StreamLookup;
 use crate::gateway::updates::PlatformUpdate;
-use crate::gateway::upstream::{RelayRoute, ReplicaPool};
+use crate::gateway::upstream::{RelayRoute, ReplicaPool, ServiceLinks};
 use crate::gateway::weights::{LoadTarget, OrderReply, WeightsReport, WeightsRollout};
-use crate::id::{ReplicaId, RouterId};
+use crate::id::{ReplicaId, RouterId, ServiceName};
 use crate::membership::Heartbeat;
 use crate::peer::{Inbound, PeerEvent};
 use crate::request::quarantine::Quarantine;
@@ -276,6 +276,7 @@
     last_holder: Option<RouterId>,
     last_report_requests: HashMap<ReplicaId, Duration>,
     replica_states: HashMap<(ReplicaId, u64), (Arc<ReplicaLoad>, Arc<ReplicaPool>)>,
+    links: HashMap<ServiceName, Arc<ServiceLinks>>,
     source: SourceSelector,
     current_source: UpdateSource,
     platform: PlatformState,
@@ -341,6 +342,7 @@
             last_holder: None,
             last_report_requests: HashMap::new(),
             replica_states: HashMap::new(),
+            links: HashMap::new(),
             source: SourceSelector::new(boot_time()),
             current_source: UpdateSource::Platform,
             platform: PlatformState::default(),
@@ -574,6 +576,13 @@
                 .map(|replica| Arc::clone(&replica.known.record.id));
             self.shared.set_tracked_replicas(service, ids.collect());
         }
+        for (service, replicas) in &snapshot.services {
+            if let Some(links) = self.links.get(service) {
+                links.set_replicas(replicas.len());
+            }
+        }
+        self.links
+            .retain(|service, _| snapshot.services.contains_key(service));
         self.shared.publish(snapshot);
     }
 
@@ -589,6 +598,7 @@
         let key = (Arc::clone(&record.id), record.born_ms);
         let address = record.address;
         let relays = &self.relays;
+        let links = self.links.entry(Arc::clone(&record.service)).or_default();
         let (load, pool) = self.replica_states.entry(key).or_insert_with(|| {
             let route = RelayRoute {
                 client: Arc::clone(relays),
@@ -597,6 +607,7 @@
                     born_ms: record.born_ms,
                 },
                 key: replica_key(&record.id, record.born_ms),
+                links: Arc::clone(links),
             };
             let pool = ReplicaPool::new(address, limit, route);
             (Arc::default(), Arc::new(pool))
--- a/src/gateway/control/paths.rs
+++ b/src/gateway/control/paths.rs
@@ -48,7 +48,9 @@
     /// Returns whether this router can open a direct connection to no replica, as control calls need one.
     pub(super) fn reaches_no_replicas(&self) -> bool {
         let mut pools = self.replica_states.values().map(|(_, pool)| pool);
+        let mut links = self.links.values();
         self.relays.is_cut_off()
+            || (!self.links.is_empty() && links.all(|links| links.are_silent()))
             || (!self.replica_states.is_empty() && pools.all(|pool| pool.is_relayed()))
     }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -495,8 +495,8 @@
         };
         let expected_ms = self.expected_first_event_ms(&replica, prefix, last_event);
         let guard = replica.load.begin(&self.call.placement);
-        let connection =
-            tokio::time::timeout(self.call.remaining(), replica.pool.acquire(max_idle)).await;
+        let acquiring = replica.pool.acquire(max_idle, is_retryable);
+        let connection = tokio::time::timeout(self.call.remaining(), acquiring).await;
         let connection = match connection {
             Ok(Ok(connection)) => connection,
             Ok(Err(failure)) => return Err(self.connect_failed(&replica, failure).into()),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -146,6 +146,15 @@
     }
 
     async fn receive_frame(&mut self) -> Option<Result<Frame<Bytes>, StreamFault>> {
+        let frame = self.receive_in_time().await;
+        if matches!(frame, Some(Ok(_))) {
+            self.connection.record_response();
+        }
+        frame
+    }
+
+    /// Receives a frame, or withdraws the request if the replica may not begin it any more.
+    async fn receive_in_time(&mut self) -> Option<Result<Frame<Bytes>, StreamFault>> {
         let Some(limit) = &mut self.begin_limit else {
             let frame = self.body.frame().await?;
             return Some(frame.map_err(|_| StreamFault::Broken));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod helpers;
 mod leaving;
 mod limited_stream;
+mod link_silence;
 mod list_watch;
 mod load;
 mod memory;
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -18,6 +18,7 @@
 mod freshness;
 mod lease;
 mod leaving;
+mod link_silence;
 mod list_watch;
 mod loads;
 mod memory;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -21,6 +21,7 @@
 
 use super::clock::boot_time;
 use super::limited_stream::{LimitedStream, ReadAllowance};
+use super::link_silence::{LinkSilence, LinkUse, SilenceChange};
 use super::load::ReplicaKey;
 use super::memory::BodyReader;
 use super::path::Path;
@@ -71,6 +72,91 @@
     pub(crate) request: ConnectRequest,
     /// The key of the replica.
     pub(crate) key: ReplicaKey,
+    /// The direct links to the replicas of the service.
+    pub(crate) links: Arc<ServiceLinks>,
+}
+
+/// What is known about the direct links to the replicas of a service.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceLinks {
+    silence: Mutex<LinkSilence>,
+    /// The number of replicas.
+    replicas: AtomicU32,
+}
+
+/// A request that waits for the head of a direct response, until it is dropped.
+struct DirectWait {
+    links: Arc<ServiceLinks>,
+    replica: ReplicaKey,
+    sent_at: Duration,
+}
+
+impl ServiceLinks {
+    /// Sets the number of replicas.
+    pub(crate) fn set_replicas(&self, replicas: usize) {
+        let replicas = u32::try_from(replicas).unwrap_or(u32::MAX);
+        self.replicas.store(replicas, Ordering::Relaxed);
+    }
+
+    /// Returns whether the links are silent, while replicas respond to other routers.
+    pub(crate) fn are_silent(&self) -> bool {
+        self.lock().is_confirmed()
+    }
+
+    fn next_use(&self, is_retryable: bool) -> LinkUse {
+        let replicas = self.replicas.load(Ordering::Relaxed) as usize;
+        self.lock().next_use(replicas, is_retryable, boot_time())
+    }
+
+    /// Records a part of a response.
+    fn responded(&self, is_relayed: bool) {
+        let change = match is_relayed {
+            true => self.lock().relayed_responded(),
+            false => self.lock().responded(boot_time()),
+        };
+        let Some(change) = change else {
+            return;
+        };
+        match change {
+            SilenceChange::Confirmed => {
+                metrics::counter!("crocuswharf_gateway_cut_offs_total", "change" => "silent")
+                    .increment(1);
+                log::warn!(
+                    "path: The links to a service are silent, and its replicas respond to others."
+                );
+            }
+            SilenceChange::Ended(time) => {
+                metrics::counter!("crocuswharf_gateway_cut_offs_total", "change" => "responding")
+                    .increment(1);
+                log::warn!(
+                    "path: The replicas of a service respond directly again. silent_ms={}",
+                    time.as_millis()
+                );
+            }
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, LinkSilence> {
+        self.silence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl DirectWait {
+    fn begin(links: &Arc<ServiceLinks>, replica: ReplicaKey) -> Self {
+        let sent_at = boot_time();
+        links.lock().sent(replica, sent_at);
+        Self {
+            links: Arc::clone(links),
+            replica,
+            sent_at,
+        }
+    }
+}
+
+impl Drop for DirectWait {
+    fn drop(&mut self) {
+        self.links.lock().ended(self.replica, self.sent_at);
+    }
 }
 
 /// The connections to one replica.
@@ -178,14 +264,21 @@
         self.limit.store(limit, Ordering::Relaxed);
     }
 
-    /// Returns an idle connection that was used within `max_idle`, or opens one.
+    /// Returns an idle connection that was used within `max_idle`, or opens one, for a request that may be repeated or not.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
         max_idle: Duration,
+        is_retryable: bool,
     ) -> Result<ReplicaConnection, SendFailure> {
-        if let Some(connection) = self.take_idle(max_idle) {
+        let link_use = self.route.links.next_use(is_retryable);
+        if let Some(connection) = self.take_idle(max_idle, link_use) {
             return Ok(connection);
         }
+        if link_use == LinkUse::Relayed
+            && let Ok(opened) = self.open_relayed().await
+        {
+            return self.handshake(opened).await;
+        }
         if self.open.load(Ordering::Relaxed) >= self.limit.load(Ordering::Relaxed) {
             return Err(SendFailure::Full);
         }
@@ -262,10 +355,11 @@
         });
     }
 
-    fn take_idle(&self, max_idle: Duration) -> Option<ReplicaConnection> {
+    fn take_idle(&self, max_idle: Duration, link_use: LinkUse) -> Option<ReplicaConnection> {
         let now = boot_time();
         let direct_response = read_time(&self.direct_response_ms);
-        let allows_direct = self.lock_path().allows_idle_direct(direct_response, now);
+        let allows_direct = link_use == LinkUse::Direct
+            && self.lock_path().allows_idle_direct(direct_response, now);
         let mut idle = self.lock_idle();
         // The most recently used connection is the least likely to have been closed by the replica.
         while let Some(entry) = idle.pop() {
@@ -458,6 +552,11 @@
         self.route.key
     }
 
+    /// Returns whether the links to the replica's service are silent, while its replicas respond to other routers.
+    pub(crate) fn has_silent_links(&self) -> bool {
+        self.route.links.are_silent()
+    }
+
     /// Returns whether connections are opened over other routers.
     pub(crate) fn is_relayed(&self) -> bool {
         self.lock_path().is_relayed()
@@ -590,16 +689,25 @@
         self.lease.is_some()
     }
 
+    /// Records that a part of a response has arrived.
+    pub(crate) fn record_response(&self) {
+        self.pool.route.links.responded(self.is_relayed());
+    }
+
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendFailure> {
         self.allowance.set(MAX_BYTES_TO_HEAD);
+        let route = &self.pool.route;
+        let wait = (!self.is_relayed()).then(|| DirectWait::begin(&route.links, route.key));
         let result = self.sender.try_send_request(request).await;
+        drop(wait);
         self.allowance.set(usize::MAX);
         match result {
             Ok(response) => {
+                self.record_response();
                 if !self.is_relayed() {
                     record_time(&self.pool.direct_response_ms);
                     self.pool.route.client.direct_responded();
--- a/src/telemetry/catalog.rs
+++ b/src/telemetry/catalog.rs
@@ -112,7 +112,7 @@
         MetricKind::Counter,
         Unit::Count,
         &["change"],
-        "Changes of the verdict whether this router reaches no replicas while others do: cut_off or restored.",
+        "Changes of the verdict whether this router reaches no replicas while others do: cut_off or restored; silent or responding for links that carry nothing.",
     ),
     metric(
         "crocuswharf_gateway_expired_orders_total",
