--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -32,7 +32,7 @@
     /// also send a request again and again that crashes the replicas that run it
     #[argh(switch)]
     crashing_request: bool,
-    /// also cut routers off from all replicas
+    /// cut routers off from all replicas also with --base-only
     #[argh(switch)]
     cuts: bool,
     /// the daemon's executable (default: crocuswharf-platform in the folder of this program)
@@ -97,12 +97,13 @@
             Overlay::Uneven,
             Overlay::Versions,
             Overlay::Weights,
+            Overlay::Cuts,
         ]);
     }
     if args.crashing_request {
         overlays.push(Overlay::CrashingRequest);
     }
-    if args.cuts {
+    if args.cuts && args.base_only {
         overlays.push(Overlay::Cuts);
     }
     overlays
