Suspect links by requests without an answer, however they ended

Besides, replicas that were silent for a second made links suspect, and a service whose deadlines are short never did.

Cause: only requests that still waited counted, for 0.5 s. A connection that is accepted and reset is a request that was broken off, which counted as the replica's doing.

Change: replicas count that have not answered a request since any replica of the service last responded directly, whether the request still waits or has ended, after 1.1 s. A router that suspects its links refuses to relay, and requests that break there are no evidence of crashes.

--- a/src/gateway/attempt_watch.rs
+++ b/src/gateway/attempt_watch.rs
@@ -209,7 +209,8 @@
             break;
         }
     }
-    if !crash.is_down && replica.pool.is_relayed() {
+    let is_cut = replica.pool.is_relayed() || replica.pool.has_suspected_links();
+    if !crash.is_down && is_cut {
         log::info!(
             "request: A cut link broke a request off. id={} replica={} ran_ms={}",
             crash.id,
--- a/src/gateway/link_silence.rs
+++ b/src/gateway/link_silence.rs
@@ -1,15 +1,16 @@
-//! Decides whether this router's links to the replicas of a service are silent: connections open and live, and nothing
+//! Decides whether this router's links to the replicas of a service are silent: connections open or live, and no response
 //! comes back on them.
 //!
-//! Such a link shows in no failed connection. It is suspected once requests have waited at several replicas for
-//! [`SUSPICION_TIME`] and no replica of the service has responded directly meanwhile. Connections are then opened over other
-//! routers where that is possible, and directly where not. The suspicion is confirmed by a response that comes over another
-//! router: the replicas respond to others. A request that may be repeated is sent directly once in [`TRIAL_INTERVAL`]; any
-//! direct response ends the silence.
+//! Such a link shows in no failed connection. It is suspected once requests to several replicas have had no answer for
+//! [`SUSPICION_TIME`], whether they still wait or were broken off, and no replica of the service has responded directly
+//! meanwhile. Connections are then opened over other routers where that is possible, and directly where not. The
+//! suspicion is confirmed by a response that comes over another router: the replicas respond to others. A request that
+//! may be repeated is sent directly once in [`TRIAL_INTERVAL`]; any direct response ends the silence.
 //!
-//! Load patterns handled: a cut whose connections hang behind a device that accepts them; a cut of one service only; one
-//! replica that is silent while the others respond (no suspicion); a full service whose replicas respond to nobody for a
-//! while (a suspicion that costs connections, and is not confirmed); a cut that ends while only requests come that must not be
+//! Load patterns handled: a cut whose connections hang, or are reset, behind a device that accepts them; a cut of one
+//! service only; requests whose deadlines are shorter than the suspicion takes; one replica that is silent while the others
+//! respond, and several for a second (no suspicion); a full service whose replicas respond to nobody for a while (a
+//! suspicion that costs connections, and is not confirmed); a cut that ends while only requests come that must not be
 //! repeated (the verdict expires).
 //!
 //! Rejected: a verdict by silence alone, since all routers of a full service would then take themselves for cut off.
@@ -20,9 +21,9 @@
 
 use super::load::ReplicaKey;
 
-/// How long requests wait without any response before the links are suspected.
-const SUSPICION_TIME: Duration = Duration::from_millis(500);
-/// The number of replicas at which requests must wait, if the service has as many.
+/// How long requests have no answer before the links are suspected; a sound replica may be silent for a second.
+const SUSPICION_TIME: Duration = Duration::from_millis(1_100);
+/// The number of replicas that must not have answered, if the service has as many.
 const SUSPICION_REPLICAS: usize = 2;
 /// The time between two requests that are sent over silent links.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
@@ -32,10 +33,8 @@
 /// What is known about the direct links to the replicas of one service.
 #[derive(Debug, Default)]
 pub(crate) struct LinkSilence {
-    /// The requests that wait for the head of a direct response, and when they were sent.
-    waiting: SmallVec<[(ReplicaKey, Duration); 8]>,
-    /// When a replica last responded directly.
-    responded_at: Duration,
+    /// The first replicas to which requests were sent directly since one last responded directly, and when.
+    unanswered: SmallVec<[(ReplicaKey, Duration); SUSPICION_REPLICAS]>,
     silent: Option<Silence>,
 }
 
@@ -67,20 +66,15 @@
 impl LinkSilence {
     /// Records that a request is sent directly.
     pub(crate) fn sent(&mut self, replica: ReplicaKey, now: Duration) {
-        self.waiting.push((replica, now));
-    }
-
-    /// Records that a request no longer waits for the head of its response.
-    pub(crate) fn ended(&mut self, replica: ReplicaKey, sent_at: Duration) {
-        let position = self.waiting.iter().position(|at| *at == (replica, sent_at));
-        if let Some(position) = position {
-            self.waiting.swap_remove(position);
+        let is_known = self.unanswered.iter().any(|(known, _)| *known == replica);
+        if !is_known && self.unanswered.len() < SUSPICION_REPLICAS {
+            self.unanswered.push((replica, now));
         }
     }
 
     /// Records a part of a direct response.
     pub(crate) fn responded(&mut self, now: Duration) -> Option<SilenceChange> {
-        self.responded_at = now;
+        self.unanswered.clear();
         let silence = self.silent.take().filter(|silence| silence.is_confirmed)?;
         Some(SilenceChange::Ended(now.saturating_sub(silence.since)))
     }
@@ -92,6 +86,11 @@
         is_new.then_some(SilenceChange::Confirmed)
     }
 
+    /// Returns whether the links are silent, as far as this router can tell.
+    pub(crate) const fn is_suspected(&self) -> bool {
+        self.silent.is_some()
+    }
+
     /// Returns whether the links are silent, while replicas respond to other routers.
     pub(crate) fn is_confirmed(&self) -> bool {
         self.silent.is_some_and(|silence| silence.is_confirmed)
@@ -105,7 +104,7 @@
         now: Duration,
     ) -> LinkUse {
         self.expire(now);
-        if self.silent.is_none() && self.is_suspected(replicas, now) {
+        if self.silent.is_none() && self.has_no_answer(replicas, now) {
             self.silent = Some(Silence {
                 since: now,
                 next_trial_at: now + TRIAL_INTERVAL,
@@ -123,27 +122,16 @@
     }
 
     fn expire(&mut self, now: Duration) {
-        let is_over = |silence: &Silence| match silence.is_confirmed {
-            true => now >= silence.since + MAX_SILENCE,
-            // A suspicion ends with the requests that caused it.
-            false => self.waiting.is_empty(),
-        };
-        if self.silent.as_ref().is_some_and(is_over) {
+        let is_over = |silence: Silence| now >= silence.since + MAX_SILENCE;
+        if self.silent.is_some_and(is_over) {
             self.silent = None;
+            self.unanswered.clear();
         }
     }
 
-    fn is_suspected(&self, replicas: usize, now: Duration) -> bool {
-        if now < self.responded_at + SUSPICION_TIME {
-            return false;
-        }
-        let mut silent: SmallVec<[ReplicaKey; SUSPICION_REPLICAS]> = SmallVec::new();
-        for (replica, sent_at) in &self.waiting {
-            let is_old = now >= *sent_at + SUSPICION_TIME;
-            if is_old && silent.len() < SUSPICION_REPLICAS && !silent.contains(replica) {
-                silent.push(*replica);
-            }
-        }
-        !silent.is_empty() && silent.len() >= SUSPICION_REPLICAS.min(replicas)
+    fn has_no_answer(&self, replicas: usize, now: Duration) -> bool {
+        let is_old = |(_, sent_at): &(ReplicaKey, Duration)| now >= *sent_at + SUSPICION_TIME;
+        let old = self.unanswered.iter().filter(|entry| is_old(entry)).count();
+        old > 0 && old >= SUSPICION_REPLICAS.min(replicas)
     }
 }
--- a/src/gateway/relay_server.rs
+++ b/src/gateway/relay_server.rs
@@ -78,7 +78,7 @@
     let Some(replica) = find(shared, &message) else {
         return refuse(request, ConnectOutcome::NoReplica).await;
     };
-    if replica.pool.has_silent_links() {
+    if replica.pool.has_suspected_links() {
         return refuse(request, ConnectOutcome::CutOff).await;
     }
     let server = match replica.pool.open_for_peer().await {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -84,13 +84,6 @@
     replicas: AtomicU32,
 }
 
-/// A request that waits for the head of a direct response, until it is dropped.
-struct DirectWait {
-    links: Arc<ServiceLinks>,
-    replica: ReplicaKey,
-    sent_at: Duration,
-}
-
 impl ServiceLinks {
     /// Sets the number of replicas.
     pub(crate) fn set_replicas(&self, replicas: usize) {
@@ -141,24 +134,6 @@
     }
 }
 
-impl DirectWait {
-    fn begin(links: &Arc<ServiceLinks>, replica: ReplicaKey) -> Self {
-        let sent_at = boot_time();
-        links.lock().sent(replica, sent_at);
-        Self {
-            links: Arc::clone(links),
-            replica,
-            sent_at,
-        }
-    }
-}
-
-impl Drop for DirectWait {
-    fn drop(&mut self) {
-        self.links.lock().ended(self.replica, self.sent_at);
-    }
-}
-
 /// The connections to one replica.
 #[derive(Debug)]
 pub(crate) struct ReplicaPool {
@@ -552,9 +527,9 @@
         self.route.key
     }
 
-    /// Returns whether the links to the replica's service are silent, while its replicas respond to other routers.
-    pub(crate) fn has_silent_links(&self) -> bool {
-        self.route.links.are_silent()
+    /// Returns whether the links to the replica's service are silent, as far as this router can tell.
+    pub(crate) fn has_suspected_links(&self) -> bool {
+        self.route.links.lock().is_suspected()
     }
 
     /// Returns whether connections are opened over other routers.
@@ -701,9 +676,10 @@
     ) -> Result<Response<Incoming>, SendFailure> {
         self.allowance.set(MAX_BYTES_TO_HEAD);
         let route = &self.pool.route;
-        let wait = (!self.is_relayed()).then(|| DirectWait::begin(&route.links, route.key));
+        if !self.is_relayed() {
+            route.links.lock().sent(route.key, boot_time());
+        }
         let result = self.sender.try_send_request(request).await;
-        drop(wait);
         self.allowance.set(usize::MAX);
         match result {
             Ok(response) => {
