--- a/src/gateway/helpers.rs
+++ b/src/gateway/helpers.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// Returns whether a router may be asked: it is alive, ready and does not leave.
+    pub(crate) fn contains(&self, router: &RouterId) -> bool {
+        let mut known = self.known.iter();
+        known.any(|state| state.helper.router == *router)
+    }
+
     fn find(&mut self, router: &RouterId) -> Option<&mut HelperState> {
         let mut known = self.known.iter_mut();
         known.find(|state| state.helper.router == *router)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -264,6 +264,8 @@
         while phase != LeavePhase::Closing {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
             let (open, last_arrival) = requests.count_and_last_arrival();
+            // The routers that asked close idle connections over a router that leaves; those that are left carry requests.
+            let open = open + self.shared.open_relays();
             let next = schedule.phase(clock::boot_time(), open, last_arrival);
             if next != phase {
                 log::info!("gateway: Shutdown proceeds. phase={next:?} open_requests={open}");
--- a/src/gateway/relay_client.rs
+++ b/src/gateway/relay_client.rs
@@ -63,6 +63,13 @@
     }
 }
 
+impl HelperLease {
+    /// Returns whether the router still opens connections, so that new requests may be sent over it.
+    pub(crate) fn is_valid(&self) -> bool {
+        lock(&self.client.helpers).contains(&self.router)
+    }
+}
+
 impl RelayClient {
     /// Creates a client that knows no other routers.
     pub(crate) fn new(links: Links) -> Self {
--- a/src/gateway/relay_server.rs
+++ b/src/gateway/relay_server.rs
@@ -103,6 +103,7 @@
     );
     let connected = reply(request, ConnectOutcome::Connected).await?;
     set_keepalive_options(&connected)?;
+    let _open = shared.begin_relay();
     copy_both(connected, server).await;
     Ok(())
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -199,6 +199,8 @@
     leave_schedule: OnceLock<LeaveSchedule>,
     /// Becomes true when a router that shuts down answers the requests that still wait for a response.
     closing: watch::Sender<bool>,
+    /// The connections that this router relays for others.
+    open_relays: Arc<AtomicUsize>,
     /// The memory that callers' connections hold.
     pub(crate) memory: MemoryAccount,
     /// The requests of callers that have not been answered in full.
@@ -431,6 +433,16 @@
     }
 }
 
+/// A connection that this router relays for another one.
+#[derive(Debug)]
+pub(crate) struct OpenRelay(Arc<AtomicUsize>);
+
+impl Drop for OpenRelay {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         lock(&self.load.held).remove(&self.request);
@@ -460,6 +472,7 @@
             configuration_change: ArcSwap::default(),
             leave_schedule: OnceLock::new(),
             closing: watch::Sender::new(false),
+            open_relays: Arc::default(),
             open_requests: Arc::default(),
             health: Mutex::default(),
             budgets: Mutex::default(),
@@ -599,6 +612,17 @@
         *self.leave_schedule.get_or_init(|| schedule)
     }
 
+    /// Counts a connection that this router relays until the result is dropped.
+    pub(crate) fn begin_relay(&self) -> OpenRelay {
+        self.open_relays.fetch_add(1, Ordering::Relaxed);
+        OpenRelay(Arc::clone(&self.open_relays))
+    }
+
+    /// Returns the number of connections that this router relays for others.
+    pub(crate) fn open_relays(&self) -> usize {
+        self.open_relays.load(Ordering::Relaxed)
+    }
+
     /// Ends the wait of all requests that have no response yet.
     pub(crate) fn close(&self) {
         self.closing.send_replace(true);
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -326,6 +326,7 @@
         let mut idle = self.lock_idle();
         idle.retain(|entry| {
             !all && !entry.connection.sender.is_closed()
+                && entry.connection.has_valid_helper()
                 && now < entry.idle_since + entry.idle_timeout
         });
     }
@@ -340,6 +341,7 @@
         while let Some(entry) = idle.pop() {
             let age = now.saturating_sub(entry.idle_since);
             let is_usable = entry.connection.sender.is_ready()
+                && entry.connection.has_valid_helper()
                 && age < entry.idle_timeout
                 && (allows_direct || entry.connection.is_relayed());
             if is_usable && age < max_idle {
@@ -659,6 +661,11 @@
 }
 
 impl ReplicaConnection {
+    /// Returns whether the connection is direct, or runs over a router that does not leave.
+    fn has_valid_helper(&self) -> bool {
+        self.lease.as_ref().is_none_or(HelperLease::is_valid)
+    }
+
     /// Returns whether the connection runs over another router.
     pub(crate) const fn is_relayed(&self) -> bool {
         self.lease.is_some()
