Withdraw requests from old weights 0.5 to 0.8 s before the bound

Cause: the margin of 0.8 to 1.3 s before the bound was there for routers that learn of a version late, and since then their ages count from before the gap.

Change: withdrawals are 0.5 to 0.8 s before the bound; the last sends stay 1.8 s before it at the latest.

--- a/src/gateway/begin_limit.rs
+++ b/src/gateway/begin_limit.rs
@@ -28,10 +28,10 @@
 use crate::id::WeightsVersion;
 
 /// The time over which the last sends to old weights, and the withdrawals, of different requests are spread.
-pub(crate) const SPREAD: Duration = Duration::from_millis(500);
+pub(crate) const SPREAD: Duration = Duration::from_millis(300);
 /// How long before the bound the last request is withdrawn: the close has to reach its replica, and a router may learn of a
 /// version some hundred milliseconds after it was named.
-pub(crate) const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(800);
+pub(crate) const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(500);
 
 /// The limit on the time until a replica begins a request.
 #[derive(Debug)]
