--- a/soak/src/loss.rs
+++ b/soak/src/loss.rs
@@ -101,6 +101,7 @@
     let mut waited_for = None;
     for run in runs {
         match records.response_time(run, deadline) {
+            Some(at) if records.may_be_withdrawn(run, at) => {}
             Some(at) if at + RESPONSE_MARGIN <= deadline => waited_for = Some((run, at)),
             _ if records.begins_no_response(run, deadline) => {}
             _ => return None,
--- a/soak/src/outdated.rs
+++ b/soak/src/outdated.rs
@@ -4,10 +4,10 @@
 //! reached a replica was rejected: one that was sent in time may still begin too late.
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crocuswharf_platform_fakes::daemon::WEIGHTS_LIMIT;
-use crocuswharf_platform_fakes::replica::BegunStream;
+use crocuswharf_platform_fakes::replica::{BegunStream, ReceivedRequest};
 
 use crate::checker::{Finding, Records, finding};
 use crate::loss::Member;
@@ -15,6 +15,9 @@
 /// How long a router has been sound before it counts as in touch, by the users' larger sheet.
 pub(crate) const TOUCH_TIME: Duration = Duration::from_secs(4);
 
+/// How long before the bound on old weights routers withdraw requests that have not begun.
+const WITHDRAWAL_TIME: Duration = Duration::from_millis(800);
+
 /// Checks the streams that replicas began for requests of routers in touch, over links that were sound.
 pub(crate) fn check_begins(records: &Records) -> Vec<Finding> {
     let sent = records.sent.iter();
@@ -47,6 +50,19 @@
 }
 
 impl Records {
+    /// Returns whether a request that its replica would have begun at `at` may be withdrawn from it, since its weights are
+    /// too old by then.
+    pub(crate) fn may_be_withdrawn(&self, request: &ReceivedRequest, at: Instant) -> bool {
+        let version = request.header("x-crocuswharf-expect-version");
+        let Some(version) = version.and_then(|version| version.parse::<u64>().ok()) else {
+            return false;
+        };
+        let named = self.named_weights.iter();
+        let newer = named.filter(|(_, newer)| *newer > version);
+        let first = newer.map(|(at, _)| *at).min();
+        first.is_some_and(|first| at + WITHDRAWAL_TIME >= first + WEIGHTS_LIMIT)
+    }
+
     /// Returns how long after the first newer version was named a stream began.
     fn delay_after_newer(&self, begun: &BegunStream) -> Option<Duration> {
         let named = self.named_weights.iter();
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -607,3 +607,18 @@
     });
     assert_eq!(check_records(&records), []);
 }
+
+/// A replica that begins a request later than routers wait for it, shortly before the bound on old weights, may lose it.
+#[test]
+fn check_records_request_withdrawn_before_the_bound_is_excused() {
+    let mut records = valid_records(RequestKind::Stream);
+    records.sent[0].outcome = answer(502, "", "withdrawn", true);
+    records.received[0].mode = Mode::Slow(SECOND / 2);
+    assert_single_finding(&records, LOSS);
+    let begins_at = records.received[0].at + SECOND / 2;
+    let named_at = |before_bound: Duration| begins_at + before_bound - WEIGHTS_LIMIT;
+    records.named_weights = vec![(named_at(SECOND), 2)];
+    assert_single_finding(&records, LOSS);
+    records.named_weights = vec![(named_at(SECOND / 2), 2)];
+    assert_eq!(check_records(&records), []);
+}
